--- /dev/null
+++ b/lab/history/checker.ts
@@ -0,0 +1,381 @@
+/** Decides over a history whether the invariants held. Each check names the operations at fault. */
+import type {
+  ErrorEvent,
+  FinalEvent,
+  HistoryEvent,
+  InvokeEvent,
+  OkEvent,
+  UsageEvent,
+} from './history.js';
+
+/** Checks, by the invariant that each belongs to. */
+export type CheckName =
+  | 'read-your-writes'
+  | 'monotonic-reads'
+  | 'durable-writes'
+  | 'register-order'
+  | 'not-run-is-true'
+  | 'no-mixed-transactions'
+  | 'answer-integrity'
+  | 'at-most-once'
+  | 'replaced-primary'
+  | 'drain'
+  | 'graceful-stop'
+  | 'configuration-order'
+  | 'configuration-kept'
+  | 'limits';
+
+/** One violation. */
+export interface Violation {
+  readonly check: CheckName;
+  readonly message: string;
+}
+
+/** An operation with how it ended. */
+export interface Operation {
+  readonly invoke: InvokeEvent;
+  readonly ok: OkEvent | undefined;
+  readonly error: ErrorEvent | undefined;
+}
+
+/** Bounds that the checks allow, in milliseconds. */
+export interface CheckOptions {
+  /** Time after which a leaving instance gets no new work. */
+  readonly drainMs: number;
+  /** Time that an acknowledgement may be on its way after its evidence. */
+  readonly acknowledgementMs: number;
+}
+
+/** Bounds of the brief, and of the evidence rule. */
+export const DEFAULT_CHECK_OPTIONS: CheckOptions = { drainMs: 3000, acknowledgementMs: 700 };
+
+/** All operations of a history, in the order of their invocation. */
+export function operationsOf(events: readonly HistoryEvent[]): Operation[] {
+  const oks = new Map<string, OkEvent>();
+  const errors = new Map<string, ErrorEvent>();
+  for (const event of events) {
+    if (event.type === 'ok') oks.set(event.operation, event);
+    if (event.type === 'error') errors.set(event.operation, event);
+  }
+  const invokes = events.filter((event) => event.type === 'invoke');
+  return invokes.map((invoke) => ({
+    invoke,
+    ok: oks.get(invoke.operation),
+    error: errors.get(invoke.operation),
+  }));
+}
+
+function groupBy<T>(items: readonly T[], keyOf: (item: T) => string): Map<string, T[]> {
+  const groups = new Map<string, T[]>();
+  for (const item of items) {
+    const key = keyOf(item);
+    const group = groups.get(key);
+    if (group) group.push(item);
+    else groups.set(key, [item]);
+  }
+  return groups;
+}
+
+/** Sessions see their own writes, and never go back to an older state. */
+export function checkSessions(operations: readonly Operation[]): Violation[] {
+  const violations: Violation[] = [];
+  const done = operations.filter(
+    (operation) => operation.ok?.version !== undefined && operation.invoke.kind !== 'payment',
+  );
+  const registerOf = ({ invoke }: Operation): string =>
+    `${invoke.session} ${invoke.group}/${invoke.key}`;
+  for (const [register, sequence] of groupBy(done, registerOf)) {
+    let written = 0;
+    let seen = 0;
+    for (const { invoke, ok } of sequence) {
+      const version = ok!.version!;
+      if (invoke.kind === 'read' && version < written) {
+        violations.push({
+          check: 'read-your-writes',
+          message: `${register}: ${invoke.operation} read ${version} after writing ${written}`,
+        });
+      } else if (version < seen) {
+        violations.push({
+          check: 'monotonic-reads',
+          message: `${register}: ${invoke.operation} saw ${version} after ${seen}`,
+        });
+      }
+      if (invoke.kind === 'write') written = Math.max(written, version);
+      seen = Math.max(seen, version);
+    }
+  }
+  return violations;
+}
+
+/** Acknowledged writes of a register are linearizable: versions are unique and follow real time. */
+export function checkRegisters(operations: readonly Operation[]): Violation[] {
+  const violations: Violation[] = [];
+  const writes = operations.filter(({ invoke, ok }) => invoke.kind === 'write' && ok);
+  const registerOf = ({ invoke }: Operation): string => `${invoke.group}/${invoke.key}`;
+  for (const [register, sequence] of groupBy(writes, registerOf)) {
+    const byAnswer = [...sequence].sort((left, right) => left.ok!.at - right.ok!.at);
+    const versions = new Map<number, string>();
+    for (const { invoke, ok } of byAnswer) {
+      const other = versions.get(ok!.version!);
+      if (other !== undefined) {
+        violations.push({
+          check: 'register-order',
+          message: `${register}: ${invoke.operation} and ${other} both wrote ${ok!.version}`,
+        });
+      }
+      versions.set(ok!.version!, invoke.operation);
+    }
+    violations.push(...checkRealTime(register, sequence, byAnswer));
+  }
+  return violations;
+}
+
+/** A write that began after another was answered has the higher version. */
+function checkRealTime(
+  register: string,
+  byInvoke: readonly Operation[],
+  byAnswer: readonly Operation[],
+): Violation[] {
+  const violations: Violation[] = [];
+  let answered = 0;
+  let highest = 0;
+  for (const { invoke, ok } of byInvoke) {
+    while (answered < byAnswer.length && byAnswer[answered]!.ok!.at < invoke.at) {
+      highest = Math.max(highest, byAnswer[answered]!.ok!.version!);
+      answered++;
+    }
+    if (ok!.version! < highest) {
+      violations.push({
+        check: 'register-order',
+        message: `${register}: ${invoke.operation} wrote ${ok!.version} after ${highest}`,
+      });
+    }
+  }
+  return violations;
+}
+
+function checkJournal(final: FinalEvent, operations: readonly Operation[]): Violation[] {
+  const violations: Violation[] = [];
+  const kept = new Map(final.journal.map(([operation, , version]) => [operation, version]));
+  for (const { invoke, ok, error } of operations) {
+    const { operation, kind } = invoke;
+    if (kind === 'write' && ok && kept.get(operation) !== ok.version) {
+      const found = kept.get(operation) ?? 'nothing';
+      violations.push({
+        check: 'durable-writes',
+        message: `${final.group}: ${operation} was acknowledged with ${ok.version}, kept ${found}`,
+      });
+    }
+    if (kind === 'write' && error?.verdict === 'not_run' && kept.has(operation)) {
+      violations.push({
+        check: 'not-run-is-true',
+        message: `${final.group}: ${operation} was told not_run but ran`,
+      });
+    }
+    if (kind === 'abandoned' && kept.has(operation)) {
+      violations.push({
+        check: 'no-mixed-transactions',
+        message: `${final.group}: ${operation} was left without COMMIT but was committed`,
+      });
+    }
+  }
+  const versions = final.journal.map(([, register, version]) => `${register}@${version}`);
+  const twice = versions.find((item, index) => versions.indexOf(item) !== index);
+  if (twice !== undefined) {
+    violations.push({
+      check: 'no-mixed-transactions',
+      message: `${final.group}: two transactions wrote ${twice}`,
+    });
+  }
+  return violations;
+}
+
+function checkPayments(final: FinalEvent, operations: readonly Operation[]): Violation[] {
+  const violations: Violation[] = [];
+  const kept = new Set(final.payments.map(([attempt]) => attempt));
+  const byKey = groupBy(final.payments, ([, onceKey]) => onceKey);
+  for (const [onceKey, attempts] of byKey) {
+    if (attempts.length < 2) continue;
+    const names = attempts.map(([attempt]) => attempt).join(', ');
+    violations.push({
+      check: 'at-most-once',
+      message: `${final.group}: ${onceKey} ran ${attempts.length} times (${names})`,
+    });
+  }
+  for (const { invoke, ok, error } of operations) {
+    if (invoke.kind !== 'payment') continue;
+    if (ok && !byKey.has(invoke.key)) {
+      violations.push({
+        check: 'durable-writes',
+        message: `${final.group}: payment ${invoke.key} was acknowledged but is gone`,
+      });
+    }
+    if (error?.verdict === 'not_run' && kept.has(invoke.operation)) {
+      violations.push({
+        check: 'not-run-is-true',
+        message: `${final.group}: payment attempt ${invoke.operation} was told not_run but ran`,
+      });
+    }
+  }
+  return violations;
+}
+
+/** What was acknowledged is kept, what was told not to have run did not, marked requests ran once. */
+export function checkFinalState(
+  events: readonly HistoryEvent[],
+  operations: readonly Operation[],
+): Violation[] {
+  const finals = events.filter((event) => event.type === 'final');
+  return finals.flatMap((final) => {
+    const own = operations.filter(({ invoke }) => invoke.group === final.group);
+    return [...checkJournal(final, own), ...checkPayments(final, own)];
+  });
+}
+
+/** Each answer belongs to its own request. */
+export function checkAnswers(operations: readonly Operation[]): Violation[] {
+  return operations.flatMap(({ invoke, ok }) => {
+    if (invoke.kind !== 'read' || !ok) return [];
+    const isOwn = ok.echo === invoke.operation && ok.answeredKey === invoke.key;
+    if (isOwn) return [];
+    const got = `echo ${ok.echo}, key ${ok.answeredKey}`;
+    return [{ check: 'answer-integrity', message: `${invoke.operation}: got ${got}` } as const];
+  });
+}
+
+/** No write is acknowledged in a term that was over. */
+export function checkPrimaries(
+  events: readonly HistoryEvent[],
+  operations: readonly Operation[],
+  options: CheckOptions,
+): Violation[] {
+  const elections = events.filter((event) => event.type === 'elected');
+  return operations.flatMap(({ invoke, ok }) => {
+    const term = ok?.term;
+    if (!ok || term === undefined || invoke.kind === 'read') return [];
+    const newer = elections.find((event) => event.group === invoke.group && event.term > term);
+    if (!newer || ok.at <= newer.at + options.acknowledgementMs) return [];
+    const message =
+      `${invoke.operation} was acknowledged in term ${term}` +
+      ` ${Math.round(ok.at - newer.at)} ms after the election of term ${newer.term}`;
+    return [{ check: 'replaced-primary', message } as const];
+  });
+}
+
+/** A leaving instance gets no new work after a few seconds. */
+export function checkDrain(events: readonly HistoryEvent[], options: CheckOptions): Violation[] {
+  const leavingSince = new Map<string, number>();
+  const violations: Violation[] = [];
+  for (const event of events) {
+    if (event.type === 'leaving') {
+      if (event.isLeaving) leavingSince.set(event.instance, event.at);
+      else leavingSince.delete(event.instance);
+    }
+    if (event.type !== 'work') continue;
+    const since = leavingSince.get(event.instance);
+    if (since === undefined || event.at <= since + options.drainMs) continue;
+    violations.push({
+      check: 'drain',
+      message: `${event.instance} got work ${Math.round(event.at - since)} ms after it left`,
+    });
+  }
+  return violations;
+}
+
+/** A planned stop cuts off no request that was in progress. */
+export function checkStops(
+  events: readonly HistoryEvent[],
+  operations: readonly Operation[],
+): Violation[] {
+  const stops = events.filter((event) => event.type === 'stop');
+  return operations.flatMap(({ invoke, error }) => {
+    if (!error?.connectionLost || invoke.kind === 'abandoned') return [];
+    const stop = stops.find((event) => event.proxy === invoke.proxy && invoke.at <= event.at);
+    if (!stop || error.at < stop.at) return [];
+    const message = `${invoke.operation} was cut off by the planned stop of ${stop.proxy}`;
+    return [{ check: 'graceful-stop', message } as const];
+  });
+}
+
+/** Revisions in force never go back, and what was accepted is kept. */
+export function checkConfigurations(events: readonly HistoryEvent[]): Violation[] {
+  const violations: Violation[] = [];
+  const inForce = new Map<string, number>();
+  for (const event of events) {
+    if (event.type !== 'in_force') continue;
+    const before = inForce.get(event.proxy) ?? 0;
+    if (event.revision < before) {
+      violations.push({
+        check: 'configuration-order',
+        message: `${event.proxy} went from revision ${before} back to ${event.revision}`,
+      });
+    }
+    inForce.set(event.proxy, event.revision);
+  }
+  const final = events.findLast((event) => event.type === 'final_configuration');
+  if (!final) return violations;
+  return [...violations, ...checkKept(events, final.submissions, final)];
+}
+
+function checkKept(
+  events: readonly HistoryEvent[],
+  kept: readonly string[],
+  final: Extract<HistoryEvent, { type: 'final_configuration' }>,
+): Violation[] {
+  const violations: Violation[] = [];
+  const submissions = events.filter((event) => event.type === 'submission');
+  for (const { submission, outcome } of submissions) {
+    const count = kept.filter((item) => item === submission).length;
+    const isWrong = (outcome === 'accepted' && count === 0) || (outcome === 'refused' && count > 0);
+    if (!isWrong && count < 2) continue;
+    violations.push({
+      check: 'configuration-kept',
+      message: `submission ${submission} was ${outcome} and is kept ${count} times`,
+    });
+  }
+  for (const [proxy, revision] of final.inForce) {
+    if (revision === final.revision) continue;
+    violations.push({
+      check: 'configuration-kept',
+      message: `${proxy} has revision ${revision} in force, accepted is ${final.revision}`,
+    });
+  }
+  return violations;
+}
+
+function checkUsage(event: UsageEvent): Violation[] {
+  const isWithin =
+    event.highestRunning <= event.slots &&
+    event.highestConnections <= event.connections &&
+    event.refusedStatements === 0;
+  if (isWithin) return [];
+  const message =
+    `${event.instance}: ${event.highestRunning} of ${event.slots} slots,` +
+    ` ${event.highestConnections} of ${event.connections} connections,` +
+    ` ${event.refusedStatements} statements refused for lack of a slot`;
+  return [{ check: 'limits', message }];
+}
+
+/** The limits of an instance are never exceeded. */
+export function checkLimits(events: readonly HistoryEvent[]): Violation[] {
+  return events.flatMap((event) => (event.type === 'usage' ? checkUsage(event) : []));
+}
+
+/** All violations of a history. */
+export function checkHistory(
+  events: readonly HistoryEvent[],
+  options: CheckOptions = DEFAULT_CHECK_OPTIONS,
+): Violation[] {
+  const operations = operationsOf(events);
+  return [
+    ...checkSessions(operations),
+    ...checkRegisters(operations),
+    ...checkFinalState(events, operations),
+    ...checkAnswers(operations),
+    ...checkPrimaries(events, operations, options),
+    ...checkDrain(events, options),
+    ...checkStops(events, operations),
+    ...checkConfigurations(events),
+    ...checkLimits(events),
+  ];
+}
--- /dev/null
+++ b/src/backend/mysql_connector.ts
@@ -0,0 +1,118 @@
+/** Connections to instances through the `mysql2` client. */
+import { type Connection, createConnection } from 'mysql2';
+import type { Socket } from 'node:net';
+import { BackendConnectionLostError, messageOf } from '../errors/errors.js';
+import type { BackendConnection, BackendConnector, Completion, ResultSink } from './backend.js';
+import { CommandRequest, type LibraryCommand } from './raw_command.js';
+
+/** How the proxy signs on to instances. */
+export interface MysqlConnectorOptions {
+  readonly user: string;
+  readonly password: string;
+}
+
+/** The part of the library's connection that raw commands use. */
+export interface ClientConnection {
+  readonly stream: Socket;
+  addCommand(command: LibraryCommand): void;
+  pause(): void;
+  resume(): void;
+  writePacket(packet: unknown): void;
+  _resetSequenceId(): void;
+}
+
+const COMMAND_QUERY = 3;
+const COMMAND_RESET_CONNECTION = 31;
+
+class MysqlConnection implements BackendConnection {
+  closed = false;
+  onClosed: (() => void) | undefined;
+  private current: CommandRequest | undefined;
+
+  constructor(private readonly connection: Connection) {
+    connection.on('error', (error) => this.fail(messageOf(error)));
+    this.client.stream.on('close', () => this.fail('connection closed'));
+  }
+
+  execute(sql: string, sink: ResultSink): Promise<Completion> {
+    const payload = Buffer.allocUnsafe(1 + Buffer.byteLength(sql));
+    payload[0] = COMMAND_QUERY;
+    payload.write(sql, 1);
+    return this.run(payload, sink);
+  }
+
+  async reset(): Promise<void> {
+    await this.run(Buffer.from([COMMAND_RESET_CONNECTION]), {
+      columns: () => undefined,
+      row: () => undefined,
+    });
+  }
+
+  close(): void {
+    this.fail('connection closed by this process');
+    this.client.stream.destroy();
+  }
+
+  private get client(): ClientConnection {
+    return this.connection as unknown as ClientConnection;
+  }
+
+  private run(payload: Buffer, sink: ResultSink): Promise<Completion> {
+    if (this.closed) {
+      return Promise.reject(
+        new BackendConnectionLostError('connection is closed', { sent: false }),
+      );
+    }
+    return new Promise((resolve, reject) => {
+      const command = new CommandRequest(payload, sink, {
+        resolve: (completion) => {
+          this.current = undefined;
+          resolve(completion);
+        },
+        reject: (error) => {
+          this.current = undefined;
+          reject(error);
+        },
+      });
+      this.current = command;
+      this.client.addCommand(command);
+    });
+  }
+
+  private fail(reason: string): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.current?.fail(new BackendConnectionLostError(reason, { sent: true }));
+    this.current = undefined;
+    this.onClosed?.();
+  }
+}
+
+/** Opens connections with one account. */
+export class MysqlConnector implements BackendConnector {
+  constructor(private readonly options: MysqlConnectorOptions) {}
+
+  connect(address: string, timeoutMs: number): Promise<BackendConnection> {
+    const colon = address.lastIndexOf(':');
+    const connection = createConnection({
+      host: address.slice(0, colon),
+      port: Number(address.slice(colon + 1)),
+      user: this.options.user,
+      password: this.options.password,
+      connectTimeout: timeoutMs,
+      flags: ['SESSION_TRACK'],
+    });
+    return new Promise((resolve, reject) => {
+      const fail = (error: unknown): void => {
+        connection.destroy();
+        const message = `${address}: ${messageOf(error)}`;
+        reject(new BackendConnectionLostError(message, { sent: false }));
+      };
+      connection.once('error', fail);
+      connection.once('connect', () => {
+        connection.off('error', fail);
+        resolve(new MysqlConnection(connection));
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/consensus/raft_node.ts
@@ -0,0 +1,607 @@
+/**
+ * A member of a replicated log, after Raft (Ongaro and Ousterhout, "In Search of an Understandable
+ * Consensus Algorithm", 2014; pre-vote, check-quorum and one-at-a-time membership change after Ongaro's
+ * thesis, 2014, chapters 4, 6 and 9).
+ */
+import { WhinyokeError } from '../errors/errors.js';
+import { whinyoke } from '../protocol/generated/messages.js';
+import type { Clock, MessageBody, Messenger, RandomSource, Timer } from '../runtime/runtime.js';
+import { type Member, Membership } from './membership.js';
+import { PeerReplicator } from './peer_replicator.js';
+import { type LogEntry, type RaftLog, type Snapshot, entryFromMessage } from './raft_log.js';
+
+/** The replicated state machine. */
+export interface StateMachine {
+  /** Applies a committed command and returns its result. Must depend on nothing else. */
+  apply(index: number, command: Uint8Array): Uint8Array;
+  /** Whole state, for a snapshot. */
+  serialize(): Uint8Array;
+  /** Replaces the state by that of a snapshot. */
+  restore(lastIndex: number, state: Uint8Array): void;
+}
+
+/** Timing, in milliseconds, and sizes. */
+export interface RaftOptions {
+  readonly heartbeatMs: number;
+  /** Shortest silence of a leader before an election. */
+  readonly electionTimeoutMs: number;
+  /** Entries after which a snapshot replaces them. */
+  readonly snapshotEntries: number;
+}
+
+/** Defaults for machines a few milliseconds apart. */
+export const DEFAULT_RAFT_OPTIONS: RaftOptions = {
+  heartbeatMs: 75,
+  electionTimeoutMs: 400,
+  snapshotEntries: 500,
+};
+
+/** A proposal that was not accepted by this member; it had no effect. */
+export const NotLeaderError = WhinyokeError.subclass('NotLeaderError');
+
+/** The member lost its leadership while the proposal was under way; it may still be accepted. */
+export const LeadershipLostError = WhinyokeError.subclass('LeadershipLostError');
+
+/** Role of a member. */
+export type RaftRole = 'follower' | 'candidate' | 'leader';
+
+interface PendingProposal {
+  readonly term: number;
+  resolve(result: Uint8Array): void;
+  reject(error: Error): void;
+}
+
+/** What the node needs of its process. */
+export interface RaftRuntime {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly messenger: Messenger;
+}
+
+/** Hears of changes, for logs. */
+export interface RaftObserver {
+  onRole?(role: RaftRole, term: number): void;
+  onApplied?(index: number): void;
+}
+
+/** One member. */
+export class RaftNode {
+  role: RaftRole = 'follower';
+  private term: number;
+  private leader = '';
+  private commitIndex: number;
+  private lastApplied: number;
+  private durableIndex: number;
+  private membershipState: Membership;
+  private readonly replicators = new Map<string, PeerReplicator>();
+  private readonly proposals = new Map<number, PendingProposal>();
+  private electionTimer: Timer | undefined;
+  private lastLeaderContact = -Infinity;
+  private campaignNumber = 0;
+  private compacting = false;
+  private stopped = false;
+
+  constructor(
+    readonly id: string,
+    readonly address: string,
+    readonly runtime: RaftRuntime,
+    readonly log: RaftLog,
+    private readonly machine: StateMachine,
+    readonly options: RaftOptions,
+    private readonly observer: RaftObserver = {},
+  ) {
+    const { snapshot } = log;
+    this.term = log.vote.term;
+    this.commitIndex = snapshot?.lastIndex ?? 0;
+    this.lastApplied = this.commitIndex;
+    this.durableIndex = log.lastIndex;
+    this.membershipState = Membership.fromMessage(log.membership);
+    if (snapshot) machine.restore(snapshot.lastIndex, snapshot.state);
+  }
+
+  /** Starts to take part. */
+  start(): void {
+    this.resetElectionTimer();
+  }
+
+  /** Stops to take part. */
+  stop(): void {
+    this.stopped = true;
+    this.electionTimer?.cancel();
+    this.stepDown(this.term);
+    this.electionTimer?.cancel();
+  }
+
+  /** Current term. */
+  get currentTerm(): number {
+    return this.term;
+  }
+
+  /** Members as of the newest entry, committed or not. */
+  get membership(): Membership {
+    return this.membershipState;
+  }
+
+  /** Address of the leader; empty when unknown. */
+  get leaderAddress(): string {
+    return this.membershipState.find(this.leader)?.address ?? '';
+  }
+
+  /** Newest applied index. */
+  get appliedIndex(): number {
+    return this.lastApplied;
+  }
+
+  /** Whether a majority of voters was in contact within an election timeout. */
+  get hasQuorum(): boolean {
+    if (this.role === 'leader') return this.membershipState.isQuorum(this.recentContacts());
+    return this.leader !== '' && this.heardLeaderRecently();
+  }
+
+  /**
+   * Proposes a command and resolves with its result once it is committed and applied.
+   * @throws NotLeaderError when it certainly had no effect
+   * @throws LeadershipLostError when its outcome is unknown
+   */
+  propose(command: Uint8Array): Promise<Uint8Array> {
+    return this.proposeEntry(whinyoke.EntryKind.COMMAND, command, undefined);
+  }
+
+  /** Proposes a membership that differs from the present one by one member. */
+  changeMembership(next: Membership): Promise<Uint8Array> {
+    if (this.hasPendingMembership()) {
+      return Promise.reject(new NotLeaderError('a membership change is under way'));
+    }
+    const { MEMBERSHIP } = whinyoke.EntryKind;
+    return this.proposeEntry(MEMBERSHIP, new Uint8Array(0), next.toMessage());
+  }
+
+  /** Begins a new cluster with the given members. Only for a member without any state. */
+  async bootstrap(members: readonly Member[]): Promise<void> {
+    const membership = new Membership(members).toMessage();
+    const state = this.machine.serialize();
+    await this.log.compact({ lastIndex: 1, lastTerm: 1, membership, state });
+    this.afterSnapshot(1);
+  }
+
+  /** Begins a new cluster from the state on this disk, accepted or not, with the given members. */
+  async bootstrapFromState(members: readonly Member[]): Promise<void> {
+    this.commitTo(this.log.lastIndex);
+    const lastTerm = this.log.lastTerm;
+    const membership = new Membership(members).toMessage();
+    const state = this.machine.serialize();
+    await this.log.compact({ lastIndex: this.lastApplied, lastTerm, membership, state });
+    this.afterSnapshot(this.lastApplied);
+  }
+
+  /** Answers a message of another member. */
+  handle(body: MessageBody): Promise<MessageBody> {
+    if (body.voteRequest) return this.onVoteRequest(body.voteRequest);
+    if (body.appendRequest) return this.onAppendRequest(body.appendRequest);
+    if (body.snapshotRequest) return this.onSnapshotRequest(body.snapshotRequest);
+    return Promise.resolve({ refusal: { reason: 'not a consensus message' } });
+  }
+
+  /** How far a member's log is known to match; only on the leader. */
+  matchIndexOf(id: string): number {
+    return this.replicators.get(id)?.matchIndex ?? 0;
+  }
+
+  /** Steps down when a message shows a higher term; for replicators. */
+  onHigherTerm(term: number): void {
+    if (term > this.term) this.stepDown(term);
+  }
+
+  /** Recomputes the commit index after a member confirmed entries; for replicators. */
+  advanceCommit(): void {
+    if (this.role !== 'leader') return;
+    for (let index = this.log.lastIndex; index > this.commitIndex; index--) {
+      // Only entries of the current term are committed by counting (Raft, section 5.4.2).
+      if (this.log.termAt(index) !== this.term) return;
+      if (!this.membershipState.isQuorum(this.holdersOf(index))) continue;
+      this.commitTo(index);
+      this.replicateToAll();
+      return;
+    }
+  }
+
+  /** Content of an append message for a peer whose next index is `nextIndex`; for replicators. */
+  appendRequestFrom(nextIndex: number, limit: number): whinyoke.IAppendRequest | undefined {
+    const previousTerm = this.log.termAt(nextIndex - 1);
+    if (previousTerm === undefined) return undefined;
+    const entries = this.log.entriesFrom(nextIndex, limit);
+    return {
+      term: this.term,
+      leader: this.id,
+      previousIndex: nextIndex - 1,
+      previousTerm,
+      entries: entries.map((entry) => ({ ...entry })),
+      commitIndex: this.commitIndex,
+    };
+  }
+
+  private async proposeEntry(
+    kind: whinyoke.EntryKind,
+    command: Uint8Array,
+    membership: whinyoke.IMembership | undefined,
+  ): Promise<Uint8Array> {
+    if (this.role !== 'leader') throw new NotLeaderError('this member is not the leader');
+    if (!this.hasQuorum) throw new NotLeaderError('no majority is in contact');
+    const entry = { term: this.term, index: this.log.lastIndex + 1, kind, command, membership };
+    const result = new Promise<Uint8Array>((resolve, reject) => {
+      this.proposals.set(entry.index, { term: this.term, resolve, reject });
+    });
+    this.appendOwn(entry);
+    return result;
+  }
+
+  private appendOwn(entry: LogEntry): void {
+    const term = this.term;
+    const durable = this.log.append([entry]);
+    if (entry.membership) this.adoptMembership();
+    this.replicateToAll();
+    durable.then(
+      () => {
+        if (this.term !== term || this.role !== 'leader') return;
+        this.durableIndex = Math.max(this.durableIndex, entry.index);
+        this.advanceCommit();
+      },
+      // A leader whose disk fails must not stay leader.
+      () => this.stepDown(this.term),
+    );
+  }
+
+  private holdersOf(index: number): ReadonlySet<string> {
+    const holders = new Set<string>();
+    if (this.durableIndex >= index) holders.add(this.id);
+    for (const [id, replicator] of this.replicators) {
+      if (replicator.matchIndex >= index) holders.add(id);
+    }
+    return holders;
+  }
+
+  private recentContacts(): ReadonlySet<string> {
+    const oldest = this.runtime.clock.now() - this.options.electionTimeoutMs;
+    const contacts = new Set([this.id]);
+    for (const [id, replicator] of this.replicators) {
+      if (replicator.lastContact >= oldest) contacts.add(id);
+    }
+    return contacts;
+  }
+
+  private hasPendingMembership(): boolean {
+    for (let index = this.commitIndex + 1; index <= this.log.lastIndex; index++) {
+      if (this.log.entryAt(index)?.membership) return true;
+    }
+    return false;
+  }
+
+  private adoptMembership(): void {
+    this.membershipState = Membership.fromMessage(this.log.membership);
+    if (this.role === 'leader') this.updateReplicators();
+  }
+
+  private updateReplicators(): void {
+    const members = this.membershipState.members.filter((member) => member.id !== this.id);
+    for (const [id, replicator] of this.replicators) {
+      if (members.some((member) => member.id === id)) continue;
+      replicator.stop();
+      this.replicators.delete(id);
+    }
+    for (const member of members) {
+      if (this.replicators.has(member.id)) continue;
+      const replicator = new PeerReplicator(this, member, this.term);
+      this.replicators.set(member.id, replicator);
+      replicator.start();
+    }
+  }
+
+  private replicateToAll(): void {
+    for (const replicator of this.replicators.values()) replicator.trigger();
+  }
+
+  // ---- elections ----
+
+  private heardLeaderRecently(): boolean {
+    const silence = this.runtime.clock.now() - this.lastLeaderContact;
+    return silence < this.options.electionTimeoutMs;
+  }
+
+  private resetElectionTimer(): void {
+    this.electionTimer?.cancel();
+    if (this.stopped) return;
+    const base = this.options.electionTimeoutMs;
+    const timeout = this.runtime.random.integer(base, base * 2);
+    this.electionTimer = this.runtime.clock.setTimer(timeout, () => this.onElectionTimeout());
+  }
+
+  private onElectionTimeout(): void {
+    this.resetElectionTimer();
+    if (this.role === 'leader') {
+      // Check-quorum: a leader that was cut off stops accepting.
+      if (!this.hasQuorum) this.stepDown(this.term);
+      return;
+    }
+    if (this.membershipState.isVoter(this.id)) void this.campaign();
+  }
+
+  private async campaign(): Promise<void> {
+    const campaign = ++this.campaignNumber;
+    this.leader = '';
+    // Pre-vote: a member that can't win must not disturb the cluster with a higher term.
+    const mayWin = await this.collectVotes(this.term + 1, true);
+    const isOutdated = campaign !== this.campaignNumber || this.role === 'leader';
+    if (!mayWin || isOutdated || this.stopped || this.heardLeaderRecently()) return;
+    const term = this.term + 1;
+    this.setRole('candidate');
+    this.term = term;
+    await this.log.saveVote({ term, votedFor: this.id });
+    if (this.term !== term || this.stopped) return;
+    const won = await this.collectVotes(term, false);
+    if (won && this.term === term && this.role === 'candidate') this.becomeLeader();
+  }
+
+  private collectVotes(term: number, preVote: boolean): Promise<boolean> {
+    const granted = new Set([this.id]);
+    const others = this.membershipState.voters.filter((voter) => voter.id !== this.id);
+    return new Promise((resolve) => {
+      if (this.membershipState.isQuorum(granted)) resolve(true);
+      let answers = 0;
+      for (const voter of others) {
+        void this.requestVote(voter, term, preVote).then((isGranted) => {
+          answers++;
+          if (isGranted) granted.add(voter.id);
+          if (this.membershipState.isQuorum(granted)) resolve(true);
+          else if (answers === others.length) resolve(false);
+        });
+      }
+    });
+  }
+
+  private async requestVote(voter: Member, term: number, preVote: boolean): Promise<boolean> {
+    const voteRequest: whinyoke.IVoteRequest = {
+      term,
+      candidate: this.id,
+      lastIndex: this.log.lastIndex,
+      lastTerm: this.log.lastTerm,
+      preVote,
+      receiver: voter.id,
+    };
+    try {
+      const timeout = this.options.electionTimeoutMs;
+      const body = await this.runtime.messenger.request(voter.address, { voteRequest }, timeout);
+      const reply = body.voteReply;
+      if (!reply || reply.voter !== voter.id) return false;
+      this.onHigherTerm(preVote && reply.granted ? 0 : (reply.term ?? 0));
+      return reply.granted ?? false;
+    } catch {
+      return false;
+    }
+  }
+
+  private async onVoteRequest(request: whinyoke.IVoteRequest): Promise<MessageBody> {
+    const term = request.term ?? 0;
+    if (request.receiver !== this.id) return this.voteReply(false);
+    if (request.preVote) {
+      const isWelcome = term >= this.term && !this.heardLeaderRecently();
+      const leads = this.role === 'leader' && this.hasQuorum;
+      return this.voteReply(isWelcome && !leads && this.isUpToDate(request));
+    }
+    if (term < this.term) return this.voteReply(false);
+    if (term > this.term) this.stepDown(term);
+    const candidate = request.candidate ?? '';
+    const { vote } = this.log;
+    const isFree = vote.term < term || vote.votedFor === '' || vote.votedFor === candidate;
+    if (!isFree || !this.isUpToDate(request)) {
+      await this.log.saveVote({ term: this.term, votedFor: this.votedFor() });
+      return this.voteReply(false);
+    }
+    this.resetElectionTimer();
+    await this.log.saveVote({ term, votedFor: candidate });
+    return this.voteReply(this.term === term);
+  }
+
+  /** Vote of the current term. */
+  private votedFor(): string {
+    const { vote } = this.log;
+    return vote.term === this.term ? vote.votedFor : '';
+  }
+
+  private isUpToDate(request: whinyoke.IVoteRequest): boolean {
+    const lastTerm = request.lastTerm ?? 0;
+    if (lastTerm !== this.log.lastTerm) return lastTerm > this.log.lastTerm;
+    return (request.lastIndex ?? 0) >= this.log.lastIndex;
+  }
+
+  private voteReply(granted: boolean): MessageBody {
+    return { voteReply: { term: this.term, granted, voter: this.id } };
+  }
+
+  private setRole(role: RaftRole): void {
+    if (this.role === role) return;
+    this.role = role;
+    this.observer.onRole?.(role, this.term);
+  }
+
+  private becomeLeader(): void {
+    this.setRole('leader');
+    this.leader = this.id;
+    this.durableIndex = 0;
+    const isDurable = this.log.append([]);
+    const term = this.term;
+    const upTo = this.log.lastIndex;
+    void isDurable.then(() => {
+      if (this.term !== term) return;
+      this.durableIndex = Math.max(this.durableIndex, upTo);
+      this.advanceCommit();
+    });
+    this.updateReplicators();
+    this.appendOwn({
+      term,
+      index: this.log.lastIndex + 1,
+      kind: whinyoke.EntryKind.NO_OPERATION,
+      command: new Uint8Array(0),
+      membership: undefined,
+    });
+  }
+
+  private stepDown(term: number): void {
+    const wasLeader = this.role === 'leader';
+    if (term > this.term) {
+      this.term = term;
+      this.leader = '';
+    }
+    this.setRole('follower');
+    if (!wasLeader) return;
+    this.leader = '';
+    for (const replicator of this.replicators.values()) replicator.stop();
+    this.replicators.clear();
+    for (const proposal of this.proposals.values()) {
+      proposal.reject(new LeadershipLostError('leadership was lost'));
+    }
+    this.proposals.clear();
+    this.resetElectionTimer();
+  }
+
+  // ---- replication, receiving side ----
+
+  private async onAppendRequest(request: whinyoke.IAppendRequest): Promise<MessageBody> {
+    const term = request.term ?? 0;
+    if (request.receiver !== this.id || term < this.term) return this.appendReply(false, 0);
+    this.followLeader(term, request.leader ?? '');
+    const previousIndex = request.previousIndex ?? 0;
+    const previousTerm = request.previousTerm ?? 0;
+    if (!this.matches(previousIndex, previousTerm)) {
+      await this.persistTerm();
+      return this.appendReply(false, Math.min(previousIndex - 1, this.log.lastIndex));
+    }
+    const entries = (request.entries ?? []).map(entryFromMessage);
+    const durable = this.store(entries);
+    const matchIndex = previousIndex + entries.length;
+    await this.persistTerm();
+    await durable;
+    if (this.term !== term) return this.appendReply(false, 0);
+    this.commitTo(Math.min(request.commitIndex ?? 0, matchIndex));
+    return this.appendReply(true, matchIndex);
+  }
+
+  /** Entries that a snapshot replaced are committed, so they match. */
+  private matches(previousIndex: number, previousTerm: number): boolean {
+    const snapshotIndex = this.log.snapshot?.lastIndex ?? 0;
+    if (previousIndex < snapshotIndex) return true;
+    return this.log.termAt(previousIndex) === previousTerm;
+  }
+
+  private store(entries: readonly LogEntry[]): Promise<void> {
+    const snapshotIndex = this.log.snapshot?.lastIndex ?? 0;
+    const unknown = entries.filter(
+      (entry) => entry.index > snapshotIndex && this.log.termAt(entry.index) !== entry.term,
+    );
+    const first = unknown[0];
+    if (!first) return this.log.append([]);
+    if (first.index <= this.log.lastIndex) void this.log.truncateFrom(first.index);
+    const durable = this.log.append(entries.filter((entry) => entry.index >= first.index));
+    this.adoptMembership();
+    return durable;
+  }
+
+  private followLeader(term: number, leader: string): void {
+    if (term > this.term || this.role !== 'follower') this.stepDown(term);
+    this.leader = leader;
+    this.lastLeaderContact = this.runtime.clock.now();
+    this.resetElectionTimer();
+  }
+
+  /** A term must be durable before any answer in it. */
+  private persistTerm(): Promise<void> {
+    if (this.log.vote.term >= this.term) return Promise.resolve();
+    return this.log.saveVote({ term: this.term, votedFor: '' });
+  }
+
+  private appendReply(success: boolean, matchIndex: number): MessageBody {
+    return { appendReply: { term: this.term, success, matchIndex, follower: this.id } };
+  }
+
+  private async onSnapshotRequest(request: whinyoke.ISnapshotRequest): Promise<MessageBody> {
+    const term = request.term ?? 0;
+    const lastIndex = request.lastIndex ?? 0;
+    const refused = { snapshotReply: { term: this.term, installed: false, matchIndex: 0 } };
+    if (request.receiver !== this.id || term < this.term) return refused;
+    this.followLeader(term, request.leader ?? '');
+    await this.persistTerm();
+    if (lastIndex > this.commitIndex) {
+      const snapshot: Snapshot = {
+        lastIndex,
+        lastTerm: request.lastTerm ?? 0,
+        membership: request.membership ?? {},
+        state: request.state ?? new Uint8Array(0),
+      };
+      const stored = this.log.compact(snapshot);
+      this.machine.restore(lastIndex, snapshot.state);
+      this.afterSnapshot(lastIndex);
+      await stored;
+    }
+    return { snapshotReply: { term: this.term, installed: true, matchIndex: lastIndex } };
+  }
+
+  private afterSnapshot(lastIndex: number): void {
+    this.commitIndex = Math.max(this.commitIndex, lastIndex);
+    this.lastApplied = Math.max(this.lastApplied, lastIndex);
+    this.membershipState = Membership.fromMessage(this.log.membership);
+    this.observer.onApplied?.(this.lastApplied);
+  }
+
+  // ---- applying ----
+
+  private commitTo(index: number): void {
+    if (index <= this.commitIndex) return;
+    this.commitIndex = index;
+    while (this.lastApplied < this.commitIndex) {
+      const entry = this.log.entryAt(this.lastApplied + 1);
+      if (!entry) break;
+      this.lastApplied = entry.index;
+      this.applyEntry(entry);
+    }
+    this.observer.onApplied?.(this.lastApplied);
+    this.compactIfLong();
+  }
+
+  private applyEntry(entry: LogEntry): void {
+    const isCommand = entry.kind === whinyoke.EntryKind.COMMAND;
+    const result = isCommand
+      ? this.machine.apply(entry.index, entry.command)
+      : new Uint8Array(0);
+    const proposal = this.proposals.get(entry.index);
+    this.proposals.delete(entry.index);
+    if (proposal?.term === entry.term) proposal.resolve(result);
+    else proposal?.reject(new LeadershipLostError('another entry took this place'));
+    const wasRemoved = entry.membership && !this.membershipState.find(this.id);
+    if (wasRemoved && this.role === 'leader') this.stepDown(this.term);
+  }
+
+  private compactIfLong(): void {
+    const covered = this.log.snapshot?.lastIndex ?? 0;
+    if (this.compacting || this.lastApplied - covered < this.options.snapshotEntries) return;
+    const lastTerm = this.log.termAt(this.lastApplied);
+    if (lastTerm === undefined) return;
+    this.compacting = true;
+    const snapshot: Snapshot = {
+      lastIndex: this.lastApplied,
+      lastTerm,
+      membership: this.committedMembership().toMessage(),
+      state: this.machine.serialize(),
+    };
+    void this.log.compact(snapshot).finally(() => {
+      this.compacting = false;
+    });
+  }
+
+  /** Membership as of the newest applied entry. */
+  private committedMembership(): Membership {
+    for (let index = this.lastApplied; index > (this.log.snapshot?.lastIndex ?? 0); index--) {
+      const membership = this.log.entryAt(index)?.membership;
+      if (membership) return Membership.fromMessage(membership);
+    }
+    return Membership.fromMessage(this.log.snapshot?.membership);
+  }
+}
--- /dev/null
+++ b/src/control/cluster_joiner.ts
@@ -0,0 +1,166 @@
+/**
+ * How a control machine finds its place in the cluster.
+ *
+ * A machine is known by a name that lives on its disk. One whose disk was lost makes a new name, joins as
+ * a learner, and votes only when the leader made it a voter in place of the lost one: an old name with
+ * an empty disk could forget what it had confirmed. See docs/design/control-membership.md.
+ */
+import { type Member, Membership } from '../consensus/membership.js';
+import type { RaftNode } from '../consensus/raft_node.js';
+import type { whinyoke } from '../protocol/generated/messages.js';
+import { type Runtime, type Timer } from '../runtime/runtime.js';
+
+const IDENTITY_FILE = 'identity';
+const RETRY_MS = 300;
+const REQUEST_TIMEOUT_MS = 500;
+
+/** Name of this machine from its disk, made when there is none. */
+export async function loadIdentity(runtime: Runtime, forced?: string): Promise<string> {
+  if (forced !== undefined) return forced;
+  const stored = await runtime.folder.read(IDENTITY_FILE);
+  if (stored && stored.length > 0) return stored.toString('utf8');
+  const identity = runtime.random.identifier();
+  await runtime.folder.replace(IDENTITY_FILE, Buffer.from(identity));
+  return identity;
+}
+
+/** How to begin. */
+export interface JoinerOptions {
+  readonly recoverAlone: boolean;
+  /** Take addresses for names and begin at once. Unsafe; only for the lab. */
+  readonly trustsAddresses: boolean;
+}
+
+/** Joiner of one control machine. */
+export class ClusterJoiner {
+  private timer: Timer | undefined;
+  private stopped = false;
+  private replacing = false;
+
+  constructor(
+    private readonly node: RaftNode,
+    private readonly runtime: Runtime,
+    private readonly controls: readonly string[],
+    private readonly options: JoinerOptions,
+  ) {}
+
+  /** Settles what can be settled without other machines. */
+  async prepare(): Promise<void> {
+    const self = this.self();
+    if (this.options.recoverAlone && this.isMember()) {
+      await this.node.bootstrapFromState([self]);
+    } else if (this.options.trustsAddresses && !this.isMember()) {
+      const members = this.controls.map((address) => ({ id: address, address, isLearner: false }));
+      await this.node.bootstrap(members);
+    }
+  }
+
+  /** Looks for a cluster when this machine has none, and repairs the membership when it leads. */
+  start(): void {
+    void this.tick();
+  }
+
+  /** Stops. */
+  stop(): void {
+    this.stopped = true;
+    this.timer?.cancel();
+  }
+
+  /** Answers a machine that looks for a cluster. */
+  async onJoin(request: whinyoke.IJoinRequest): Promise<whinyoke.IJoinReply> {
+    const { id, address } = request.member ?? {};
+    const member: Member = { id: id ?? '', address: address ?? '', isLearner: true };
+    if (this.node.role === 'leader' && !this.node.membership.find(member.id)) {
+      await this.addLearner(member);
+    }
+    return {
+      empty: !this.isMember(),
+      member: this.memberMessage(),
+      membership: this.node.membership.toMessage(),
+      leaderAddress: this.node.leaderAddress,
+    };
+  }
+
+  private self(): Member {
+    return { id: this.node.id, address: this.node.address, isLearner: false };
+  }
+
+  private memberMessage(): whinyoke.IMember {
+    return { id: this.node.id, address: this.node.address };
+  }
+
+  private isMember(): boolean {
+    return this.node.membership.members.length > 0;
+  }
+
+  private async tick(): Promise<void> {
+    if (this.stopped) return;
+    if (!this.node.membership.find(this.node.id)) await this.lookForCluster();
+    else if (this.node.role === 'leader') await this.promoteLearners();
+    if (this.stopped) return;
+    this.timer = this.runtime.clock.setTimer(RETRY_MS, () => void this.tick());
+  }
+
+  private async lookForCluster(): Promise<void> {
+    const others = this.controls.filter((address) => address !== this.node.address);
+    const replies = await Promise.all(others.map((address) => this.ask(address)));
+    const isFresh = !this.isMember() && replies.every((reply) => reply?.empty === true);
+    if (!isFresh) return;
+    const found = replies.map((reply) => ({
+      id: reply?.member?.id ?? '',
+      address: reply?.member?.address ?? '',
+      isLearner: false,
+    }));
+    const members = [this.self(), ...found].sort((left, right) => (left.id < right.id ? -1 : 1));
+    await this.node.bootstrap(members);
+  }
+
+  private async ask(address: string): Promise<whinyoke.IJoinReply | undefined> {
+    const request = { joinRequest: { member: this.memberMessage() } };
+    try {
+      const { messenger } = this.runtime;
+      const body = await messenger.request(address, request, REQUEST_TIMEOUT_MS);
+      return body.joinReply ?? undefined;
+    } catch {
+      return undefined;
+    }
+  }
+
+  private async addLearner(member: Member): Promise<void> {
+    const isExpected = this.controls.includes(member.address);
+    if (!isExpected || member.id === '' || this.replacing) return;
+    await this.change(this.node.membership.with(member));
+  }
+
+  /** Makes learners that have caught up voters, then removes the machines they replace. */
+  private async promoteLearners(): Promise<void> {
+    const { membership } = this.node;
+    const learner = membership.members.find((member) => member.isLearner);
+    if (learner) {
+      const lag = this.node.log.lastIndex - this.node.matchIndexOf(learner.id);
+      if (lag <= 0) await this.change(membership.with({ ...learner, isLearner: false }));
+      return;
+    }
+    const replaced = membership.voters.find((voter) => this.isReplaced(voter));
+    if (replaced) await this.change(membership.without(replaced.id));
+  }
+
+  /** Members are appended in the order they joined: a later one at the same address replaces. */
+  private isReplaced(member: Member): boolean {
+    const { voters } = this.node.membership;
+    const sameAddress = voters.filter((voter) => voter.address === member.address);
+    const isNewest = sameAddress.at(-1)?.id === member.id;
+    return !isNewest && member.id !== this.node.id;
+  }
+
+  private async change(next: Membership): Promise<void> {
+    this.replacing = true;
+    try {
+      await this.node.changeMembership(next);
+    } catch {
+      // Tried again at the next tick, by whoever leads then.
+    } finally {
+      this.replacing = false;
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/metrics_server.ts
@@ -0,0 +1,41 @@
+/** Metrics, health and readiness over HTTP. */
+import { type Server, createServer } from 'node:http';
+import type { Registry } from 'prom-client';
+import { splitAddress } from '../settings/settings.js';
+
+/** What the endpoint shows. */
+export interface MetricsSource {
+  readonly registry: Registry;
+  /** Whether the process can do its work now. */
+  readonly isReady: () => boolean;
+}
+
+/** Starts the endpoint: `/metrics`, `/health`, `/ready`. */
+export async function startMetricsServer(address: string, source: MetricsSource): Promise<Server> {
+  const server = createServer((request, response) => {
+    void (async () => {
+      switch (request.url) {
+        case '/metrics':
+          response.setHeader('content-type', source.registry.contentType);
+          response.end(await source.registry.metrics());
+          break;
+        case '/health':
+          response.end('ok\n');
+          break;
+        case '/ready':
+          response.statusCode = source.isReady() ? 200 : 503;
+          response.end(source.isReady() ? 'ready\n' : 'not ready\n');
+          break;
+        default:
+          response.statusCode = 404;
+          response.end('not found\n');
+      }
+    })();
+  });
+  const { host, port } = splitAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+  return server;
+}
--- /dev/null
+++ b/src/frontend/caller_connection.ts
@@ -0,0 +1,321 @@
+/** One caller's connection: handshake, then one command after the other. */
+import type { Socket } from 'node:net';
+import { DatabaseError, RequestError, messageOf } from '../errors/errors.js';
+import type { CallerIdentity, CallerSession } from './caller_session.js';
+import type { MysqlListenerOptions } from './mysql_listener.js';
+import { verifyNativePassword } from './native_password.js';
+import { type Packet, payloadOf } from './packet.js';
+import {
+  FieldType,
+  type PreparedStatement,
+  bind,
+  prepareOkPayload,
+  readBoundValues,
+  splitAtMarkers,
+} from './prepared_statement.js';
+import { type ErrorAnswer, ResultWriter, columnDefinition } from './result_writer.js';
+
+/** Command bytes of the protocol. */
+const Command = {
+  quit: 1,
+  initDb: 2,
+  query: 3,
+  statistics: 9,
+  ping: 14,
+  prepare: 22,
+  execute: 23,
+  sendLongData: 24,
+  closeStatement: 25,
+  resetStatement: 26,
+  setOption: 27,
+  resetConnection: 31,
+} as const;
+
+/** Capability flags announced to clients. */
+const CAPABILITY_FLAGS =
+  0x1 | // long password
+  0x2 | // found rows
+  0x4 | // long flag
+  0x8 | // connect with schema
+  0x200 | // protocol 4.1
+  0x2000 | // transactions
+  0x8000 | // secure connection
+  0x80000 | // authentication plugins
+  0x100000 | // connect attributes
+  0x200000; // length-encoded authentication data
+const CAPABILITY_SESSION_TRACK = 0x800000;
+
+const HANDSHAKE_TIMEOUT_MS = 5000;
+const STATUS_AUTOCOMMIT = 2;
+const CHARACTER_SET_UTF8MB4 = 45;
+const MAXIMUM_PREPARED_STATEMENTS = 1024;
+const ER_TOO_MANY_CONNECTIONS = 1040;
+const ER_ACCESS_DENIED = 1045;
+const ER_UNKNOWN_COMMAND = 1047;
+const ER_UNKNOWN_ERROR = 1105;
+const ER_UNKNOWN_STATEMENT = 1243;
+const ER_MAX_PREPARED = 1461;
+
+/** The part of the library's connection that the server side uses. */
+export interface ServerConnection {
+  readonly stream: Socket;
+  sequenceId: number;
+  readonly clientHelloReply?: {
+    readonly clientFlags: number;
+    readonly connectAttributes?: Record<string, string>;
+  };
+  serverHandshake(options: object): void;
+  on(event: string, listener: (...values: never[]) => void): void;
+}
+
+interface AuthenticationRequest {
+  readonly user: string;
+  readonly database?: string;
+  readonly authPluginData1: Buffer;
+  readonly authPluginData2: Buffer;
+  readonly authToken: Buffer | string;
+}
+
+type AuthenticationCallback = (
+  error: null,
+  refusal?: { message: string; code: number },
+) => void;
+
+function errorAnswer(error: unknown): ErrorAnswer {
+  if (error instanceof RequestError) {
+    return { code: error.code, sqlState: error.sqlState, message: error.wireMessage };
+  }
+  if (error instanceof DatabaseError) {
+    return { code: error.code, sqlState: error.sqlState, message: error.message };
+  }
+  return { code: ER_UNKNOWN_ERROR, sqlState: 'HY000', message: messageOf(error) };
+}
+
+/** A connection of one caller. */
+export class CallerConnection {
+  private readonly writer: ResultWriter;
+  private readonly statements = new Map<number, PreparedStatement>();
+  private session: CallerSession | undefined;
+  private lastCommand: Promise<void> = Promise.resolve();
+  private nextStatementId = 1;
+  private running = 0;
+  private inTransaction = false;
+  private closing = false;
+  private closed = false;
+
+  constructor(
+    private readonly connection: ServerConnection,
+    private readonly options: MysqlListenerOptions,
+    private readonly connectionId: number,
+    private readonly refuse: boolean,
+  ) {
+    this.writer = new ResultWriter(connection.stream);
+  }
+
+  /** Sends the greeting and starts to serve commands. */
+  start(): void {
+    const { connection } = this;
+    connection.on('error', (error: Error) => {
+      this.options.onConnectionError?.(messageOf(error));
+      this.destroy();
+    });
+    // The library answers commands without a listener by itself; all are handled in `packet`.
+    for (const event of ['query', 'stmt_prepare', 'stmt_execute', 'init_db', 'ping', 'quit']) {
+      connection.on(event, () => undefined);
+    }
+    connection.on('field_list', () => undefined);
+    connection.on('packet', (packet: Packet, _known: boolean, command: number) =>
+      this.enqueue(packet, command),
+    );
+    const timeout = setTimeout(() => this.destroyUnlessOpen(), HANDSHAKE_TIMEOUT_MS);
+    connection.stream.once('close', () => clearTimeout(timeout));
+    connection.serverHandshake({
+      protocolVersion: 10,
+      serverVersion: this.options.serverVersion,
+      connectionId: this.connectionId,
+      statusFlags: STATUS_AUTOCOMMIT,
+      characterSet: CHARACTER_SET_UTF8MB4,
+      capabilityFlags: CAPABILITY_FLAGS | CAPABILITY_SESSION_TRACK,
+      authCallback: (request: AuthenticationRequest, callback: AuthenticationCallback) =>
+        void this.authenticate(request, callback),
+    });
+  }
+
+  /** Closes the connection as soon as no command and no transaction is under way. */
+  closeWhenIdle(): void {
+    this.closing = true;
+    this.endIfIdle();
+  }
+
+  /** Cuts the connection off. */
+  destroy(): void {
+    this.connection.stream.destroy();
+  }
+
+  /** The connection is gone. */
+  onClosed(): void {
+    this.closed = true;
+    this.session?.close();
+    this.session = undefined;
+    this.statements.clear();
+  }
+
+  private destroyUnlessOpen(): void {
+    if (!this.session) this.destroy();
+  }
+
+  private async authenticate(
+    request: AuthenticationRequest,
+    callback: AuthenticationCallback,
+  ): Promise<void> {
+    if (this.refuse) {
+      callback(null, { message: 'Too many connections', code: ER_TOO_MANY_CONNECTIONS });
+      return;
+    }
+    const password = this.options.passwordOf(request.user);
+    const challenge = Buffer.concat([request.authPluginData1, request.authPluginData2]);
+    const token = Buffer.from(request.authToken);
+    if (password === undefined || !verifyNativePassword(password, challenge, token)) {
+      const message = `Access denied for user '${request.user}'`;
+      callback(null, { message, code: ER_ACCESS_DENIED });
+      return;
+    }
+    const identity: CallerIdentity = {
+      user: request.user,
+      schema: request.database ?? '',
+      attributes: this.connection.clientHelloReply?.connectAttributes ?? {},
+    };
+    try {
+      const session = await this.options.openSession(identity);
+      if (this.closed) {
+        session.close();
+        return;
+      }
+      this.session = session;
+      const flags = this.connection.clientHelloReply?.clientFlags ?? 0;
+      if (flags & CAPABILITY_SESSION_TRACK) this.writer.trackGtids();
+      callback(null);
+      this.connection.sequenceId = 0;
+    } catch (error) {
+      const answer = errorAnswer(error);
+      callback(null, { message: answer.message, code: answer.code });
+    }
+  }
+
+  private enqueue(packet: Packet, command: number): void {
+    this.connection.sequenceId = 0;
+    this.running++;
+    this.lastCommand = this.lastCommand.then(() => this.run(packet, command));
+  }
+
+  private async run(packet: Packet, command: number): Promise<void> {
+    try {
+      if (!this.closed && this.session) await this.dispatch(packet, command, this.session);
+    } catch (error) {
+      this.writer.error(errorAnswer(error));
+    } finally {
+      this.running--;
+      this.endIfIdle();
+    }
+  }
+
+  private endIfIdle(): void {
+    if (this.closing && this.running === 0 && !this.inTransaction) this.connection.stream.end();
+  }
+
+  private async dispatch(packet: Packet, command: number, session: CallerSession): Promise<void> {
+    this.writer.begin(command === Command.execute);
+    const payload = payloadOf(packet).subarray(1);
+    switch (command) {
+      case Command.query:
+        return this.query(session, payload.toString('utf8'));
+      case Command.execute:
+        return this.execute(session, packet);
+      case Command.prepare:
+        return this.prepare(payload.toString('utf8'));
+      case Command.closeStatement:
+        this.statements.delete(payload.readUInt32LE(0));
+        return;
+      case Command.sendLongData:
+        this.statements.delete(payload.readUInt32LE(0));
+        return;
+      case Command.initDb:
+        this.writer.complete(await session.useSchema(payload.toString('utf8')));
+        return;
+      case Command.resetConnection:
+        await session.reset();
+        this.inTransaction = false;
+        this.statements.clear();
+        return this.done();
+      case Command.ping:
+      case Command.resetStatement:
+        return this.done();
+      case Command.setOption:
+        this.writer.endOfFile(this.inTransaction);
+        return this.writer.flush();
+      case Command.quit:
+        this.connection.stream.end();
+        return;
+      default:
+        throw new DatabaseError('Unknown command', {
+          code: ER_UNKNOWN_COMMAND,
+          sqlState: '08S01',
+        });
+    }
+  }
+
+  private done(): void {
+    this.writer.complete({
+      affectedRows: 0,
+      insertId: 0,
+      info: '',
+      inTransaction: this.inTransaction,
+    });
+  }
+
+  private async query(session: CallerSession, sql: string): Promise<void> {
+    try {
+      const completion = await session.execute(sql, this.writer);
+      this.inTransaction = completion.inTransaction;
+      this.writer.complete(completion);
+    } catch (error) {
+      if (error instanceof RequestError) this.inTransaction = false;
+      throw error;
+    }
+  }
+
+  private prepare(sql: string): void {
+    if (this.statements.size >= MAXIMUM_PREPARED_STATEMENTS) {
+      throw new DatabaseError('Too many prepared statements on this connection', {
+        code: ER_MAX_PREPARED,
+        sqlState: '42000',
+      });
+    }
+    const statement: PreparedStatement = {
+      id: this.nextStatementId++,
+      pieces: splitAtMarkers(sql),
+      parameterTypes: [],
+    };
+    this.statements.set(statement.id, statement);
+    this.writer.payload(prepareOkPayload(statement));
+    const parameterCount = statement.pieces.length - 1;
+    for (let index = 0; index < parameterCount; index++) {
+      this.writer.payload(columnDefinition('?', FieldType.varString));
+    }
+    if (parameterCount > 0) this.writer.endOfFile(this.inTransaction);
+    this.writer.flush();
+  }
+
+  private execute(session: CallerSession, packet: Packet): Promise<void> {
+    packet.offset = packet.start + 5;
+    const id = packet.readInt32();
+    const statement = this.statements.get(id);
+    if (!statement) {
+      throw new DatabaseError(`Unknown prepared statement handler (${id})`, {
+        code: ER_UNKNOWN_STATEMENT,
+        sqlState: 'HY000',
+      });
+    }
+    return this.query(session, bind(statement, readBoundValues(packet, statement)));
+  }
+}
--- /dev/null
+++ b/src/frontend/caller_session.ts
@@ -0,0 +1,21 @@
+/** What a listener needs of the session behind each caller's connection. */
+import type { Completion, ResultSink } from '../backend/backend.js';
+
+/** Facts about a caller known after its handshake. */
+export interface CallerIdentity {
+  readonly user: string;
+  readonly schema: string;
+  readonly attributes: Readonly<Record<string, string>>;
+}
+
+/** One caller's session. */
+export interface CallerSession {
+  /** Runs one statement; the listener never starts a second one before the first ended. */
+  execute(sql: string, sink: ResultSink): Promise<Completion>;
+  /** Rolls back and clears session state. */
+  reset(): Promise<void>;
+  /** Changes the default schema. */
+  useSchema(schema: string): Promise<Completion>;
+  /** The caller is gone. */
+  close(): void;
+}
--- /dev/null
+++ b/src/gateway/statement_runner.ts
@@ -0,0 +1,90 @@
+/** Runs single statements on instance connections, with slot, timeout and a truthful error. */
+import type { BackendConnection, Completion, ResultSink } from '../backend/backend.js';
+import { BackendConnectionLostError, ErrorCode, notRun } from '../errors/errors.js';
+import { type Priority } from '../pool/slot_queue.js';
+import type { GroupGateway, InstanceResources } from './group_gateway.js';
+
+/** MySQL errors by which an instance says that it did not start the statement. */
+const REFUSAL_CODES = new Set([
+  1040, // too many connections
+  1226, // resource limit reached
+  1290, // read only
+  1792, // read-only transaction
+  1836, // read-only mode
+  3032, // offline mode
+]);
+
+const RETRY_AFTER_MS = 50;
+
+/** Whether a database error means that nothing ran, whatever the statement was. */
+export function isRefusal(code: number): boolean {
+  return REFUSAL_CODES.has(code);
+}
+
+/** Takes a slot, runs `work`, returns the slot. */
+export async function inSlot<T>(
+  gateway: GroupGateway,
+  resources: InstanceResources,
+  priority: Priority,
+  work: () => Promise<T>,
+): Promise<T> {
+  const release = await resources.slots.acquire(priority, gateway.options.queueTimeoutMs);
+  try {
+    return await work();
+  } finally {
+    release();
+  }
+}
+
+/**
+ * Takes a connection and a slot, in this order: a wait for a connection must not hold a slot.
+ * @throws RequestError with verdict `not_run`
+ */
+export async function withConnection<T>(
+  gateway: GroupGateway,
+  address: string,
+  priority: Priority,
+  work: (connection: BackendConnection) => Promise<T>,
+): Promise<T> {
+  const resources = gateway.resourcesOf(address);
+  if (!resources) throw notRun('Instance is gone', ErrorCode.unavailable, RETRY_AFTER_MS);
+  const connection = await resources.pool.acquire(gateway.options.queueTimeoutMs);
+  let state: 'clean' | 'broken' = 'broken';
+  try {
+    const result = await inSlot(gateway, resources, priority, () => work(connection));
+    state = 'clean';
+    return result;
+  } catch (error) {
+    // A database error leaves the connection usable; anything else does not.
+    state = error instanceof BackendConnectionLostError || connection.closed ? 'broken' : 'clean';
+    throw error;
+  } finally {
+    resources.pool.release(connection, state);
+  }
+}
+
+/**
+ * Runs a statement, and closes the connection when no answer comes in time: a late answer must never be
+ * taken for the answer to another statement.
+ */
+export async function executeWithTimeout(
+  gateway: GroupGateway,
+  connection: BackendConnection,
+  sql: string,
+  sink: ResultSink,
+): Promise<Completion> {
+  const { clock } = gateway.runtime;
+  let late: (() => void) | undefined;
+  const timer = clock.setTimer(gateway.options.statementTimeoutMs, () => {
+    if (gateway.options.protections.isOn('discard-on-timeout')) connection.close();
+    else late?.();
+  });
+  const abandoned = new Promise<Completion>((_resolve, reject) => {
+    late = () => reject(new BackendConnectionLostError('statement timed out', { sent: true }));
+  });
+  try {
+    return await Promise.race([connection.execute(sql, sink), abandoned]);
+  } finally {
+    timer.cancel();
+  }
+}
--- /dev/null
+++ b/src/observability/logger.ts
@@ -0,0 +1,20 @@
+/** Structured logs through `bunyan`; every line carries the number of its event. */
+import bunyan from 'bunyan';
+import type { EventKind } from './events.js';
+
+/** Fields of a log line. Passwords and keys never belong here. */
+export type EventFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Logger of one process. */
+export class EventLogger {
+  private readonly logger: bunyan;
+
+  constructor(program: string, fields: EventFields, level: bunyan.LogLevelString) {
+    this.logger = bunyan.createLogger({ name: program, level, ...fields });
+  }
+
+  /** Writes one event. */
+  event(kind: EventKind, fields: EventFields = {}): void {
+    this.logger[kind.level]({ event: kind.number, event_name: kind.name, ...fields }, kind.message);
+  }
+}
--- /dev/null
+++ b/src/pool/rendezvous.ts
@@ -0,0 +1,17 @@
+/**
+ * Rendezvous hashing (Thaler and Ravishankar 1998): an order of nodes for each key that all processes
+ * agree on, and that changes little when nodes come and go.
+ */
+import xxhash from 'xxhash-wasm';
+
+const { h64 } = await xxhash();
+
+/** Nodes in the order of their weight for `key`, heaviest first. */
+export function rendezvousOrder(key: string, nodes: readonly string[]): string[] {
+  const weighted = nodes.map((node) => ({ node, weight: h64(`${key}\n${node}`) }));
+  weighted.sort((left, right) => {
+    if (left.weight !== right.weight) return left.weight > right.weight ? -1 : 1;
+    return left.node < right.node ? -1 : 1;
+  });
+  return weighted.map((item) => item.node);
+}
--- /dev/null
+++ b/src/proxy/proxy_core.ts
@@ -0,0 +1,274 @@
+/** A proxy without its listeners: configuration, membership, gateways and sessions. */
+import type { BackendConnector } from '../backend/backend.js';
+import type { GroupConfiguration } from '../config/configuration.js';
+import type { CallerIdentity } from '../frontend/caller_session.js';
+import { GatewaySession } from '../gateway/gateway_session.js';
+import {
+  DEFAULT_GATEWAY_OPTIONS,
+  type GatewayOptions,
+  GroupGateway,
+} from '../gateway/group_gateway.js';
+import type { GroupSession } from '../gateway/statement_request.js';
+import { rendezvousOrder } from '../pool/rendezvous.js';
+import { seatsFor } from '../pool/shares.js';
+import type { whinyoke } from '../protocol/generated/messages.js';
+import { type MessageBody, type Runtime, delay } from '../runtime/runtime.js';
+import {
+  ConfigurationKeeper,
+  type ConfigurationState,
+  parseDocuments,
+} from './configuration_keeper.js';
+import { ConfigurationSubscriber } from './configuration_subscriber.js';
+import { ForwardServer } from './forward_server.js';
+import { GroupDirectory } from './group_directory.js';
+import { MembershipClient, type MembershipView, type ProxyMember } from './membership_client.js';
+import { ProxySession } from './proxy_session.js';
+import { RemoteSession } from './remote_session.js';
+import { reportGroup } from './status_report.js';
+
+/** Identity and surroundings of a proxy. */
+export interface ProxyOptions {
+  /** Unique name of the process. */
+  readonly id: string;
+  /** Address for messages of other processes. */
+  readonly address: string;
+  readonly zone: string;
+  /** Addresses of the control machines. */
+  readonly controls: readonly string[];
+  readonly gateway?: Partial<GatewayOptions>;
+}
+
+/** Hears what a proxy does, for logs, metrics and histories. */
+export interface ProxyObserver {
+  onConfiguration?(revision: number): void;
+  onPrimaryChange?(group: string, primary: string | undefined, term: number): void;
+  onSeats?(group: string, seats: readonly number[]): void;
+}
+
+const ANSWER_TIMEOUT_MS = 15_000;
+const STOP_POLL_MS = 20;
+/** Time in which a replaced gateway ends its transactions, in milliseconds. */
+const REPLACED_GATEWAY_MS = 15_000;
+
+/** Whether two configurations differ at most in which instances are leaving. */
+function differsOnlyInLeaving(left: GroupConfiguration, right: GroupConfiguration): boolean {
+  const withoutLeaving = (group: GroupConfiguration): string =>
+    JSON.stringify({
+      ...group,
+      instances: group.instances.map((instance) => ({ ...instance, leaving: false })),
+    });
+  return withoutLeaving(left) === withoutLeaving(right);
+}
+
+/** One proxy. */
+export class ProxyCore {
+  private readonly keeper: ConfigurationKeeper;
+  private readonly subscriber: ConfigurationSubscriber;
+  private readonly membership: MembershipClient;
+  private readonly forwardServer: ForwardServer;
+  private readonly gatewayOptions: GatewayOptions;
+  private readonly gateways = new Map<string, GroupGateway>();
+  private directory = GroupDirectory.empty;
+  private peers: readonly ProxyMember[] = [];
+  private leaving: ReadonlySet<string> = new Set();
+  private stopping = false;
+  private nextSession = 1;
+  /** Number of callers' connections, set by the listener's owner. */
+  countClients: () => number = () => 0;
+
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly connector: BackendConnector,
+    private readonly options: ProxyOptions,
+    private readonly observer: ProxyObserver = {},
+  ) {
+    const { clock, random, messenger, folder } = runtime;
+    this.gatewayOptions = { ...DEFAULT_GATEWAY_OPTIONS, ...options.gateway };
+    this.keeper = new ConfigurationKeeper(folder, this.gatewayOptions.protections, (state) =>
+      this.onConfiguration(state),
+    );
+    this.subscriber = new ConfigurationSubscriber(
+      options.id,
+      options.controls,
+      clock,
+      random,
+      messenger,
+      this.keeper,
+    );
+    this.membership = new MembershipClient(
+      options.controls,
+      clock,
+      messenger,
+      () => this.report(),
+      (view) => this.onMembership(view),
+    );
+    this.forwardServer = new ForwardServer(clock, (group) => this.servingGateway(group));
+  }
+
+  /** Starts from the stored configuration and joins the fleet. */
+  async start(): Promise<void> {
+    this.runtime.messenger.serve((body) => this.handle(body));
+    await this.keeper.load();
+    this.subscriber.start();
+    this.membership.start();
+  }
+
+  /** Revision of the configuration in force. */
+  get revision(): number {
+    return this.keeper.revision;
+  }
+
+  /** Whether a planned stop has begun. */
+  get isStopping(): boolean {
+    return this.stopping;
+  }
+
+  /** Gateways that run here. */
+  get activeGateways(): readonly GroupGateway[] {
+    return [...this.gateways.values()];
+  }
+
+  /** Opens a caller's session. */
+  openSession(identity: CallerIdentity): ProxySession {
+    return new ProxySession(
+      {
+        directory: () => this.directory,
+        openGroupSession: (group) => this.openGroupSession(group),
+        isStopping: () => this.stopping && this.gatewayOptions.protections.isOn('graceful-stop'),
+      },
+      identity,
+    );
+  }
+
+  /** Begins a planned stop: announces it, so that others take over the seats. */
+  async beginStop(): Promise<void> {
+    this.stopping = true;
+    await this.membership.announce();
+    this.assignSeats();
+  }
+
+  /** Ends a planned stop, once the sessions of this proxy and forwarded ones are over. */
+  async finishStop(deadlineMs: number): Promise<void> {
+    const deadline = this.runtime.clock.now() + deadlineMs;
+    while (this.forwardServer.sessionCount > 0 && this.runtime.clock.now() < deadline) {
+      await delay(this.runtime.clock, STOP_POLL_MS);
+    }
+    this.subscriber.stop();
+    this.membership.stop();
+    for (const gateway of this.gateways.values()) gateway.stop();
+    this.gateways.clear();
+  }
+
+  /** Answers a message of another process. */
+  async handle(body: MessageBody): Promise<MessageBody> {
+    if (body.forwardRequest) return this.forwardServer.handle(body.forwardRequest);
+    if (body.watchReply) {
+      await this.keeper.accept(body.watchReply);
+      return { refusal: { reason: '' } };
+    }
+    return { refusal: { reason: 'not a message for a proxy' } };
+  }
+
+  /** What this proxy tells control machines of itself. */
+  report(): whinyoke.IProxyReport {
+    const { id, address, zone } = this.options;
+    return {
+      id,
+      address,
+      zone,
+      revision: this.keeper.revision,
+      draining: this.stopping,
+      clientConnections: this.countClients(),
+      groups: [...this.gateways.values()].map(reportGroup),
+    };
+  }
+
+  private openGroupSession(group: string): GroupSession {
+    const gateway = this.servingGateway(group);
+    if (gateway) return new GatewaySession(gateway);
+    const sessionId = `${this.options.id}/${this.nextSession++}`;
+    const context = {
+      clock: this.runtime.clock,
+      messenger: this.runtime.messenger,
+      gatewaysOf: (name: string) => this.gatewayAddresses(name),
+      answerTimeoutMs: ANSWER_TIMEOUT_MS,
+    };
+    return new RemoteSession(context, group, sessionId);
+  }
+
+  /** The gateway that may take new sessions of a group. */
+  private servingGateway(group: string): GroupGateway | undefined {
+    const gateway = this.gateways.get(group);
+    return gateway?.acceptsSessions ? gateway : undefined;
+  }
+
+  private gatewayAddresses(group: string): readonly string[] {
+    const configuration = this.directory.find(group);
+    if (!configuration) return [];
+    const others = this.peers.filter((peer) => peer.id !== this.options.id);
+    const byId = new Map(others.map((peer) => [peer.id, peer.address]));
+    const staying = others.filter((peer) => !peer.isDraining).map((peer) => peer.id);
+    const order = rendezvousOrder(group, staying);
+    return order.slice(0, configuration.limits.gateways + 1).map((id) => byId.get(id) ?? '');
+  }
+
+  private onMembership(view: MembershipView): void {
+    this.peers = view.proxies;
+    this.leaving = view.leavingInstances;
+    this.assignSeats();
+    for (const gateway of this.gateways.values()) gateway.setLeaving(this.leaving);
+  }
+
+  private onConfiguration(state: ConfigurationState): void {
+    const directory = new GroupDirectory(parseDocuments(state));
+    for (const [name, gateway] of this.gateways) {
+      const next = directory.find(name);
+      if (next && differsOnlyInLeaving(next, gateway.configuration)) gateway.reconfigure(next);
+      else this.retire(name, gateway);
+    }
+    this.directory = directory;
+    this.assignSeats();
+    this.observer.onConfiguration?.(state.revision);
+  }
+
+  /** Lets a gateway that is not needed any more give up its seats, then stops it. */
+  private retire(name: string, gateway: GroupGateway): void {
+    this.gateways.delete(name);
+    gateway.setSeats([]);
+    this.runtime.clock.setTimer(REPLACED_GATEWAY_MS, () => gateway.stop());
+  }
+
+  private assignSeats(): void {
+    const live = this.peers.filter((peer) => !peer.isDraining).map((peer) => peer.id);
+    const others = live.filter((id) => id !== this.options.id);
+    const holders = this.stopping && others.length > 0 ? others : [...others, this.options.id];
+    for (const configuration of this.directory.groups) {
+      const { name, limits } = configuration;
+      const seats = seatsFor(name, this.options.id, holders, limits.gateways);
+      if (seats.length > 0) this.ensureGateway(configuration).setSeats(seats);
+      else this.gateways.get(name)?.setSeats([]);
+      this.observer.onSeats?.(name, seats);
+    }
+  }
+
+  private ensureGateway(configuration: GroupConfiguration): GroupGateway {
+    const { name } = configuration;
+    const existing = this.gateways.get(name);
+    if (existing) return existing;
+    const gateway = new GroupGateway(
+      configuration,
+      { clock: this.runtime.clock, random: this.runtime.random, connector: this.connector },
+      this.gatewayOptions,
+    );
+    this.gateways.set(name, gateway);
+    gateway.setLeaving(this.leaving);
+    let primary: string | undefined;
+    gateway.monitor.subscribe((group) => {
+      if (group.primary === primary) return;
+      primary = group.primary;
+      this.observer.onPrimaryChange?.(name, primary, group.term);
+    });
+    gateway.start();
+    return gateway;
+  }
+}
--- /dev/null
+++ b/src/proxy/remote_session.ts
@@ -0,0 +1,185 @@
+/**
+ * A session at a gateway on another proxy. A transaction stays at the gateway that began it; any other
+ * statement may go to any gateway of the group.
+ */
+import type { ResultSink } from '../backend/backend.js';
+import {
+  ErrorCode,
+  PeerUnreachableError,
+  mayHaveRun,
+  messageOf,
+  notRun,
+} from '../errors/errors.js';
+import type {
+  GroupSession,
+  StatementOutcome,
+  StatementRequest,
+} from '../gateway/statement_request.js';
+import { whinyoke } from '../protocol/generated/messages.js';
+import { type Clock, type Messenger, delay } from '../runtime/runtime.js';
+import { decodeError, decodeOutcome, encodeRequest } from './forward_codec.js';
+
+/** What a remote session needs of its proxy. */
+export interface RemoteSessionContext {
+  readonly clock: Clock;
+  readonly messenger: Messenger;
+  /** Addresses of the group's gateways, best first. */
+  readonly gatewaysOf: (group: string) => readonly string[];
+  /** Longest time for one answer of a gateway, in milliseconds. */
+  readonly answerTimeoutMs: number;
+}
+
+const GATEWAY_WAIT_MS = 100;
+const MAXIMUM_ROUNDS = 30;
+const RETRY_AFTER_MS = 200;
+
+/** Session at gateways of one group. */
+export class RemoteSession implements GroupSession {
+  private pinned: string | undefined;
+
+  constructor(
+    private readonly context: RemoteSessionContext,
+    private readonly group: string,
+    private readonly sessionId: string,
+  ) {}
+
+  get inTransaction(): boolean {
+    return this.pinned !== undefined;
+  }
+
+  async run(request: StatementRequest, sink: ResultSink): Promise<StatementOutcome> {
+    if (this.pinned !== undefined) return this.runPinned(this.pinned, request, sink);
+    for (let round = 0; round < MAXIMUM_ROUNDS; round++) {
+      const outcome = await this.tryGateways(request, sink);
+      if (outcome) return outcome;
+      // Gateways are changing hands.
+      await delay(this.context.clock, GATEWAY_WAIT_MS);
+    }
+    throw notRun('No gateway serves the group', ErrorCode.unavailable, RETRY_AFTER_MS);
+  }
+
+  close(): void {
+    const gateway = this.pinned;
+    this.pinned = undefined;
+    if (gateway === undefined) return;
+    const request = {
+      kind: whinyoke.ForwardKind.CLOSE,
+      group: this.group,
+      session: this.sessionId,
+    };
+    this.context.messenger
+      .request(gateway, { forwardRequest: request }, this.context.answerTimeoutMs)
+      .catch(() => undefined);
+  }
+
+  private async runPinned(
+    gateway: string,
+    request: StatementRequest,
+    sink: ResultSink,
+  ): Promise<StatementOutcome> {
+    try {
+      const outcome = await this.runAt(gateway, request, sink);
+      if (outcome) return outcome;
+    } catch (error) {
+      if (!(error instanceof PeerUnreachableError)) throw error;
+      this.pinned = undefined;
+      if (request.statementClass === 'commit') throw mayHaveRun(messageOf(error));
+      throw this.transactionLost(messageOf(error));
+    }
+    this.pinned = undefined;
+    throw this.transactionLost('the gateway changed');
+  }
+
+  private transactionLost(reason: string): Error {
+    return notRun(
+      `The transaction was rolled back: ${reason}`,
+      ErrorCode.transactionLost,
+      RETRY_AFTER_MS,
+    );
+  }
+
+  /** Undefined when no gateway accepted the statement; then it ran nowhere. */
+  private async tryGateways(
+    request: StatementRequest,
+    sink: ResultSink,
+  ): Promise<StatementOutcome | undefined> {
+    for (const gateway of this.context.gatewaysOf(this.group)) {
+      try {
+        const outcome = await this.runAt(gateway, request, sink);
+        if (outcome) return outcome;
+      } catch (error) {
+        if (!(error instanceof PeerUnreachableError)) throw error;
+        this.requireRepeatable(request, error);
+      }
+    }
+    return undefined;
+  }
+
+  /** A statement that may have reached a gateway is repeated only when that can't run it twice. */
+  private requireRepeatable(request: StatementRequest, error: Error): void {
+    const isHarmless = ['read', 'begin', 'begin_read_only'].includes(request.statementClass);
+    if (isHarmless || request.onceKey !== undefined) return;
+    throw mayHaveRun(messageOf(error));
+  }
+
+  private async runAt(
+    gateway: string,
+    request: StatementRequest,
+    sink: ResultSink,
+  ): Promise<StatementOutcome | undefined> {
+    let reply = await this.send(gateway, encodeRequest(this.group, this.sessionId, request));
+    if (!reply.accepted) return undefined;
+    this.deliver(reply, sink);
+    while (!reply.finished) {
+      await sink.readyForMore?.();
+      reply = await this.fetch(gateway);
+      this.deliver(reply, sink);
+    }
+    return this.conclude(gateway, reply);
+  }
+
+  /** Next chunk of a result whose first part was delivered already. */
+  private async fetch(gateway: string): Promise<whinyoke.IForwardReply> {
+    const request = {
+      kind: whinyoke.ForwardKind.FETCH,
+      group: this.group,
+      session: this.sessionId,
+    };
+    try {
+      const reply = await this.send(gateway, request);
+      if (reply.accepted) return reply;
+    } catch (error) {
+      if (!(error instanceof PeerUnreachableError)) throw error;
+    }
+    throw notRun('The result was cut off', ErrorCode.unavailable, RETRY_AFTER_MS);
+  }
+
+  private conclude(gateway: string, reply: whinyoke.IForwardReply): StatementOutcome {
+    if (reply.error) {
+      this.pinned = reply.error.inTransaction ? gateway : undefined;
+      throw decodeError(reply.error);
+    }
+    const outcome = decodeOutcome(reply.completion ?? {});
+    this.pinned = outcome.completion.inTransaction ? gateway : undefined;
+    return outcome;
+  }
+
+  private deliver(reply: whinyoke.IForwardReply, sink: ResultSink): void {
+    const packets = reply.columnPackets ?? [];
+    if (reply.hasColumns && packets.length > 0) {
+      sink.columns({ kind: 'packets', packets: packets.map((packet) => Buffer.from(packet)) });
+    } else if (reply.hasColumns) {
+      sink.columns({ kind: 'names', names: reply.columnNames ?? [] });
+    }
+    for (const row of reply.rows ?? []) sink.row(Buffer.from(row));
+  }
+
+  private async send(
+    gateway: string,
+    request: whinyoke.IForwardRequest,
+  ): Promise<whinyoke.IForwardReply> {
+    const { messenger, answerTimeoutMs } = this.context;
+    const body = await messenger.request(gateway, { forwardRequest: request }, answerTimeoutMs);
+    return body.forwardReply ?? { accepted: false, finished: true };
+  }
+}
--- /dev/null
+++ b/src/routing/statement_class.ts
@@ -0,0 +1,170 @@
+/**
+ * Classification of statements: where each may run, and what it does to the connection it runs on.
+ * Whatever is not known to be a plain read counts as a write.
+ */
+import { type Token, tokenize } from '../sql/tokenizer.js';
+
+/** What a statement needs. */
+export type StatementClass =
+  /** Reads only; any instance that is fresh enough will do. */
+  | 'read'
+  /** Writes, locks, or may do so: the primary. */
+  | 'write'
+  | 'begin'
+  | 'begin_read_only'
+  | 'commit'
+  | 'rollback'
+  /** Sets a session variable that is the same on all pooled connections; answered by the proxy. */
+  | 'session_default'
+  /** Needs a connection of its own; refused outside a transaction. */
+  | 'stateful'
+  | 'use'
+  /** Read of the session token. */
+  | 'show_token'
+  /** Nothing but white space and comments. */
+  | 'empty';
+
+/** Functions whose call ties a statement to one connection or makes it more than a read. */
+const STATEFUL_FUNCTIONS = new Set([
+  'GET_LOCK',
+  'RELEASE_LOCK',
+  'RELEASE_ALL_LOCKS',
+  'IS_USED_LOCK',
+  'LAST_INSERT_ID',
+  'FOUND_ROWS',
+  'ROW_COUNT',
+  'CONNECTION_ID',
+]);
+
+/** Session variables whose usual settings change nothing for pooled connections. */
+const HARMLESS_VARIABLES = new Set([
+  'NAMES',
+  'CHARACTER',
+  'AUTOCOMMIT',
+  'SQL_MODE',
+  'TIME_ZONE',
+  'SQL_SAFE_UPDATES',
+  'CHARACTER_SET_RESULTS',
+  'CHARACTER_SET_CLIENT',
+  'CHARACTER_SET_CONNECTION',
+  'COLLATION_CONNECTION',
+  'NET_WRITE_TIMEOUT',
+  'WAIT_TIMEOUT',
+  'INTERACTIVE_TIMEOUT',
+  'SESSION_TRACK_GTIDS',
+]);
+
+const WRITE_KEYWORDS = new Set([
+  'INSERT',
+  'UPDATE',
+  'DELETE',
+  'REPLACE',
+  'CREATE',
+  'ALTER',
+  'DROP',
+  'TRUNCATE',
+  'RENAME',
+  'CALL',
+]);
+
+function classifySelect(tokens: readonly Token[]): StatementClass {
+  for (const [index, token] of tokens.entries()) {
+    if (token.kind === 'variable' && !token.text.startsWith('@@')) return 'stateful';
+    if (token.kind === 'symbol' && token.text === ':=') return 'stateful';
+    if (token.kind !== 'word') continue;
+    const next = tokens[index + 1];
+    if (STATEFUL_FUNCTIONS.has(token.text) && next?.text === '(') return 'stateful';
+    if (token.text === 'INTO') return 'stateful';
+    const locks = token.text === 'FOR' && (next?.text === 'UPDATE' || next?.text === 'SHARE');
+    if (locks || (token.text === 'LOCK' && next?.text === 'IN')) return 'write';
+  }
+  return 'read';
+}
+
+function classifySet(tokens: readonly Token[]): StatementClass {
+  const name = tokens.slice(1).find((token) => !['SESSION', 'LOCAL'].includes(token.text));
+  if (!name) return 'stateful';
+  if (tokens[1]?.text === 'TRANSACTION' || name.text === 'TRANSACTION') return 'stateful';
+  const variable = name.text.toUpperCase().replace(/^@@(SESSION\.|LOCAL\.)?/, '');
+  const turnsOffAutocommit = variable === 'AUTOCOMMIT' && tokens.at(-1)?.text === '0';
+  if (turnsOffAutocommit || tokens.some((token) => token.text === ',')) return 'stateful';
+  return HARMLESS_VARIABLES.has(variable) ? 'session_default' : 'stateful';
+}
+
+function classifyStart(tokens: readonly Token[]): StatementClass {
+  if (tokens[1]?.text !== 'TRANSACTION') return 'stateful';
+  const isReadOnly = tokens.some(
+    (token, index) => token.text === 'READ' && tokens[index + 1]?.text === 'ONLY',
+  );
+  return isReadOnly ? 'begin_read_only' : 'begin';
+}
+
+function classifyShow(tokens: readonly Token[]): StatementClass {
+  const isToken = tokens[1]?.text === 'WHINYOKE';
+  if (isToken) return 'show_token';
+  return tokens[1]?.text === 'WARNINGS' || tokens[1]?.text === 'ERRORS' ? 'stateful' : 'read';
+}
+
+/** Ends of transactions that are followed by a savepoint name concern only a part of it. */
+function classifyRollback(tokens: readonly Token[]): StatementClass {
+  return tokens.some((token) => token.text === 'TO') ? 'stateful' : 'rollback';
+}
+
+function hasSecondStatement(tokens: readonly Token[]): boolean {
+  const end = tokens.findIndex((token) => token.kind === 'symbol' && token.text === ';');
+  return end >= 0 && end < tokens.length - 1;
+}
+
+function classifyTokens(tokens: readonly Token[]): StatementClass {
+  const first = tokens.find((token) => token.text !== '(');
+  if (!first) return 'empty';
+  if (hasSecondStatement(tokens)) return 'stateful';
+  if (WRITE_KEYWORDS.has(first.text)) {
+    return tokens[1]?.text === 'TEMPORARY' ? 'stateful' : 'write';
+  }
+  switch (first.text) {
+    case 'SELECT':
+    case 'WITH':
+    case 'VALUES':
+    case 'TABLE':
+      return classifySelect(tokens);
+    case 'SET':
+      return classifySet(tokens);
+    case 'BEGIN':
+      return 'begin';
+    case 'START':
+      return classifyStart(tokens);
+    case 'COMMIT':
+      return 'commit';
+    case 'ROLLBACK':
+      return classifyRollback(tokens);
+    case 'USE':
+      return 'use';
+    case 'SHOW':
+      return classifyShow(tokens);
+    case 'DESCRIBE':
+    case 'DESC':
+    case 'EXPLAIN':
+      return 'read';
+    default:
+      return 'stateful';
+  }
+}
+
+/** WITH may introduce a write; only a select-like body is a read. */
+function refineWith(tokens: readonly Token[], result: StatementClass): StatementClass {
+  const isWith = tokens[0]?.text === 'WITH';
+  const writes = tokens.some((token) => token.kind === 'word' && WRITE_KEYWORDS.has(token.text));
+  return isWith && writes && result === 'read' ? 'write' : result;
+}
+
+/** Class of a statement. */
+export function classifyStatement(sql: string): StatementClass {
+  const tokens = tokenize(sql);
+  return refineWith(tokens, classifyTokens(tokens));
+}
+
+/** Schema named by a USE statement. */
+export function schemaOfUse(sql: string): string {
+  return tokenize(sql)[1]?.raw ?? '';
+}
--- /dev/null
+++ b/src/runtime/tcp_messenger.ts
@@ -0,0 +1,177 @@
+/**
+ * Request and response messages over TCP, optionally inside TLS.
+ *
+ * Frame: 32-bit big-endian length, then one encoded Envelope. Before its first frame each side proves
+ * that it knows the shared key: the server sends a random challenge, the client answers with an HMAC of
+ * it (see `shared_key_handshake.ts`).
+ */
+import { type Server, type Socket, connect, createServer } from 'node:net';
+import { PeerUnreachableError, messageOf } from '../errors/errors.js';
+import { type Envelope, decodeEnvelope, encodeEnvelope } from '../protocol/envelope.js';
+import { FrameReader, frame } from './frame.js';
+import type { MessageBody, Messenger, RequestHandler } from './runtime.js';
+import { type SharedKey, acceptPeer, introduceSelf } from './shared_key_handshake.js';
+
+interface PendingRequest {
+  resolve(body: MessageBody): void;
+  reject(error: Error): void;
+  readonly timeout: NodeJS.Timeout;
+}
+
+/** Options of a TCP messenger. */
+export interface TcpMessengerOptions {
+  /** IP address to listen on. */
+  readonly host: string;
+  /** TCP port to listen on; 0 takes any free port. */
+  readonly port: number;
+  /** Key that all processes of a deployment share. */
+  readonly sharedKey: SharedKey;
+}
+
+/** One outgoing connection, reused by all requests to the same address. */
+class PeerConnection {
+  private readonly pending = new Map<number, PendingRequest>();
+  private readonly ready: Promise<Socket>;
+  private nextId = 1;
+  closed = false;
+
+  constructor(
+    private readonly address: string,
+    private readonly from: string,
+    sharedKey: SharedKey,
+  ) {
+    this.ready = this.open(sharedKey);
+    this.ready.catch((error: unknown) => this.fail(messageOf(error)));
+  }
+
+  request(body: MessageBody, timeoutMs: number): Promise<MessageBody> {
+    const id = this.nextId++;
+    return new Promise((resolve, reject) => {
+      const timeout = setTimeout(() => {
+        this.pending.delete(id);
+        reject(new PeerUnreachableError(`no answer from ${this.address} within ${timeoutMs} ms`));
+      }, timeoutMs);
+      this.pending.set(id, { resolve, reject, timeout });
+      const envelope: Envelope = { id, reply: false, from: this.from, body };
+      this.ready.then(
+        (socket) => socket.write(frame(encodeEnvelope(envelope))),
+        () => undefined,
+      );
+    });
+  }
+
+  close(): void {
+    this.ready.then(
+      (socket) => socket.destroy(),
+      () => undefined,
+    );
+    this.fail('closed');
+  }
+
+  private async open(sharedKey: SharedKey): Promise<Socket> {
+    const colon = this.address.lastIndexOf(':');
+    const socket = connect({
+      host: this.address.slice(0, colon),
+      port: Number(this.address.slice(colon + 1)),
+    });
+    socket.setNoDelay(true);
+    socket.on('error', (error) => this.fail(error.message));
+    socket.on('close', () => this.fail('connection closed'));
+    const reader = new FrameReader();
+    await introduceSelf(socket, reader, sharedKey);
+    reader.start(socket, (bytes) => this.receive(bytes));
+    return socket;
+  }
+
+  private receive(bytes: Buffer): void {
+    const envelope = decodeEnvelope(bytes);
+    const request = this.pending.get(envelope.id);
+    if (!request) return;
+    this.pending.delete(envelope.id);
+    clearTimeout(request.timeout);
+    request.resolve(envelope.body);
+  }
+
+  private fail(reason: string): void {
+    this.closed = true;
+    for (const request of this.pending.values()) {
+      clearTimeout(request.timeout);
+      request.reject(new PeerUnreachableError(`${this.address}: ${reason}`));
+    }
+    this.pending.clear();
+  }
+}
+
+/** Messenger over TCP. */
+export class TcpMessenger implements Messenger {
+  private readonly peers = new Map<string, PeerConnection>();
+  private readonly incoming = new Set<Socket>();
+  private handler: RequestHandler | undefined;
+  private server: Server | undefined;
+  private localAddress = '';
+
+  constructor(private readonly options: TcpMessengerOptions) {}
+
+  /** Starts listening; resolves with the address others reach this process at. */
+  async listen(): Promise<string> {
+    const server = createServer((socket) => void this.accept(socket));
+    this.server = server;
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(this.options.port, this.options.host, resolve);
+    });
+    const address = server.address();
+    const port = typeof address === 'object' && address ? address.port : this.options.port;
+    this.localAddress = `${this.options.host}:${port}`;
+    return this.localAddress;
+  }
+
+  request(address: string, body: MessageBody, timeoutMs: number): Promise<MessageBody> {
+    let peer = this.peers.get(address);
+    if (!peer || peer.closed) {
+      peer = new PeerConnection(address, this.localAddress, this.options.sharedKey);
+      this.peers.set(address, peer);
+    }
+    return peer.request(body, timeoutMs);
+  }
+
+  serve(handler: RequestHandler): void {
+    this.handler = handler;
+  }
+
+  /** Closes the listener and all connections. */
+  async close(): Promise<void> {
+    for (const peer of this.peers.values()) peer.close();
+    for (const socket of this.incoming) socket.destroy();
+    const server = this.server;
+    if (server) await new Promise<void>((resolve) => server.close(() => resolve()));
+  }
+
+  private async accept(socket: Socket): Promise<void> {
+    this.incoming.add(socket);
+    socket.setNoDelay(true);
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => this.incoming.delete(socket));
+    const reader = new FrameReader();
+    try {
+      await acceptPeer(socket, reader, this.options.sharedKey);
+    } catch {
+      socket.destroy();
+      return;
+    }
+    reader.start(socket, (bytes) => void this.answer(socket, bytes));
+  }
+
+  private async answer(socket: Socket, bytes: Buffer): Promise<void> {
+    try {
+      const request = decodeEnvelope(bytes);
+      if (!this.handler) return;
+      const body = await this.handler(request.body, request.from);
+      const reply: Envelope = { id: request.id, reply: true, from: this.localAddress, body };
+      if (!socket.destroyed) socket.write(frame(encodeEnvelope(reply)));
+    } catch (error) {
+      // A handler that rejects drops the request; undecodable bytes end the connection.
+      if (error instanceof RangeError || error instanceof TypeError) socket.destroy();
+    }
+  }
+}
--- /dev/null
+++ b/src/storage/record_file.ts
@@ -0,0 +1,136 @@
+/**
+ * An append-only file of checksummed records.
+ *
+ * Record: 32-bit length, CRC-32 of the payload, payload; both integers big-endian. After a crash the
+ * file may end in a torn record, which recovery cuts off. A bad record that is followed by a good one
+ * can't come from a crash: recovery refuses the file.
+ */
+import { crc32 } from 'node:zlib';
+import { StorageCorruptionError } from '../errors/errors.js';
+import type { DataFolder } from '../runtime/runtime.js';
+
+/** Bytes in front of each record's payload. */
+export const RECORD_HEADER_BYTES = 8;
+const MAXIMUM_RECORD_BYTES = 64 * 1024 * 1024;
+
+/** A record and the offset of the byte after it. */
+export interface StoredRecord {
+  readonly payload: Buffer;
+  readonly end: number;
+}
+
+/** Bytes of one record. */
+export function encodeRecord(payload: Uint8Array): Buffer {
+  const bytes = Buffer.allocUnsafe(RECORD_HEADER_BYTES + payload.length);
+  bytes.writeUInt32BE(payload.length, 0);
+  bytes.writeUInt32BE(crc32(payload), 4);
+  bytes.set(payload, RECORD_HEADER_BYTES);
+  return bytes;
+}
+
+function recordAt(bytes: Buffer, offset: number): StoredRecord | undefined {
+  if (offset + RECORD_HEADER_BYTES > bytes.length) return undefined;
+  const length = bytes.readUInt32BE(offset);
+  const end = offset + RECORD_HEADER_BYTES + length;
+  if (length > MAXIMUM_RECORD_BYTES || end > bytes.length) return undefined;
+  const payload = bytes.subarray(offset + RECORD_HEADER_BYTES, end);
+  if (crc32(payload) !== bytes.readUInt32BE(offset + 4)) return undefined;
+  return { payload, end };
+}
+
+/** Whether any good, non-empty record starts after `offset`. */
+function goodRecordAfter(bytes: Buffer, offset: number): boolean {
+  for (let candidate = offset + 1; candidate + RECORD_HEADER_BYTES < bytes.length; candidate++) {
+    const record = recordAt(bytes, candidate);
+    if (record && record.payload.length > 0) return true;
+  }
+  return false;
+}
+
+/** Reads records up to the first bad one; throws when that one can't be a torn tail. */
+export function decodeRecords(bytes: Buffer, fileName: string): StoredRecord[] {
+  const records: StoredRecord[] = [];
+  let offset = 0;
+  while (offset < bytes.length) {
+    const record = recordAt(bytes, offset);
+    if (!record) {
+      if (goodRecordAfter(bytes, offset)) {
+        throw new StorageCorruptionError(
+          `${fileName}: damaged record at byte ${offset} with good records after it`,
+        );
+      }
+      break;
+    }
+    records.push(record);
+    offset = record.end;
+  }
+  return records;
+}
+
+interface WaitingAppend {
+  readonly bytes: Buffer;
+  resolve(): void;
+  reject(error: unknown): void;
+}
+
+/** One file of records, opened for appending. Concurrent appends share one fsync. */
+export class RecordFile {
+  private waiting: WaitingAppend[] = [];
+  private flushing = false;
+  private length = 0;
+
+  private constructor(
+    private readonly folder: DataFolder,
+    readonly name: string,
+  ) {}
+
+  /** Opens the file, cuts a torn tail and returns its records. */
+  static async open(
+    folder: DataFolder,
+    name: string,
+  ): Promise<{ file: RecordFile; records: StoredRecord[] }> {
+    const file = new RecordFile(folder, name);
+    const bytes = (await folder.read(name)) ?? Buffer.alloc(0);
+    const records = decodeRecords(bytes, name);
+    file.length = records.at(-1)?.end ?? 0;
+    if (file.length < bytes.length) await folder.truncate(name, file.length);
+    return { file, records };
+  }
+
+  /** Bytes in the file, counting appends that are still under way. */
+  get byteLength(): number {
+    return this.length;
+  }
+
+  /** Appends records; resolves once all of them are durable. */
+  append(payloads: readonly Uint8Array[]): Promise<void> {
+    const bytes = Buffer.concat(payloads.map(encodeRecord));
+    this.length += bytes.length;
+    return new Promise((resolve, reject) => {
+      this.waiting.push({ bytes, resolve, reject });
+      if (!this.flushing) void this.flush();
+    });
+  }
+
+  /** Durably cuts the file after `length` bytes. No append may be under way. */
+  async truncate(length: number): Promise<void> {
+    await this.folder.truncate(this.name, length);
+    this.length = length;
+  }
+
+  private async flush(): Promise<void> {
+    this.flushing = true;
+    while (this.waiting.length > 0) {
+      const batch = this.waiting;
+      this.waiting = [];
+      try {
+        await this.folder.append(this.name, Buffer.concat(batch.map((item) => item.bytes)));
+        await this.folder.sync(this.name);
+        for (const item of batch) item.resolve();
+      } catch (error) {
+        for (const item of batch) item.reject(error);
+      }
+    }
+    this.flushing = false;
+  }
+}
--- /dev/null
+++ b/src/topology/group_description.ts
@@ -0,0 +1,125 @@
+/**
+ * Immutable description of a database group, replaced by pure functions on each report. Which member may
+ * be trusted as primary follows from terms alone, never from clocks.
+ */
+import type { GroupConfiguration } from '../config/configuration.js';
+import type { InstanceReport } from './instance_report.js';
+
+/** One instance as last seen. */
+export interface InstanceDescription {
+  readonly address: string;
+  readonly zone: string;
+  /** Whether the latest probe was answered. */
+  readonly isReachable: boolean;
+  /** Whether the instance takes no new work, by configuration, platform list or its own word. */
+  readonly isLeaving: boolean;
+  /** Latest report; kept while the instance is unreachable. */
+  readonly report: InstanceReport | undefined;
+}
+
+/** A group as last seen. */
+export interface GroupDescription {
+  readonly name: string;
+  readonly instances: readonly InstanceDescription[];
+  /** Highest term that any instance reported. */
+  readonly term: number;
+  /** Address of the member that is primary at the highest term; undefined when there is none. */
+  readonly primary: string | undefined;
+}
+
+/** Number of instances that make a majority. */
+export function majorityOf(instanceCount: number): number {
+  return Math.floor(instanceCount / 2) + 1;
+}
+
+/** The description before any report. */
+export function initialDescription(configuration: GroupConfiguration): GroupDescription {
+  return {
+    name: configuration.name,
+    term: 0,
+    primary: undefined,
+    instances: configuration.instances.map((instance) => ({
+      address: instance.address,
+      zone: instance.zone,
+      isReachable: false,
+      isLeaving: instance.leaving,
+      report: undefined,
+    })),
+  };
+}
+
+function replaceInstance(
+  group: GroupDescription,
+  address: string,
+  change: (instance: InstanceDescription) => InstanceDescription,
+): GroupDescription {
+  const instances = group.instances.map((instance) =>
+    instance.address === address ? change(instance) : instance,
+  );
+  const term = instances.reduce(
+    (highest, instance) => Math.max(highest, instance.report?.term ?? 0),
+    group.term,
+  );
+  const primary = instances.find(
+    (instance) =>
+      instance.isReachable && instance.report?.isPrimary === true && instance.report.term === term,
+  );
+  return { name: group.name, instances, term, primary: primary?.address };
+}
+
+/** The group after an instance answered a probe. */
+export function withReport(
+  group: GroupDescription,
+  address: string,
+  report: InstanceReport,
+): GroupDescription {
+  return replaceInstance(group, address, (instance) => ({
+    ...instance,
+    isReachable: true,
+    report,
+  }));
+}
+
+/** The group after a probe of an instance failed. */
+export function withFailure(group: GroupDescription, address: string): GroupDescription {
+  return replaceInstance(group, address, (instance) => ({ ...instance, isReachable: false }));
+}
+
+/** The group with a new set of leaving instances. */
+export function withLeaving(
+  group: GroupDescription,
+  leaving: ReadonlySet<string>,
+): GroupDescription {
+  return {
+    ...group,
+    instances: group.instances.map((instance) => ({
+      ...instance,
+      isLeaving: leaving.has(instance.address),
+    })),
+  };
+}
+
+/** Whether new work may go to the instance. */
+export function takesWork(instance: InstanceDescription): boolean {
+  const report = instance.report;
+  return instance.isReachable && !instance.isLeaving && report !== undefined && !report.isLeaving;
+}
+
+/** The instance of that address. */
+export function findInstance(
+  group: GroupDescription,
+  address: string,
+): InstanceDescription | undefined {
+  return group.instances.find((instance) => instance.address === address);
+}
+
+/** Instances that are secondaries in their own eyes and may take reads. */
+export function readableSecondaries(group: GroupDescription): readonly InstanceDescription[] {
+  return group.instances.filter(
+    (instance) =>
+      takesWork(instance) &&
+      instance.address !== group.primary &&
+      instance.report?.isPrimary === false &&
+      instance.report.isOnline,
+  );
+}
