--- a/lab/database/evaluate.ts
+++ b/lab/database/evaluate.ts
@@ -53,10 +53,7 @@
   return operator === '-' ? a - b : a * b;
 }
 
-function evaluateBinary(
-  expression: Extract<Expression, { kind: 'binary' }>,
-  scope: Scope,
-): Value {
+function evaluateBinary(expression: Extract<Expression, { kind: 'binary' }>, scope: Scope): Value {
   const left = evaluate(expression.left, scope);
   switch (expression.operator) {
     case 'AND':
@@ -120,8 +117,7 @@
     return fixedValue(condition.left, column, scope) ?? fixedValue(condition.right, column, scope);
   }
   const { left, right } = condition;
-  const isEquality =
-    condition.operator === '=' && left.kind === 'column' && left.name === column;
+  const isEquality = condition.operator === '=' && left.kind === 'column' && left.name === column;
   if (!isEquality || (right.kind !== 'literal' && right.kind !== 'user_variable')) return undefined;
   return evaluate(right, scope);
 }
--- a/lab/database/group_member.ts
+++ b/lab/database/group_member.ts
@@ -348,7 +348,8 @@
       sequence: request.lastSequence ?? 0,
     };
     const free = this.votedFor === '' || this.votedFor === candidate;
-    const granted = term === this.term && free && covers(last, this.positionAt(this.entries.length));
+    const granted =
+      term === this.term && free && covers(last, this.positionAt(this.entries.length));
     if (granted) {
       this.votedFor = candidate;
       this.waitForPrimary();
--- a/lab/database/instance.ts
+++ b/lab/database/instance.ts
@@ -91,10 +91,7 @@
       throw new DatabaseError('Too many connections', { code: 1040, sqlState: '08004' });
     }
     this.usage.connections++;
-    this.usage.highestConnections = Math.max(
-      this.usage.highestConnections,
-      this.usage.connections,
-    );
+    this.usage.highestConnections = Math.max(this.usage.highestConnections, this.usage.connections);
     const session = new InstanceSession(this, this.nextConnectionId++);
     this.sessions.add(session);
     await delay(this.runtime.clock, this.options.connectMs);
--- a/lab/database/mysql_endpoint.ts
+++ b/lab/database/mysql_endpoint.ts
@@ -47,7 +47,10 @@
 }
 
 /** Listener in front of an instance. */
-export function createEndpoint(instance: DatabaseInstance, options: EndpointOptions): MysqlListener {
+export function createEndpoint(
+  instance: DatabaseInstance,
+  options: EndpointOptions,
+): MysqlListener {
   return new MysqlListener({
     host: options.host,
     port: options.port,
--- a/lab/fleet/demo.ts
+++ b/lab/fleet/demo.ts
@@ -10,7 +10,11 @@
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 import { type Violation, checkHistory, operationsOf } from '../history/checker.js';
 import { HistoryRecorder, formatHistory } from '../history/history.js';
-import { BookingSession, registerStatement, schemaStatements } from '../workload/booking_session.js';
+import {
+  BookingSession,
+  registerStatement,
+  schemaStatements,
+} from '../workload/booking_session.js';
 import type { CallerConnection } from '../workload/caller.js';
 import { MysqlCallerConnector } from '../workload/mysql_caller.js';
 import { deploymentOf } from './deployment.js';
--- a/lab/workload/booking_session.ts
+++ b/lab/workload/booking_session.ts
@@ -262,7 +262,9 @@
     marks: Readonly<Record<string, string>> = {},
   ): Promise<CallerAnswer> {
     const all = this.options.usesToken ? { ...marks, whinyoke_position: this.token } : marks;
-    const pairs = Object.entries(all).map(([key, value]) => `${key}='${encodeURIComponent(value)}'`);
+    const pairs = Object.entries(all).map(
+      ([key, value]) => `${key}='${encodeURIComponent(value)}'`,
+    );
     const text = pairs.length === 0 ? sql : `${sql} /*${pairs.join(',')}*/`;
     const answer = await this.withPatience(connection, connection.execute(text));
     const token = TOKEN_PATTERN.exec(answer.info)?.[1];
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -83,9 +83,7 @@
     'withdraw <name>',
     'withdraw a configuration document',
     (builder) =>
-      builder
-        .positional('name', { type: 'string', demandOption: true })
-        .options(submissionOptions),
+      builder.positional('name', { type: 'string', demandOption: true }).options(submissionOptions),
     (parsed) => withdrawDocument(parsed.name, toOptions(parsed)),
   )
   .command(
@@ -110,8 +108,7 @@
   .command(
     'validate <files..>',
     'check configuration documents without sending them',
-    (builder) =>
-      builder.positional('files', { type: 'string', array: true, demandOption: true }),
+    (builder) => builder.positional('files', { type: 'string', array: true, demandOption: true }),
     (parsed) => validateFiles(parsed.files),
   )
   .demandCommand(1)
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -35,10 +35,7 @@
    * Sends a submission until it has an outcome or the time is over. Resends carry the same identifier, so
    * it is accepted at most once.
    */
-  async submit(
-    submission: whinyoke.ISubmitRequest,
-    timeoutMs: number,
-  ): Promise<SubmissionResult> {
+  async submit(submission: whinyoke.ISubmitRequest, timeoutMs: number): Promise<SubmissionResult> {
     const deadline = this.clock.now() + timeoutMs;
     const submissionId = submission.submissionId ?? '';
     let mayHaveRun = false;
--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -13,7 +13,10 @@
 /** `a.b.c.d:port` */
 export const addressSchema = z
   .string()
-  .regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'must be an IP address and a port, as in 10.0.0.1:3306');
+  .regex(
+    /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/,
+    'must be an IP address and a port, as in 10.0.0.1:3306',
+  );
 
 const instanceSchema = z
   .strictObject({
@@ -25,7 +28,12 @@
 
 const limitsSchema = z
   .strictObject({
-    slots: z.int().min(1).max(1000).default(5).describe('Statements running at once, per instance.'),
+    slots: z
+      .int()
+      .min(1)
+      .max(1000)
+      .default(5)
+      .describe('Statements running at once, per instance.'),
     connections: z
       .int()
       .min(4)
--- a/src/consensus/raft_log.ts
+++ b/src/consensus/raft_log.ts
@@ -146,6 +146,17 @@
     return entry?.membership ?? this.snapshotState?.membership;
   }
 
+  /** Membership as of an entry. */
+  membershipAt(index: number): whinyoke.IMembership | undefined {
+    const entry = this.entries.findLast((item) => item.index <= index && item.membership);
+    return entry?.membership ?? this.snapshotState?.membership;
+  }
+
+  /** Whether an entry after `index` changes the membership. */
+  hasMembershipAfter(index: number): boolean {
+    return this.entries.some((entry) => entry.index > index && entry.membership !== undefined);
+  }
+
   /** Durably stores term and vote. */
   saveVote(vote: VoteState): Promise<void> {
     this.voteState = vote;
--- a/src/consensus/raft_node.ts
+++ b/src/consensus/raft_node.ts
@@ -7,6 +7,7 @@
 import { whinyoke } from '../protocol/generated/messages.js';
 import type { Clock, MessageBody, Messenger, RandomSource, Timer } from '../runtime/runtime.js';
 import { type Member, Membership } from './membership.js';
+import { collectVotes } from './election.js';
 import { PeerReplicator } from './peer_replicator.js';
 import { type LogEntry, type RaftLog, type Snapshot, entryFromMessage } from './raft_log.js';
 
@@ -149,7 +150,7 @@
 
   /** Proposes a membership that differs from the present one by one member. */
   changeMembership(next: Membership): Promise<Uint8Array> {
-    if (this.hasPendingMembership()) {
+    if (this.log.hasMembershipAfter(this.commitIndex)) {
       return Promise.reject(new NotLeaderError('a membership change is under way'));
     }
     const { MEMBERSHIP } = whinyoke.EntryKind;
@@ -269,13 +270,6 @@
     return contacts;
   }
 
-  private hasPendingMembership(): boolean {
-    for (let index = this.commitIndex + 1; index <= this.log.lastIndex; index++) {
-      if (this.log.entryAt(index)?.membership) return true;
-    }
-    return false;
-  }
-
   private adoptMembership(): void {
     this.membershipState = Membership.fromMessage(this.log.membership);
     if (this.role === 'leader') this.updateReplicators();
@@ -342,41 +336,14 @@
   }
 
   private collectVotes(term: number, preVote: boolean): Promise<boolean> {
-    const granted = new Set([this.id]);
-    const others = this.membershipState.voters.filter((voter) => voter.id !== this.id);
-    return new Promise((resolve) => {
-      if (this.membershipState.isQuorum(granted)) resolve(true);
-      let answers = 0;
-      for (const voter of others) {
-        void this.requestVote(voter, term, preVote).then((isGranted) => {
-          answers++;
-          if (isGranted) granted.add(voter.id);
-          if (this.membershipState.isQuorum(granted)) resolve(true);
-          else if (answers === others.length) resolve(false);
-        });
-      }
-    });
-  }
-
-  private async requestVote(voter: Member, term: number, preVote: boolean): Promise<boolean> {
     const voteRequest: whinyoke.IVoteRequest = {
       term,
       candidate: this.id,
       lastIndex: this.log.lastIndex,
       lastTerm: this.log.lastTerm,
       preVote,
-      receiver: voter.id,
     };
-    try {
-      const timeout = this.options.electionTimeoutMs;
-      const body = await this.runtime.messenger.request(voter.address, { voteRequest }, timeout);
-      const reply = body.voteReply;
-      if (!reply || reply.voter !== voter.id) return false;
-      this.onHigherTerm(preVote && reply.granted ? 0 : (reply.term ?? 0));
-      return reply.granted ?? false;
-    } catch {
-      return false;
-    }
+    return collectVotes(this, voteRequest);
   }
 
   private async onVoteRequest(request: whinyoke.IVoteRequest): Promise<MessageBody> {
@@ -568,9 +535,7 @@
 
   private applyEntry(entry: LogEntry): void {
     const isCommand = entry.kind === whinyoke.EntryKind.COMMAND;
-    const result = isCommand
-      ? this.machine.apply(entry.index, entry.command)
-      : new Uint8Array(0);
+    const result = isCommand ? this.machine.apply(entry.index, entry.command) : new Uint8Array(0);
     const proposal = this.proposals.get(entry.index);
     this.proposals.delete(entry.index);
     if (proposal?.term === entry.term) proposal.resolve(result);
@@ -588,20 +553,11 @@
     const snapshot: Snapshot = {
       lastIndex: this.lastApplied,
       lastTerm,
-      membership: this.committedMembership().toMessage(),
+      membership: this.log.membershipAt(this.lastApplied) ?? {},
       state: this.machine.serialize(),
     };
     void this.log.compact(snapshot).finally(() => {
       this.compacting = false;
     });
   }
-
-  /** Membership as of the newest applied entry. */
-  private committedMembership(): Membership {
-    for (let index = this.lastApplied; index > (this.log.snapshot?.lastIndex ?? 0); index--) {
-      const membership = this.log.entryAt(index)?.membership;
-      if (membership) return Membership.fromMessage(membership);
-    }
-    return Membership.fromMessage(this.log.snapshot?.membership);
-  }
 }
--- a/src/control/proxy_registry.ts
+++ b/src/control/proxy_registry.ts
@@ -94,9 +94,7 @@
     this.droppedChanges++;
   }
 
-  private changesSince(
-    version: number,
-  ): Pick<whinyoke.IHeartbeatReply, 'changed' | 'removed'> {
+  private changesSince(version: number): Pick<whinyoke.IHeartbeatReply, 'changed' | 'removed'> {
     const latest = new Map<string, whinyoke.IProxySummary | undefined>();
     for (const change of this.changes.slice(version - this.droppedChanges)) {
       latest.set(change.id, change.summary);
--- a/src/control/submission_service.ts
+++ b/src/control/submission_service.ts
@@ -1,5 +1,9 @@
 /** Handles operators' submissions: checks, proposes, and answers with a truthful verdict. */
-import { type ConfigurationDocument, conflictBetween, readConfiguration } from '../config/configuration.js';
+import {
+  type ConfigurationDocument,
+  conflictBetween,
+  readConfiguration,
+} from '../config/configuration.js';
 import { LeadershipLostError, NotLeaderError, type RaftNode } from '../consensus/raft_node.js';
 import { messageOf } from '../errors/errors.js';
 import { whinyoke } from '../protocol/generated/messages.js';
--- a/src/frontend/binary_row.ts
+++ b/src/frontend/binary_row.ts
@@ -34,7 +34,11 @@
   return values;
 }
 
-function lengthAt(payload: Buffer, offset: number, first: number): { length: number; size: number } {
+function lengthAt(
+  payload: Buffer,
+  offset: number,
+  first: number,
+): { length: number; size: number } {
   switch (first) {
     case 0xfc:
       return { length: payload.readUInt16LE(offset + 1), size: 3 };
--- a/src/frontend/caller_connection.ts
+++ b/src/frontend/caller_connection.ts
@@ -76,10 +76,7 @@
   readonly authToken: Buffer | string;
 }
 
-type AuthenticationCallback = (
-  error: null,
-  refusal?: { message: string; code: number },
-) => void;
+type AuthenticationCallback = (error: null, refusal?: { message: string; code: number }) => void;
 
 function errorAnswer(error: unknown): ErrorAnswer {
   if (error instanceof RequestError) {
--- a/src/frontend/prepared_statement.ts
+++ b/src/frontend/prepared_statement.ts
@@ -149,7 +149,7 @@
   return types.map((type, index) => {
     const bits = packet.buffer[bitmapStart + (index >> 3)]!;
     if (bits & (1 << (index & 7))) return null;
-    return readParameter(packet, type & 0xff, (type >> 8) === UNSIGNED_FLAG);
+    return readParameter(packet, type & 0xff, type >> 8 === UNSIGNED_FLAG);
   });
 }
 
--- a/src/frontend/result_writer.ts
+++ b/src/frontend/result_writer.ts
@@ -199,10 +199,7 @@
   /** Session state information of an OK packet, with one GTID entry. */
   private gtidState(gtid: string): Buffer {
     const content = Buffer.concat([Buffer.from([0]), lengthEncodedString(gtid)]);
-    const entry = Buffer.concat([
-      Buffer.from([SESSION_TRACK_GTIDS]),
-      lengthEncodedString(content),
-    ]);
+    const entry = Buffer.concat([Buffer.from([SESSION_TRACK_GTIDS]), lengthEncodedString(content)]);
     return lengthEncodedString(entry);
   }
 
--- a/src/gateway/group_gateway.ts
+++ b/src/gateway/group_gateway.ts
@@ -122,7 +122,10 @@
       gateways: configuration.limits.gateways,
     };
     this.resources = new Map(
-      configuration.instances.map(({ address }) => [address, this.createResources(address, limits)]),
+      configuration.instances.map(({ address }) => [
+        address,
+        this.createResources(address, limits),
+      ]),
     );
     this.monitor = new GroupMonitor(
       configuration,
--- a/src/proxy/forward_codec.ts
+++ b/src/proxy/forward_codec.ts
@@ -1,6 +1,12 @@
 /** Translation between statements and the messages that forward them to a gateway. */
 import type { Completion } from '../backend/backend.js';
-import { DatabaseError, ErrorCode, RequestError, type Verdict, messageOf } from '../errors/errors.js';
+import {
+  DatabaseError,
+  ErrorCode,
+  RequestError,
+  type Verdict,
+  messageOf,
+} from '../errors/errors.js';
 import type { StatementOutcome, StatementRequest } from '../gateway/statement_request.js';
 import { whinyoke } from '../protocol/generated/messages.js';
 import { classifyStatement } from '../routing/statement_class.js';
--- a/src/routing/statement_class.ts
+++ b/src/routing/statement_class.ts
@@ -67,16 +67,26 @@
   'CALL',
 ]);
 
+/** User variables and assignments live on one connection. */
+function usesUserVariable(token: Token): boolean {
+  if (token.kind === 'variable') return !token.text.startsWith('@@');
+  return token.kind === 'symbol' && token.text === ':=';
+}
+
+/** FOR UPDATE, FOR SHARE and LOCK IN SHARE MODE. */
+function takesRowLocks(token: Token, next: Token | undefined): boolean {
+  if (token.text === 'FOR') return next?.text === 'UPDATE' || next?.text === 'SHARE';
+  return token.text === 'LOCK' && next?.text === 'IN';
+}
+
 function classifySelect(tokens: readonly Token[]): StatementClass {
   for (const [index, token] of tokens.entries()) {
-    if (token.kind === 'variable' && !token.text.startsWith('@@')) return 'stateful';
-    if (token.kind === 'symbol' && token.text === ':=') return 'stateful';
+    if (usesUserVariable(token)) return 'stateful';
     if (token.kind !== 'word') continue;
     const next = tokens[index + 1];
     if (STATEFUL_FUNCTIONS.has(token.text) && next?.text === '(') return 'stateful';
     if (token.text === 'INTO') return 'stateful';
-    const locks = token.text === 'FOR' && (next?.text === 'UPDATE' || next?.text === 'SHARE');
-    if (locks || (token.text === 'LOCK' && next?.text === 'IN')) return 'write';
+    if (takesRowLocks(token, next)) return 'write';
   }
   return 'read';
 }
--- a/src/runtime/real_folder.ts
+++ b/src/runtime/real_folder.ts
@@ -1,6 +1,15 @@
 /** A data folder on the local file system; every promise of durability is an fsync. */
 import { constants } from 'node:fs';
-import { type FileHandle, access, mkdir, open, readFile, readdir, rename, rm } from 'node:fs/promises';
+import {
+  type FileHandle,
+  access,
+  mkdir,
+  open,
+  readFile,
+  readdir,
+  rename,
+  rm,
+} from 'node:fs/promises';
 import { join } from 'node:path';
 import type { DataFolder } from './runtime.js';
 
--- a/src/runtime/shared_key_handshake.ts
+++ b/src/runtime/shared_key_handshake.ts
@@ -26,7 +26,10 @@
 
 function nextFrame(socket: Socket, reader: FrameReader): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const timeout = setTimeout(() => finish(new Error('handshake timed out')), HANDSHAKE_TIMEOUT_MS);
+    const timeout = setTimeout(
+      () => finish(new Error('handshake timed out')),
+      HANDSHAKE_TIMEOUT_MS,
+    );
     const onData = (chunk: Buffer): void => {
       try {
         const payload = reader.push(chunk)[0];
--- a/src/session/commit_evidence.ts
+++ b/src/session/commit_evidence.ts
@@ -42,9 +42,7 @@
 }
 
 function supports(report: InstanceReport, target: EvidenceTarget): boolean {
-  return (
-    report.isOnline && report.term === target.term && covers(report.received, target.position)
-  );
+  return report.isOnline && report.term === target.term && covers(report.received, target.position);
 }
 
 class EvidenceSearch {
--- a/src/session/token.ts
+++ b/src/session/token.ts
@@ -39,9 +39,10 @@
 
   /** A token that covers both. */
   merge(other: SessionToken): SessionToken {
-    let merged: SessionToken = this;
-    for (const [group, position] of other.positions) merged = merged.advance(group, position);
-    return merged;
+    return [...other.positions].reduce<SessionToken>(
+      (merged, [group, position]) => merged.advance(group, position),
+      this,
+    );
   }
 
   /** Text form, groups in alphabetical order. */
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -16,7 +16,9 @@
   internal: addressSchema.describe('Address for messages of other processes; listens there.'),
   controls: z.array(addressSchema).describe('Addresses of all control machines.'),
   shared_key_file: z.string().min(1).describe('File with the key that all processes share.'),
-  metrics: addressSchema.optional().describe('Address for metrics, health and readiness over HTTP.'),
+  metrics: addressSchema
+    .optional()
+    .describe('Address for metrics, health and readiness over HTTP.'),
   log_level: logLevelSchema,
 };
 
