--- /dev/null
+++ b/src/consensus/log_applier.ts
@@ -0,0 +1,107 @@
+/** Applies committed entries to the state machine in order, and replaces old ones by snapshots. */
+import { whinyoke } from '../protocol/generated/messages.js';
+import type { LogEntry, RaftLog } from './raft_log.js';
+
+/** The replicated state machine. */
+export interface StateMachine {
+  /** Applies a committed command and returns its result. Must depend on nothing else. */
+  apply(index: number, command: Uint8Array): Uint8Array;
+  /** Whole state, for a snapshot. */
+  serialize(): Uint8Array;
+  /** Replaces the state by that of a snapshot. */
+  restore(lastIndex: number, state: Uint8Array): void;
+}
+
+/** Hears of entries as they are applied. */
+export interface ApplierListener {
+  onEntry(entry: LogEntry, result: Uint8Array): void;
+  onApplied(index: number): void;
+}
+
+/** Applier of one member. */
+export class LogApplier {
+  private committed: number;
+  private applied: number;
+  private compacting = false;
+
+  /**
+   * @param snapshotEntries - applied entries after which a snapshot replaces them
+   */
+  constructor(
+    private readonly log: RaftLog,
+    private readonly machine: StateMachine,
+    private readonly snapshotEntries: number,
+    private readonly listener: ApplierListener,
+  ) {
+    const { snapshot } = log;
+    this.committed = snapshot?.lastIndex ?? 0;
+    this.applied = this.committed;
+    if (snapshot) machine.restore(snapshot.lastIndex, snapshot.state);
+  }
+
+  /** Newest index known to be committed. */
+  get commitIndex(): number {
+    return this.committed;
+  }
+
+  /** Newest applied index. */
+  get appliedIndex(): number {
+    return this.applied;
+  }
+
+  /** State of the machine, for a snapshot. */
+  serialize(): Uint8Array {
+    return this.machine.serialize();
+  }
+
+  /** Replaces the state by that of a snapshot of the leader. */
+  restore(lastIndex: number, state: Uint8Array): void {
+    this.machine.restore(lastIndex, state);
+    this.skipTo(lastIndex);
+  }
+
+  /** Counts everything up to an index as applied: a snapshot holds it. */
+  skipTo(lastIndex: number): void {
+    this.committed = Math.max(this.committed, lastIndex);
+    this.applied = Math.max(this.applied, lastIndex);
+    this.listener.onApplied(this.applied);
+  }
+
+  /** Applies everything up to an index that is now known to be committed. */
+  commitTo(index: number): void {
+    if (index <= this.committed) return;
+    this.committed = index;
+    while (this.applied < this.committed) {
+      const entry = this.log.entryAt(this.applied + 1);
+      if (!entry) break;
+      this.applied = entry.index;
+      this.listener.onEntry(entry, this.applyEntry(entry));
+    }
+    this.listener.onApplied(this.applied);
+    this.compactIfLong();
+  }
+
+  private applyEntry(entry: LogEntry): Uint8Array {
+    const isCommand = entry.kind === whinyoke.EntryKind.COMMAND;
+    return isCommand ? this.machine.apply(entry.index, entry.command) : new Uint8Array(0);
+  }
+
+  private compactIfLong(): void {
+    const covered = this.log.snapshot?.lastIndex ?? 0;
+    if (this.compacting || this.applied - covered < this.snapshotEntries) return;
+    const lastTerm = this.log.termAt(this.applied);
+    if (lastTerm === undefined) return;
+    this.compacting = true;
+    const snapshot = {
+      lastIndex: this.applied,
+      lastTerm,
+      membership: this.log.membershipAt(this.applied) ?? {},
+      state: this.machine.serialize(),
+    };
+    // Without a snapshot the log only grows; the next commit tries again.
+    const isOver = (): void => {
+      this.compacting = false;
+    };
+    this.log.compact(snapshot).then(isOver, isOver);
+  }
+}
--- a/src/consensus/raft_node.ts
+++ b/src/consensus/raft_node.ts
@@ -6,21 +6,12 @@
 import { WhinyokeError } from '../errors/errors.js';
 import { whinyoke } from '../protocol/generated/messages.js';
 import type { Clock, MessageBody, Messenger, RandomSource, Timer } from '../runtime/runtime.js';
-import { type Member, Membership } from './membership.js';
 import { collectVotes } from './election.js';
+import { LogApplier, type StateMachine } from './log_applier.js';
+import { type Member, Membership } from './membership.js';
 import { PeerReplicator } from './peer_replicator.js';
 import { type LogEntry, type RaftLog, type Snapshot, entryFromMessage } from './raft_log.js';
 
-/** The replicated state machine. */
-export interface StateMachine {
-  /** Applies a committed command and returns its result. Must depend on nothing else. */
-  apply(index: number, command: Uint8Array): Uint8Array;
-  /** Whole state, for a snapshot. */
-  serialize(): Uint8Array;
-  /** Replaces the state by that of a snapshot. */
-  restore(lastIndex: number, state: Uint8Array): void;
-}
-
 /** Timing, in milliseconds, and sizes. */
 export interface RaftOptions {
   readonly heartbeatMs: number;
@@ -70,8 +61,7 @@
   role: RaftRole = 'follower';
   private term: number;
   private leader = '';
-  private commitIndex: number;
-  private lastApplied: number;
+  private readonly applier: LogApplier;
   private durableIndex: number;
   private membershipState: Membership;
   private readonly replicators = new Map<string, PeerReplicator>();
@@ -79,7 +69,6 @@
   private electionTimer: Timer | undefined;
   private lastLeaderContact = -Infinity;
   private campaignNumber = 0;
-  private compacting = false;
   private stopped = false;
 
   constructor(
@@ -87,17 +76,17 @@
     readonly address: string,
     readonly runtime: RaftRuntime,
     readonly log: RaftLog,
-    private readonly machine: StateMachine,
+    machine: StateMachine,
     readonly options: RaftOptions,
     private readonly observer: RaftObserver = {},
   ) {
-    const { snapshot } = log;
     this.term = log.vote.term;
-    this.commitIndex = snapshot?.lastIndex ?? 0;
-    this.lastApplied = this.commitIndex;
     this.durableIndex = log.lastIndex;
     this.membershipState = Membership.fromMessage(log.membership);
-    if (snapshot) machine.restore(snapshot.lastIndex, snapshot.state);
+    this.applier = new LogApplier(log, machine, options.snapshotEntries, {
+      onEntry: (entry, result) => this.onEntryApplied(entry, result),
+      onApplied: (index) => observer.onApplied?.(index),
+    });
   }
 
   /** Starts to take part. */
@@ -130,7 +119,7 @@
 
   /** Newest applied index. */
   get appliedIndex(): number {
-    return this.lastApplied;
+    return this.applier.appliedIndex;
   }
 
   /** Whether a majority of voters was in contact within an election timeout. */
@@ -150,7 +139,7 @@
 
   /** Proposes a membership that differs from the present one by one member. */
   changeMembership(next: Membership): Promise<Uint8Array> {
-    if (this.log.hasMembershipAfter(this.commitIndex)) {
+    if (this.log.hasMembershipAfter(this.applier.commitIndex)) {
       return Promise.reject(new NotLeaderError('a membership change is under way'));
     }
     const { MEMBERSHIP } = whinyoke.EntryKind;
@@ -160,19 +149,21 @@
   /** Begins a new cluster with the given members. Only for a member without any state. */
   async bootstrap(members: readonly Member[]): Promise<void> {
     const membership = new Membership(members).toMessage();
-    const state = this.machine.serialize();
+    const state = this.applier.serialize();
     await this.log.compact({ lastIndex: 1, lastTerm: 1, membership, state });
-    this.afterSnapshot(1);
+    this.applier.skipTo(1);
+    this.adoptMembership();
   }
 
   /** Begins a new cluster from the state on this disk, accepted or not, with the given members. */
   async bootstrapFromState(members: readonly Member[]): Promise<void> {
-    this.commitTo(this.log.lastIndex);
+    this.applier.commitTo(this.log.lastIndex);
+    const lastIndex = this.applier.appliedIndex;
     const lastTerm = this.log.lastTerm;
     const membership = new Membership(members).toMessage();
-    const state = this.machine.serialize();
-    await this.log.compact({ lastIndex: this.lastApplied, lastTerm, membership, state });
-    this.afterSnapshot(this.lastApplied);
+    const state = this.applier.serialize();
+    await this.log.compact({ lastIndex, lastTerm, membership, state });
+    this.adoptMembership();
   }
 
   /** Answers a message of another member. */
@@ -196,11 +187,11 @@
   /** Recomputes the commit index after a member confirmed entries; for replicators. */
   advanceCommit(): void {
     if (this.role !== 'leader') return;
-    for (let index = this.log.lastIndex; index > this.commitIndex; index--) {
+    for (let index = this.log.lastIndex; index > this.applier.commitIndex; index--) {
       // Only entries of the current term are committed by counting (Raft, section 5.4.2).
       if (this.log.termAt(index) !== this.term) return;
       if (!this.membershipState.isQuorum(this.holdersOf(index))) continue;
-      this.commitTo(index);
+      this.applier.commitTo(index);
       this.replicateToAll();
       return;
     }
@@ -217,7 +208,7 @@
       previousIndex: nextIndex - 1,
       previousTerm,
       entries: entries.map((entry) => ({ ...entry })),
-      commitIndex: this.commitIndex,
+      commitIndex: this.applier.commitIndex,
     };
   }
 
@@ -448,7 +439,7 @@
     await this.persistTerm();
     await durable;
     if (this.term !== term) return this.appendReply(false, 0);
-    this.commitTo(Math.min(request.commitIndex ?? 0, matchIndex));
+    this.applier.commitTo(Math.min(request.commitIndex ?? 0, matchIndex));
     return this.appendReply(true, matchIndex);
   }
 
@@ -496,7 +487,7 @@
     if (request.receiver !== this.id || term < this.term) return refused;
     this.followLeader(term, request.leader ?? '');
     await this.persistTerm();
-    if (lastIndex > this.commitIndex) {
+    if (lastIndex > this.applier.commitIndex) {
       const snapshot: Snapshot = {
         lastIndex,
         lastTerm: request.lastTerm ?? 0,
@@ -504,38 +495,16 @@
         state: request.state ?? new Uint8Array(0),
       };
       const stored = this.log.compact(snapshot);
-      this.machine.restore(lastIndex, snapshot.state);
-      this.afterSnapshot(lastIndex);
+      this.applier.restore(lastIndex, snapshot.state);
+      this.adoptMembership();
       await stored;
     }
     return { snapshotReply: { term: this.term, installed: true, matchIndex: lastIndex } };
   }
 
-  private afterSnapshot(lastIndex: number): void {
-    this.commitIndex = Math.max(this.commitIndex, lastIndex);
-    this.lastApplied = Math.max(this.lastApplied, lastIndex);
-    this.membershipState = Membership.fromMessage(this.log.membership);
-    this.observer.onApplied?.(this.lastApplied);
-  }
-
   // ---- applying ----
 
-  private commitTo(index: number): void {
-    if (index <= this.commitIndex) return;
-    this.commitIndex = index;
-    while (this.lastApplied < this.commitIndex) {
-      const entry = this.log.entryAt(this.lastApplied + 1);
-      if (!entry) break;
-      this.lastApplied = entry.index;
-      this.applyEntry(entry);
-    }
-    this.observer.onApplied?.(this.lastApplied);
-    this.compactIfLong();
-  }
-
-  private applyEntry(entry: LogEntry): void {
-    const isCommand = entry.kind === whinyoke.EntryKind.COMMAND;
-    const result = isCommand ? this.machine.apply(entry.index, entry.command) : new Uint8Array(0);
+  private onEntryApplied(entry: LogEntry, result: Uint8Array): void {
     const proposal = this.proposals.get(entry.index);
     this.proposals.delete(entry.index);
     if (proposal?.term === entry.term) proposal.resolve(result);
@@ -543,21 +512,4 @@
     const wasRemoved = entry.membership && !this.membershipState.find(this.id);
     if (wasRemoved && this.role === 'leader') this.stepDown(this.term);
   }
-
-  private compactIfLong(): void {
-    const covered = this.log.snapshot?.lastIndex ?? 0;
-    if (this.compacting || this.lastApplied - covered < this.options.snapshotEntries) return;
-    const lastTerm = this.log.termAt(this.lastApplied);
-    if (lastTerm === undefined) return;
-    this.compacting = true;
-    const snapshot: Snapshot = {
-      lastIndex: this.lastApplied,
-      lastTerm,
-      membership: this.log.membershipAt(this.lastApplied) ?? {},
-      state: this.machine.serialize(),
-    };
-    void this.log.compact(snapshot).finally(() => {
-      this.compacting = false;
-    });
-  }
 }
--- a/src/control/configuration_store.ts
+++ b/src/control/configuration_store.ts
@@ -1,5 +1,5 @@
 /** The replicated state machine of accepted configurations. */
-import type { StateMachine } from '../consensus/raft_node.js';
+import type { StateMachine } from '../consensus/log_applier.js';
 import { whinyoke } from '../protocol/generated/messages.js';
 
 const { SubmissionKind, SubmissionOutcome, Verdict } = whinyoke;
--- a/test/unit/position.test.ts
+++ b/test/unit/position.test.ts
@@ -17,13 +17,13 @@
 });
 const groups = fc.constantFrom('appointments', 'payments', 'bookings');
 
-t.test('the term comes before the sequence', (t) => {
+void t.test('the term comes before the sequence', (t) => {
   t.ok(covers({ term: 2, sequence: 1 }, { term: 1, sequence: 99 }));
   t.notOk(covers({ term: 1, sequence: 99 }, { term: 2, sequence: 1 }));
   t.end();
 });
 
-t.test('the order is total and the latest covers both', (t) => {
+void t.test('the order is total and the latest covers both', (t) => {
   fc.assert(
     fc.property(positions, positions, (left, right) => {
       const newest = latest(left, right);
@@ -35,7 +35,7 @@
   t.end();
 });
 
-t.test('text forms survive a round trip', (t) => {
+void t.test('text forms survive a round trip', (t) => {
   fc.assert(
     fc.property(positions, (position) => {
       t.same(parsePosition(formatPosition(position)), position);
@@ -48,7 +48,7 @@
   t.end();
 });
 
-t.test('a token only ever moves forward, and merges cover both sides', (t) => {
+void t.test('a token only ever moves forward, and merges cover both sides', (t) => {
   const steps = fc.array(fc.tuple(groups, positions), { maxLength: 20 });
   fc.assert(
     fc.property(steps, steps, (left, right) => {
@@ -67,7 +67,7 @@
   t.end();
 });
 
-t.test('a malformed token is refused as a whole', (t) => {
+void t.test('a malformed token is refused as a whole', (t) => {
   t.equal(SessionToken.parse('appointments'), undefined);
   t.equal(SessionToken.parse('appointments:1-2,payments'), undefined);
   t.equal(SessionToken.parse('appointments:x-2'), undefined);
