--- a/lab/database/daemon.ts
+++ b/lab/database/daemon.ts
@@ -30,6 +30,8 @@
   heartbeat_ms: z.number().default(50),
   election_timeout_ms: z.number().default(300),
   lock_wait_ms: z.number().default(1000),
+  /** The former data folder was lost: rejoin the group without a vote until caught up. */
+  lost_disk: z.boolean().default(false),
 });
 
 /** A fault or its end. */
@@ -106,7 +108,7 @@
   });
   instance.member.replicationLagMs = settings.lag_ms;
   await tcp.listen();
-  await instance.start();
+  await instance.start(settings.lost_disk);
   const endpoint = createEndpoint(instance, {
     ...splitAddress(settings.listen),
     user: settings.user,
--- a/lab/database/group_member.ts
+++ b/lab/database/group_member.ts
@@ -53,6 +53,8 @@
 }
 
 const LOG_FILE = 'binlog';
+const REJOIN_FILE = 'rejoin';
+const REJOIN_RETRY_MS = 100;
 const VOTE_FILE = 'vote';
 const BATCH_ENTRIES = 200;
 
@@ -76,6 +78,12 @@
   private electionTimer: Timer | undefined;
   private executing = false;
   private isCandidate = true;
+  /** Whether this member followed or became the primary since it started or lost its role. */
+  private hasJoined = false;
+  /** Whether the disk was lost: without a vote until everything is received again. */
+  private isRejoining = false;
+  /** Whether a rejoining member knows the newest term of all others. */
+  private knowsTerm = true;
   private writing: Promise<void> = Promise.resolve();
   private storing: Promise<void> = Promise.resolve();
   private stopped = false;
@@ -87,8 +95,14 @@
     private readonly listener: MemberListener,
   ) {}
 
-  /** Reads the durable state and joins the group. */
-  async start(): Promise<void> {
+  /**
+   * Reads the durable state and joins the group.
+   * @param lostDisk - the former data folder is gone: what it confirmed must not be forgotten
+   */
+  async start(lostDisk = false): Promise<void> {
+    if (lostDisk) await this.folder.replace(REJOIN_FILE, Buffer.from('1'));
+    this.isRejoining = (await this.folder.read(REJOIN_FILE)) !== undefined;
+    this.knowsTerm = !this.isRejoining;
     const vote = await this.folder.read(VOTE_FILE);
     if (vote) {
       const saved = JSON.parse(vote.toString()) as { term: number; votedFor: string };
@@ -98,11 +112,17 @@
     const { file, records } = await RecordFile.open(this.folder, LOG_FILE);
     this.file = file;
     for (const record of records) this.pushDecoded(record.payload, record.end);
+    // Nothing is executed yet: the end of the log may never have left this member.
     this.durable = this.entries.length;
-    while (this.executed < this.entries.length) this.executeNext();
+    if (this.isRejoining) void this.learnNewestTerm();
     this.waitForPrimary();
   }
 
+  /** Whether this is a full member; otherwise it is recovering (`MEMBER_STATE`). */
+  get isOnline(): boolean {
+    return this.hasJoined && !this.isRejoining;
+  }
+
   /** Stops timers; used when a process ends in an orderly way. */
   stop(): void {
     this.stopped = true;
@@ -219,7 +239,7 @@
   private async executeReceived(): Promise<void> {
     if (this.executing) return;
     this.executing = true;
-    while (this.executed < this.durable && this.role === 'secondary' && !this.stopped) {
+    while (this.mayExecute()) {
       const upTo = this.durable;
       const term = this.term;
       if (this.replicationLagMs > 0) await delay(this.runtime.clock, this.replicationLagMs);
@@ -229,6 +249,38 @@
     this.executing = false;
   }
 
+  /**
+   * Transactions are executed once one of the current term is received: then the primary and this member
+   * hold them, a majority of the at most three members (Raft, section 5.4.2).
+   */
+  private mayExecute(): boolean {
+    if (this.role !== 'secondary' || this.stopped || !this.hasJoined) return false;
+    const isOfThisTerm = this.entries[this.durable - 1]?.term === this.term;
+    return isOfThisTerm && this.executed < this.durable;
+  }
+
+  /**
+   * A member that lost its disk may have confirmed terms that a stale primary does not know: it follows
+   * nobody before it heard from every other member.
+   */
+  private async learnNewestTerm(): Promise<void> {
+    const request: MessageBody = { databaseVoteRequest: { term: 0, candidate: '' } };
+    while (!this.knowsTerm && !this.stopped) {
+      const bodies = await Promise.all(this.peers().map((peer) => this.ask(peer, request)));
+      const terms = bodies.map((body) => body?.databaseVoteReply?.term);
+      for (const term of terms) await this.learnTerm(term ?? 0);
+      this.knowsTerm = terms.every((term) => term !== undefined);
+      if (!this.knowsTerm) await delay(this.runtime.clock, REJOIN_RETRY_MS);
+    }
+  }
+
+  private async onFollowing(primaryEnd: number): Promise<void> {
+    this.hasJoined = true;
+    if (!this.isRejoining || this.durable < primaryEnd) return;
+    this.isRejoining = false;
+    await this.folder.remove(REJOIN_FILE);
+  }
+
   private waitForPrimary(): void {
     this.electionTimer?.cancel();
     if (this.stopped) return;
@@ -239,7 +291,7 @@
 
   private async campaign(): Promise<void> {
     this.waitForPrimary();
-    if (this.role === 'primary' || !this.isCandidate) return;
+    if (this.role === 'primary' || !this.isCandidate || this.isRejoining) return;
     const term = this.term + 1;
     this.enterTerm(term, this.options.address);
     this.knownPrimary = '';
@@ -265,11 +317,13 @@
         if (votes === this.majority()) this.becomePrimary(term);
       });
     }
+    if (votes >= this.majority()) this.becomePrimary(term);
   }
 
   private becomePrimary(term: number): void {
     if (this.term !== term || this.role === 'primary') return;
     this.role = 'primary';
+    this.hasJoined = true;
     this.knownPrimary = this.options.address;
     this.electionTimer?.cancel();
     for (const peer of this.peers()) this.nextToSend.set(peer, this.entries.length);
@@ -314,6 +368,7 @@
         primary: this.options.address,
         previousSequence: next,
         previousTerm: this.entries[next - 1]?.term ?? 0,
+        lastSequence: this.durable,
         entries: batch.map((entry) => ({ ...entry, changes: [...entry.changes] })),
       },
     });
@@ -348,8 +403,8 @@
       sequence: request.lastSequence ?? 0,
     };
     const free = this.votedFor === '' || this.votedFor === candidate;
-    const granted =
-      term === this.term && free && covers(last, this.positionAt(this.entries.length));
+    const isCurrent = term === this.term && term > 0 && !this.isRejoining;
+    const granted = isCurrent && free && covers(last, this.positionAt(this.entries.length));
     if (granted) {
       this.votedFor = candidate;
       this.waitForPrimary();
@@ -360,7 +415,7 @@
 
   private async onAppendRequest(request: whinyoke.IDatabaseAppendRequest): Promise<MessageBody> {
     const term = request.term ?? 0;
-    if (term < this.term) return this.appendReply(false);
+    if (term < this.term || !this.knowsTerm) return this.appendReply(false);
     if (term > this.term) await this.learnTerm(term);
     this.waitForPrimary();
     this.knownPrimary = request.primary ?? '';
@@ -382,7 +437,10 @@
     const matches = previous === 0 || held === (request.previousTerm ?? 0);
     if (!matches || this.term !== term) return false;
     await this.store(previous, request.entries ?? [], term);
-    return this.term === term;
+    if (this.term !== term) return false;
+    await this.onFollowing(request.lastSequence ?? 0);
+    void this.executeReceived();
+    return true;
   }
 
   private async store(
@@ -403,7 +461,6 @@
     }
     if (fresh.length > 0) await this.appendEntries(fresh);
     else await this.writing;
-    if (this.term === term) void this.executeReceived();
   }
 
   /** Drops transactions that another primary never received. */
@@ -446,6 +503,8 @@
     this.votedFor = votedFor;
     this.role = 'secondary';
     if (wasPrimary) {
+      // Its last transactions may be lost to the next primary.
+      this.hasJoined = false;
       this.knownPrimary = '';
       this.listener.onRole('secondary', term);
       this.waitForPrimary();
--- a/lab/database/instance.ts
+++ b/lab/database/instance.ts
@@ -78,9 +78,9 @@
     });
   }
 
-  /** Reads the durable state and joins the group. */
-  async start(): Promise<void> {
-    await this.member.start();
+  /** Reads the durable state, or what is left of it, and joins the group. */
+  async start(lostDisk = false): Promise<void> {
+    await this.member.start(lostDisk);
     this.runtime.messenger.serve((body) => this.member.handle(body));
   }
 
@@ -160,6 +160,7 @@
       term: member.term,
       received: formatPosition(member.receivedPosition),
       executed: formatPosition(member.executedPosition),
+      online: member.isOnline,
       usage: this.usage,
     };
   }
--- a/lab/database/instance_session.ts
+++ b/lab/database/instance_session.ts
@@ -57,6 +57,11 @@
     readonly connectionId: number,
   ) {}
 
+  /** Whether a transaction was begun and not ended. */
+  get isInTransaction(): boolean {
+    return this.explicit;
+  }
+
   /** Runs one statement. */
   async execute(sql: string): Promise<StatementAnswer> {
     const statement = parseStatement(sql);
--- a/lab/database/performance_schema.ts
+++ b/lab/database/performance_schema.ts
@@ -31,7 +31,7 @@
       ['MEMBER_ID', address],
       ['MEMBER_HOST', address.slice(0, colon)],
       ['MEMBER_PORT', Number(address.slice(colon + 1))],
-      ['MEMBER_STATE', 'ONLINE'],
+      ['MEMBER_STATE', isSelf && !member.isOnline ? 'RECOVERING' : 'ONLINE'],
       ['MEMBER_ROLE', isPrimary ? 'PRIMARY' : 'SECONDARY'],
       ['VIEW_ID', `whinyoke:${member.term}`],
       ['RECEIVED_TRANSACTION_SET', isSelf ? gtidSet(member, 'received') : null],
--- a/lab/database/row_locks.ts
+++ b/lab/database/row_locks.ts
@@ -2,9 +2,12 @@
 import { DatabaseError } from '../../src/errors/errors.js';
 import type { Clock, Timer } from '../../src/runtime/runtime.js';
 
+const ER_INTERRUPTED = { code: 1317, sqlState: '70100' };
+
 interface Waiter {
   readonly owner: object;
   grant(): void;
+  refuse(error: Error): void;
   readonly timer: Timer;
 }
 
@@ -42,17 +45,29 @@
           }),
         );
       });
-      const waiter: Waiter = { owner, grant: resolve, timer };
+      const waiter: Waiter = { owner, grant: resolve, refuse: reject, timer };
       lock.waiters.push(waiter);
     });
   }
 
   /** Gives up all locks of `owner`, and its waits. */
   releaseAll(owner: object): void {
+    this.endWaits(owner);
     for (const name of this.held.get(owner) ?? []) this.passOn(name);
     this.held.delete(owner);
   }
 
+  private endWaits(owner: object): void {
+    for (const lock of this.locks.values()) {
+      const own = lock.waiters.filter((waiter) => waiter.owner === owner);
+      for (const waiter of own) {
+        lock.waiters.splice(lock.waiters.indexOf(waiter), 1);
+        waiter.timer.cancel();
+        waiter.refuse(new DatabaseError('Query execution was interrupted', ER_INTERRUPTED));
+      }
+    }
+  }
+
   private passOn(name: string): void {
     const lock = this.locks.get(name);
     const next = lock?.waiters.shift();
--- a/lab/database/sql/parser.ts
+++ b/lab/database/sql/parser.ts
@@ -6,9 +6,17 @@
 const ER_PARSE_ERROR = 1064;
 const COMPARISONS = new Set(['=', '<', '>', '<=', '>=', '<>', '!=']);
 
-/** Parses one statement; throws a MySQL syntax error on anything else. */
+const CACHED_STATEMENTS = 256;
+const cache = new Map<string, Statement>();
+
+/** Parses one statement; throws a MySQL syntax error on anything else. Repeated texts are remembered. */
 export function parseStatement(sql: string): Statement {
-  return new Parser(tokenize(sql)).statement();
+  const known = cache.get(sql);
+  if (known) return known;
+  const statement = new Parser(tokenize(sql)).statement();
+  if (cache.size >= CACHED_STATEMENTS) cache.delete(cache.keys().next().value ?? '');
+  cache.set(sql, statement);
+  return statement;
 }
 
 class Parser {
--- a/lab/fleet/demo.ts
+++ b/lab/fleet/demo.ts
@@ -15,7 +15,7 @@
   registerStatement,
   schemaStatements,
 } from '../workload/booking_session.js';
-import type { CallerConnection } from '../workload/caller.js';
+import { type CallerConnection, tokenOf } from '../workload/caller.js';
 import { MysqlCallerConnector } from '../workload/mysql_caller.js';
 import { deploymentOf } from './deployment.js';
 import { Fleet } from './fleet.js';
@@ -44,10 +44,11 @@
   console.log(text);
 }
 
-/** Runs the statements that create the workload's tables in a group. */
-export async function prepareGroup(connection: CallerConnection): Promise<void> {
+/** Runs the statements that create the workload's tables in a group; resolves with the token. */
+export async function prepareGroup(connection: CallerConnection): Promise<string> {
   for (const sql of schemaStatements()) await connection.execute(sql);
-  await connection.execute(registerStatement(REGISTERS));
+  const answer = await connection.execute(registerStatement(REGISTERS));
+  return tokenOf(answer);
 }
 
 async function recordFinalState(
@@ -119,9 +120,10 @@
 ): Promise<{ killedGroup: string; killedAt: number }> {
   const { deployment } = fleet.layout;
   const connector = callerConnector(fleet);
+  const tokens: string[] = [];
   for (const group of deployment.groups) {
     const connection = await connector.connect('proxy-1', group);
-    await prepareGroup(connection);
+    tokens.push(await prepareGroup(connection));
     connection.close();
   }
   const sessions = Array.from({ length: options.sessions }, (_, index) => {
@@ -130,6 +132,7 @@
       groups: deployment.groups,
       registers: REGISTERS,
       usesToken: index % 2 === 0,
+      initialToken: tokens.join(','),
       writeShare: 0.2,
       paymentShare: 0.1,
       abandonShare: 0.02,
--- a/lab/history/checker.ts
+++ b/lab/history/checker.ts
@@ -19,6 +19,9 @@
   | 'answer-integrity'
   | 'at-most-once'
   | 'replaced-primary'
+  | 'fresh-reads'
+  | 'dirty-reads'
+  | 'recovery'
   | 'drain'
   | 'graceful-stop'
   | 'configuration-order'
@@ -154,6 +157,47 @@
   return violations;
 }
 
+/** Reads of sessions without a token see every write that was acknowledged before they were sent. */
+export function checkFreshReads(operations: readonly Operation[]): Violation[] {
+  const violations: Violation[] = [];
+  const done = operations.filter(({ ok }) => ok?.version !== undefined);
+  const registerOf = ({ invoke }: Operation): string => `${invoke.group}/${invoke.key}`;
+  for (const [register, sequence] of groupBy(done, registerOf)) {
+    const writes = sequence.filter(({ invoke }) => invoke.kind === 'write');
+    writes.sort((left, right) => left.ok!.at - right.ok!.at);
+    let answered = 0;
+    let highest = 0;
+    for (const { invoke, ok } of sequence) {
+      while (answered < writes.length && writes[answered]!.ok!.at < invoke.at) {
+        highest = Math.max(highest, writes[answered]!.ok!.version!);
+        answered++;
+      }
+      if (invoke.kind !== 'read' || !invoke.withoutToken || ok!.version! >= highest) continue;
+      violations.push({
+        check: 'fresh-reads',
+        message: `${register}: ${invoke.operation} read ${ok!.version}, acknowledged was ${highest}`,
+      });
+    }
+  }
+  return violations;
+}
+
+/** What a read showed is kept: it never shows a write that a failover lost. */
+function checkDirtyReads(final: FinalEvent, operations: readonly Operation[]): Violation[] {
+  const kept = new Map(
+    final.journal.map(([operation, register, version]) => [`${register}@${version}`, operation]),
+  );
+  return operations.flatMap(({ invoke, ok }) => {
+    if (invoke.kind !== 'read' || !ok?.version) return [];
+    const writer = kept.get(`${invoke.key}@${ok.version}`);
+    if (writer === ok.writer) return [];
+    const message =
+      `${final.group}: ${invoke.operation} read ${invoke.key}@${ok.version} of ${ok.writer},` +
+      ` kept is that of ${writer ?? 'nobody'}`;
+    return [{ check: 'dirty-reads', message } as const];
+  });
+}
+
 function checkJournal(final: FinalEvent, operations: readonly Operation[]): Violation[] {
   const violations: Violation[] = [];
   const kept = new Map(final.journal.map(([operation, , version]) => [operation, version]));
@@ -228,7 +272,11 @@
   const finals = events.filter((event) => event.type === 'final');
   return finals.flatMap((final) => {
     const own = operations.filter(({ invoke }) => invoke.group === final.group);
-    return [...checkJournal(final, own), ...checkPayments(final, own)];
+    return [
+      ...checkJournal(final, own),
+      ...checkDirtyReads(final, own),
+      ...checkPayments(final, own),
+    ];
   });
 }
 
@@ -361,6 +409,15 @@
   return events.flatMap((event) => (event.type === 'usage' ? checkUsage(event) : []));
 }
 
+/** Once all faults are over, every group serves writes through every proxy. */
+export function checkRecovery(events: readonly HistoryEvent[]): Violation[] {
+  return events.flatMap((event) => {
+    if (event.type !== 'recovery' || event.served) return [];
+    const message = `${event.group} serves no write through ${event.proxy} after the faults`;
+    return [{ check: 'recovery', message } as const];
+  });
+}
+
 /** All violations of a history. */
 export function checkHistory(
   events: readonly HistoryEvent[],
@@ -370,6 +427,7 @@
   return [
     ...checkSessions(operations),
     ...checkRegisters(operations),
+    ...checkFreshReads(operations),
     ...checkFinalState(events, operations),
     ...checkAnswers(operations),
     ...checkPrimaries(events, operations, options),
@@ -377,5 +435,6 @@
     ...checkStops(events, operations),
     ...checkConfigurations(events),
     ...checkLimits(events),
+    ...checkRecovery(events),
   ];
 }
--- a/lab/history/history.ts
+++ b/lab/history/history.ts
@@ -26,6 +26,8 @@
   readonly group: string;
   /** Register, or once key of a payment. */
   readonly key: string;
+  /** Whether the session brings no token, so that its reads must see everything acknowledged before. */
+  readonly withoutToken?: boolean;
 }
 
 /** An operation was answered with success. */
@@ -146,6 +148,15 @@
   readonly inForce: readonly (readonly [proxy: string, revision: number])[];
 }
 
+/** Whether a group served a write through a proxy once all faults were over. */
+export interface RecoveryEvent {
+  readonly type: 'recovery';
+  readonly at: number;
+  readonly proxy: string;
+  readonly group: string;
+  readonly served: boolean;
+}
+
 /** Any event. */
 export type HistoryEvent =
   | InvokeEvent
@@ -160,7 +171,8 @@
   | SubmissionEvent
   | UsageEvent
   | FinalEvent
-  | FinalConfigurationEvent;
+  | FinalConfigurationEvent
+  | RecoveryEvent;
 
 /** Collects events in the order in which they happen. */
 export class HistoryRecorder {
--- /dev/null
+++ b/lab/simulation/simulated_nodes.ts
@@ -0,0 +1,386 @@
+/** Simulated machines: each runs the daemons' own core objects on the virtual runtime. */
+import { ControlCore, type ControlOptions } from '../../src/control/control_core.js';
+import type { PlatformMachine, PlatformSource } from '../../src/control/platform_watcher.js';
+import type { GatewayOptions } from '../../src/gateway/group_gateway.js';
+import type { ProtectionSet } from '../../src/gateway/protections.js';
+import { ProxyCore } from '../../src/proxy/proxy_core.js';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
+import type { Runtime } from '../../src/runtime/runtime.js';
+import { DatabaseInstance } from '../database/instance.js';
+import type { Deployment } from '../fleet/deployment.js';
+import type { DaemonPlace, InstancePlace } from '../fleet/layout.js';
+import type { HistoryRecorder } from '../history/history.js';
+import type { Scheduler } from './scheduler.js';
+import { type InstanceEndpoint, VirtualBackendConnector } from './virtual_backend.js';
+import { VirtualDisk } from './virtual_disk.js';
+import { VirtualListener } from './virtual_frontend.js';
+import { type AddressBook, VirtualMessenger } from './virtual_messenger.js';
+import type { VirtualNetwork } from './virtual_network.js';
+import { VirtualProcess } from './virtual_process.js';
+
+/** What all simulated machines share. */
+export interface Surroundings {
+  readonly scheduler: Scheduler;
+  readonly network: VirtualNetwork;
+  readonly addresses: AddressBook;
+  readonly random: SeededRandom;
+  readonly history: HistoryRecorder;
+  readonly protections: ProtectionSet;
+  readonly deployment: Deployment;
+  readonly gateway: Partial<GatewayOptions>;
+  /** Instance that listens at an address. */
+  readonly endpointAt: (address: string) => InstanceEndpoint | undefined;
+}
+
+const SYNC_MS = 0.5;
+const MAXIMUM_SEED = 2 ** 31 - 1;
+
+/** Host part of an address. */
+export function hostOf(address: string): string {
+  return address.slice(0, address.lastIndexOf(':'));
+}
+
+/** A machine whose process can be started, killed, frozen and thawed, and whose disk can be lost. */
+export abstract class SimulatedMachine {
+  readonly host: string;
+  protected process: VirtualProcess | undefined;
+  protected readonly disk: VirtualDisk;
+  private hasLostDisk = false;
+
+  protected constructor(
+    readonly name: string,
+    private readonly messageAddress: string,
+    protected readonly surroundings: Surroundings,
+  ) {
+    this.host = hostOf(messageAddress);
+    this.disk = new VirtualDisk(this.newRandom(), SYNC_MS);
+  }
+
+  /** Whether a process runs on this machine, frozen or not. */
+  get isUp(): boolean {
+    return this.process?.alive ?? false;
+  }
+
+  /** Starts the process unless it runs. */
+  start(): void {
+    if (this.isUp) return;
+    const { scheduler, network, addresses } = this.surroundings;
+    const process = new VirtualProcess(this.host, scheduler, this.newRandom());
+    this.process = process;
+    const runtime: Runtime = {
+      clock: process.clock,
+      random: process.random,
+      folder: this.disk.open(process),
+      messenger: new VirtualMessenger(network, addresses, process, this.messageAddress),
+    };
+    this.launch(process, runtime, this.hasLostDisk);
+    this.hasLostDisk = false;
+  }
+
+  /** Ends the process without warning. */
+  kill(): void {
+    if (!this.isUp) return;
+    this.beforeKill();
+    this.process?.kill();
+    this.disk.crash();
+  }
+
+  /** Ends the process and loses its data folder. */
+  loseDisk(): void {
+    this.kill();
+    this.disk.lose();
+    this.hasLostDisk = true;
+  }
+
+  /** Freezes the process; returns what thaws it. */
+  freeze(): () => void {
+    const process = this.process;
+    process?.freeze();
+    return () => process?.thaw();
+  }
+
+  /** Creates the core objects and starts them. */
+  protected abstract launch(process: VirtualProcess, runtime: Runtime, lostDisk: boolean): void;
+
+  /** Called before the process is killed. */
+  protected beforeKill(): void {
+    // Nothing to note by default.
+  }
+
+  protected newRandom(): SeededRandom {
+    return new SeededRandom(this.surroundings.random.integer(0, MAXIMUM_SEED));
+  }
+}
+
+/** A database instance. */
+export class SimulatedInstance extends SimulatedMachine {
+  private current: DatabaseInstance | undefined;
+  private isLeaving = false;
+  private lagMs = 0;
+
+  constructor(
+    readonly place: InstancePlace,
+    private readonly members: readonly string[],
+    surroundings: Surroundings,
+    private readonly timing: { readonly electionTimeoutMs: number; readonly lagMs: number },
+  ) {
+    super(place.mysql, place.member, surroundings);
+    this.lagMs = timing.lagMs;
+  }
+
+  /** The running instance. */
+  get instance(): DatabaseInstance | undefined {
+    return this.isUp ? this.current : undefined;
+  }
+
+  /** The running instance as connections reach it. */
+  get endpoint(): InstanceEndpoint | undefined {
+    const instance = this.instance;
+    const process = this.process;
+    if (!instance || !process) return undefined;
+    return {
+      process,
+      instance,
+      onStatement: (_sql, sentAt, session) => {
+        if (this.isLeaving && !session.isInTransaction) this.recordWork(sentAt);
+      },
+    };
+  }
+
+  /** Sets the replication lag, in milliseconds; undefined sets the usual one. */
+  setLag(lagMs: number | undefined): void {
+    this.lagMs = lagMs ?? this.timing.lagMs;
+    if (this.current) this.current.member.replicationLagMs = this.lagMs;
+  }
+
+  /** Lets the instance announce that it takes no new work, or takes that back. */
+  setLeaving(isLeaving: boolean): void {
+    this.isLeaving = isLeaving;
+    this.current?.setLeaving(isLeaving);
+    const { history, scheduler } = this.surroundings;
+    history.add({ type: 'leaving', at: scheduler.now, instance: this.name, isLeaving });
+  }
+
+  /** Records the highest use of the instance's resources so far. */
+  recordUsage(): void {
+    const { history, scheduler, deployment } = this.surroundings;
+    const usage = this.instance?.usage;
+    if (!usage) return;
+    history.add({
+      type: 'usage',
+      at: scheduler.now,
+      instance: this.name,
+      highestRunning: usage.highestRunning,
+      slots: deployment.slots,
+      highestConnections: usage.highestConnections,
+      connections: deployment.connections,
+      refusedStatements: usage.refusedStatements,
+    });
+  }
+
+  protected launch(_process: VirtualProcess, runtime: Runtime, lostDisk: boolean): void {
+    const { deployment, history, scheduler } = this.surroundings;
+    const { group, member } = this.place;
+    const instance = new DatabaseInstance(
+      runtime,
+      runtime.folder,
+      {
+        group: {
+          address: member,
+          members: this.members,
+          heartbeatMs: this.timing.electionTimeoutMs / 6,
+          electionTimeoutMs: this.timing.electionTimeoutMs,
+        },
+        slots: deployment.slots,
+        connections: deployment.connections,
+        connectMs: deployment.connectMs,
+        statementMs: 1,
+        lockWaitMs: 500,
+      },
+      {
+        onRole: (role, term) => {
+          if (role !== 'primary') return;
+          history.add({ type: 'elected', at: scheduler.now, group, term, instance: this.name });
+        },
+      },
+    );
+    instance.member.replicationLagMs = this.lagMs;
+    this.current = instance;
+    void instance.start(lostDisk).then(() => {
+      if (this.isLeaving) instance.setLeaving(true);
+    });
+  }
+
+  protected override beforeKill(): void {
+    this.recordUsage();
+  }
+
+  private recordWork(sentAt: number): void {
+    this.surroundings.history.add({ type: 'work', at: sentAt, instance: this.name });
+  }
+}
+
+/** A control machine. */
+export class SimulatedControl extends SimulatedMachine {
+  private current: ControlCore | undefined;
+
+  constructor(
+    readonly place: DaemonPlace,
+    private readonly controls: readonly string[],
+    surroundings: Surroundings,
+    private readonly platform: (host: string) => PlatformSource,
+  ) {
+    super(place.id, place.internal, surroundings);
+  }
+
+  /** The running core. */
+  get core(): ControlCore | undefined {
+    return this.isUp ? this.current : undefined;
+  }
+
+  protected launch(process: VirtualProcess, runtime: Runtime): void {
+    const options: ControlOptions = {
+      address: this.place.internal,
+      controls: this.controls,
+      protections: this.surroundings.protections,
+      platform: this.platform(this.host),
+      raft: { snapshotEntries: 20 },
+    };
+    this.current = undefined;
+    void ControlCore.open(runtime, options).then((core) => {
+      if (this.process !== process) return;
+      this.current = core;
+      return core.start();
+    });
+  }
+}
+
+const STOP_DEADLINE_MS = 5000;
+const STOP_POLL_MS = 10;
+
+/** A proxy. */
+export class SimulatedProxy extends SimulatedMachine {
+  private current: ProxyCore | undefined;
+  private currentListener: VirtualListener | undefined;
+
+  constructor(
+    readonly place: DaemonPlace,
+    private readonly controls: readonly string[],
+    surroundings: Surroundings,
+  ) {
+    super(place.id, place.internal, surroundings);
+  }
+
+  /** The running core. */
+  get core(): ProxyCore | undefined {
+    return this.isUp ? this.current : undefined;
+  }
+
+  /** Where callers connect. */
+  get listener(): VirtualListener | undefined {
+    return this.isUp ? this.currentListener : undefined;
+  }
+
+  /** Starts the process, after the end of a planned stop that is under way. */
+  startOnceStopped(): void {
+    const process = this.process;
+    if (!process?.alive) this.start();
+    else process.onEnd(() => this.surroundings.scheduler.schedule(0, () => this.start()));
+  }
+
+  /** Stops the process the planned way; it ends on its own. */
+  stopPlanned(): void {
+    const { core, listener, process } = this;
+    if (!core || !listener || !process) return;
+    const { history, scheduler, protections } = this.surroundings;
+    history.add({ type: 'stop', at: scheduler.now, proxy: this.name });
+    if (!protections.isOn('graceful-stop')) {
+      listener.closeAll();
+      process.clock.setTimer(1, () => this.endIfSame(process));
+      return;
+    }
+    void this.finishStop(core, listener, process);
+  }
+
+  protected launch(process: VirtualProcess, runtime: Runtime): void {
+    const { network, endpointAt, protections, gateway, history, scheduler } = this.surroundings;
+    const { id, internal, zone } = this.place;
+    const discards = protections.isOn('discard-on-timeout');
+    const forgetsAfterMs = discards ? undefined : gateway.statementTimeoutMs;
+    const connector = new VirtualBackendConnector(network, process, endpointAt, forgetsAfterMs);
+    const core = new ProxyCore(
+      runtime,
+      connector,
+      {
+        id,
+        address: internal,
+        zone,
+        controls: this.controls,
+        gateway: { ...gateway, protections },
+      },
+      {
+        onConfiguration: (revision) =>
+          history.add({ type: 'in_force', at: scheduler.now, proxy: id, revision }),
+      },
+    );
+    this.current = core;
+    this.currentListener = new VirtualListener(process, (schema) =>
+      core.openSession({ user: 'caller', schema, attributes: {} }),
+    );
+    core.countClients = () => this.currentListener?.connectionCount ?? 0;
+    void core.start();
+  }
+
+  private async finishStop(
+    core: ProxyCore,
+    listener: VirtualListener,
+    process: VirtualProcess,
+  ): Promise<void> {
+    await core.beginStop();
+    listener.drain();
+    const deadline = process.clock.now() + STOP_DEADLINE_MS;
+    while (listener.connectionCount > 0 && process.clock.now() < deadline) {
+      await new Promise<void>((resolve) => process.clock.setTimer(STOP_POLL_MS, resolve));
+    }
+    await core.finishStop(STOP_DEADLINE_MS);
+    this.endIfSame(process);
+  }
+
+  private endIfSame(process: VirtualProcess): void {
+    if (this.process === process) this.kill();
+  }
+}
+
+/** The platform's list of machines, shown late. */
+export class SimulatedPlatform {
+  private readonly changes: { readonly at: number; readonly machine: PlatformMachine }[] = [];
+
+  constructor(
+    private readonly scheduler: Scheduler,
+    private readonly network: VirtualNetwork,
+    private readonly host: string,
+    private readonly lagMs: number,
+  ) {}
+
+  /** Changes the state of a machine; the list shows it after the lag. */
+  set(address: string, state: PlatformMachine['state']): void {
+    this.changes.push({ at: this.scheduler.now, machine: { address, state } });
+  }
+
+  /** The list as a machine reads it. */
+  sourceFor(host: string): PlatformSource {
+    return { list: () => this.list(host) };
+  }
+
+  private async list(host: string): Promise<readonly PlatformMachine[]> {
+    if (this.network.isCut(host, this.host)) throw new Error('the platform does not answer');
+    await new Promise<void>((resolve) => {
+      this.scheduler.schedule(this.network.delay(host, this.host) * 2, resolve);
+    });
+    const shown = new Map<string, PlatformMachine>();
+    for (const { at, machine } of this.changes) {
+      if (at + this.lagMs <= this.scheduler.now) shown.set(machine.address, machine);
+    }
+    return [...shown.values()];
+  }
+}
--- /dev/null
+++ b/lab/simulation/virtual_messenger.ts
@@ -0,0 +1,105 @@
+/** Request and response messages between simulated processes. Each message may be lost to a cut. */
+import { PeerUnreachableError } from '../../src/errors/errors.js';
+import { decodeEnvelope, encodeEnvelope } from '../../src/protocol/envelope.js';
+import type { MessageBody, Messenger, RequestHandler } from '../../src/runtime/runtime.js';
+import type { VirtualNetwork } from './virtual_network.js';
+import type { VirtualProcess } from './virtual_process.js';
+
+interface Listener {
+  readonly process: VirtualProcess;
+  readonly handler: RequestHandler;
+}
+
+/** Who listens at which address. */
+export class AddressBook {
+  private readonly listeners = new Map<string, Listener>();
+
+  /** Registers a listener; a later one at the same address takes its place. */
+  register(address: string, listener: Listener): void {
+    this.listeners.set(address, listener);
+  }
+
+  /** Listener of a live process. */
+  find(address: string): Listener | undefined {
+    const listener = this.listeners.get(address);
+    return listener?.process.alive ? listener : undefined;
+  }
+}
+
+function hostOf(address: string): string {
+  return address.slice(0, address.lastIndexOf(':'));
+}
+
+/** Copies a body as the wire would. */
+function overTheWire(body: MessageBody): MessageBody {
+  return decodeEnvelope(encodeEnvelope({ id: 0, reply: false, from: '', body })).body;
+}
+
+/** Messenger of one simulated process. */
+export class VirtualMessenger implements Messenger {
+  constructor(
+    private readonly network: VirtualNetwork,
+    private readonly addresses: AddressBook,
+    private readonly process: VirtualProcess,
+    private readonly address: string,
+  ) {}
+
+  serve(handler: RequestHandler): void {
+    this.addresses.register(this.address, { process: this.process, handler });
+  }
+
+  request(address: string, body: MessageBody, timeoutMs: number): Promise<MessageBody> {
+    const copy = overTheWire(body);
+    return new Promise((resolve, reject) => {
+      const fail = (reason: string): void =>
+        reject(new PeerUnreachableError(`${address}: ${reason}`));
+      const timer = this.process.clock.setTimer(timeoutMs, () => fail('no answer in time'));
+      this.carry(this.process.host, hostOf(address), () => {
+        const listener = this.addresses.find(address);
+        if (!listener) {
+          this.answer(hostOf(address), () => {
+            timer.cancel();
+            fail('connection refused');
+          });
+          return;
+        }
+        listener.process.deliver(() =>
+          this.handle(listener, copy, (reply) => {
+            timer.cancel();
+            resolve(reply);
+          }),
+        );
+      });
+    });
+  }
+
+  private handle(
+    listener: Listener,
+    body: MessageBody,
+    resolve: (reply: MessageBody) => void,
+  ): void {
+    listener.handler(body, this.address).then(
+      (reply) => {
+        // A process that ended or froze meanwhile answers never or later.
+        listener.process.deliver(() => {
+          const copy = overTheWire(reply);
+          this.answer(listener.process.host, () => resolve(copy));
+        });
+      },
+      () => undefined,
+    );
+  }
+
+  private answer(from: string, callback: () => void): void {
+    this.carry(from, this.process.host, () => this.process.deliver(callback));
+  }
+
+  /** Carries something from host to host, or loses it to a cut. */
+  private carry(from: string, to: string, callback: () => void): void {
+    const { network } = this;
+    if (network.isCut(from, to)) return;
+    network.scheduler.schedule(network.delay(from, to), () => {
+      if (!network.isCut(from, to)) callback();
+    });
+  }
+}
--- /dev/null
+++ b/lab/simulation/virtual_network.ts
@@ -0,0 +1,68 @@
+/** Delays between simulated hosts, and cuts of single directions. */
+import type { RandomSource } from '../../src/runtime/runtime.js';
+import type { Scheduler } from './scheduler.js';
+
+/** Delays, in milliseconds. */
+export interface NetworkOptions {
+  /** One-way delay between two hosts. */
+  readonly hostMs: number;
+  /** One-way delay between callers and any host. */
+  readonly callerMs: number;
+  /** Mean of the random part of each delay. */
+  readonly jitterMs: number;
+}
+
+/** Host name of all callers. */
+export const CALLERS_HOST = 'callers';
+
+const LOOPBACK_MS = 0.02;
+/** Longest time until a sender tries again after a cut, as TCP does. */
+const RETRANSMIT_MS = 200;
+
+/** Network of one simulation. */
+export class VirtualNetwork {
+  private readonly cuts = new Map<string, number>();
+  private readonly healListeners = new Set<() => void>();
+
+  constructor(
+    readonly scheduler: Scheduler,
+    private readonly random: RandomSource,
+    private readonly options: NetworkOptions,
+  ) {}
+
+  /** A one-way delay from one host to another. */
+  delay(from: string, to: string): number {
+    if (from === to) return LOOPBACK_MS;
+    const isCaller = from === CALLERS_HOST || to === CALLERS_HOST;
+    const base = isCaller ? this.options.callerMs : this.options.hostMs;
+    return base - Math.log(1 - this.random.next()) * this.options.jitterMs;
+  }
+
+  /** Whether nothing gets from one host to another. */
+  isCut(from: string, to: string): boolean {
+    return (this.cuts.get(`${from}>${to}`) ?? 0) > 0;
+  }
+
+  /** Cuts one direction between two sets of hosts until the returned function is called. */
+  cut(from: readonly string[], to: readonly string[]): () => void {
+    const links = from.flatMap((source) =>
+      to.filter((target) => target !== source).map((target) => `${source}>${target}`),
+    );
+    for (const link of links) this.cuts.set(link, (this.cuts.get(link) ?? 0) + 1);
+    return () => {
+      for (const link of links) this.cuts.set(link, (this.cuts.get(link) ?? 0) - 1);
+      for (const listener of [...this.healListeners]) listener();
+    };
+  }
+
+  /** Calls `listener` after each heal until the returned function is called. */
+  onHeal(listener: () => void): () => void {
+    this.healListeners.add(listener);
+    return () => this.healListeners.delete(listener);
+  }
+
+  /** Time after a heal until a sender tries again. */
+  retransmitDelay(): number {
+    return this.random.next() * RETRANSMIT_MS;
+  }
+}
--- a/lab/workload/booking_session.ts
+++ b/lab/workload/booking_session.ts
@@ -10,6 +10,7 @@
   type CallerConnection,
   type CallerConnector,
   CallerError,
+  tokenOf,
 } from './caller.js';
 
 /** How a session behaves. */
@@ -21,6 +22,8 @@
   readonly registers: number;
   /** Whether the session hands its token on. */
   readonly usesToken: boolean;
+  /** Token that the session starts with. */
+  readonly initialToken: string;
   /** Shares of operations; the rest are reads. */
   readonly writeShare: number;
   readonly paymentShare: number;
@@ -46,7 +49,6 @@
   return `INSERT INTO registers (id, version, writer) VALUES ${rows.join(', ')}`;
 }
 
-const TOKEN_PATTERN = /whinyoke_position=(\S+)/;
 const MAXIMUM_PAYMENT_ATTEMPTS = 6;
 const RESEND_PAUSE_MS = 50;
 
@@ -58,7 +60,7 @@
 
 /** A session of the workload. */
 export class BookingSession {
-  private token = '';
+  private token: string;
   private nextOperation = 1;
   private stopped = false;
   private readonly connections = new Map<string, CallerConnection>();
@@ -71,7 +73,9 @@
     private readonly random: RandomSource,
     private readonly history: HistoryRecorder,
     private readonly options: BookingOptions,
-  ) {}
+  ) {
+    this.token = options.initialToken;
+  }
 
   /** Runs operations until `stop`. */
   async run(): Promise<void> {
@@ -194,7 +198,9 @@
     const name = `${this.options.session}.${this.nextOperation++}`;
     const { session } = this.options;
     const at = this.clock.now();
-    this.history.add({ type: 'invoke', at, operation: name, kind, session, proxy, group, key });
+    const withoutToken = !this.options.usesToken;
+    const invoke = { operation: name, kind, session, proxy, group, key, withoutToken };
+    this.history.add({ type: 'invoke', at, ...invoke });
     return { name, proxy, group };
   }
 
@@ -267,8 +273,7 @@
     );
     const text = pairs.length === 0 ? sql : `${sql} /*${pairs.join(',')}*/`;
     const answer = await this.withPatience(connection, connection.execute(text));
-    const token = TOKEN_PATTERN.exec(answer.info)?.[1];
-    if (token !== undefined) this.token = token;
+    this.token = tokenOf(answer) || this.token;
     return answer;
   }
 
@@ -295,8 +300,9 @@
   }
 
   private termOf(answer: CallerAnswer, group: string): number | undefined {
-    const token = TOKEN_PATTERN.exec(answer.info)?.[1] ?? '';
-    const part = token.split(',').find((item) => item.startsWith(`${group}:`));
+    const part = tokenOf(answer)
+      .split(',')
+      .find((item) => item.startsWith(`${group}:`));
     return part === undefined ? undefined : Number(part.slice(group.length + 1).split('-')[0]);
   }
 }
--- a/lab/workload/caller.ts
+++ b/lab/workload/caller.ts
@@ -9,6 +9,13 @@
   readonly info: string;
 }
 
+const TOKEN_PATTERN = /whinyoke_position=(\S+)/;
+
+/** Session token that an answer tells; empty when it tells none. */
+export function tokenOf(answer: CallerAnswer): string {
+  return TOKEN_PATTERN.exec(answer.info)?.[1] ?? '';
+}
+
 /** An error as a caller sees it. */
 export class CallerError extends Error {
   constructor(
--- a/src/consensus/raft_log.ts
+++ b/src/consensus/raft_log.ts
@@ -124,7 +124,7 @@
 
   /** Term of an entry; undefined when it is unknown or compacted away. */
   termAt(index: number): number | undefined {
-    if (index === 0) return 0;
+    if (index === 0 && !this.snapshotState) return 0;
     if (index === this.snapshotState?.lastIndex) return this.snapshotState.lastTerm;
     return this.entryAt(index)?.term;
   }
--- a/src/frontend/caller_connection.ts
+++ b/src/frontend/caller_connection.ts
@@ -2,6 +2,8 @@
 import type { Socket } from 'node:net';
 import { DatabaseError, RequestError, messageOf } from '../errors/errors.js';
 import type { CallerIdentity, CallerSession } from './caller_session.js';
+import { ConnectionActivity } from './connection_activity.js';
+import { errorAnswer, stoppingAnswer } from './error_answer.js';
 import type { MysqlListenerOptions } from './mysql_listener.js';
 import { verifyNativePassword } from './native_password.js';
 import { type Packet, payloadOf } from './packet.js';
@@ -13,7 +15,7 @@
   readBoundValues,
   splitAtMarkers,
 } from './prepared_statement.js';
-import { type ErrorAnswer, ResultWriter, columnDefinition } from './result_writer.js';
+import { ResultWriter, columnDefinition } from './result_writer.js';
 
 /** Command bytes of the protocol. */
 const Command = {
@@ -52,7 +54,6 @@
 const ER_TOO_MANY_CONNECTIONS = 1040;
 const ER_ACCESS_DENIED = 1045;
 const ER_UNKNOWN_COMMAND = 1047;
-const ER_UNKNOWN_ERROR = 1105;
 const ER_UNKNOWN_STATEMENT = 1243;
 const ER_MAX_PREPARED = 1461;
 
@@ -78,16 +79,6 @@
 
 type AuthenticationCallback = (error: null, refusal?: { message: string; code: number }) => void;
 
-function errorAnswer(error: unknown): ErrorAnswer {
-  if (error instanceof RequestError) {
-    return { code: error.code, sqlState: error.sqlState, message: error.wireMessage };
-  }
-  if (error instanceof DatabaseError) {
-    return { code: error.code, sqlState: error.sqlState, message: error.message };
-  }
-  return { code: ER_UNKNOWN_ERROR, sqlState: 'HY000', message: messageOf(error) };
-}
-
 /** A connection of one caller. */
 export class CallerConnection {
   private readonly writer: ResultWriter;
@@ -95,9 +86,8 @@
   private session: CallerSession | undefined;
   private lastCommand: Promise<void> = Promise.resolve();
   private nextStatementId = 1;
-  private running = 0;
+  private readonly activity = new ConnectionActivity(() => this.closeIdle());
   private inTransaction = false;
-  private closing = false;
   private closed = false;
 
   constructor(
@@ -140,8 +130,7 @@
 
   /** Closes the connection as soon as no command and no transaction is under way. */
   closeWhenIdle(): void {
-    this.closing = true;
-    this.endIfIdle();
+    this.activity.closeWhenIdle();
   }
 
   /** Cuts the connection off. */
@@ -201,23 +190,29 @@
 
   private enqueue(packet: Packet, command: number): void {
     this.connection.sequenceId = 0;
-    this.running++;
+    this.activity.commandStarted();
     this.lastCommand = this.lastCommand.then(() => this.run(packet, command));
   }
 
   private async run(packet: Packet, command: number): Promise<void> {
     try {
-      if (!this.closed && this.session) await this.dispatch(packet, command, this.session);
+      if (!this.closed && !this.activity.isOver && this.session)
+        await this.dispatch(packet, command, this.session);
     } catch (error) {
       this.writer.error(errorAnswer(error));
     } finally {
-      this.running--;
-      this.endIfIdle();
+      this.activity.setInTransaction(this.inTransaction);
+      this.activity.commandEnded();
     }
   }
 
-  private endIfIdle(): void {
-    if (this.closing && this.running === 0 && !this.inTransaction) this.connection.stream.end();
+  /** Commands that arrive from now on are not run, and their senders are told so. */
+  private closeIdle(): void {
+    if (this.session) {
+      this.writer.begin(false);
+      this.writer.error(stoppingAnswer());
+    }
+    this.connection.stream.end();
   }
 
   private async dispatch(packet: Packet, command: number, session: CallerSession): Promise<void> {
--- /dev/null
+++ b/src/frontend/error_answer.ts
@@ -0,0 +1,32 @@
+/** Errors as callers see them: code, SQLSTATE and a text with verdict and retry-after. */
+import { DatabaseError, ErrorCode, RequestError, messageOf, notRun } from '../errors/errors.js';
+
+/** An error packet's content. */
+export interface ErrorAnswer {
+  readonly code: number;
+  readonly sqlState: string;
+  readonly message: string;
+}
+
+const ER_UNKNOWN_ERROR = 1105;
+const STOPPING_RETRY_AFTER_MS = 100;
+
+/** Answer for anything that was thrown. */
+export function errorAnswer(error: unknown): ErrorAnswer {
+  if (error instanceof RequestError) {
+    return { code: error.code, sqlState: error.sqlState, message: error.wireMessage };
+  }
+  if (error instanceof DatabaseError) {
+    return { code: error.code, sqlState: error.sqlState, message: error.message };
+  }
+  return { code: ER_UNKNOWN_ERROR, sqlState: 'HY000', message: messageOf(error) };
+}
+
+/**
+ * Last message on a connection that a planned stop closes while it is idle. A client that has just sent a
+ * command takes it for the answer, so it learns that the command did not run; an idle client sees it as
+ * the reason for the end of the connection, as with MySQL's ER_CLIENT_INTERACTION_TIMEOUT.
+ */
+export function stoppingAnswer(): ErrorAnswer {
+  return errorAnswer(notRun('The proxy is stopping', ErrorCode.stopping, STOPPING_RETRY_AFTER_MS));
+}
--- a/src/frontend/result_writer.ts
+++ b/src/frontend/result_writer.ts
@@ -12,6 +12,7 @@
   Value,
 } from '../backend/backend.js';
 import { columnType, toBinaryRow } from './binary_row.js';
+import type { ErrorAnswer } from './error_answer.js';
 import {
   PACKET_HEADER_BYTES,
   framed,
@@ -31,13 +32,6 @@
 const TYPE_BLOB = 252;
 const NULL_VALUE = Buffer.from([0xfb]);
 
-/** An error packet's content. */
-export interface ErrorAnswer {
-  readonly code: number;
-  readonly sqlState: string;
-  readonly message: string;
-}
-
 function statusFlags(inTransaction: boolean): number {
   return SERVER_STATUS_AUTOCOMMIT | (inTransaction ? SERVER_STATUS_IN_TRANSACTION : 0);
 }
--- a/src/gateway/gateway_session.ts
+++ b/src/gateway/gateway_session.ts
@@ -118,6 +118,7 @@
       const isFirst = this.transaction === undefined;
       const transaction = this.transaction ?? (await this.open(request));
       const priority = isFirst ? writePriority(request) : Priority.continuing;
+      await this.gateway.refresh(transaction.resources.address);
       const completion = await inSlot(this.gateway, transaction.resources, priority, () =>
         this.runOn(transaction, request, sink),
       );
--- a/src/gateway/group_gateway.ts
+++ b/src/gateway/group_gateway.ts
@@ -23,6 +23,7 @@
   type GroupDescription,
   type InstanceDescription,
   findInstance,
+  hasFreshReport,
   takesWork,
 } from '../topology/group_description.js';
 import {
@@ -131,7 +132,7 @@
       configuration,
       runtime.clock,
       runtime.connector,
-      options.monitor,
+      { ...options.monitor, honoursLeaving: options.protections.isOn('drain') },
       {
         onChange: (next, previous) => this.onTopologyChange(next, previous),
         onConnected: (address, connection) => this.onMonitorConnected(address, connection),
@@ -164,9 +165,12 @@
     return this.currentConfiguration;
   }
 
-  /** Takes over a configuration that differs at most in which instances are leaving. */
+  /** Takes over a configuration with the same instances, slots, connections and seats. */
   reconfigure(configuration: GroupConfiguration): void {
     this.currentConfiguration = configuration;
+    for (const { slots } of this.resources.values()) {
+      slots.setMaximumWaiting(configuration.limits.queue);
+    }
     this.setLeaving(this.platformLeaving);
   }
 
@@ -216,6 +220,7 @@
 
   /** Sets the instances that the platform says are leaving, besides those configured so. */
   setLeaving(addresses: ReadonlySet<string>): void {
+    if (!this.options.protections.isOn('drain')) return;
     this.platformLeaving = addresses;
     const configured = this.configuration.instances
       .filter((instance) => instance.leaving)
@@ -234,7 +239,17 @@
     const { primary } = this.monitor.group;
     if (primary === undefined) return undefined;
     const instance = findInstance(this.monitor.group, primary);
-    return instance && takesWork(instance) ? primary : undefined;
+    return instance && takesWork(instance, this.runtime.clock.now()) ? primary : undefined;
+  }
+
+  /**
+   * Asks an instance again when what is known of it is from before a freeze of this process.
+   * @throws BackendConnectionLostError when it does not answer
+   */
+  async refresh(address: string): Promise<void> {
+    const instance = findInstance(this.monitor.group, address);
+    if (instance && hasFreshReport(instance, this.runtime.clock.now())) return;
+    await this.monitor.prober(address)?.probeAfterNow();
   }
 
   /**
--- a/src/gateway/read_path.ts
+++ b/src/gateway/read_path.ts
@@ -63,7 +63,8 @@
   let best: InstanceDescription | undefined;
   let bestLoad = Infinity;
   let ties = 0;
-  for (const instance of readableSecondaries(gateway.monitor.group)) {
+  const now = gateway.runtime.clock.now();
+  for (const instance of readableSecondaries(gateway.monitor.group, now)) {
     const isFresh = instance.report && covers(instance.report.executed, position);
     if (!isFresh || excluded.has(instance.address)) continue;
     const load = loadOf(gateway, instance.address);
@@ -86,7 +87,7 @@
   const deadline = clock.now() + gateway.configuration.reads.wait_ms;
   let chosen = chooseReplica(gateway, position, excluded);
   while (chosen === undefined && clock.now() < deadline) {
-    const lagging = readableSecondaries(gateway.monitor.group).filter(
+    const lagging = readableSecondaries(gateway.monitor.group, clock.now()).filter(
       (instance) => !excluded.has(instance.address),
     );
     if (lagging.length === 0) return undefined;
--- a/src/gateway/statement_runner.ts
+++ b/src/gateway/statement_runner.ts
@@ -56,7 +56,9 @@
     return result;
   } catch (error) {
     // A database error leaves the connection usable; anything else does not.
-    state = error instanceof BackendConnectionLostError || connection.closed ? 'broken' : 'clean';
+    const discards = gateway.options.protections.isOn('discard-on-timeout');
+    const isLost = error instanceof BackendConnectionLostError && discards;
+    state = isLost || connection.closed ? 'broken' : 'clean';
     throw error;
   } finally {
     resources.pool.release(connection, state);
--- a/src/pool/slot_queue.ts
+++ b/src/pool/slot_queue.ts
@@ -46,7 +46,7 @@
    */
   constructor(
     private readonly clock: Clock,
-    private readonly maximumWaiting: number,
+    private maximumWaiting: number,
   ) {}
 
   /** Slots in use. */
@@ -64,6 +64,11 @@
     return this.waitingCount;
   }
 
+  /** Changes how many statements may wait; those that wait already stay. */
+  setMaximumWaiting(count: number): void {
+    this.maximumWaiting = count;
+  }
+
   /** Changes the number of slots; work under way is not interrupted. */
   setLimit(capacity: number): void {
     this.capacity = capacity;
--- a/src/proxy/configuration_subscriber.ts
+++ b/src/proxy/configuration_subscriber.ts
@@ -30,6 +30,7 @@
     random: RandomSource,
     private readonly messenger: Messenger,
     private readonly keeper: ConfigurationKeeper,
+    private readonly checksRevision: boolean,
     private readonly options: SubscriberOptions = DEFAULT_SUBSCRIBER_OPTIONS,
   ) {
     this.next = controls.length === 0 ? 0 : random.integer(0, controls.length - 1);
@@ -51,15 +52,14 @@
       const answered = await this.ask(control);
       // Each control machine is asked in turn: one that was cut off knows nothing new.
       this.next++;
-      if (!answered) await delay(this.clock, this.options.retryMs);
+      if (!answered || !this.checksRevision) await delay(this.clock, this.options.retryMs);
     }
   }
 
   private async ask(control: string): Promise<boolean> {
     const { holdMs } = this.options;
-    const request = {
-      watchRequest: { node: this.node, knownRevision: this.keeper.revision, waitMs: holdMs },
-    };
+    const knownRevision = this.checksRevision ? this.keeper.revision : 0;
+    const request = { watchRequest: { node: this.node, knownRevision, waitMs: holdMs } };
     try {
       const body = await this.messenger.request(control, request, holdMs + ANSWER_ALLOWANCE_MS);
       if (!body.watchReply) return false;
--- a/src/proxy/proxy_core.ts
+++ b/src/proxy/proxy_core.ts
@@ -50,14 +50,14 @@
 /** Time in which a replaced gateway ends its transactions, in milliseconds. */
 const REPLACED_GATEWAY_MS = 15_000;
 
-/** Whether two configurations differ at most in which instances are leaving. */
-function differsOnlyInLeaving(left: GroupConfiguration, right: GroupConfiguration): boolean {
-  const withoutLeaving = (group: GroupConfiguration): string =>
-    JSON.stringify({
-      ...group,
-      instances: group.instances.map((instance) => ({ ...instance, leaving: false })),
-    });
-  return withoutLeaving(left) === withoutLeaving(right);
+/** Whether a running gateway can take over a configuration without new connections and seats. */
+function hasSameResources(left: GroupConfiguration, right: GroupConfiguration): boolean {
+  const resourcesOf = ({ instances, limits }: GroupConfiguration): string => {
+    const { slots, connections, monitoring_connections: monitoring, gateways } = limits;
+    const addresses = instances.map(({ address, zone }) => [address, zone]);
+    return JSON.stringify([addresses, slots, connections, monitoring, gateways]);
+  };
+  return resourcesOf(left) === resourcesOf(right);
 }
 
 /** One proxy. */
@@ -94,6 +94,7 @@
       random,
       messenger,
       this.keeper,
+      this.gatewayOptions.protections.isOn('revision-check'),
     );
     this.membership = new MembershipClient(
       options.controls,
@@ -223,7 +224,7 @@
     const directory = new GroupDirectory(parseDocuments(state));
     for (const [name, gateway] of this.gateways) {
       const next = directory.find(name);
-      if (next && differsOnlyInLeaving(next, gateway.configuration)) gateway.reconfigure(next);
+      if (next && hasSameResources(next, gateway.configuration)) gateway.reconfigure(next);
       else this.retire(name, gateway);
     }
     this.directory = directory;
--- a/src/topology/group_description.ts
+++ b/src/topology/group_description.ts
@@ -99,10 +99,25 @@
   };
 }
 
-/** Whether new work may go to the instance. */
-export function takesWork(instance: InstanceDescription): boolean {
-  const report = instance.report;
-  return instance.isReachable && !instance.isLeaving && report !== undefined && !report.isLeaving;
+/**
+ * Age from which a report counts for nothing, in milliseconds. Probes are answered or given up much
+ * sooner, so only a process that was frozen in between holds one that old.
+ */
+export const REPORT_LIFETIME_MS = 1000;
+
+/** Whether the latest report of an instance still tells something. */
+export function hasFreshReport(instance: InstanceDescription, now: number): boolean {
+  return instance.report !== undefined && now - instance.report.sentAt <= REPORT_LIFETIME_MS;
+}
+
+/**
+ * Whether new work may go to the instance.
+ * @param now - reading of this process's clock, in milliseconds
+ */
+export function takesWork(instance: InstanceDescription, now: number): boolean {
+  const announcesLeaving = instance.report?.isLeaving ?? true;
+  const isStaying = !instance.isLeaving && !announcesLeaving;
+  return instance.isReachable && isStaying && hasFreshReport(instance, now);
 }
 
 /** The instance of that address. */
@@ -114,10 +129,13 @@
 }
 
 /** Instances that are secondaries in their own eyes and may take reads. */
-export function readableSecondaries(group: GroupDescription): readonly InstanceDescription[] {
+export function readableSecondaries(
+  group: GroupDescription,
+  now: number,
+): readonly InstanceDescription[] {
   return group.instances.filter(
     (instance) =>
-      takesWork(instance) &&
+      takesWork(instance, now) &&
       instance.address !== group.primary &&
       instance.report?.isPrimary === false &&
       instance.report.isOnline,
--- a/src/topology/group_monitor.ts
+++ b/src/topology/group_monitor.ts
@@ -16,6 +16,8 @@
 export interface MonitorOptions extends ProberOptions {
   /** Pause between probes while no trusted primary is known. */
   readonly urgentIntervalMs: number;
+  /** Whether an instance's own word that it is leaving counts. Off only in the lab. */
+  readonly honoursLeaving: boolean;
 }
 
 /** Defaults for networks with round trips of a few milliseconds. */
@@ -25,6 +27,7 @@
   timeoutMs: 250,
   abandonMs: 3000,
   reconnectMs: 50,
+  honoursLeaving: true,
 };
 
 /** Hears of connections and changes. */
@@ -49,8 +52,10 @@
   ) {
     this.description = initialDescription(configuration);
     const probeListener = {
-      onReport: (address: string, report: InstanceReport) =>
-        this.replace(withReport(this.description, address, report)),
+      onReport: (address: string, report: InstanceReport) => {
+        const isLeaving = report.isLeaving && options.honoursLeaving;
+        this.replace(withReport(this.description, address, { ...report, isLeaving }));
+      },
       onFailure: (address: string) => this.replace(withFailure(this.description, address)),
       onConnected: (address: string, connection: BackendConnection) =>
         listener.onConnected(address, connection),
