Mend what the first simulated faults showed: verdicts of resends, drain, recovery of members

Change: a verdict remembers earlier attempts; a member is full only once its log ends in the current term; probes are not work; a statement ends with its connection.

--- a/lab/database/group_member.ts
+++ b/lab/database/group_member.ts
@@ -255,8 +255,11 @@
    */
   private mayExecute(): boolean {
     if (this.role !== 'secondary' || this.stopped || !this.hasJoined) return false;
-    const isOfThisTerm = this.entries[this.durable - 1]?.term === this.term;
-    return isOfThisTerm && this.executed < this.durable;
+    return this.holdsCurrentTerm() && this.executed < this.durable;
+  }
+
+  private holdsCurrentTerm(): boolean {
+    return this.entries[this.durable - 1]?.term === this.term;
   }
 
   /**
@@ -274,7 +277,12 @@
     }
   }
 
+  /**
+   * Only a transaction of the current term shows that the log ends as the primary's does: until then its
+   * end may be what this member committed alone while it was cut off.
+   */
   private async onFollowing(primaryEnd: number): Promise<void> {
+    if (!this.holdsCurrentTerm()) return;
     this.hasJoined = true;
     if (!this.isRejoining || this.durable < primaryEnd) return;
     this.isRejoining = false;
--- a/lab/database/instance.ts
+++ b/lab/database/instance.ts
@@ -122,7 +122,7 @@
     this.observer.onStatement?.(sql, session);
     try {
       const time = this.options.statementMs * this.slowness;
-      if (time > 0) await delay(this.runtime.clock, time);
+      if (time > 0) await Promise.race([delay(this.runtime.clock, time), session.ended]);
       return await work();
     } finally {
       this.usage.running--;
--- a/lab/database/instance_session.ts
+++ b/lab/database/instance_session.ts
@@ -38,11 +38,26 @@
 }
 
 const PERFORMANCE_SCHEMA_PREFIX = 'performance_schema.';
+const ER_INTERRUPTED = { code: 1317, sqlState: '70100' };
 const ER_READ_ONLY = { code: 1290, sqlState: 'HY000' };
 const ER_DUPLICATE_ENTRY = { code: 1062, sqlState: '23000' };
 const ER_BAD_FIELD = { code: 1054, sqlState: '42S22' };
 const SHOW_VALUES: Readonly<Record<string, string>> = { VARIABLES: 'Variable_name' };
 
+/** Reads of the server's own state need no slot. */
+function isMonitoring(statement: Statement): boolean {
+  if (statement.kind === 'set' || statement.kind === 'show' || statement.kind === 'use') {
+    return true;
+  }
+  if (statement.kind !== 'select') return false;
+  return statement.tables.every((table) => table.startsWith(PERFORMANCE_SCHEMA_PREFIX));
+}
+
+/** Whether a statement takes a slot of the instance. */
+export function takesSlot(sql: string): boolean {
+  return !isMonitoring(parseStatement(sql));
+}
+
 /** A connection. Statements of one connection run one after the other. */
 export class InstanceSession {
   private transaction: Transaction | undefined;
@@ -51,6 +66,11 @@
   private lastInsertId = 0;
   private aborted = false;
   private closed = false;
+  private end!: () => void;
+  /** Resolves when the connection ends; a statement under way ends with it. */
+  readonly ended = new Promise<void>((resolve) => {
+    this.end = resolve;
+  });
 
   constructor(
     private readonly instance: DatabaseInstance,
@@ -65,7 +85,7 @@
   /** Runs one statement. */
   async execute(sql: string): Promise<StatementAnswer> {
     const statement = parseStatement(sql);
-    if (this.isMonitoring(statement)) return this.answer(await this.run(statement), undefined);
+    if (isMonitoring(statement)) return this.answer(await this.run(statement), undefined);
     return this.instance.inSlot(this, sql, () => this.runInTransaction(statement));
   }
 
@@ -89,20 +109,13 @@
   close(): void {
     if (this.closed) return;
     this.closed = true;
+    this.end();
     this.endTransaction();
     this.instance.onSessionClosed(this);
   }
 
-  /** Reads of the server's own state need no slot. */
-  private isMonitoring(statement: Statement): boolean {
-    if (statement.kind === 'set' || statement.kind === 'show' || statement.kind === 'use') {
-      return true;
-    }
-    if (statement.kind !== 'select') return false;
-    return statement.tables.every((table) => table.startsWith(PERFORMANCE_SCHEMA_PREFIX));
-  }
-
   private async runInTransaction(statement: Statement): Promise<StatementAnswer> {
+    if (this.closed) throw new DatabaseError('Connection was killed', ER_INTERRUPTED);
     if (this.aborted) this.failAborted(statement);
     switch (statement.kind) {
       case 'begin':
@@ -168,7 +181,7 @@
   }
 
   private requireWritable(): void {
-    if (this.closed) throw new DatabaseError('Connection was killed', { code: 1317 });
+    if (this.closed) throw new DatabaseError('Connection was killed', ER_INTERRUPTED);
     if (this.instance.member.isWritable) return;
     this.endTransaction();
     throw new DatabaseError(
--- a/lab/simulation/simulated_nodes.ts
+++ b/lab/simulation/simulated_nodes.ts
@@ -7,6 +7,7 @@
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { DatabaseInstance } from '../database/instance.js';
+import { takesSlot } from '../database/instance_session.js';
 import type { Deployment } from '../fleet/deployment.js';
 import type { DaemonPlace, InstancePlace } from '../fleet/layout.js';
 import type { HistoryRecorder } from '../history/history.js';
@@ -141,8 +142,9 @@
     return {
       process,
       instance,
-      onStatement: (_sql, sentAt, session) => {
-        if (this.isLeaving && !session.isInTransaction) this.recordWork(sentAt);
+      onStatement: (sql, sentAt, session) => {
+        const isNewWork = !session.isInTransaction && takesSlot(sql);
+        if (this.isLeaving && isNewWork) this.recordWork(sentAt);
       },
     };
   }
--- a/lab/simulation/virtual_process.ts
+++ b/lab/simulation/virtual_process.ts
@@ -16,9 +16,9 @@
     readonly host: string,
     readonly scheduler: Scheduler,
     readonly random: RandomSource,
-  ) {
     // Clocks of two processes have nothing in common.
-    const offset = random.integer(0, MAXIMUM_CLOCK_OFFSET_MS);
+    offset = random.integer(0, MAXIMUM_CLOCK_OFFSET_MS),
+  ) {
     this.clock = {
       now: () => scheduler.now + offset,
       setTimer: (delayMs, callback) => this.setTimer(delayMs, callback),
--- a/lab/simulation/world.ts
+++ b/lab/simulation/world.ts
@@ -55,7 +55,7 @@
   readonly controls: readonly SimulatedControl[];
   readonly proxies: readonly SimulatedProxy[];
   readonly platform: SimulatedPlatform;
-  /** Process of all callers and operators; faults never touch it. */
+  /** Process of all callers and operators; faults never touch it. Its clock is that of the history. */
   readonly outside: VirtualProcess;
 
   constructor(readonly options: WorldOptions) {
@@ -67,7 +67,7 @@
       jitterMs: JITTER_MS,
     });
     this.layout = layoutOf(deployment, LAYOUT_NETWORK);
-    this.outside = new VirtualProcess(CALLERS_HOST, this.scheduler, this.random);
+    this.outside = new VirtualProcess(CALLERS_HOST, this.scheduler, this.random, 0);
     this.platform = new SimulatedPlatform(
       this.scheduler,
       this.network,
--- a/src/gateway/write_path.ts
+++ b/src/gateway/write_path.ts
@@ -65,10 +65,9 @@
   completion: Completion,
 ): Promise<StatementOutcome> {
   if (completion.gtid === undefined) {
+    // Nothing to confirm by itself: a repeated once key, a change of schema, or no row that matched.
     const visible = await gateway.confirmVisible(primary);
-    if (!visible) {
-      throw notRun('The primary may have been replaced', ErrorCode.unavailable, RETRY_AFTER_MS);
-    }
+    if (!visible) throw unknownOutcome(gateway, 'the primary may have been replaced');
     return { completion, position: visible };
   }
   const position = newestPosition(completion.gtid);
@@ -113,6 +112,7 @@
   const { clock } = gateway.runtime;
   const deadline = clock.now() + gateway.configuration.failover.buffer_ms;
   let lastError: unknown;
+  let mayHaveRunBefore = false;
   gateway.retryBudget.earn();
   for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) {
     const primary = await gateway.waitForPrimary(Math.max(0, deadline - clock.now()));
@@ -123,11 +123,15 @@
       lastError = error;
       const canRetry = mayRetry(request, error) && clock.now() < deadline;
       if (!canRetry || !gateway.retryBudget.spend()) break;
+      mayHaveRunBefore ||= !provesNotRun(error);
       gateway.counters.retries++;
       await delay(clock, backoff(gateway, attempt));
     }
   }
-  throw lastError === undefined
-    ? notRun('No primary is available', ErrorCode.unavailable, RETRY_AFTER_MS)
-    : writeError(gateway, lastError);
+  const error =
+    lastError === undefined
+      ? notRun('No primary is available', ErrorCode.unavailable, RETRY_AFTER_MS)
+      : writeError(gateway, lastError);
+  // An earlier attempt may have run, whatever became of the last one.
+  throw mayHaveRunBefore ? unknownOutcome(gateway, messageOf(error)) : error;
 }
