Name forwarded sessions by run of the proxy, refuse to go on with a lost transaction

Cause (seed 106, quetzal): a restarted proxy counted its forwarded sessions from 1 again; a gateway that still held a transaction of the former run let the new caller go on with it and committed the dead caller's update. Also found by reading: a gateway that had lost a pinned transaction ran its next statement alone and reported success. Change: forwarded sessions carry the run of their proxy; a statement of a transaction is refused where that transaction is unknown; a gateway closes sessions of runs that are gone, and of transactions that were given up.

--- a/src/control/proxy_registry.ts
+++ b/src/control/proxy_registry.ts
@@ -21,12 +21,13 @@
 }
 
 function summaryOf(report: whinyoke.IProxyReport): whinyoke.IProxySummary {
-  const { id, address, zone, draining } = report;
-  return { id, address, zone, draining };
+  const { id, address, zone, draining, incarnation } = report;
+  return { id, address, zone, draining, incarnation };
 }
 
 function isSameMember(left: whinyoke.IProxyReport, right: whinyoke.IProxyReport): boolean {
-  return left.address === right.address && left.draining === right.draining;
+  const isSameRun = left.incarnation === right.incarnation;
+  return isSameRun && left.address === right.address && left.draining === right.draining;
 }
 
 /** Registry of one control machine. */
--- a/src/proxy/forward_codec.ts
+++ b/src/proxy/forward_codec.ts
@@ -14,16 +14,26 @@
 
 const VERDICTS: readonly Verdict[] = ['not_run', 'ran', 'may_have_run'];
 
+/** Who a forwarded session belongs to. */
+export interface ForwardedSessionName {
+  /** Run of the forwarding proxy. */
+  readonly proxy: string;
+  /** Number of the session within that run. */
+  readonly session: string;
+}
+
 /** Message for one statement. */
 export function encodeRequest(
   group: string,
-  session: string,
+  session: ForwardedSessionName,
   request: StatementRequest,
+  inTransaction: boolean,
 ): whinyoke.IForwardRequest {
   return {
     kind: whinyoke.ForwardKind.RUN,
     group,
-    session,
+    ...session,
+    inTransaction,
     statement: request.sql,
     hasPosition: request.position !== undefined,
     position: request.position ? formatPosition(request.position) : '',
--- a/src/proxy/forward_server.ts
+++ b/src/proxy/forward_server.ts
@@ -77,6 +77,8 @@
 }
 
 interface ForwardedSession {
+  /** Run of the proxy that forwards. */
+  readonly proxy: string;
   readonly session: GatewaySession;
   result: ChunkSink | undefined;
   idleTimer: Timer | undefined;
@@ -85,6 +87,7 @@
 /** Forwarded sessions at this proxy. */
 export class ForwardServer {
   private readonly sessions = new Map<string, ForwardedSession>();
+  private liveProxies: ReadonlySet<string> = new Set();
 
   constructor(
     private readonly clock: Clock,
@@ -96,9 +99,17 @@
     return this.sessions.size;
   }
 
+  /** Closes the sessions of proxies that were alive before and are not any more. */
+  setLiveProxies(proxies: ReadonlySet<string>): void {
+    for (const [key, { proxy }] of this.sessions) {
+      if (this.liveProxies.has(proxy) && !proxies.has(proxy)) this.close(key);
+    }
+    this.liveProxies = proxies;
+  }
+
   /** Answers one message of another proxy. */
   async handle(message: whinyoke.IForwardRequest): Promise<MessageBody> {
-    const key = `${message.session}\n${message.group}`;
+    const key = `${message.proxy}\n${message.session}\n${message.group}`;
     switch (message.kind) {
       case whinyoke.ForwardKind.CLOSE:
         this.close(key);
@@ -111,7 +122,7 @@
   }
 
   private async run(key: string, message: whinyoke.IForwardRequest): Promise<MessageBody> {
-    const forwarded = this.sessions.get(key) ?? this.open(key, message.group ?? '');
+    const forwarded = this.sessions.get(key) ?? this.open(key, message);
     if (!forwarded || forwarded.result) return NOT_ACCEPTED;
     forwarded.idleTimer?.cancel();
     const sink = new ChunkSink();
@@ -124,10 +135,13 @@
     return this.reply(key, forwarded);
   }
 
-  private open(key: string, group: string): ForwardedSession | undefined {
-    const gateway = this.gatewayOf(group);
+  private open(key: string, message: whinyoke.IForwardRequest): ForwardedSession | undefined {
+    // A transaction that was lost here must not go on as single statements.
+    if (message.inTransaction) return undefined;
+    const gateway = this.gatewayOf(message.group ?? '');
     if (!gateway) return undefined;
     const forwarded: ForwardedSession = {
+      proxy: message.proxy ?? '',
       session: new GatewaySession(gateway),
       result: undefined,
       idleTimer: undefined,
--- a/src/proxy/membership_client.ts
+++ b/src/proxy/membership_client.ts
@@ -11,11 +11,20 @@
   readonly address: string;
   readonly zone: string;
   readonly isDraining: boolean;
+  /** Name of this run of the process; a restart has another one. */
+  readonly incarnation: string;
+}
+
+/** Name of one run of one proxy. */
+export function runName(proxy: Pick<ProxyMember, 'id' | 'incarnation'>): string {
+  return `${proxy.id}/${proxy.incarnation}`;
 }
 
 /** What is known of the fleet. */
 export interface MembershipView {
   readonly proxies: readonly ProxyMember[];
+  /** Runs of proxies that any control machine in contact takes for alive. */
+  readonly runs: ReadonlySet<string>;
   /** Instances that the platform's list calls leaving. */
   readonly leavingInstances: ReadonlySet<string>;
 }
@@ -48,6 +57,7 @@
     address: summary.address ?? '',
     zone: summary.zone ?? '',
     isDraining: summary.draining ?? false,
+    incarnation: summary.incarnation ?? '',
   };
 }
 
@@ -131,14 +141,16 @@
   private view(): MembershipView {
     const proxies = new Map<string, ProxyMember>();
     const leaving = new Set<string>();
+    const runs = new Set<string>();
     for (const list of this.currentLists()) {
       for (const member of list.members.values()) {
+        runs.add(runName(member));
         const known = proxies.get(member.id);
         if (!known || member.isDraining) proxies.set(member.id, member);
       }
       for (const address of list.leaving) leaving.add(address);
     }
-    return { proxies: [...proxies.values()], leavingInstances: leaving };
+    return { proxies: [...proxies.values()], runs, leavingInstances: leaving };
   }
 
   private currentLists(): readonly ControlList[] {
--- a/src/proxy/proxy_core.ts
+++ b/src/proxy/proxy_core.ts
@@ -21,7 +21,12 @@
 import { ConfigurationSubscriber } from './configuration_subscriber.js';
 import { ForwardServer } from './forward_server.js';
 import { GroupDirectory } from './group_directory.js';
-import { MembershipClient, type MembershipView, type ProxyMember } from './membership_client.js';
+import {
+  MembershipClient,
+  type MembershipView,
+  type ProxyMember,
+  runName,
+} from './membership_client.js';
 import { ProxySession } from './proxy_session.js';
 import { RemoteSession } from './remote_session.js';
 import { reportGroup } from './status_report.js';
@@ -73,6 +78,8 @@
   private leaving: ReadonlySet<string> = new Set();
   private stopping = false;
   private nextSession = 1;
+  /** Tells this run of the process from former ones, whose sessions may still be open elsewhere. */
+  private readonly incarnation: string;
   /** Number of callers' connections, set by the listener's owner. */
   countClients: () => number = () => 0;
 
@@ -83,6 +90,7 @@
     private readonly observer: ProxyObserver = {},
   ) {
     const { clock, random, messenger, folder } = runtime;
+    this.incarnation = random.identifier();
     this.gatewayOptions = { ...DEFAULT_GATEWAY_OPTIONS, ...options.gateway };
     this.keeper = new ConfigurationKeeper(folder, this.gatewayOptions.protections, (state) =>
       this.onConfiguration(state),
@@ -179,6 +187,7 @@
       zone,
       revision: this.keeper.revision,
       draining: this.stopping,
+      incarnation: this.incarnation,
       clientConnections: this.countClients(),
       groups: [...this.gateways.values()].map(reportGroup),
     };
@@ -187,14 +196,15 @@
   private openGroupSession(group: string): GroupSession {
     const gateway = this.servingGateway(group);
     if (gateway) return new GatewaySession(gateway);
-    const sessionId = `${this.options.id}/${this.nextSession++}`;
+    const proxy = runName({ id: this.options.id, incarnation: this.incarnation });
+    const sessionName = { proxy, session: String(this.nextSession++) };
     const context = {
       clock: this.runtime.clock,
       messenger: this.runtime.messenger,
       gatewaysOf: (name: string) => this.gatewayAddresses(name),
       answerTimeoutMs: ANSWER_TIMEOUT_MS,
     };
-    return new RemoteSession(context, group, sessionId);
+    return new RemoteSession(context, group, sessionName);
   }
 
   /** The gateway that may take new sessions of a group. */
@@ -216,6 +226,7 @@
   private onMembership(view: MembershipView): void {
     this.peers = view.proxies;
     this.leaving = view.leavingInstances;
+    this.forwardServer.setLiveProxies(view.runs);
     this.assignSeats();
     for (const gateway of this.gateways.values()) gateway.setLeaving(this.leaving);
   }
--- a/src/proxy/remote_session.ts
+++ b/src/proxy/remote_session.ts
@@ -17,7 +17,12 @@
 } from '../gateway/statement_request.js';
 import { whinyoke } from '../protocol/generated/messages.js';
 import { type Clock, type Messenger, delay } from '../runtime/runtime.js';
-import { decodeError, decodeOutcome, encodeRequest } from './forward_codec.js';
+import {
+  type ForwardedSessionName,
+  decodeError,
+  decodeOutcome,
+  encodeRequest,
+} from './forward_codec.js';
 
 /** What a remote session needs of its proxy. */
 export interface RemoteSessionContext {
@@ -40,7 +45,7 @@
   constructor(
     private readonly context: RemoteSessionContext,
     private readonly group: string,
-    private readonly sessionId: string,
+    private readonly sessionName: ForwardedSessionName,
   ) {}
 
   get inTransaction(): boolean {
@@ -62,11 +67,7 @@
     const gateway = this.pinned;
     this.pinned = undefined;
     if (gateway === undefined) return;
-    const request = {
-      kind: whinyoke.ForwardKind.CLOSE,
-      group: this.group,
-      session: this.sessionId,
-    };
+    const request = { kind: whinyoke.ForwardKind.CLOSE, group: this.group, ...this.sessionName };
     this.context.messenger
       .request(gateway, { forwardRequest: request }, this.context.answerTimeoutMs)
       .catch(() => undefined);
@@ -82,7 +83,8 @@
       if (outcome) return outcome;
     } catch (error) {
       if (!(error instanceof PeerUnreachableError)) throw error;
-      this.pinned = undefined;
+      // The gateway may still hold the transaction and its locks.
+      this.close();
       if (request.statementClass === 'commit') throw mayHaveRun(messageOf(error));
       throw this.transactionLost(messageOf(error));
     }
@@ -127,7 +129,9 @@
     request: StatementRequest,
     sink: ResultSink,
   ): Promise<StatementOutcome | undefined> {
-    let reply = await this.send(gateway, encodeRequest(this.group, this.sessionId, request));
+    const { group, sessionName, inTransaction } = this;
+    const message = encodeRequest(group, sessionName, request, inTransaction);
+    let reply = await this.send(gateway, message);
     if (!reply.accepted) return undefined;
     this.deliver(reply, sink);
     while (!reply.finished) {
@@ -140,11 +144,7 @@
 
   /** Next chunk of a result whose first part was delivered already. */
   private async fetch(gateway: string): Promise<whinyoke.IForwardReply> {
-    const request = {
-      kind: whinyoke.ForwardKind.FETCH,
-      group: this.group,
-      session: this.sessionId,
-    };
+    const request = { kind: whinyoke.ForwardKind.FETCH, group: this.group, ...this.sessionName };
     try {
       const reply = await this.send(gateway, request);
       if (reply.accepted) return reply;
