Confirm every commit on an instance that was chosen as the primary

When the primary had just become unreachable there was none, so its COMMIT was acknowledged without evidence and without a position, and a failover lost it. Ruled out: evidence itself; the acknowledgements carried no term at all. Change: the choice of the instance says whether it is the primary.

--- a/src/gateway/gateway_session.ts
+++ b/src/gateway/gateway_session.ts
@@ -7,7 +7,6 @@
 } from '../backend/backend.js';
 import { DatabaseError, ErrorCode, RequestError, messageOf, notRun } from '../errors/errors.js';
 import { Priority } from '../pool/slot_queue.js';
-import { START } from '../session/position.js';
 import { delay } from '../runtime/runtime.js';
 import type { GroupGateway, InstanceResources } from './group_gateway.js';
 import {
@@ -43,6 +42,12 @@
   wrote: boolean;
 }
 
+/** Instance for a transaction. */
+interface ChosenInstance {
+  readonly address: string;
+  readonly isPrimary: boolean;
+}
+
 type TransactionState = 'none' | 'begun' | 'begun_read_only' | 'open';
 
 const MAXIMUM_ATTEMPTS = 20;
@@ -164,10 +169,10 @@
     let lastError: unknown;
     this.gateway.retryBudget.earn();
     for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) {
-      const address = await this.chooseInstance(request, deadline - clock.now());
-      if (address === undefined) break;
+      const chosen = await this.chooseInstance(request, deadline - clock.now());
+      if (!chosen) break;
       try {
-        return await this.openOn(address, request);
+        return await this.openOn(chosen, request);
       } catch (error) {
         lastError = error;
         const canRetry = provesNotRun(error) || !(error instanceof RequestError);
@@ -181,19 +186,24 @@
       : notRun('No primary is available', ErrorCode.unavailable, RETRY_AFTER_MS);
   }
 
-  private chooseInstance(
+  private async chooseInstance(
     request: StatementRequest,
     maximumWaitMs: number,
-  ): Promise<string | undefined> {
+  ): Promise<ChosenInstance | undefined> {
     if (this.state === 'begun_read_only' && request.position) {
-      const replica = chooseReplica(this.gateway, request.position ?? START);
-      if (replica !== undefined) return Promise.resolve(replica);
+      const replica = chooseReplica(this.gateway, request.position);
+      if (replica !== undefined) return { address: replica, isPrimary: false };
     }
-    return this.gateway.waitForPrimary(Math.max(0, maximumWaitMs));
+    const primary = await this.gateway.waitForPrimary(Math.max(0, maximumWaitMs));
+    return primary === undefined ? undefined : { address: primary, isPrimary: true };
   }
 
-  private async openOn(address: string, request: StatementRequest): Promise<OpenTransaction> {
+  private async openOn(
+    chosen: ChosenInstance,
+    request: StatementRequest,
+  ): Promise<OpenTransaction> {
     const { gateway } = this;
+    const { address, isPrimary } = chosen;
     const resources = gateway.resourcesOf(address);
     if (!resources) throw notRun('Instance is gone', ErrorCode.unavailable, RETRY_AFTER_MS);
     const connection = await resources.pool.acquire(gateway.options.queueTimeoutMs);
@@ -207,8 +217,8 @@
       resources.pool.release(connection, 'broken');
       throw error;
     }
-    const isOnPrimary = gateway.monitor.group.primary === address;
-    const transaction = { connection, resources, isOnPrimary, wrote: false };
+    // As it was chosen, not as it is seen now: a commit there needs evidence in any case.
+    const transaction = { connection, resources, isOnPrimary: isPrimary, wrote: false };
     if (this.closed || this.state === 'none') {
       resources.pool.release(connection, 'broken');
       throw notRun('The session was closed', ErrorCode.transactionLost);
