End sessions at an instance for certain before their slots are used again

Weighed: waiting a fixed time after a close (a guess), a named lock for each slot (a round trip for each statement), KILL over the monitoring connection (one round trip for each closed connection). Change: the last.

--- a/lab/database/instance.ts
+++ b/lab/database/instance.ts
@@ -10,6 +10,8 @@
 import { RowLocks } from './row_locks.js';
 import { Tables } from './tables.js';
 
+const ER_NO_SUCH_THREAD = { code: 1094, sqlState: 'HY000' };
+
 /** Sizes and timing of an instance. */
 export interface InstanceOptions {
   readonly group: GroupOptions;
@@ -84,20 +86,30 @@
     this.runtime.messenger.serve((body) => this.member.handle(body));
   }
 
-  /** Opens a connection; rejects when all are in use. */
-  async connect(): Promise<InstanceSession> {
+  /**
+   * Opens a connection; rejects when all are in use.
+   * @param connectionId - number told to the client; the next free one when undefined
+   */
+  async connect(connectionId = this.nextConnectionId++): Promise<InstanceSession> {
     if (this.usage.connections >= this.options.connections) {
       this.usage.refusedConnections++;
       throw new DatabaseError('Too many connections', { code: 1040, sqlState: '08004' });
     }
     this.usage.connections++;
     this.usage.highestConnections = Math.max(this.usage.highestConnections, this.usage.connections);
-    const session = new InstanceSession(this, this.nextConnectionId++);
+    const session = new InstanceSession(this, connectionId);
     this.sessions.add(session);
     await delay(this.runtime.clock, this.options.connectMs);
     return session;
   }
 
+  /** KILL: ends a connection and the statement that runs on it. */
+  killSession(connectionId: number): void {
+    const session = [...this.sessions].find((item) => item.connectionId === connectionId);
+    if (session) session.close();
+    else throw new DatabaseError(`Unknown thread id: ${connectionId}`, ER_NO_SUCH_THREAD);
+  }
+
   /** Called by a session that ends. */
   onSessionClosed(session: InstanceSession): void {
     if (!this.sessions.delete(session)) return;
--- a/lab/database/instance_session.ts
+++ b/lab/database/instance_session.ts
@@ -46,9 +46,7 @@
 
 /** Reads of the server's own state need no slot. */
 function isMonitoring(statement: Statement): boolean {
-  if (statement.kind === 'set' || statement.kind === 'show' || statement.kind === 'use') {
-    return true;
-  }
+  if (['set', 'show', 'use', 'kill'].includes(statement.kind)) return true;
   if (statement.kind !== 'select') return false;
   return statement.tables.every((table) => table.startsWith(PERFORMANCE_SCHEMA_PREFIX));
 }
@@ -223,6 +221,9 @@
         return {};
       case 'show':
         return this.show(statement.what);
+      case 'kill':
+        this.instance.killSession(statement.connectionId);
+        return {};
       default:
         return {};
     }
--- a/lab/database/mysql_endpoint.ts
+++ b/lab/database/mysql_endpoint.ts
@@ -9,7 +9,11 @@
 const ROWS_PER_CHECK = 256;
 
 class EndpointSession implements CallerSession {
-  constructor(private readonly session: InstanceSession) {}
+  readonly ended: Promise<void>;
+
+  constructor(private readonly session: InstanceSession) {
+    this.ended = session.ended;
+  }
 
   async execute(sql: string, sink: ResultSink): Promise<Completion> {
     const answer = await this.session.execute(sql);
@@ -57,6 +61,7 @@
     passwordOf: (user) => (user === options.user ? options.password : undefined),
     serverVersion: '8.4.0-whinyoke-lab',
     maximumConnections: Infinity,
-    openSession: async () => new EndpointSession(await instance.connect()),
+    openSession: async ({ connectionId }) =>
+      new EndpointSession(await instance.connect(connectionId)),
   });
 }
--- a/lab/database/sql/parser.ts
+++ b/lab/database/sql/parser.ts
@@ -52,6 +52,8 @@
         return { kind: 'use', schema: this.name() };
       case 'SHOW':
         return { kind: 'show', what: this.rest() };
+      case 'KILL':
+        return { kind: 'kill', connectionId: Number(this.next().text) };
       default:
         return this.transactionControl(keyword);
     }
--- a/lab/database/sql/syntax.ts
+++ b/lab/database/sql/syntax.ts
@@ -71,4 +71,5 @@
   | { readonly kind: 'rollback' }
   | { readonly kind: 'set'; readonly assignments: readonly { name: string; value: Expression }[] }
   | { readonly kind: 'show'; readonly what: string }
+  | { readonly kind: 'kill'; readonly connectionId: number }
   | { readonly kind: 'use'; readonly schema: string };
--- a/lab/simulation/simulated_nodes.ts
+++ b/lab/simulation/simulated_nodes.ts
@@ -327,7 +327,7 @@
     );
     this.current = core;
     this.currentListener = new VirtualListener(process, (schema) =>
-      core.openSession({ user: 'caller', schema, attributes: {} }),
+      core.openSession({ connectionId: 0, user: 'caller', schema, attributes: {} }),
     );
     core.countClients = () => this.currentListener?.connectionCount ?? 0;
     void core.start();
--- a/lab/simulation/virtual_backend.ts
+++ b/lab/simulation/virtual_backend.ts
@@ -25,7 +25,7 @@
   | { readonly kind: 'reset' };
 
 type Reply =
-  | { readonly kind: 'ready' }
+  | { readonly kind: 'ready'; readonly sessionId: number }
   | { readonly kind: 'answer'; readonly answer: StatementAnswer }
   | { readonly kind: 'error'; readonly code: number; readonly sqlState: string; message: string };
 
@@ -68,7 +68,7 @@
   try {
     session = await endpoint.instance.connect();
     if (isGone()) session.close();
-    else end.send({ kind: 'ready' } satisfies Reply);
+    else end.send({ kind: 'ready', sessionId: session.connectionId } satisfies Reply);
   } catch (error) {
     end.send(errorReply(error));
     end.close();
@@ -92,6 +92,7 @@
   private pending: PendingStatement[] = [];
 
   constructor(
+    readonly sessionId: number,
     private readonly end: StreamEnd,
     private readonly now: () => number,
     private readonly forgetsAfterMs: number,
@@ -186,13 +187,13 @@
       end.onClosed = () => fail('connection lost');
       end.onMessage = (message) => {
         const reply = message as Reply;
-        if (reply.kind === 'error') {
-          fail(reply.message);
+        if (reply.kind !== 'ready') {
+          fail(reply.kind === 'error' ? reply.message : 'unexpected answer');
           return;
         }
         timer.cancel();
         const now = (): number => this.network.scheduler.now;
-        resolve(new VirtualBackendConnection(end, now, this.forgetsAfterMs));
+        resolve(new VirtualBackendConnection(reply.sessionId, end, now, this.forgetsAfterMs));
       };
       end.send({ kind: 'hello' });
     });
--- a/src/backend/backend.ts
+++ b/src/backend/backend.ts
@@ -36,6 +36,8 @@
 
 /** One connection to an instance. */
 export interface BackendConnection {
+  /** Number by which the instance knows the connection (`CONNECTION_ID()`). */
+  readonly sessionId: number;
   /**
    * Runs one statement; only one at a time.
    * @throws DatabaseError as the instance answered it
--- a/src/backend/mysql_connector.ts
+++ b/src/backend/mysql_connector.ts
@@ -53,6 +53,10 @@
     this.client.stream.destroy();
   }
 
+  get sessionId(): number {
+    return this.connection.threadId ?? 0;
+  }
+
   private get client(): ClientConnection {
     return this.connection as unknown as ClientConnection;
   }
--- a/src/frontend/caller_connection.ts
+++ b/src/frontend/caller_connection.ts
@@ -167,6 +167,7 @@
       return;
     }
     const identity: CallerIdentity = {
+      connectionId: this.connectionId,
       user: request.user,
       schema: request.database ?? '',
       attributes: this.connection.clientHelloReply?.connectAttributes ?? {},
@@ -178,6 +179,7 @@
         return;
       }
       this.session = session;
+      void session.ended?.then(() => this.destroy());
       const flags = this.connection.clientHelloReply?.clientFlags ?? 0;
       if (flags & CAPABILITY_SESSION_TRACK) this.writer.trackGtids();
       callback(null);
--- a/src/frontend/caller_session.ts
+++ b/src/frontend/caller_session.ts
@@ -3,6 +3,8 @@
 
 /** Facts about a caller known after its handshake. */
 export interface CallerIdentity {
+  /** Number of the connection, as told to the caller. */
+  readonly connectionId: number;
   readonly user: string;
   readonly schema: string;
   readonly attributes: Readonly<Record<string, string>>;
@@ -16,6 +18,8 @@
   reset(): Promise<void>;
   /** Changes the default schema. */
   useSchema(schema: string): Promise<Completion>;
+  /** Resolves when the connection must be closed from this side. */
+  readonly ended?: Promise<void>;
   /** The caller is gone. */
   close(): void;
 }
--- a/src/gateway/gateway_session.ts
+++ b/src/gateway/gateway_session.ts
@@ -124,8 +124,12 @@
       const transaction = this.transaction ?? (await this.open(request));
       const priority = isFirst ? writePriority(request) : Priority.continuing;
       await this.gateway.refresh(transaction.resources.address);
-      const completion = await inSlot(this.gateway, transaction.resources, priority, () =>
-        this.runOn(transaction, request, sink),
+      const completion = await inSlot(
+        this.gateway,
+        transaction.resources,
+        transaction.connection,
+        priority,
+        () => this.runOn(transaction, request, sink),
       );
       return { completion: { ...completion, inTransaction: true }, position: undefined };
     } catch (error) {
@@ -208,7 +212,7 @@
     if (!resources) throw notRun('Instance is gone', ErrorCode.unavailable, RETRY_AFTER_MS);
     const connection = await resources.pool.acquire(gateway.options.queueTimeoutMs);
     try {
-      await inSlot(gateway, resources, writePriority(request), async () => {
+      await inSlot(gateway, resources, connection, writePriority(request), async () => {
         if (request.onceKey !== undefined) await this.ensureOnceTable(connection);
         const begin = this.state === 'begun_read_only' ? 'START TRANSACTION READ ONLY' : 'BEGIN';
         await executeWithTimeout(gateway, connection, begin, DISCARD);
@@ -252,8 +256,12 @@
     const { connection, resources } = transaction;
     let state: 'used' | 'broken' = 'broken';
     try {
-      const completion = await inSlot(this.gateway, resources, Priority.continuing, () =>
-        executeWithTimeout(this.gateway, connection, 'COMMIT', DISCARD),
+      const completion = await inSlot(
+        this.gateway,
+        resources,
+        connection,
+        Priority.continuing,
+        () => executeWithTimeout(this.gateway, connection, 'COMMIT', DISCARD),
       );
       state = 'used';
       return completion;
@@ -282,8 +290,12 @@
     this.transaction = undefined;
     if (transaction) {
       try {
-        await inSlot(this.gateway, transaction.resources, Priority.continuing, () =>
-          executeWithTimeout(this.gateway, transaction.connection, 'ROLLBACK', DISCARD),
+        await inSlot(
+          this.gateway,
+          transaction.resources,
+          transaction.connection,
+          Priority.continuing,
+          () => executeWithTimeout(this.gateway, transaction.connection, 'ROLLBACK', DISCARD),
         );
         this.release(transaction, 'used');
       } catch {
--- a/src/gateway/group_gateway.ts
+++ b/src/gateway/group_gateway.ts
@@ -7,6 +7,7 @@
 import { DEFAULT_POOL_OPTIONS, InstancePool, type PoolOptions } from '../pool/instance_pool.js';
 import { SeatKeeper } from '../pool/seat_keeper.js';
 import type { InstanceLimits } from '../pool/shares.js';
+import { SessionTerminator } from '../pool/session_terminator.js';
 import { SlotQueue } from '../pool/slot_queue.js';
 import { RetryBudget } from '../routing/retry_budget.js';
 import type { Clock, RandomSource } from '../runtime/runtime.js';
@@ -78,6 +79,7 @@
   readonly pool: InstancePool;
   readonly slots: SlotQueue;
   readonly seats: SeatKeeper;
+  readonly terminator: SessionTerminator;
 }
 
 /** Counters of one gateway, for metrics and benchmarks. */
@@ -329,9 +331,11 @@
 
   private createResources(address: string, limits: InstanceLimits): InstanceResources {
     const { clock, connector } = this.runtime;
-    const pool = new InstancePool(address, clock, connector, this.options.pool);
+    const terminator = new SessionTerminator();
+    const pool = new InstancePool(address, clock, connector, this.options.pool, terminator);
     const slots = new SlotQueue(clock, this.configuration.limits.queue);
-    return { address, pool, slots, seats: new SeatKeeper(limits, clock, pool, slots) };
+    const seats = new SeatKeeper(limits, clock, pool, slots, terminator);
+    return { address, pool, slots, seats, terminator };
   }
 
   private onMonitorConnected(address: string, connection: BackendConnection): void {
--- a/src/gateway/statement_runner.ts
+++ b/src/gateway/statement_runner.ts
@@ -21,10 +21,14 @@
   return REFUSAL_CODES.has(code);
 }
 
-/** Takes a slot, runs `work`, returns the slot. */
+/**
+ * Takes a slot, runs `work` on a connection, returns the slot: at once when the statement ended, and when
+ * the connection broke only after the instance confirmed that nothing runs on it any more.
+ */
 export async function inSlot<T>(
   gateway: GroupGateway,
   resources: InstanceResources,
+  connection: BackendConnection,
   priority: Priority,
   work: () => Promise<T>,
 ): Promise<T> {
@@ -32,7 +36,8 @@
   try {
     return await work();
   } finally {
-    release();
+    if (connection.closed) resources.terminator.add(connection.sessionId, release);
+    else release();
   }
 }
 
@@ -51,7 +56,7 @@
   const connection = await resources.pool.acquire(gateway.options.queueTimeoutMs);
   let state: 'clean' | 'broken' = 'broken';
   try {
-    const result = await inSlot(gateway, resources, priority, () => work(connection));
+    const result = await inSlot(gateway, resources, connection, priority, () => work(connection));
     state = 'clean';
     return result;
   } catch (error) {
--- a/src/pool/instance_pool.ts
+++ b/src/pool/instance_pool.ts
@@ -2,6 +2,7 @@
 import type { BackendConnection, BackendConnector } from '../backend/backend.js';
 import { ErrorCode, notRun } from '../errors/errors.js';
 import type { Clock, Timer } from '../runtime/runtime.js';
+import type { SessionTerminator } from './session_terminator.js';
 
 /** Limits of a pool. */
 export interface PoolOptions {
@@ -34,18 +35,23 @@
   private readonly open = new Set<BackendConnection>();
   private readonly waiting: Waiter[] = [];
   private opening = 0;
+  /** Connections closed here that the instance may still have. */
+  private closing = 0;
   private limit = 0;
+  /** Called when a termination was noted. */
+  onClosing: () => void = () => undefined;
 
   constructor(
     readonly address: string,
     private readonly clock: Clock,
     private readonly connector: BackendConnector,
     private readonly options: PoolOptions,
+    private readonly terminator: SessionTerminator,
   ) {}
 
-  /** Connections open or being opened. */
+  /** Connections open, being opened, or not yet confirmed as ended. */
   get size(): number {
-    return this.open.size + this.opening;
+    return this.open.size + this.opening + this.closing;
   }
 
   /** Connections that this process may hold. */
@@ -168,6 +174,12 @@
     if (!this.open.delete(connection)) return;
     const index = this.idle.indexOf(connection);
     if (index >= 0) this.idle.splice(index, 1);
+    this.closing++;
+    this.terminator.add(connection.sessionId, () => {
+      this.closing--;
+      this.openForWaiting();
+    });
+    this.onClosing();
     this.openForWaiting();
   }
 
--- a/src/pool/seat_keeper.ts
+++ b/src/pool/seat_keeper.ts
@@ -1,6 +1,6 @@
 /** Holds this process's seats at one instance and keeps its pool and slots within their shares. */
 import type { BackendConnection } from '../backend/backend.js';
-import type { Clock, Timer } from '../runtime/runtime.js';
+import { type Clock, type Timer, delay } from '../runtime/runtime.js';
 import { queryText } from '../topology/instance_report.js';
 import type { InstancePool } from './instance_pool.js';
 import {
@@ -11,9 +11,12 @@
   shareOfSeat,
   sumShares,
 } from './shares.js';
+import type { SessionTerminator } from './session_terminator.js';
 import type { SlotQueue } from './slot_queue.js';
 
 const RETRY_MS = 100;
+/** Time between taking a seat and using its part, in milliseconds. */
+const SEAT_SETTLE_MS = 150;
 
 /** Keeper of the seats at one instance. */
 export class SeatKeeper {
@@ -29,7 +32,10 @@
     private readonly clock: Clock,
     private readonly pool: InstancePool,
     private readonly slots: SlotQueue,
-  ) {}
+    private readonly terminator: SessionTerminator,
+  ) {
+    pool.onClosing = () => this.trigger();
+  }
 
   /** Resources that this process may use now. */
   get share(): Share {
@@ -73,13 +79,19 @@
   private async reconcile(): Promise<void> {
     this.reconciling = true;
     try {
+      if (this.connection) await this.terminator.run(this.connection);
       await this.giveUpUnwanted();
       await this.takeWanted();
     } catch {
       // The connection broke; the next one triggers again.
     }
     this.reconciling = false;
-    if (this.stopped || this.isSettled()) return;
+    if (this.stopped) return;
+    if (this.terminator.hasWork && this.connection && !this.connection.closed) {
+      this.trigger();
+      return;
+    }
+    if (this.isSettled()) return;
     this.timer = this.clock.setTimer(RETRY_MS, () => this.trigger());
   }
 
@@ -113,7 +125,10 @@
     for (const seat of this.wanted) {
       if (this.held.has(seat)) continue;
       const rows = await queryText(connection, `SELECT GET_LOCK('${seatLockName(seat)}', 0)`);
-      if (rows[0]?.[0] !== '1' || this.connection !== connection || this.stopped) continue;
+      if (rows[0]?.[0] !== '1') continue;
+      // The former holder's other connections end at about the same time as its monitoring connection.
+      await delay(this.clock, SEAT_SETTLE_MS);
+      if (this.connection !== connection || this.stopped) return;
       this.held.add(seat);
       this.applyShare(this.share);
     }
