Notice unreachable gateways while statements are under way; remember attempts that may have run

By reading: a marked statement sent to a second gateway after the first fell silent could be told not_run though the first ran it. Change: GatewayClient checks gateways that have requests under way and fails these at once; RemoteSession raises the verdict after such an attempt.

--- a/src/proxy/forward_server.ts
+++ b/src/proxy/forward_server.ts
@@ -114,6 +114,8 @@
       case whinyoke.ForwardKind.CLOSE:
         this.close(key);
         return { forwardReply: { accepted: true, finished: true } };
+      case whinyoke.ForwardKind.CHECK:
+        return { forwardReply: { accepted: true, finished: true } };
       case whinyoke.ForwardKind.FETCH:
         return this.reply(key, this.sessions.get(key));
       default:
--- a/src/proxy/proxy_core.ts
+++ b/src/proxy/proxy_core.ts
@@ -20,6 +20,7 @@
 } from './configuration_keeper.js';
 import { ConfigurationSubscriber } from './configuration_subscriber.js';
 import { ForwardServer } from './forward_server.js';
+import { GatewayClient } from './gateway_client.js';
 import { GroupDirectory } from './group_directory.js';
 import {
   MembershipClient,
@@ -50,7 +51,6 @@
   onSeats?(group: string, seats: readonly number[]): void;
 }
 
-const ANSWER_TIMEOUT_MS = 15_000;
 const STOP_POLL_MS = 20;
 /** Time in which a replaced gateway ends its transactions, in milliseconds. */
 const REPLACED_GATEWAY_MS = 15_000;
@@ -71,6 +71,7 @@
   private readonly subscriber: ConfigurationSubscriber;
   private readonly membership: MembershipClient;
   private readonly forwardServer: ForwardServer;
+  private readonly gatewayClient: GatewayClient;
   private readonly gatewayOptions: GatewayOptions;
   private readonly gateways = new Map<string, GroupGateway>();
   private directory = GroupDirectory.empty;
@@ -111,6 +112,7 @@
       () => this.report(),
       (view) => this.onMembership(view),
     );
+    this.gatewayClient = new GatewayClient(clock, messenger);
     this.forwardServer = new ForwardServer(clock, (group) => this.servingGateway(group));
   }
 
@@ -200,9 +202,8 @@
     const sessionName = { proxy, session: String(this.nextSession++) };
     const context = {
       clock: this.runtime.clock,
-      messenger: this.runtime.messenger,
+      client: this.gatewayClient,
       gatewaysOf: (name: string) => this.gatewayAddresses(name),
-      answerTimeoutMs: ANSWER_TIMEOUT_MS,
     };
     return new RemoteSession(context, group, sessionName);
   }
--- a/src/proxy/remote_session.ts
+++ b/src/proxy/remote_session.ts
@@ -6,6 +6,7 @@
 import {
   ErrorCode,
   PeerUnreachableError,
+  RequestError,
   mayHaveRun,
   messageOf,
   notRun,
@@ -16,22 +17,21 @@
   StatementRequest,
 } from '../gateway/statement_request.js';
 import { whinyoke } from '../protocol/generated/messages.js';
-import { type Clock, type Messenger, delay } from '../runtime/runtime.js';
+import { type Clock, delay } from '../runtime/runtime.js';
 import {
   type ForwardedSessionName,
   decodeError,
   decodeOutcome,
   encodeRequest,
 } from './forward_codec.js';
+import type { GatewayClient } from './gateway_client.js';
 
 /** What a remote session needs of its proxy. */
 export interface RemoteSessionContext {
   readonly clock: Clock;
-  readonly messenger: Messenger;
+  readonly client: GatewayClient;
   /** Addresses of the group's gateways, best first. */
   readonly gatewaysOf: (group: string) => readonly string[];
-  /** Longest time for one answer of a gateway, in milliseconds. */
-  readonly answerTimeoutMs: number;
 }
 
 const GATEWAY_WAIT_MS = 100;
@@ -41,6 +41,8 @@
 /** Session at gateways of one group. */
 export class RemoteSession implements GroupSession {
   private pinned: string | undefined;
+  /** Whether an earlier attempt of the present statement may have run. */
+  private mayHaveRun = false;
 
   constructor(
     private readonly context: RemoteSessionContext,
@@ -53,7 +55,20 @@
   }
 
   async run(request: StatementRequest, sink: ResultSink): Promise<StatementOutcome> {
-    if (this.pinned !== undefined) return this.runPinned(this.pinned, request, sink);
+    this.mayHaveRun = false;
+    try {
+      if (this.pinned !== undefined) return await this.runPinned(this.pinned, request, sink);
+      return await this.runAtAnyGateway(request, sink);
+    } catch (error) {
+      const isCertain = !this.mayHaveRun || !(error instanceof RequestError);
+      throw isCertain ? error : mayHaveRun(messageOf(error));
+    }
+  }
+
+  private async runAtAnyGateway(
+    request: StatementRequest,
+    sink: ResultSink,
+  ): Promise<StatementOutcome> {
     for (let round = 0; round < MAXIMUM_ROUNDS; round++) {
       const outcome = await this.tryGateways(request, sink);
       if (outcome) return outcome;
@@ -68,9 +83,7 @@
     this.pinned = undefined;
     if (gateway === undefined) return;
     const request = { kind: whinyoke.ForwardKind.CLOSE, group: this.group, ...this.sessionName };
-    this.context.messenger
-      .request(gateway, { forwardRequest: request }, this.context.answerTimeoutMs)
-      .catch(() => undefined);
+    this.context.client.send(gateway, request).catch(() => undefined);
   }
 
   private async runPinned(
@@ -120,7 +133,11 @@
   /** A statement that may have reached a gateway is repeated only when that can't run it twice. */
   private requireRepeatable(request: StatementRequest, error: Error): void {
     const isHarmless = ['read', 'begin', 'begin_read_only'].includes(request.statementClass);
-    if (isHarmless || request.onceKey !== undefined) return;
+    if (isHarmless) return;
+    if (request.onceKey !== undefined) {
+      this.mayHaveRun = true;
+      return;
+    }
     throw mayHaveRun(messageOf(error));
   }
 
@@ -131,7 +148,7 @@
   ): Promise<StatementOutcome | undefined> {
     const { group, sessionName, inTransaction } = this;
     const message = encodeRequest(group, sessionName, request, inTransaction);
-    let reply = await this.send(gateway, message);
+    let reply = await this.context.client.send(gateway, message);
     if (!reply.accepted) return undefined;
     this.deliver(reply, sink);
     while (!reply.finished) {
@@ -146,7 +163,7 @@
   private async fetch(gateway: string): Promise<whinyoke.IForwardReply> {
     const request = { kind: whinyoke.ForwardKind.FETCH, group: this.group, ...this.sessionName };
     try {
-      const reply = await this.send(gateway, request);
+      const reply = await this.context.client.send(gateway, request);
       if (reply.accepted) return reply;
     } catch (error) {
       if (!(error instanceof PeerUnreachableError)) throw error;
@@ -173,13 +190,4 @@
     }
     for (const row of reply.rows ?? []) sink.row(Buffer.from(row));
   }
-
-  private async send(
-    gateway: string,
-    request: whinyoke.IForwardRequest,
-  ): Promise<whinyoke.IForwardReply> {
-    const { messenger, answerTimeoutMs } = this.context;
-    const body = await messenger.request(gateway, { forwardRequest: request }, answerTimeoutMs);
-    return body.forwardReply ?? { accepted: false, finished: true };
-  }
 }
