Add 'whinyoke-lab simulate': seeds on worker threads, replay command, timeline

Cause: a failing seed had to be found and read with throw-away scripts. Change: the command runs seeds in parallel, prints what passed, and for each failure the violations, the command that replays it and a timeline. The scheduler settles events between immediates, so the real event loop is polled once in 64 events.

--- a/lab/cli/main.ts
+++ b/lab/cli/main.ts
@@ -4,12 +4,15 @@
 import { fileURLToPath } from 'node:url';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
-import { messageOf } from '../../src/errors/errors.js';
+import { WhinyokeError, messageOf } from '../../src/errors/errors.js';
+import { PROTECTIONS } from '../../src/gateway/protections.js';
 import { runDatabase } from '../database/daemon.js';
 import { runDemo } from '../fleet/demo.js';
 import { checkHistory } from '../history/checker.js';
 import { parseHistory } from '../history/history.js';
 import { runPlatform } from '../platform/daemon.js';
+import { FAULT_KINDS, type FaultKind } from '../simulation/faults.js';
+import { runSimulateCommand } from '../simulation/simulate_command.js';
 
 const labProgram = fileURLToPath(import.meta.url);
 const proxyProgram = fileURLToPath(new URL('../../src/cli/main.js', import.meta.url));
@@ -21,6 +24,24 @@
   describe: 'deployment of the brief',
 } as const;
 
+function readSeeds(text: string): { firstSeed: number; lastSeed: number } {
+  const match = /^(\d+)(?:-(\d+))?$/.exec(text);
+  if (!match) throw new WhinyokeError(`--seeds must be like 1-20, not '${text}'`);
+  const firstSeed = Number(match[1]);
+  const lastSeed = Number(match[2] ?? match[1]);
+  if (lastSeed < firstSeed) throw new WhinyokeError(`--seeds: ${lastSeed} is before ${firstSeed}`);
+  return { firstSeed, lastSeed };
+}
+
+function readFaults(text: string | undefined): readonly FaultKind[] {
+  if (text === undefined) return FAULT_KINDS;
+  const known: ReadonlySet<string> = new Set(FAULT_KINDS);
+  const names = text === 'none' ? [] : text.split(',');
+  const unknown = names.find((name) => !known.has(name));
+  if (unknown === undefined) return names as FaultKind[];
+  throw new WhinyokeError(`--faults: unknown '${unknown}'; known are ${FAULT_KINDS.join(', ')}`);
+}
+
 function checkFile(file: string): void {
   const violations = checkHistory(parseHistory(readFileSync(file, 'utf8')));
   for (const violation of violations) console.log(`${violation.check}: ${violation.message}`);
@@ -63,6 +84,31 @@
       process.exitCode = held ? 0 : 1;
     },
   )
+  .command(
+    'simulate',
+    'run whole deployments under faults on virtual time',
+    (builder) =>
+      builder
+        .option('deployment', deploymentOption)
+        .option('seeds', { type: 'string', default: '1-20', describe: 'first and last seed' })
+        .option('faults', { type: 'string', describe: 'kinds of faults, joined by commas' })
+        .option('disable', { choices: PROTECTIONS, describe: 'protection to switch off' })
+        .option('jobs', { type: 'number', describe: 'worker threads' })
+        .option('stop-at-failure', { type: 'boolean', default: false })
+        .option('history', { type: 'string', describe: 'file for the last failed history' }),
+    async (parsed) => {
+      const held = await runSimulateCommand({
+        deployment: parsed.deployment,
+        ...readSeeds(parsed.seeds),
+        faults: readFaults(parsed.faults),
+        disabled: parsed.disable,
+        jobs: parsed.jobs,
+        stopAtFailure: parsed.stopAtFailure,
+        historyFile: parsed.history,
+      });
+      process.exitCode = held ? 0 : 1;
+    },
+  )
   .command(
     'check <history>',
     'check a recorded history',
--- a/lab/simulation/scheduler.ts
+++ b/lab/simulation/scheduler.ts
@@ -14,10 +14,11 @@
   return left.at < right.at || (left.at === right.at && left.order < right.order);
 }
 
-/** Resolves when all promise callbacks that are ready now have run. */
-function settled(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
-}
+/**
+ * Events run between two polls of the real event loop. Node runs all promise callbacks between two
+ * immediates, so each event is settled before the next, and the polls, which cost most, are few.
+ */
+const EVENTS_PER_POLL = 64;
 
 /** Virtual time and its events. */
 export class Scheduler {
@@ -41,17 +42,42 @@
   }
 
   /** Runs events until virtual time `until`. */
-  async runUntil(until: number): Promise<void> {
-    await settled();
+  runUntil(until: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      let isOver = false;
+      const step = (): void => {
+        if (isOver) return;
+        try {
+          isOver = !this.runNext(until);
+        } catch (error) {
+          isOver = true;
+          reject(error instanceof Error ? error : new Error(String(error)));
+          return;
+        }
+        if (!isOver) return;
+        this.now = until;
+        resolve();
+      };
+      const batch = (): void => {
+        if (isOver) return;
+        for (let index = 0; index < EVENTS_PER_POLL; index++) setImmediate(step);
+        setImmediate(batch);
+      };
+      setImmediate(batch);
+    });
+  }
+
+  /** Runs the next event; false when there is none until virtual time `until`. */
+  private runNext(until: number): boolean {
     for (let next = this.heap[0]; next && next.at <= until; next = this.heap[0]) {
       this.removeFirst();
       const { callback } = next;
       if (!callback) continue;
       this.now = next.at;
       callback();
-      await settled();
+      return true;
     }
-    this.now = until;
+    return false;
   }
 
   private removeFirst(): void {
