--- a/lab/history/checker.ts
+++ b/lab/history/checker.ts
@@ -26,6 +26,7 @@
   | 'graceful-stop'
   | 'configuration-order'
   | 'configuration-kept'
+  | 'configuration-delay'
   | 'limits';
 
 /** One violation. */
@@ -45,12 +46,18 @@
 export interface CheckOptions {
   /** Time after which a leaving instance gets no new work. */
   readonly drainMs: number;
+  /** Time after which an accepted configuration is in force, once no fault is under way. */
+  readonly inForceMs: number;
   /** Time that an acknowledgement may be on its way after its evidence. */
   readonly acknowledgementMs: number;
 }
 
 /** Bounds of the brief, and of the evidence rule. */
-export const DEFAULT_CHECK_OPTIONS: CheckOptions = { drainMs: 3000, acknowledgementMs: 700 };
+export const DEFAULT_CHECK_OPTIONS: CheckOptions = {
+  drainMs: 3000,
+  inForceMs: 7000,
+  acknowledgementMs: 700,
+};
 
 /** All operations of a history, in the order of their invocation. */
 export function operationsOf(events: readonly HistoryEvent[]): Operation[] {
@@ -391,6 +398,55 @@
   return violations;
 }
 
+const FAULT_END_PREFIX = 'end: ';
+
+/** Moment from which no fault was under way until `at`; undefined while one is. */
+function calmSince(events: readonly HistoryEvent[], at: number): number | undefined {
+  const active = new Set<string>();
+  let since = 0;
+  for (const event of events) {
+    if (event.type !== 'fault' || event.at > at) continue;
+    const { description } = event;
+    if (!description.startsWith(FAULT_END_PREFIX)) {
+      active.add(description);
+      continue;
+    }
+    active.delete(description.slice(FAULT_END_PREFIX.length));
+    since = event.at;
+  }
+  return active.size > 0 ? undefined : since;
+}
+
+/** An accepted configuration is in force on every proxy within seconds. */
+export function checkConfigurationDelay(
+  events: readonly HistoryEvent[],
+  options: CheckOptions,
+): Violation[] {
+  const accepted = events.filter(
+    (event) => event.type === 'submission' && event.outcome === 'accepted',
+  );
+  const inForce = groupBy(
+    events.filter((event) => event.type === 'in_force'),
+    (event) => event.proxy,
+  );
+  const violations: Violation[] = [];
+  for (const submission of accepted) {
+    if (submission.type !== 'submission') continue;
+    for (const [proxy, changes] of inForce) {
+      const first = changes.find(({ revision }) => revision >= submission.revision);
+      if (!first || first.at - submission.at <= options.inForceMs) continue;
+      const calm = calmSince(events, first.at);
+      const waited = first.at - Math.max(submission.at, calm ?? Infinity);
+      if (waited <= options.inForceMs) continue;
+      violations.push({
+        check: 'configuration-delay',
+        message: `${proxy} had revision ${submission.revision} in force ${Math.round(waited)} ms late`,
+      });
+    }
+  }
+  return violations;
+}
+
 function checkUsage(event: UsageEvent): Violation[] {
   const isWithin =
     event.highestRunning <= event.slots &&
@@ -434,6 +490,7 @@
     ...checkDrain(events, options),
     ...checkStops(events, operations),
     ...checkConfigurations(events),
+    ...checkConfigurationDelay(events, options),
     ...checkLimits(events),
     ...checkRecovery(events),
   ];
--- a/lab/simulation/faults.ts
+++ b/lab/simulation/faults.ts
@@ -21,6 +21,7 @@
   'freeze-control',
   'cut-control',
   'lose-control-disk',
+  'lose-control-disk-behind',
   'cut-zone',
   'cut-link',
 ] as const;
@@ -93,6 +94,44 @@
   return isWhole && voters.length === world.controls.length;
 }
 
+const BEHIND_MS = 1200;
+const BEFORE_KILL_MS = 400;
+
+/**
+ * A control machine falls behind, another loses its disk and is repaired, then the leader is lost: only the
+ * lost disk and the leader held the newest changes.
+ */
+function loseDiskBehind(world: World, random: RandomSource): ActiveFault | undefined {
+  const leader = world.controls.find((control) => control.core?.node.role === 'leader');
+  if (!leader || !controlsAreWhole(world)) return undefined;
+  const followers = world.controls.filter((control) => control !== leader);
+  const behind = pick(followers, random)!;
+  const lost = followers.find((control) => control !== behind)!;
+  const others = world.machines.filter((machine) => machine !== behind);
+  const hosts = others.map((machine) => machine.host);
+  const heals = [world.network.cut([behind.host], hosts), world.network.cut(hosts, [behind.host])];
+  let isOver = false;
+  const healAll = (): void => heals.splice(0).forEach((heal) => heal());
+  world.scheduler.schedule(BEHIND_MS, () => {
+    if (isOver) return;
+    lost.loseDisk();
+    lost.start();
+  });
+  world.scheduler.schedule(BEHIND_MS + BEFORE_KILL_MS, () => {
+    if (isOver) return;
+    leader.kill();
+    healAll();
+  });
+  return {
+    description: `${behind.name} falls behind, ${lost.name} loses its disk, ${leader.name} ends`,
+    end: () => {
+      isOver = true;
+      healAll();
+      leader.start();
+    },
+  };
+}
+
 const starters: Readonly<Record<FaultKind, FaultStarter>> = {
   'kill-primary': (world, random) => kill(world.primaryOf(pickGroup(world, random))),
   'kill-replica': (world, random) => {
@@ -175,6 +214,7 @@
   },
   'lose-control-disk': (world, random) =>
     controlsAreWhole(world) ? loseDisk(pick(world.controls, random)) : undefined,
+  'lose-control-disk-behind': loseDiskBehind,
   'cut-zone': (world, random) => {
     const zone = pick(world.options.deployment.zones, random)!;
     const [inside, outside] = [world.hostsIn(zone), world.hostsOutside(zone)];
--- a/src/config/yaml_document.ts
+++ b/src/config/yaml_document.ts
@@ -19,10 +19,15 @@
   return line === undefined ? fileName : `${fileName}:${line}`;
 }
 
+/** Path of a problem; that of an unknown key includes the key. */
+function pathOf(issue: z.core.$ZodIssue): readonly PropertyKey[] {
+  return issue.code === 'unrecognized_keys' ? [...issue.path, issue.keys[0]!] : issue.path;
+}
+
 /**
  * Parses and checks a document.
  * @param fileName - shown in errors
- * @throws InvalidDocumentError with one line for each problem
+ * @throws InvalidDocumentError with all problems on one line
  */
 export function readYaml<Schema extends z.ZodType>(
   text: string,
@@ -39,9 +44,9 @@
   const result = schema.safeParse(document.toJS());
   if (result.success) return result.data;
   const problems = result.error.issues.map((issue) => {
-    const line = lineOf(document, lines, issue.path);
-    const path = issue.path.map(String).join('.') || '(top level)';
-    return `${location(fileName, line)}: ${path}: ${issue.message}`;
+    const path = pathOf(issue);
+    const line = lineOf(document, lines, path);
+    return `${location(fileName, line)}: ${path.map(String).join('.') || '(top level)'}: ${issue.message}`;
   });
-  throw new InvalidDocumentError(problems.join('\n'));
+  throw new InvalidDocumentError(problems.join('; '));
 }
--- a/src/frontend/caller_connection.ts
+++ b/src/frontend/caller_connection.ts
@@ -61,6 +61,8 @@
 export interface ServerConnection {
   readonly stream: Socket;
   sequenceId: number;
+  /** Handler of incoming packets; it returns whether it is done. */
+  readonly _command: { execute(packet: Packet): boolean };
   readonly clientHelloReply?: {
     readonly clientFlags: number;
     readonly connectAttributes?: Record<string, string>;
@@ -106,14 +108,6 @@
       this.options.onConnectionError?.(messageOf(error));
       this.destroy();
     });
-    // The library answers commands without a listener by itself; all are handled in `packet`.
-    for (const event of ['query', 'stmt_prepare', 'stmt_execute', 'init_db', 'ping', 'quit']) {
-      connection.on(event, () => undefined);
-    }
-    connection.on('field_list', () => undefined);
-    connection.on('packet', (packet: Packet, _known: boolean, command: number) =>
-      this.enqueue(packet, command),
-    );
     const timeout = setTimeout(() => this.destroyUnlessOpen(), HANDSHAKE_TIMEOUT_MS);
     connection.stream.once('close', () => clearTimeout(timeout));
     connection.serverHandshake({
@@ -183,13 +177,25 @@
       const flags = this.connection.clientHelloReply?.clientFlags ?? 0;
       if (flags & CAPABILITY_SESSION_TRACK) this.writer.trackGtids();
       callback(null);
-      this.connection.sequenceId = 0;
+      this.takeOverCommands();
     } catch (error) {
       const answer = errorAnswer(error);
       callback(null, { message: answer.message, code: answer.code });
     }
   }
 
+  /**
+   * From here on packets come to this class. The library's own dispatch would decode each command a second
+   * time, answer some by itself, and break the connection on parameters of binary types.
+   */
+  private takeOverCommands(): void {
+    this.connection.sequenceId = 0;
+    this.connection._command.execute = (packet) => {
+      this.enqueue(packet, packet.readInt8());
+      return false;
+    };
+  }
+
   private enqueue(packet: Packet, command: number): void {
     this.connection.sequenceId = 0;
     this.activity.commandStarted();
--- a/src/proxy/proxy_session.ts
+++ b/src/proxy/proxy_session.ts
@@ -32,7 +32,8 @@
 /** A caller's session. */
 export class ProxySession implements CallerSession {
   private token = SessionToken.empty;
-  private hasToken = false;
+  /** Whether the caller gave a token for the whole connection. */
+  private hasConnectionToken = false;
   private schema: string;
   private readonly defaultGroup: string | undefined;
   private current: { readonly group: string; readonly session: GroupSession } | undefined;
@@ -44,12 +45,14 @@
     this.schema = identity.schema;
     this.defaultGroup = identity.attributes[GROUP_ATTRIBUTE];
     const token = identity.attributes[TOKEN_ATTRIBUTE];
-    if (token !== undefined) this.learnToken(readToken(token));
+    if (token === undefined) return;
+    this.hasConnectionToken = true;
+    this.token = readToken(token);
   }
 
   async execute(sql: string, sink: ResultSink): Promise<Completion> {
     const marks = readMarks(sql);
-    if (marks.token) this.learnToken(marks.token);
+    if (marks.token) this.token = this.token.merge(marks.token);
     const statementClass = classifyStatement(sql);
     switch (statementClass) {
       case 'empty':
@@ -89,7 +92,9 @@
     const { sql, statementClass, marks } = statement;
     const group = this.groupFor(marks);
     const session = this.sessionFor(group);
-    const position = this.hasToken ? this.token.positionOf(group) : undefined;
+    // A mark speaks for its statement only: a pooled connection serves many sessions in turn.
+    const hasToken = this.hasConnectionToken || marks.token !== undefined;
+    const position = hasToken ? this.token.positionOf(group) : undefined;
     const request: StatementRequest = { sql, statementClass, position, onceKey: marks.onceKey };
     const { completion, position: seen } = await session.run(request, sink);
     if (!seen) return completion;
@@ -98,11 +103,6 @@
     return { ...completion, info: info.filter((text) => text !== '').join(' ') };
   }
 
-  private learnToken(token: SessionToken): void {
-    this.hasToken = true;
-    this.token = this.token.merge(token);
-  }
-
   private showToken(sink: ResultSink): Completion {
     sink.columns({ kind: 'names', names: ['whinyoke_position'] });
     sink.row([this.token.format()]);
--- /dev/null
+++ b/test/tools/local_fleet.ts
@@ -0,0 +1,64 @@
+/** A small deployment as real processes, for integration tests. */
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { type Connection, type ConnectionOptions, createConnection } from 'mysql2/promise';
+import { type Deployment, QUETZAL } from '../../lab/fleet/deployment.js';
+import { Fleet } from '../../lab/fleet/fleet.js';
+import { CALLER_ACCOUNT, configurationFor, layoutOf } from '../../lab/fleet/layout.js';
+
+const FIRST_NETWORK = 20;
+const NETWORKS = 200;
+
+export const LAB_PROGRAM = fileURLToPath(new URL('../../lab/cli/main.js', import.meta.url));
+export const PROXY_PROGRAM = fileURLToPath(new URL('../../src/cli/main.js', import.meta.url));
+
+/** One group of three instances, one control machine, three proxies of which one is the gateway. */
+const SMALL: Deployment = { ...QUETZAL, groups: ['payments'], controls: 1 };
+
+/** A running deployment. */
+export interface LocalFleet {
+  readonly fleet: Fleet;
+  readonly folder: string;
+  /** Opens a client connection to a proxy by number, from 0. */
+  connect(proxy: number, options?: ConnectionOptions): Promise<Connection>;
+  stop(): Promise<void>;
+}
+
+/** Starts the deployment and waits until it serves. */
+export async function startLocalFleet(lagMs = 30): Promise<LocalFleet> {
+  const folder = mkdtempSync(join(tmpdir(), 'whinyoke-test-'));
+  const layout = layoutOf(SMALL, FIRST_NETWORK + (process.pid % NETWORKS));
+  const fleet = new Fleet(layout, {
+    folder,
+    labProgram: LAB_PROGRAM,
+    proxyProgram: PROXY_PROGRAM,
+    statementMs: 0,
+    lagMs,
+    electionTimeoutMs: 300,
+  });
+  fleet.start();
+  const stop = async (): Promise<void> => {
+    await fleet.stop();
+    rmSync(folder, { recursive: true, force: true });
+  };
+  try {
+    await fleet.apply(SMALL.name, configurationFor(layout, 1), 'first');
+    await fleet.waitForGroups();
+  } catch (error) {
+    await stop();
+    throw error;
+  }
+  const connect = (proxy: number, options: ConnectionOptions = {}): Promise<Connection> => {
+    const [host, port] = layout.proxies[proxy]!.listen.split(':');
+    return createConnection({
+      host,
+      port: Number(port),
+      ...CALLER_ACCOUNT,
+      database: 'payments',
+      ...options,
+    });
+  };
+  return { fleet, folder, connect, stop };
+}
--- /dev/null
+++ b/test/unit/limits.test.ts
@@ -0,0 +1,186 @@
+/** Shares, slots and connections against simple models. */
+import fc from 'fast-check';
+import t from 'tap';
+import type { BackendConnection } from '../../src/backend/backend.js';
+import { RequestError } from '../../src/errors/errors.js';
+import { DEFAULT_POOL_OPTIONS, InstancePool } from '../../src/pool/instance_pool.js';
+import { SessionTerminator } from '../../src/pool/session_terminator.js';
+import { seatsFor, shareOfSeat, sumShares } from '../../src/pool/shares.js';
+import { Priority, type ReleaseSlot, SlotQueue } from '../../src/pool/slot_queue.js';
+import { Scheduler } from '../../lab/simulation/scheduler.js';
+import { VirtualProcess } from '../../lab/simulation/virtual_process.js';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
+
+function newProcess(): VirtualProcess {
+  return new VirtualProcess('host', new Scheduler(), new SeededRandom(1));
+}
+
+void t.test('the shares of all seats are exactly the limits', (t) => {
+  const limits = fc.record({
+    slots: fc.integer({ min: 1, max: 50 }),
+    connections: fc.integer({ min: 5, max: 500 }),
+    monitoringConnections: fc.integer({ min: 1, max: 5 }),
+    gateways: fc.integer({ min: 1, max: 64 }),
+  });
+  const held = fc.assert(
+    fc.property(limits, (limit) => {
+      const seats = Array.from({ length: limit.gateways }, (_, seat) => shareOfSeat(limit, seat));
+      const sum = sumShares(seats);
+      const pooled = limit.connections - limit.monitoringConnections;
+      return sum.slots === limit.slots && sum.connections === pooled;
+    }),
+    { seed: 5 },
+  );
+  t.equal(held, undefined);
+  t.end();
+});
+
+void t.test('each seat is wanted by exactly one proxy', (t) => {
+  const names = fc.uniqueArray(fc.string({ minLength: 1 }), { minLength: 1, maxLength: 12 });
+  const held = fc.assert(
+    fc.property(names, fc.integer({ min: 1, max: 8 }), (proxies, seatCount) => {
+      const wanted = proxies.flatMap((proxy) => seatsFor('g', proxy, proxies, seatCount));
+      const expected = Array.from({ length: seatCount }, (_, seat) => seat);
+      return [...wanted].sort((a, b) => a - b).join() === expected.join();
+    }),
+    { seed: 6 },
+  );
+  t.equal(held, undefined);
+  t.end();
+});
+
+type SlotCommand = 'continuing' | 'read' | 'release' | 'shrink' | 'grow';
+
+void t.test('slots: never more than the limit, one kept for transactions under way', async (t) => {
+  const commands = fc.array(
+    fc.constantFrom<SlotCommand>('continuing', 'read', 'release', 'shrink', 'grow'),
+    { maxLength: 60 },
+  );
+  await fc.assert(
+    fc.asyncProperty(commands, async (list) => {
+      const queue = new SlotQueue(newProcess().clock, 100);
+      const releases: ReleaseSlot[] = [];
+      let limit = 3;
+      queue.setLimit(limit);
+      const step: Record<SlotCommand, () => void> = {
+        continuing: () => take(Priority.continuing),
+        read: () => take(Priority.read),
+        release: () => releases.shift()?.(),
+        shrink: () => queue.setLimit((limit = Math.max(1, limit - 1))),
+        grow: () => queue.setLimit(++limit),
+      };
+      const take = (priority: Priority): void => {
+        const usedBefore = queue.used;
+        void queue.acquire(priority, 1000).then((release) => releases.push(release));
+        const reserved = priority === Priority.read && limit > 1 ? 1 : 0;
+        const mayStart = usedBefore < limit - reserved;
+        t.equal(queue.used, mayStart ? usedBefore + 1 : usedBefore);
+      };
+      for (const command of list) {
+        step[command]();
+        await Promise.resolve();
+        await Promise.resolve();
+      }
+      while (releases.length > 0) {
+        releases.shift()?.();
+        await Promise.resolve();
+        await Promise.resolve();
+      }
+      t.equal(queue.used, 0);
+      t.equal(queue.queued, 0);
+    }),
+    { seed: 7, numRuns: 200 },
+  );
+});
+
+void t.test('a full queue refuses at once and says when to come back', async (t) => {
+  const queue = new SlotQueue(newProcess().clock, 1);
+  queue.setLimit(1);
+  await queue.acquire(Priority.write, 1000);
+  void queue.acquire(Priority.write, 1000).catch(() => undefined);
+  const error = await queue.acquire(Priority.write, 1000).catch((reason: unknown) => reason);
+  t.ok(error instanceof RequestError);
+  t.equal((error as RequestError).verdict, 'not_run');
+  t.ok((error as RequestError).retryAfterMs! >= 20);
+});
+
+/** A connection that only counts. */
+class FakeConnection implements BackendConnection {
+  closed = false;
+  onClosed: (() => void) | undefined;
+  wasReset = true;
+
+  constructor(readonly sessionId: number) {}
+
+  execute(): Promise<never> {
+    return Promise.reject(new Error('not used'));
+  }
+
+  reset(): Promise<void> {
+    this.wasReset = true;
+    return Promise.resolve();
+  }
+
+  close(): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.onClosed?.();
+  }
+}
+
+type PoolCommand = 'acquire' | 'clean' | 'used' | 'broken' | 'shrink' | 'grow' | 'confirm';
+
+void t.test('pool: never above the limit, no connection twice, none with state', async (t) => {
+  const commands = fc.array(
+    fc.constantFrom<PoolCommand>(
+      ...(['acquire', 'clean', 'used', 'broken', 'shrink', 'grow', 'confirm'] as const),
+    ),
+    { maxLength: 60 },
+  );
+  await fc.assert(
+    fc.asyncProperty(commands, async (list) => {
+      let nextId = 1;
+      const atInstance = new Set<number>();
+      const connect = (): Promise<BackendConnection> => {
+        const connection = new FakeConnection(nextId++);
+        atInstance.add(connection.sessionId);
+        return Promise.resolve(connection);
+      };
+      const terminator = new SessionTerminator();
+      const killed = {
+        execute: (sql: string) => {
+          atInstance.delete(Number(sql.split(' ')[1]));
+          return Promise.resolve({ affectedRows: 0, insertId: 0, info: '', inTransaction: false });
+        },
+      } as unknown as BackendConnection;
+      const clock = newProcess().clock;
+      const pool = new InstancePool('i', clock, { connect }, DEFAULT_POOL_OPTIONS, terminator);
+      let limit = 2;
+      let highest = limit;
+      pool.setLimit(limit);
+      const taken: FakeConnection[] = [];
+      const give = (state: 'clean' | 'used' | 'broken'): void => {
+        const connection = taken.shift();
+        if (!connection) return;
+        connection.wasReset = state !== 'used';
+        pool.release(connection, state);
+      };
+      for (const command of list) {
+        if (command === 'acquire') {
+          void pool.acquire(1000).then((connection) => {
+            const fake = connection as FakeConnection;
+            t.ok(fake.wasReset && !fake.closed && !taken.includes(fake));
+            taken.push(fake);
+          });
+        } else if (command === 'shrink') pool.setLimit((limit = Math.max(0, limit - 1)));
+        else if (command === 'grow') pool.setLimit(++limit);
+        else if (command === 'confirm') await terminator.run(killed);
+        else give(command);
+        highest = Math.max(highest, limit);
+        await new Promise((resolve) => setImmediate(resolve));
+        t.ok(atInstance.size <= highest, 'the instance never has more than the limit');
+      }
+    }),
+    { seed: 8, numRuns: 150 },
+  );
+});
--- /dev/null
+++ b/test/unit/storage.test.ts
@@ -0,0 +1,85 @@
+/** Durable records: what was promised survives any crash, and damage is told from a torn end. */
+import fc from 'fast-check';
+import t from 'tap';
+import { Scheduler } from '../../lab/simulation/scheduler.js';
+import { VirtualDisk } from '../../lab/simulation/virtual_disk.js';
+import { VirtualProcess } from '../../lab/simulation/virtual_process.js';
+import { StorageCorruptionError } from '../../src/errors/errors.js';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
+import { RecordFile, decodeRecords, encodeRecord } from '../../src/storage/record_file.js';
+
+const NAME = 'records';
+
+/** A disk, and a process on it that can crash. */
+function machine(seed: number): { scheduler: Scheduler; disk: VirtualDisk; random: SeededRandom } {
+  const random = new SeededRandom(seed);
+  return { scheduler: new Scheduler(), disk: new VirtualDisk(random, 1), random };
+}
+
+void t.test(
+  'acknowledged records survive crashes, in order, and nothing else appears',
+  async (t) => {
+    const steps = fc.array(
+      fc.oneof(
+        fc.record({ kind: fc.constant('append' as const), size: fc.nat({ max: 200 }) }),
+        fc.record({ kind: fc.constant('crash' as const), afterMs: fc.nat({ max: 4 }) }),
+        fc.record({ kind: fc.constant('wait' as const), afterMs: fc.nat({ max: 6 }) }),
+      ),
+      { maxLength: 25 },
+    );
+    await fc.assert(
+      fc.asyncProperty(steps, fc.nat(), async (commands, seed) => {
+        const { scheduler, disk, random } = machine(seed);
+        let process = new VirtualProcess('host', scheduler, random);
+        const sent: string[] = [];
+        let acknowledged: string[] = [];
+        const open = async (): Promise<RecordFile> => {
+          const opening = RecordFile.open(disk.open(process), NAME);
+          await scheduler.runUntil(scheduler.now + 10);
+          const { file, records } = await opening;
+          const found = records.map((record) => record.payload.toString());
+          // A prefix of what was sent, with everything that was acknowledged.
+          t.ok(found.length >= acknowledged.length);
+          t.same(found, sent.slice(0, found.length));
+          sent.length = found.length;
+          acknowledged = [...found];
+          return file;
+        };
+        let file = await open();
+        for (const command of commands) {
+          if (command.kind === 'append') {
+            const payload = `${sent.length}:${'x'.repeat(command.size)}`;
+            sent.push(payload);
+            const count = sent.length;
+            const opened = process;
+            void file.append([Buffer.from(payload)]).then(() => {
+              if (opened === process) acknowledged = sent.slice(0, count);
+            });
+            continue;
+          }
+          await scheduler.runUntil(scheduler.now + command.afterMs);
+          if (command.kind === 'wait') continue;
+          process.kill();
+          disk.crash();
+          process = new VirtualProcess('host', scheduler, random);
+          file = await open();
+        }
+      }),
+      { seed: 4, numRuns: 150 },
+    );
+  },
+);
+
+void t.test('a torn end is cut off, damage in the middle is refused', (t) => {
+  const records = ['first', 'second', 'third'].map((text) => encodeRecord(Buffer.from(text)));
+  const whole = Buffer.concat(records);
+  for (let length = 0; length < whole.length; length++) {
+    const kept = decodeRecords(whole.subarray(0, length), NAME);
+    t.ok(kept.length <= 3 && (kept.at(-1)?.end ?? 0) <= length);
+  }
+  const damaged = Buffer.from(whole);
+  damaged[records[0]!.length + 9]! ^= 1;
+  t.throws(() => decodeRecords(damaged, NAME), StorageCorruptionError);
+  t.throws(() => decodeRecords(damaged, NAME), { message: /records: damaged record at byte 13/ });
+  t.end();
+});
