--- /dev/null
+++ b/lab/bench/replica_reads_bench.ts
@@ -0,0 +1,118 @@
+/**
+ * Share of reads that replicas serve, and what freshness costs in latency, over replication lag, write
+ * share, and with or without session tokens. Whole deployments on virtual time.
+ */
+import { ProtectionSet } from '../../src/gateway/protections.js';
+import type { Deployment } from '../fleet/deployment.js';
+import { checkHistory, operationsOf } from '../history/checker.js';
+import { Latency } from './latency.js';
+import type { Report, ReportRow, Series } from './report.js';
+import { startScenario } from './scenario.js';
+
+const LAGS_MS = [5, 50, 500, 5000];
+const WRITE_SHARES = [0.02, 0.1, 0.3];
+const DURATION_MS = 4000;
+const SESSIONS = 12;
+const THINK_MS = 40;
+const STALE_CHECKS = new Set(['read-your-writes', 'monotonic-reads', 'fresh-reads', 'dirty-reads']);
+
+interface Variant {
+  readonly name: string;
+  readonly tokens: boolean;
+  readonly protections: ProtectionSet;
+  /** All reads go to the primary. */
+  readonly primaryOnly: boolean;
+}
+
+const VARIANTS: readonly Variant[] = [
+  { name: 'tokens', tokens: true, protections: ProtectionSet.all, primaryOnly: false },
+  { name: 'no tokens', tokens: false, protections: ProtectionSet.all, primaryOnly: false },
+  {
+    name: 'baseline: primary only',
+    tokens: false,
+    protections: ProtectionSet.all,
+    primaryOnly: true,
+  },
+  {
+    name: 'baseline: any replica',
+    tokens: true,
+    protections: ProtectionSet.without('read-position'),
+    primaryOnly: false,
+  },
+];
+
+async function measure(
+  deployment: Deployment,
+  variant: Variant,
+  lagMs: number,
+  writeShare: number,
+): Promise<ReportRow> {
+  const scenario = await startScenario({
+    seed: 77,
+    deployment: { ...deployment, groups: deployment.groups.slice(0, 1) },
+    protections: variant.protections,
+    lagMs,
+    electionTimeoutMs: 300,
+    sessions: SESSIONS,
+    tokens: variant.tokens,
+    writeShare,
+    thinkMs: THINK_MS,
+    registers: 50,
+    withoutToken: variant.primaryOnly ? 'primary' : 'barrier',
+  });
+  const { world } = scenario;
+  await world.run(DURATION_MS);
+  await scenario.finish();
+  const latency = new Latency();
+  for (const { invoke, ok } of operationsOf(world.history.events)) {
+    if (invoke.kind === 'read' && ok) latency.add(ok.at - invoke.at);
+  }
+  const gateways = world.proxies.flatMap((proxy) => proxy.core?.activeGateways ?? []);
+  const sum = (pick: 'replicaReads' | 'primaryReads'): number =>
+    gateways.reduce((total, gateway) => total + gateway.counters[pick], 0);
+  const [replica, primary] = [sum('replicaReads'), sum('primaryReads')];
+  const stale = checkHistory(world.history.events).filter(({ check }) => STALE_CHECKS.has(check));
+  return {
+    variant: variant.name,
+    'lag ms': lagMs,
+    'write share': writeShare,
+    reads: replica + primary,
+    'replica share %': (100 * replica) / (replica + primary),
+    'read ms (median)': latency.percentile(50),
+    'read ms (99%)': latency.percentile(99),
+    'stale reads': stale.length,
+  };
+}
+
+/** Runs the experiment for one deployment. */
+export async function benchReplicaReads(deployment: Deployment): Promise<Report> {
+  const rows: ReportRow[] = [];
+  for (const variant of VARIANTS) {
+    for (const writeShare of WRITE_SHARES) {
+      for (const lagMs of LAGS_MS) {
+        rows.push(await measure(deployment, variant, lagMs, writeShare));
+      }
+    }
+  }
+  const series: Series[] = VARIANTS.slice(0, 2).map((variant) => ({
+    label: `${variant.name}, 10% writes`,
+    points: rows
+      .filter((row) => row['variant'] === variant.name && row['write share'] === 0.1)
+      .map((row) => [Number(row['lag ms']), Number(row['replica share %'])] as const),
+  }));
+  return {
+    name: `replica-reads-${deployment.name}`,
+    title: `Reads on replicas, deployment ${deployment.name}`,
+    notes: [
+      `Virtual time, one group of three, ${SESSIONS} sessions that choose another proxy for each request, ${DURATION_MS / 1000} s for each line, 50 registers.`,
+      'Lag is the time between receiving and executing on each secondary. Stale reads are what the history checker finds.',
+    ],
+    rows,
+    plot: {
+      title: 'Share of reads on replicas',
+      xLabel: 'replication lag, ms',
+      yLabel: 'replica share, %',
+      series,
+    },
+  };
+}
--- a/lab/cli/main.ts
+++ b/lab/cli/main.ts
@@ -6,7 +6,10 @@
 import { hideBin } from 'yargs/helpers';
 import { WhinyokeError, messageOf } from '../../src/errors/errors.js';
 import { PROTECTIONS } from '../../src/gateway/protections.js';
+import { BENCHMARKS, runBenchmark } from '../bench/benchmarks.js';
+import { publish } from '../bench/report.js';
 import { runDatabase } from '../database/daemon.js';
+import { deploymentOf } from '../fleet/deployment.js';
 import { runDemo } from '../fleet/demo.js';
 import { checkHistory } from '../history/checker.js';
 import { parseHistory } from '../history/history.js';
@@ -109,6 +112,25 @@
       process.exitCode = held ? 0 : 1;
     },
   )
+  .command(
+    'bench <name>',
+    'run an experiment and report it',
+    (builder) =>
+      builder
+        .positional('name', { choices: BENCHMARKS, demandOption: true })
+        .option('deployment', deploymentOption)
+        .option('sizes', { type: 'string', default: '100,400,1600,4900', describe: 'nodes' })
+        .option('out', { type: 'string', describe: 'folder for the report, as docs/measurements' }),
+    async (parsed) => {
+      const report = await runBenchmark(parsed.name, {
+        deployment: deploymentOf(parsed.deployment),
+        sizes: parsed.sizes.split(',').map(Number),
+        labProgram,
+        proxyProgram,
+      });
+      publish(report, parsed.out);
+    },
+  )
   .command(
     'check <history>',
     'check a recorded history',
--- a/lab/fleet/demo.ts
+++ b/lab/fleet/demo.ts
@@ -192,7 +192,7 @@
       const status = await fleet.status();
       return status.controls.some((control) => control.leader !== '');
     });
-    await fleet.apply(options.deployment, configurationFor(layout, gateways), 'demo-1');
+    await fleet.apply(options.deployment, configurationFor(layout, { gateways }), 'demo-1');
     await fleet.waitForGroups();
   } catch (error) {
     await fleet.stop();
--- a/lab/fleet/fleet.ts
+++ b/lab/fleet/fleet.ts
@@ -138,6 +138,13 @@
     });
   }
 
+  /** Identifier of a running process. */
+  pidOf(name: string): number {
+    const pid = this.children.get(name)?.pid;
+    if (pid === undefined) throw new WhinyokeError(`${name} does not run`);
+    return pid;
+  }
+
   /** Sends a signal to a process that this fleet started. */
   signal(name: string, signal: NodeJS.Signals): void {
     this.children.get(name)?.kill(signal);
--- a/lab/fleet/layout.ts
+++ b/lab/fleet/layout.ts
@@ -88,9 +88,20 @@
   };
 }
 
+/** What is set for every group of a document. */
+export interface GroupOptions {
+  readonly gateways: number;
+  readonly limits?: Readonly<Record<string, number>>;
+  readonly reads?: Readonly<Record<string, string | number>>;
+}
+
 /** The configuration document that operators submit for a layout. */
-export function configurationFor(layout: Layout, gateways = 2): string {
+export function configurationFor(
+  layout: Layout,
+  { gateways, limits = {}, reads = {} }: GroupOptions = { gateways: 2 },
+): string {
   const { deployment } = layout;
+  const { slots, connections } = deployment;
   return stringify({
     name: deployment.name,
     groups: deployment.groups.map((group) => ({
@@ -99,7 +110,8 @@
       instances: layout.instances
         .filter((instance) => instance.group === group)
         .map((instance) => ({ address: instance.mysql, zone: instance.zone })),
-      limits: { slots: deployment.slots, connections: deployment.connections, gateways },
+      limits: { slots, connections, gateways, ...limits },
+      reads,
     })),
   });
 }
--- a/lab/simulation/operators.ts
+++ b/lab/simulation/operators.ts
@@ -1,10 +1,8 @@
 /** Simulated operators: they race each other, work on old revisions and resend after lost answers. */
-import { stringify } from 'yaml';
 import { OperatorClient } from '../../src/cli/operator_client.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { type RandomSource, delay } from '../../src/runtime/runtime.js';
-import { parse } from 'yaml';
-import { configurationFor } from '../fleet/layout.js';
+import { type GroupOptions, configurationFor } from '../fleet/layout.js';
 import type { World } from './world.js';
 
 const { SubmissionKind, SubmissionOutcome } = whinyoke;
@@ -12,25 +10,14 @@
 const PAUSE_MS = 1500;
 const PATIENCE_MS = 4000;
 
-interface EditableDocument {
-  groups: { reads?: { wait_ms: number }; limits: { gateways: number } }[];
-}
-
-/** Document of the deployment with small changes. */
-function documentWith(world: World, waitMs: number, gateways: number): string {
-  const document = parse(configurationFor(world.layout, gateways)) as EditableDocument;
-  for (const group of document.groups) group.reads = { wait_ms: waitMs };
-  return stringify(document);
-}
-
 /** Submits the first configuration; resolves with its revision, 0 when it was not accepted. */
-export async function submitFirst(world: World, gateways: number): Promise<number> {
+export async function submitFirst(world: World, options: GroupOptions): Promise<number> {
   const client = clientOf(world);
   const submission = {
     submissionId: 'first',
     kind: SubmissionKind.APPLY,
     name: world.options.deployment.name,
-    document: configurationFor(world.layout, gateways),
+    document: configurationFor(world.layout, options),
     operator: 'setup',
   };
   const { reply } = await client.submit(submission, 10_000);
@@ -97,7 +84,10 @@
       submissionId,
       kind: SubmissionKind.APPLY,
       name: this.world.options.deployment.name,
-      document: documentWith(this.world, this.random.integer(20, 150), gateways),
+      document: configurationFor(this.world.layout, {
+        gateways,
+        reads: { wait_ms: this.random.integer(20, 150) },
+      }),
       operator: this.name,
       hasBaseRevision,
       baseRevision: this.knownRevision,
--- a/lab/simulation/simulated_nodes.ts
+++ b/lab/simulation/simulated_nodes.ts
@@ -113,6 +113,14 @@
   }
 }
 
+/** Timing of simulated instances, in milliseconds. */
+export interface InstanceTiming {
+  readonly electionTimeoutMs: number;
+  /** Usual replication lag. */
+  readonly lagMs: number;
+  readonly statementMs: number;
+}
+
 /** A database instance. */
 export class SimulatedInstance extends SimulatedMachine {
   private current: DatabaseInstance | undefined;
@@ -123,7 +131,7 @@
     readonly place: InstancePlace,
     private readonly members: readonly string[],
     surroundings: Surroundings,
-    private readonly timing: { readonly electionTimeoutMs: number; readonly lagMs: number },
+    private readonly timing: InstanceTiming,
   ) {
     super(place.mysql, place.member, surroundings);
     this.lagMs = timing.lagMs;
@@ -196,7 +204,7 @@
         slots: deployment.slots,
         connections: deployment.connections,
         connectMs: deployment.connectMs,
-        statementMs: 1,
+        statementMs: this.timing.statementMs,
         lockWaitMs: 500,
       },
       {
--- a/lab/simulation/simulation.ts
+++ b/lab/simulation/simulation.ts
@@ -2,6 +2,7 @@
 import type { ProtectionSet } from '../../src/gateway/protections.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 import type { Deployment } from '../fleet/deployment.js';
+import type { GroupOptions } from '../fleet/layout.js';
 import { type Violation, checkHistory } from '../history/checker.js';
 import type { HistoryEvent } from '../history/history.js';
 import {
@@ -48,27 +49,34 @@
   return value;
 }
 
+/** Configuration and content of a deployment at its start. */
+export interface SetUpOptions extends GroupOptions {
+  /** Registers in each group. */
+  readonly registers: number;
+}
+
 /** Configuration in force everywhere and the workload's tables in each group; resolves with the token. */
-async function setUp(world: World, gateways: number): Promise<string> {
+export async function setUp(world: World, options: SetUpOptions): Promise<string> {
   world.start();
-  const revision = await world.runUntilSettled(submitFirst(world, gateways), SETUP_LIMIT_MS);
+  const revision = await world.runUntilSettled(submitFirst(world, options), SETUP_LIMIT_MS);
   requireSetUp(revision || undefined, 'the configuration was not accepted');
   const isReady = await world.runUntil(
     () => world.proxies.every((proxy) => proxy.core?.revision === revision),
     SETUP_LIMIT_MS,
   );
   requireSetUp(isReady || undefined, 'the configuration is not in force');
-  const token = await world.runUntilSettled(createTables(world), SETUP_LIMIT_MS);
+  const tables = createTables(world, options.registers);
+  const token = await world.runUntilSettled(tables, SETUP_LIMIT_MS);
   return requireSetUp(token, 'a group does not take writes');
 }
 
-async function createTables(world: World): Promise<string> {
+async function createTables(world: World, registers: number): Promise<string> {
   const connector = world.callerConnector();
   const tokens: string[] = [];
   for (const group of world.options.deployment.groups) {
     const connection = await connector.connect(connector.proxies[0]!, group);
     for (const sql of schemaStatements()) await retried(connection, sql);
-    const answer = await retried(connection, registerStatement(REGISTERS));
+    const answer = await retried(connection, registerStatement(registers));
     tokens.push(tokenOf(answer));
     connection.close();
   }
@@ -186,7 +194,7 @@
     electionTimeoutMs: ELECTION_TIMEOUT_MS,
   });
   const gateways = chooser.integer(1, 3);
-  const token = await setUp(world, gateways);
+  const token = await setUp(world, { gateways, registers: REGISTERS });
   const sessions = startSessions(world, token);
   const operators = ['operator-a', 'operator-b'].map(
     (name) => new SimulatedOperator(world, name, chooser, gateways),
--- a/lab/simulation/virtual_messenger.ts
+++ b/lab/simulation/virtual_messenger.ts
@@ -30,9 +30,14 @@
   return address.slice(0, address.lastIndexOf(':'));
 }
 
-/** Copies a body as the wire would. */
-function overTheWire(body: MessageBody): MessageBody {
-  return decodeEnvelope(encodeEnvelope({ id: 0, reply: false, from: '', body })).body;
+/** Bytes of a body on the wire. */
+function encode(body: MessageBody): Uint8Array {
+  return encodeEnvelope({ id: 0, reply: false, from: '', body });
+}
+
+/** Body of the bytes, decoded where it arrives. */
+function decode(bytes: Uint8Array): MessageBody {
+  return decodeEnvelope(bytes).body;
 }
 
 /** Messenger of one simulated process. */
@@ -49,22 +54,24 @@
   }
 
   request(address: string, body: MessageBody, timeoutMs: number): Promise<MessageBody> {
-    const copy = overTheWire(body);
+    const bytes = encode(body);
     return new Promise((resolve, reject) => {
       const fail = (reason: string): void =>
         reject(new PeerUnreachableError(`${address}: ${reason}`));
       const timer = this.process.clock.setTimer(timeoutMs, () => fail('no answer in time'));
-      this.carry(this.process.host, hostOf(address), () => {
+      const host = hostOf(address);
+      this.network.noteTraffic(this.process.host, host, bytes.length);
+      this.carry(this.process.host, host, () => {
         const listener = this.addresses.find(address);
         if (!listener) {
-          this.answer(hostOf(address), () => {
+          this.answer(host, () => {
             timer.cancel();
             fail('connection refused');
           });
           return;
         }
         listener.process.deliver(() =>
-          this.handle(listener, copy, (reply) => {
+          this.handle(listener, decode(bytes), (reply) => {
             timer.cancel();
             resolve(reply);
           }),
@@ -82,8 +89,9 @@
       (reply) => {
         // A process that ended or froze meanwhile answers never or later.
         listener.process.deliver(() => {
-          const copy = overTheWire(reply);
-          this.answer(listener.process.host, () => resolve(copy));
+          const bytes = encode(reply);
+          this.network.noteTraffic(listener.process.host, this.process.host, bytes.length);
+          this.answer(listener.process.host, () => resolve(decode(bytes)));
         });
       },
       () => undefined,
--- a/lab/simulation/virtual_network.ts
+++ b/lab/simulation/virtual_network.ts
@@ -12,6 +12,12 @@
   readonly jitterMs: number;
 }
 
+/** Messages sent and received by one host. */
+export interface Traffic {
+  messages: number;
+  bytes: number;
+}
+
 /** Host name of all callers. */
 export const CALLERS_HOST = 'callers';
 
@@ -22,6 +28,7 @@
 /** Network of one simulation. */
 export class VirtualNetwork {
   private readonly cuts = new Map<string, number>();
+  private trafficByHost = new Map<string, Traffic>();
   private readonly healListeners = new Set<() => void>();
 
   constructor(
@@ -61,6 +68,26 @@
     return () => this.healListeners.delete(listener);
   }
 
+  /** Notes a message that one host sends to another. */
+  noteTraffic(from: string, to: string, bytes: number): void {
+    for (const host of [from, to]) {
+      const traffic = this.trafficByHost.get(host) ?? { messages: 0, bytes: 0 };
+      traffic.messages++;
+      traffic.bytes += bytes;
+      this.trafficByHost.set(host, traffic);
+    }
+  }
+
+  /** Messages by host since the last reset. */
+  get traffic(): ReadonlyMap<string, Traffic> {
+    return this.trafficByHost;
+  }
+
+  /** Starts to count messages anew. */
+  resetTraffic(): void {
+    this.trafficByHost = new Map();
+  }
+
   /** Time after a heal until a sender tries again. */
   retransmitDelay(): number {
     return this.random.next() * RETRANSMIT_MS;
--- a/lab/simulation/virtual_process.ts
+++ b/lab/simulation/virtual_process.ts
@@ -38,8 +38,12 @@
   /** Runs a callback in this process: now, after a thaw, or never when it has ended. */
   deliver(callback: () => void): void {
     if (!this.isAlive) return;
-    if (this.isFrozen) this.held.push(callback);
-    else callback();
+    if (this.isFrozen) {
+      this.held.push(callback);
+      return;
+    }
+    this.scheduler.setOwner(this.host);
+    callback();
   }
 
   /** Ends the process at once. */
--- a/lab/simulation/world.ts
+++ b/lab/simulation/world.ts
@@ -30,6 +30,8 @@
   /** Shortest silence of a primary before an election, in milliseconds. */
   readonly electionTimeoutMs: number;
   readonly gateway?: Partial<GatewayOptions>;
+  /** Time that a statement holds its slot, in milliseconds; 1 when undefined. */
+  readonly statementMs?: number;
 }
 
 /** Mean of the random part of each network delay, in milliseconds. */
@@ -193,12 +195,13 @@
   }
 
   private createInstances(surroundings: Surroundings): SimulatedInstance[] {
-    const { lagMs, electionTimeoutMs } = this.options;
+    const { lagMs, electionTimeoutMs, statementMs = 1 } = this.options;
+    const timing = { lagMs, electionTimeoutMs, statementMs };
     return this.layout.instances.map((place) => {
       const members = this.layout.instances
         .filter((other) => other.group === place.group)
         .map((other) => other.member);
-      return new SimulatedInstance(place, members, surroundings, { lagMs, electionTimeoutMs });
+      return new SimulatedInstance(place, members, surroundings, timing);
     });
   }
 }
--- a/test/integration/commands.test.ts
+++ b/test/integration/commands.test.ts
@@ -79,7 +79,7 @@
   const controls = layout.controls.map((place) => place.internal);
   writeFileSync(settings, stringify({ controls, shared_key_file: 'shared.key' }));
   const document = join(local.folder, 'quetzal.yaml');
-  writeFileSync(document, configurationFor(layout, 2));
+  writeFileSync(document, configurationFor(layout));
 
   const validated = await run('validate', document);
   t.equal(validated.code, 0);
--- a/test/tools/local_fleet.ts
+++ b/test/tools/local_fleet.ts
@@ -44,7 +44,7 @@
     rmSync(folder, { recursive: true, force: true });
   };
   try {
-    await fleet.apply(SMALL.name, configurationFor(layout, 1), 'first');
+    await fleet.apply(SMALL.name, configurationFor(layout, { gateways: 1 }), 'first');
     await fleet.waitForGroups();
   } catch (error) {
     await stop();
--- a/test/unit/checker.test.ts
+++ b/test/unit/checker.test.ts
@@ -91,7 +91,7 @@
     {
       ...{ type: 'error', at: 10, operation: 'a.1', verdict: 'may_have_run' },
       ...{ code: 0, message: '', connectionLost: true },
-    } as HistoryEvent,
+    },
   ],
   'configuration-order': [
     { type: 'in_force', at: 0, proxy: 'proxy-1', revision: 4 },
@@ -107,13 +107,13 @@
     {
       ...{ type: 'final_configuration', at: 9500, revision: 1, submissions: ['x'] },
       ...{ inForce: [['proxy-1', 1]] },
-    } as HistoryEvent,
+    },
   ],
   limits: [
     {
       ...{ type: 'usage', at: 0, instance: 'i1', highestRunning: 6, slots: 5 },
       ...{ highestConnections: 1, connections: 35, refusedStatements: 0 },
-    } as HistoryEvent,
+    },
   ],
   recovery: [{ type: 'recovery', at: 0, proxy: 'proxy-1', group: 'bookings', served: false }],
 };
