Mend seats, waiting for replaced primaries, lost closes; shorter failover gap

Lookups got 3 of 5 slots of a replica, because one slot of each gateway was kept for transactions everywhere. Change: whoever waits for an instance that was given up looks for another one; retry-after says when the primary is there; the kept slot is only a primary's; limits are held as units of one slot; closes are sent until confirmed.

--- a/lab/history/checker.ts
+++ b/lab/history/checker.ts
@@ -343,10 +343,15 @@
   operations: readonly Operation[],
 ): Violation[] {
   const stops = events.filter((event) => event.type === 'stop');
+  const kills = events.filter((event) => event.type === 'killed');
   return operations.flatMap(({ invoke, error }) => {
     if (!error?.connectionLost || invoke.kind === 'abandoned') return [];
     const stop = stops.find((event) => event.proxy === invoke.proxy && invoke.at <= event.at);
     if (!stop || error.at < stop.at) return [];
+    const wasKilled = kills.some(
+      ({ proxy, at }) => proxy === stop.proxy && at >= stop.at && at <= error.at,
+    );
+    if (wasKilled) return [];
     const message = `${invoke.operation} was cut off by the planned stop of ${stop.proxy}`;
     return [{ check: 'graceful-stop', message } as const];
   });
@@ -469,7 +474,8 @@
 export function checkRecovery(events: readonly HistoryEvent[]): Violation[] {
   return events.flatMap((event) => {
     if (event.type !== 'recovery' || event.served) return [];
-    const message = `${event.group} serves no write through ${event.proxy} after the faults`;
+    const reason = event.reason ?? '';
+    const message = `${event.group} serves no write through ${event.proxy} after the faults: ${reason}`;
     return [{ check: 'recovery', message } as const];
   });
 }
--- a/lab/history/history.ts
+++ b/lab/history/history.ts
@@ -97,6 +97,13 @@
   readonly proxy: string;
 }
 
+/** A proxy was ended without warning. */
+export interface KilledEvent {
+  readonly type: 'killed';
+  readonly at: number;
+  readonly proxy: string;
+}
+
 /** A proxy put a configuration in force. */
 export interface InForceEvent {
   readonly type: 'in_force';
@@ -155,6 +162,8 @@
   readonly proxy: string;
   readonly group: string;
   readonly served: boolean;
+  /** Why not. */
+  readonly reason?: string;
 }
 
 /** Any event. */
@@ -167,6 +176,7 @@
   | LeavingEvent
   | WorkEvent
   | StopEvent
+  | KilledEvent
   | InForceEvent
   | SubmissionEvent
   | UsageEvent
--- a/lab/simulation/simulated_nodes.ts
+++ b/lab/simulation/simulated_nodes.ts
@@ -272,6 +272,8 @@
 export class SimulatedProxy extends SimulatedMachine {
   private current: ProxyCore | undefined;
   private currentListener: VirtualListener | undefined;
+  /** Whether a planned stop came to its end. */
+  private hasStopped = false;
 
   constructor(
     readonly place: DaemonPlace,
@@ -334,6 +336,7 @@
       },
     );
     this.current = core;
+    this.hasStopped = false;
     this.currentListener = new VirtualListener(process, (schema) =>
       core.openSession({ connectionId: 0, user: 'caller', schema, attributes: {} }),
     );
@@ -356,8 +359,16 @@
     this.endIfSame(process);
   }
 
+  protected override beforeKill(): void {
+    if (this.hasStopped) return;
+    const { history, scheduler } = this.surroundings;
+    history.add({ type: 'killed', at: scheduler.now, proxy: this.name });
+  }
+
   private endIfSame(process: VirtualProcess): void {
-    if (this.process === process) this.kill();
+    if (this.process !== process) return;
+    this.hasStopped = true;
+    this.kill();
   }
 }
 
--- a/lab/simulation/simulation.ts
+++ b/lab/simulation/simulation.ts
@@ -1,4 +1,5 @@
 /** One simulated run of a whole deployment under faults, from a seed to a checked history. */
+import { messageOf } from '../../src/errors/errors.js';
 import type { ProtectionSet } from '../../src/gateway/protections.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 import type { Deployment } from '../fleet/deployment.js';
@@ -148,10 +149,11 @@
         const connection = await connector.connect(proxy, group);
         await connection.execute("UPDATE registers SET version = version WHERE id = 'r0'");
         connection.close();
-        return true;
-      })().catch(() => false);
-      const served = (await world.runUntilSettled(attempt, RECOVERY_LIMIT_MS)) ?? false;
-      world.history.add({ type: 'recovery', at: world.scheduler.now, proxy, group, served });
+        return '';
+      })().catch(messageOf);
+      const reason = (await world.runUntilSettled(attempt, RECOVERY_LIMIT_MS)) ?? 'no answer';
+      const { now } = world.scheduler;
+      world.history.add({ type: 'recovery', at: now, proxy, group, served: reason === '', reason });
     }
   }
 }
--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -139,6 +139,8 @@
  */
 export function conflictBetween(documents: readonly ConfigurationDocument[]): string | undefined {
   const groups = documents.flatMap((document) => document.groups);
+  const crowded = groups.find(({ limits }) => limits.gateways > limits.slots);
+  if (crowded) return `group '${crowded.name}' has more gateways than slots an instance`;
   const group = findDuplicate(groups.map((item) => item.name));
   if (group !== undefined) return `group '${group}' is configured twice`;
   const schema = findDuplicate(groups.flatMap((item) => item.schemas));
--- a/src/gateway/gateway_session.ts
+++ b/src/gateway/gateway_session.ts
@@ -52,6 +52,8 @@
 
 const MAXIMUM_ATTEMPTS = 20;
 const RETRY_AFTER_MS = 200;
+const LOST_RETRY_AFTER_MS = 10;
+const BUFFERED_RETRY_AFTER_MS = 50;
 const TRANSACTION_LOST = 'The transaction was rolled back';
 
 /** One session at this process. */
@@ -145,10 +147,17 @@
     return notRun(
       `${TRANSACTION_LOST}: ${messageOf(error)}`,
       ErrorCode.transactionLost,
-      RETRY_AFTER_MS,
+      this.retryAfter(),
     );
   }
 
+  /** When to begin the lost transaction anew, in milliseconds: it may wait for a primary here. */
+  private retryAfter(): number {
+    return this.gateway.trustedPrimary() === undefined
+      ? BUFFERED_RETRY_AFTER_MS
+      : LOST_RETRY_AFTER_MS;
+  }
+
   private async runOn(
     transaction: OpenTransaction,
     request: StatementRequest,
@@ -278,7 +287,7 @@
       return notRun(
         `${TRANSACTION_LOST}: ${messageOf(error)}`,
         ErrorCode.transactionLost,
-        RETRY_AFTER_MS,
+        this.retryAfter(),
       );
     }
     return unknownOutcome(this.gateway, messageOf(error));
--- a/src/gateway/group_gateway.ts
+++ b/src/gateway/group_gateway.ts
@@ -62,6 +62,9 @@
   protections: ProtectionSet.all,
 };
 
+/** Slots of a primary that are kept for transactions under way. */
+const RESERVED_SLOTS = 1;
+
 /** How long sessions under way keep a gateway from giving up its seats, in milliseconds. */
 const GIVE_UP_LIMIT_MS = 10_000;
 const GIVE_UP_POLL_MS = 20;
@@ -109,6 +112,8 @@
   private readonly resources: ReadonlyMap<string, InstanceResources>;
   private platformLeaving: ReadonlySet<string> = new Set();
   private waitingForPrimary = 0;
+  /** Latest known primary, also while there is none. */
+  private lastPrimary: string | undefined;
   private wantsSeats = false;
   private readonly busySessions = new Set<object>();
 
@@ -348,10 +353,13 @@
    */
   private onTopologyChange(next: GroupDescription, previous: GroupDescription): void {
     this.drainNewlyLeaving(next, previous);
-    if (next.primary === undefined || next.primary === previous.primary) return;
-    for (const resource of this.resources.values()) {
-      if (resource.address !== next.primary) resource.pool.closeAll();
+    for (const { address, slots } of this.resources.values()) {
+      slots.setReserved(address === next.primary ? RESERVED_SLOTS : 0);
     }
+    if (next.primary === undefined || next.primary === this.lastPrimary) return;
+    const replaced = this.resources.get(this.lastPrimary ?? '');
+    this.lastPrimary = next.primary;
+    replaced?.seats.giveUpInstance();
   }
 
   /** Gives open transactions a while, then closes what is left on an instance that is leaving. */
--- a/src/pool/instance_pool.ts
+++ b/src/pool/instance_pool.ts
@@ -1,6 +1,6 @@
 /** Connections to one instance: opened on demand within a limit, reset before reuse, never leaked. */
 import type { BackendConnection, BackendConnector } from '../backend/backend.js';
-import { ErrorCode, notRun } from '../errors/errors.js';
+import { BackendConnectionLostError, ErrorCode, notRun } from '../errors/errors.js';
 import type { Clock, Timer } from '../runtime/runtime.js';
 import type { SessionTerminator } from './session_terminator.js';
 
@@ -101,13 +101,14 @@
     }
   }
 
-  /** Closes all connections, also those in use. */
+  /** Closes all connections, also those in use; whoever waits may look for another instance. */
   closeAll(): void {
     this.idle.length = 0;
     for (const connection of [...this.open]) connection.close();
+    const message = `${this.address} was given up`;
     for (const waiter of this.waiting.splice(0)) {
       waiter.timer.cancel();
-      waiter.reject(this.refusal());
+      waiter.reject(new BackendConnectionLostError(message, { sent: false }));
     }
   }
 
--- a/src/pool/seat_keeper.ts
+++ b/src/pool/seat_keeper.ts
@@ -1,5 +1,6 @@
 /** Holds this process's seats at one instance and keeps its pool and slots within their shares. */
 import type { BackendConnection } from '../backend/backend.js';
+import { BackendConnectionLostError } from '../errors/errors.js';
 import { type Clock, type Timer, delay } from '../runtime/runtime.js';
 import { queryText } from '../topology/instance_report.js';
 import type { InstancePool } from './instance_pool.js';
@@ -7,19 +8,21 @@
   type InstanceLimits,
   NO_SHARE,
   type Share,
-  seatLockName,
-  shareOfSeat,
+  shareOfUnit,
   sumShares,
+  unitLockName,
+  unitsOfSeat,
 } from './shares.js';
 import type { SessionTerminator } from './session_terminator.js';
 import type { SlotQueue } from './slot_queue.js';
 
 const RETRY_MS = 100;
-/** Time between taking a seat and using its part, in milliseconds. */
-const SEAT_SETTLE_MS = 150;
+/** Time between taking units and using them, in milliseconds. */
+const UNIT_SETTLE_MS = 150;
 
 /** Keeper of the seats at one instance. */
 export class SeatKeeper {
+  /** Units that this process should hold, and those that it may use. */
   private wanted: readonly number[] = [];
   private readonly held = new Set<number>();
   private connection: BackendConnection | undefined;
@@ -44,7 +47,7 @@
 
   /** Sets the seats to hold. */
   setWanted(seats: readonly number[]): void {
-    this.wanted = seats;
+    this.wanted = seats.flatMap((seat) => unitsOfSeat(this.limits, seat));
     this.trigger();
   }
 
@@ -59,7 +62,14 @@
     this.connection = undefined;
     this.held.clear();
     this.applyShare(NO_SHARE);
+    this.giveUpInstance();
+  }
+
+  /** Ends everything under way at the instance; whoever waits for it may look for another one. */
+  giveUpInstance(): void {
     this.pool.closeAll();
+    const message = `${this.pool.address} was given up`;
+    this.slots.refuseWaiting(new BackendConnectionLostError(message, { sent: false }));
   }
 
   /** Gives everything up. */
@@ -97,7 +107,7 @@
 
   private isSettled(): boolean {
     const wanted = new Set(this.wanted);
-    return wanted.size === this.held.size && [...this.held].every((seat) => wanted.has(seat));
+    return wanted.size === this.held.size && [...this.held].every((unit) => wanted.has(unit));
   }
 
   /**
@@ -105,37 +115,44 @@
    * Slots stay until then, so that transactions under way can end.
    */
   private async giveUpUnwanted(): Promise<void> {
-    const unwanted = [...this.held].filter((seat) => !this.wanted.includes(seat));
+    const unwanted = [...this.held].filter((unit) => !this.wanted.includes(unit));
     const connection = this.connection;
-    if (unwanted.length === 0 || !connection) return;
-    const remaining = this.shareOf([...this.held].filter((seat) => !unwanted.includes(seat)));
+    if (unwanted.length === 0) {
+      // A unit that was being given up may be wanted again.
+      this.applyShare(this.share);
+      return;
+    }
+    if (!connection) return;
+    const remaining = this.shareOf([...this.held].filter((unit) => !unwanted.includes(unit)));
     this.pool.setLimit(remaining.connections);
     if (this.pool.size > remaining.connections) return;
     this.slots.setLimit(remaining.slots);
     if (this.slots.used > remaining.slots) return;
-    for (const seat of unwanted) {
-      this.held.delete(seat);
-      await queryText(connection, `SELECT RELEASE_LOCK('${seatLockName(seat)}')`);
+    for (const unit of unwanted) {
+      this.held.delete(unit);
+      await queryText(connection, `SELECT RELEASE_LOCK('${unitLockName(unit)}')`);
     }
   }
 
   private async takeWanted(): Promise<void> {
     const connection = this.connection;
     if (!connection) return;
-    for (const seat of this.wanted) {
-      if (this.held.has(seat)) continue;
-      const rows = await queryText(connection, `SELECT GET_LOCK('${seatLockName(seat)}', 0)`);
-      if (rows[0]?.[0] !== '1') continue;
-      // The former holder's other connections end at about the same time as its monitoring connection.
-      await delay(this.clock, SEAT_SETTLE_MS);
-      if (this.connection !== connection || this.stopped) return;
-      this.held.add(seat);
-      this.applyShare(this.share);
+    const taken: number[] = [];
+    for (const unit of this.wanted) {
+      if (this.held.has(unit)) continue;
+      const rows = await queryText(connection, `SELECT GET_LOCK('${unitLockName(unit)}', 0)`);
+      if (rows[0]?.[0] === '1') taken.push(unit);
     }
+    if (taken.length === 0) return;
+    // The former holder's other connections end at about the same time as its monitoring connection.
+    await delay(this.clock, UNIT_SETTLE_MS);
+    if (this.connection !== connection || this.stopped) return;
+    for (const unit of taken) this.held.add(unit);
+    this.applyShare(this.share);
   }
 
-  private shareOf(seats: readonly number[]): Share {
-    return sumShares(seats.map((seat) => shareOfSeat(this.limits, seat)));
+  private shareOf(units: readonly number[]): Share {
+    return sumShares(units.map((unit) => shareOfUnit(this.limits, unit)));
   }
 
   private applyShare(share: Share): void {
--- a/src/pool/shares.ts
+++ b/src/pool/shares.ts
@@ -1,8 +1,9 @@
 /**
- * Division of an instance's scarce resources among the gateways of its group. Seat `k` of `n` has a fixed
- * part of the slots and connections. Who holds a seat is decided by the instance itself: the holder of
- * the seat's named lock (GET_LOCK) on its monitoring connection. The lock ends with that connection,
- * so no two processes ever use the same part. See docs/design/limits.md.
+ * Division of an instance's scarce resources among the gateways of its group. The resources are cut into
+ * units of one slot and its part of the connections; seat `k` of `n` has a fixed range of units. Who holds
+ * a unit is decided by the instance itself: the holder of the unit's named lock (GET_LOCK) on its
+ * monitoring connection. The lock ends with that connection, so no two processes ever use the same unit,
+ * also while the number of seats changes. See docs/design/limits.md.
  */
 import { rendezvousOrder } from './rendezvous.js';
 
@@ -28,13 +29,18 @@
   return Math.floor(total / parts) + (index < total % parts ? 1 : 0);
 }
 
-/** Share of one seat. The shares of all seats add up to the limits, less monitoring connections. */
-export function shareOfSeat(limits: InstanceLimits, seat: number): Share {
+/** Units of one seat. The seats of a group have all units, each exactly once. */
+export function unitsOfSeat(limits: InstanceLimits, seat: number): readonly number[] {
+  const before = Array.from({ length: seat }, (_, index) => index);
+  const first = before.reduce((sum, index) => sum + part(limits.slots, limits.gateways, index), 0);
+  const count = part(limits.slots, limits.gateways, seat);
+  return Array.from({ length: count }, (_, index) => first + index);
+}
+
+/** Share of one unit. The shares of all units add up to the limits, less monitoring connections. */
+export function shareOfUnit(limits: InstanceLimits, unit: number): Share {
   const pooled = limits.connections - limits.monitoringConnections;
-  return {
-    slots: part(limits.slots, limits.gateways, seat),
-    connections: part(pooled, limits.gateways, seat),
-  };
+  return { slots: 1, connections: part(pooled, limits.slots, unit) };
 }
 
 /** Sum of shares. */
@@ -48,9 +54,9 @@
   );
 }
 
-/** Name of the lock of one seat. */
-export function seatLockName(seat: number): string {
-  return `whinyoke_seat_${seat}`;
+/** Name of the lock of one unit. */
+export function unitLockName(unit: number): string {
+  return `whinyoke_unit_${unit}`;
 }
 
 /**
--- a/src/pool/slot_queue.ts
+++ b/src/pool/slot_queue.ts
@@ -27,6 +27,7 @@
 
 interface Waiter {
   grant(): void;
+  refuse(error: unknown): void;
   readonly timer: Timer;
 }
 
@@ -37,6 +38,7 @@
 export class SlotQueue {
   private inUse = 0;
   private capacity = 0;
+  private reserved = 0;
   private waitingCount = 0;
   private serviceTimeMs = INITIAL_SERVICE_TIME_MS;
   private readonly waiting: Waiter[][] = Array.from({ length: PRIORITY_COUNT }, () => []);
@@ -101,19 +103,37 @@
         this.waitingCount--;
         reject(this.refusal(priority));
       });
-      const waiter: Waiter = { grant: () => resolve(this.start()), timer };
+      const waiter: Waiter = { grant: () => resolve(this.start()), refuse: reject, timer };
       queue.push(waiter);
       this.waitingCount++;
     });
   }
 
   /**
-   * One slot of two or more is kept for transactions under way. Without it, statements that wait for a
-   * row lock could hold all slots while the lock's owner waits for one to commit.
+   * Sets how many slots are kept for transactions under way, as far as another one is left. A primary needs
+   * one: statements that wait for a row lock could hold all slots while the lock's owner waits for a slot
+   * to commit. A secondary takes no row locks.
    */
+  setReserved(count: number): void {
+    if (count === this.reserved) return;
+    this.reserved = count;
+    this.grantWaiting();
+  }
+
+  /** Fails all that wait: the instance is not the one to wait for any more. */
+  refuseWaiting(error: unknown): void {
+    for (const queue of this.waiting) {
+      for (const waiter of queue.splice(0)) {
+        this.waitingCount--;
+        waiter.timer.cancel();
+        waiter.refuse(error);
+      }
+    }
+  }
+
   private mayStart(priority: Priority): boolean {
-    const reserved = priority === Priority.continuing || this.capacity < 2 ? 0 : 1;
-    return this.inUse < this.capacity - reserved;
+    const isReserved = priority !== Priority.continuing && this.capacity > this.reserved;
+    return this.inUse < this.capacity - (isReserved ? this.reserved : 0);
   }
 
   private start(): ReleaseSlot {
--- a/src/proxy/gateway_client.ts
+++ b/src/proxy/gateway_client.ts
@@ -5,7 +5,8 @@
  */
 import { PeerUnreachableError } from '../errors/errors.js';
 import { whinyoke } from '../protocol/generated/messages.js';
-import type { Clock, Messenger, Timer } from '../runtime/runtime.js';
+import { type Clock, type Messenger, type Timer, delay } from '../runtime/runtime.js';
+import type { ForwardedSessionName } from './forward_codec.js';
 
 /** Timing, in milliseconds. */
 export interface GatewayClientOptions {
@@ -24,6 +25,10 @@
   checkTimeoutMs: 400,
 };
 
+const CLOSE_RETRY_MS = 300;
+/** Afterwards the gateway has closed the silent session by itself. */
+const MAXIMUM_CLOSE_ATTEMPTS = 60;
+
 type Failure = (error: Error) => void;
 
 interface WatchedGateway {
@@ -68,6 +73,23 @@
     }
   }
 
+  /**
+   * Tells a gateway that a session is over, again and again until it confirms: a transaction that nobody
+   * ends holds its locks.
+   */
+  async closeSession(address: string, session: ForwardedSessionName, group: string): Promise<void> {
+    const forwardRequest = { kind: whinyoke.ForwardKind.CLOSE, group, ...session };
+    for (let attempt = 0; attempt < MAXIMUM_CLOSE_ATTEMPTS; attempt++) {
+      try {
+        const { checkTimeoutMs } = this.options;
+        await this.messenger.request(address, { forwardRequest }, checkTimeoutMs);
+        return;
+      } catch {
+        await delay(this.clock, CLOSE_RETRY_MS);
+      }
+    }
+  }
+
   private watch(address: string): WatchedGateway {
     let gateway = this.gateways.get(address);
     if (!gateway) {
--- a/src/proxy/remote_session.ts
+++ b/src/proxy/remote_session.ts
@@ -82,8 +82,7 @@
     const gateway = this.pinned;
     this.pinned = undefined;
     if (gateway === undefined) return;
-    const request = { kind: whinyoke.ForwardKind.CLOSE, group: this.group, ...this.sessionName };
-    this.context.client.send(gateway, request).catch(() => undefined);
+    void this.context.client.closeSession(gateway, this.sessionName, this.group);
   }
 
   private async runPinned(
--- a/test/unit/limits.test.ts
+++ b/test/unit/limits.test.ts
@@ -5,7 +5,7 @@
 import { RequestError } from '../../src/errors/errors.js';
 import { DEFAULT_POOL_OPTIONS, InstancePool } from '../../src/pool/instance_pool.js';
 import { SessionTerminator } from '../../src/pool/session_terminator.js';
-import { seatsFor, shareOfSeat, sumShares } from '../../src/pool/shares.js';
+import { seatsFor, shareOfUnit, sumShares, unitsOfSeat } from '../../src/pool/shares.js';
 import { Priority, type ReleaseSlot, SlotQueue } from '../../src/pool/slot_queue.js';
 import { Scheduler } from '../../lab/simulation/scheduler.js';
 import { VirtualProcess } from '../../lab/simulation/virtual_process.js';
@@ -15,7 +15,7 @@
   return new VirtualProcess('host', new Scheduler(), new SeededRandom(1));
 }
 
-void t.test('the shares of all seats are exactly the limits', (t) => {
+void t.test('the seats have each unit once, and the units are exactly the limits', (t) => {
   const limits = fc.record({
     slots: fc.integer({ min: 1, max: 50 }),
     connections: fc.integer({ min: 5, max: 500 }),
@@ -24,10 +24,12 @@
   });
   const held = fc.assert(
     fc.property(limits, (limit) => {
-      const seats = Array.from({ length: limit.gateways }, (_, seat) => shareOfSeat(limit, seat));
-      const sum = sumShares(seats);
+      const seats = Array.from({ length: limit.gateways }, (_, seat) => unitsOfSeat(limit, seat));
+      const units = seats.flat();
+      const sum = sumShares(units.map((unit) => shareOfUnit(limit, unit)));
       const pooled = limit.connections - limit.monitoringConnections;
-      return sum.slots === limit.slots && sum.connections === pooled;
+      const isComplete = new Set(units).size === limit.slots && units.length === limit.slots;
+      return isComplete && sum.slots === limit.slots && sum.connections === pooled;
     }),
     { seed: 5 },
   );
@@ -62,6 +64,7 @@
       const releases: ReleaseSlot[] = [];
       let limit = 3;
       queue.setLimit(limit);
+      queue.setReserved(1);
       const step: Record<SlotCommand, () => void> = {
         continuing: () => take(Priority.continuing),
         read: () => take(Priority.read),
