--- a/lab/simulation/world.ts
+++ b/lab/simulation/world.ts
@@ -57,6 +57,8 @@
   readonly controls: readonly SimulatedControl[];
   readonly proxies: readonly SimulatedProxy[];
   readonly platform: SimulatedPlatform;
+  /** Whether a fault under way will lose a control machine's disk: a second one would be a majority. */
+  controlDiskAtRisk = false;
   /** Process of all callers and operators; faults never touch it. Its clock is that of the history. */
   readonly outside: VirtualProcess;
 
--- a/src/proxy/forward_server.ts
+++ b/src/proxy/forward_server.ts
@@ -9,6 +9,7 @@
 import type { GroupGateway } from '../gateway/group_gateway.js';
 import { whinyoke } from '../protocol/generated/messages.js';
 import type { Clock, MessageBody, Timer } from '../runtime/runtime.js';
+import { parsePosition } from '../session/position.js';
 import { decodeRequest, encodeError, encodeOutcome } from './forward_codec.js';
 
 /** Bytes of rows collected before they are sent or the instance is made to wait. */
@@ -116,6 +117,8 @@
         return { forwardReply: { accepted: true, finished: true } };
       case whinyoke.ForwardKind.CHECK:
         return { forwardReply: { accepted: true, finished: true } };
+      case whinyoke.ForwardKind.CONFIRM:
+        return { forwardReply: { accepted: await this.confirm(message), finished: true } };
       case whinyoke.ForwardKind.FETCH:
         return this.reply(key, this.sessions.get(key));
       default:
@@ -123,6 +126,14 @@
     }
   }
 
+  /** Whether a commit is still confirmed now. */
+  private async confirm(message: whinyoke.IForwardRequest): Promise<boolean> {
+    const gateway = this.gatewayOf(message.group ?? '');
+    const position = parsePosition(message.position ?? '');
+    if (!gateway || !position) return false;
+    return (await gateway.confirmCommit(position)) === 'confirmed';
+  }
+
   private async run(key: string, message: whinyoke.IForwardRequest): Promise<MessageBody> {
     const forwarded = this.sessions.get(key) ?? this.open(key, message);
     if (!forwarded || forwarded.result) return NOT_ACCEPTED;
--- a/src/proxy/proxy_core.ts
+++ b/src/proxy/proxy_core.ts
@@ -13,6 +13,7 @@
 import { seatsFor } from '../pool/shares.js';
 import type { whinyoke } from '../protocol/generated/messages.js';
 import { type MessageBody, type Runtime, delay } from '../runtime/runtime.js';
+import { StallDetector } from '../runtime/stall_detector.js';
 import {
   ConfigurationKeeper,
   type ConfigurationState,
@@ -72,6 +73,7 @@
   private readonly membership: MembershipClient;
   private readonly forwardServer: ForwardServer;
   private readonly gatewayClient: GatewayClient;
+  private readonly stalls: StallDetector;
   private readonly gatewayOptions: GatewayOptions;
   private readonly parser = new DocumentParser();
   private readonly holders = new RendezvousTable(MAXIMUM_GATEWAYS + 1);
@@ -115,6 +117,7 @@
       (view) => this.onMembership(view),
     );
     this.gatewayClient = new GatewayClient(clock, messenger);
+    this.stalls = new StallDetector(clock);
     this.forwardServer = new ForwardServer(clock, (group) => this.servingGateway(group));
   }
 
@@ -122,6 +125,7 @@
   async start(): Promise<void> {
     this.runtime.messenger.serve((body) => this.handle(body));
     await this.keeper.load();
+    this.stalls.start();
     this.subscriber.start();
     this.membership.start();
   }
@@ -166,6 +170,7 @@
     while (this.forwardServer.sessionCount > 0 && this.runtime.clock.now() < deadline) {
       await delay(this.runtime.clock, STOP_POLL_MS);
     }
+    this.stalls.stop();
     this.subscriber.stop();
     this.membership.stop();
     for (const gateway of this.gateways.values()) gateway.stop();
@@ -205,6 +210,7 @@
     const context = {
       clock: this.runtime.clock,
       client: this.gatewayClient,
+      stalls: this.stalls,
       gatewaysOf: (name: string) => this.gatewayAddresses(name),
     };
     return new RemoteSession(context, group, sessionName);
--- a/src/proxy/remote_session.ts
+++ b/src/proxy/remote_session.ts
@@ -6,7 +6,6 @@
 import {
   ErrorCode,
   PeerUnreachableError,
-  RequestError,
   mayHaveRun,
   messageOf,
   notRun,
@@ -16,6 +15,8 @@
   StatementOutcome,
   StatementRequest,
 } from '../gateway/statement_request.js';
+import { type Position, formatPosition } from '../session/position.js';
+import type { StallDetector } from '../runtime/stall_detector.js';
 import { whinyoke } from '../protocol/generated/messages.js';
 import { type Clock, delay } from '../runtime/runtime.js';
 import {
@@ -30,6 +31,7 @@
 export interface RemoteSessionContext {
   readonly clock: Clock;
   readonly client: GatewayClient;
+  readonly stalls: StallDetector;
   /** Addresses of the group's gateways, best first. */
   readonly gatewaysOf: (group: string) => readonly string[];
 }
@@ -60,8 +62,7 @@
       if (this.pinned !== undefined) return await this.runPinned(this.pinned, request, sink);
       return await this.runAtAnyGateway(request, sink);
     } catch (error) {
-      const isCertain = !this.mayHaveRun || !(error instanceof RequestError);
-      throw isCertain ? error : mayHaveRun(messageOf(error));
+      throw this.mayHaveRun ? mayHaveRun(messageOf(error)) : error;
     }
   }
 
@@ -146,6 +147,7 @@
     sink: ResultSink,
   ): Promise<StatementOutcome | undefined> {
     const { group, sessionName, inTransaction } = this;
+    const sentAt = this.context.clock.now();
     const message = encodeRequest(group, sessionName, request, inTransaction);
     let reply = await this.context.client.send(gateway, message);
     if (!reply.accepted) return undefined;
@@ -155,7 +157,24 @@
       reply = await this.fetch(gateway);
       this.deliver(reply, sink);
     }
-    return this.conclude(gateway, reply);
+    const outcome = this.conclude(gateway, reply);
+    const isWrite = request.statementClass === 'write' || request.statementClass === 'commit';
+    const mayBeOld = isWrite && this.context.stalls.hasStalledSince(sentAt);
+    if (mayBeOld && outcome.position) await this.confirmAgain(gateway, outcome.position);
+    return outcome;
+  }
+
+  /** The gateway's evidence may be from before a freeze of this process; it is too old to answer with. */
+  private async confirmAgain(gateway: string, position: Position): Promise<void> {
+    const request = {
+      kind: whinyoke.ForwardKind.CONFIRM,
+      group: this.group,
+      position: formatPosition(position),
+    };
+    const reply = await this.context.client
+      .send(gateway, request)
+      .catch(() => ({ accepted: false }));
+    if (!reply.accepted) throw mayHaveRun('The commit was confirmed too long ago');
   }
 
   /** Next chunk of a result whose first part was delivered already. */
