--- a/lab/fleet/demo.ts
+++ b/lab/fleet/demo.ts
@@ -8,8 +8,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { RealClock } from '../../src/runtime/real_clock.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
-import { type Violation, checkHistory, operationsOf } from '../history/checker.js';
+import { checkHistory, operationsOf } from '../history/checker.js';
 import { HistoryRecorder, formatHistory } from '../history/history.js';
+import type { Violation } from '../history/violation.js';
 import {
   BookingSession,
   registerStatement,
--- a/lab/history/checker.ts
+++ b/lab/history/checker.ts
@@ -1,63 +1,13 @@
 /** Decides over a history whether the invariants held. Each check names the operations at fault. */
-import type {
-  ErrorEvent,
-  FinalEvent,
-  HistoryEvent,
-  InvokeEvent,
-  OkEvent,
-  UsageEvent,
-} from './history.js';
-
-/** Checks, by the invariant that each belongs to. */
-export type CheckName =
-  | 'read-your-writes'
-  | 'monotonic-reads'
-  | 'durable-writes'
-  | 'register-order'
-  | 'not-run-is-true'
-  | 'no-mixed-transactions'
-  | 'answer-integrity'
-  | 'at-most-once'
-  | 'replaced-primary'
-  | 'fresh-reads'
-  | 'dirty-reads'
-  | 'recovery'
-  | 'drain'
-  | 'graceful-stop'
-  | 'configuration-order'
-  | 'configuration-kept'
-  | 'configuration-delay'
-  | 'limits';
-
-/** One violation. */
-export interface Violation {
-  readonly check: CheckName;
-  readonly message: string;
-}
-
-/** An operation with how it ended. */
-export interface Operation {
-  readonly invoke: InvokeEvent;
-  readonly ok: OkEvent | undefined;
-  readonly error: ErrorEvent | undefined;
-}
-
-/** Bounds that the checks allow, in milliseconds. */
-export interface CheckOptions {
-  /** Time after which a leaving instance gets no new work. */
-  readonly drainMs: number;
-  /** Time after which an accepted configuration is in force, once no fault is under way. */
-  readonly inForceMs: number;
-  /** Time that an acknowledgement may be on its way after its evidence. */
-  readonly acknowledgementMs: number;
-}
-
-/** Bounds of the brief, and of the evidence rule. */
-export const DEFAULT_CHECK_OPTIONS: CheckOptions = {
-  drainMs: 3000,
-  inForceMs: 7000,
-  acknowledgementMs: 700,
-};
+import { checkConfigurationDelay, checkConfigurations } from './configuration_checks.js';
+import type { ErrorEvent, FinalEvent, HistoryEvent, OkEvent, UsageEvent } from './history.js';
+import {
+  type CheckOptions,
+  DEFAULT_CHECK_OPTIONS,
+  type Operation,
+  type Violation,
+  groupBy,
+} from './violation.js';
 
 /** All operations of a history, in the order of their invocation. */
 export function operationsOf(events: readonly HistoryEvent[]): Operation[] {
@@ -75,17 +25,6 @@
   }));
 }
 
-function groupBy<T>(items: readonly T[], keyOf: (item: T) => string): Map<string, T[]> {
-  const groups = new Map<string, T[]>();
-  for (const item of items) {
-    const key = keyOf(item);
-    const group = groups.get(key);
-    if (group) group.push(item);
-    else groups.set(key, [item]);
-  }
-  return groups;
-}
-
 /** Sessions see their own writes, and never go back to an older state. */
 export function checkSessions(operations: readonly Operation[]): Violation[] {
   const violations: Violation[] = [];
@@ -357,107 +296,6 @@
   });
 }
 
-/** Revisions in force never go back, and what was accepted is kept. */
-export function checkConfigurations(events: readonly HistoryEvent[]): Violation[] {
-  const violations: Violation[] = [];
-  const inForce = new Map<string, number>();
-  for (const event of events) {
-    if (event.type !== 'in_force') continue;
-    const before = inForce.get(event.proxy) ?? 0;
-    if (event.revision < before) {
-      violations.push({
-        check: 'configuration-order',
-        message: `${event.proxy} went from revision ${before} back to ${event.revision}`,
-      });
-    }
-    inForce.set(event.proxy, event.revision);
-  }
-  const final = events.findLast((event) => event.type === 'final_configuration');
-  if (!final) return violations;
-  return [...violations, ...checkKept(events, final.submissions, final)];
-}
-
-function checkKept(
-  events: readonly HistoryEvent[],
-  kept: readonly string[],
-  final: Extract<HistoryEvent, { type: 'final_configuration' }>,
-): Violation[] {
-  const violations: Violation[] = [];
-  const bySubmission = groupBy(
-    events.filter((event) => event.type === 'submission'),
-    (event) => event.submission,
-  );
-  for (const [submission, answers] of bySubmission) {
-    const outcomes = new Set(answers.map((answer) => answer.outcome));
-    const count = kept.filter((item) => item === submission).length;
-    // One that was refused may be accepted when it is sent again.
-    const isLost = outcomes.has('accepted') && count === 0;
-    const isUntrue = !outcomes.has('accepted') && !outcomes.has('unknown') && count > 0;
-    if (!isLost && !isUntrue && count < 2) continue;
-    violations.push({
-      check: 'configuration-kept',
-      message: `submission ${submission} was ${[...outcomes].join(', ')} and is kept ${count} times`,
-    });
-  }
-  for (const [proxy, revision] of final.inForce) {
-    if (revision === final.revision) continue;
-    violations.push({
-      check: 'configuration-kept',
-      message: `${proxy} has revision ${revision} in force, accepted is ${final.revision}`,
-    });
-  }
-  return violations;
-}
-
-const FAULT_END_PREFIX = 'end: ';
-
-/** Moment from which no fault was under way until `at`; undefined while one is. */
-function calmSince(events: readonly HistoryEvent[], at: number): number | undefined {
-  const active = new Set<string>();
-  let since = 0;
-  for (const event of events) {
-    if (event.type !== 'fault' || event.at > at) continue;
-    const { description } = event;
-    if (!description.startsWith(FAULT_END_PREFIX)) {
-      active.add(description);
-      continue;
-    }
-    active.delete(description.slice(FAULT_END_PREFIX.length));
-    since = event.at;
-  }
-  return active.size > 0 ? undefined : since;
-}
-
-/** An accepted configuration is in force on every proxy within seconds. */
-export function checkConfigurationDelay(
-  events: readonly HistoryEvent[],
-  options: CheckOptions,
-): Violation[] {
-  const accepted = events.filter(
-    (event) => event.type === 'submission' && event.outcome === 'accepted',
-  );
-  const inForce = groupBy(
-    events.filter((event) => event.type === 'in_force'),
-    (event) => event.proxy,
-  );
-  const violations: Violation[] = [];
-  for (const submission of accepted) {
-    if (submission.type !== 'submission') continue;
-    for (const [proxy, changes] of inForce) {
-      const first = changes.find(({ revision }) => revision >= submission.revision);
-      if (!first || first.at - submission.at <= options.inForceMs) continue;
-      const calm = calmSince(events, first.at);
-      const waited = first.at - Math.max(submission.at, calm ?? Infinity);
-      if (waited <= options.inForceMs) continue;
-      violations.push({
-        check: 'configuration-delay',
-        message: `${proxy} had revision ${submission.revision} in force ${Math.round(waited)} ms late`,
-      });
-    }
-  }
-  return violations;
-}
-
 function checkUsage(event: UsageEvent): Violation[] {
   const isWithin =
     event.highestRunning <= event.slots &&
--- a/lab/simulation/simulation.ts
+++ b/lab/simulation/simulation.ts
@@ -4,7 +4,8 @@
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 import type { Deployment } from '../fleet/deployment.js';
 import type { GroupOptions } from '../fleet/layout.js';
-import { type Violation, checkHistory } from '../history/checker.js';
+import { checkHistory } from '../history/checker.js';
+import type { Violation } from '../history/violation.js';
 import type { HistoryEvent } from '../history/history.js';
 import {
   BookingSession,
--- a/lab/simulation/simulation_worker.ts
+++ b/lab/simulation/simulation_worker.ts
@@ -2,7 +2,7 @@
 import { parentPort } from 'node:worker_threads';
 import { ProtectionSet, type Protection } from '../../src/gateway/protections.js';
 import { deploymentOf } from '../fleet/deployment.js';
-import type { Violation } from '../history/checker.js';
+import type { Violation } from '../history/violation.js';
 import { formatHistory } from '../history/history.js';
 import type { FaultKind } from './faults.js';
 import { simulate } from './simulation.js';
--- a/src/proxy/membership_client.ts
+++ b/src/proxy/membership_client.ts
@@ -61,7 +61,11 @@
   };
 }
 
-function applyReply(list: ControlList, reply: whinyoke.IHeartbeatReply, now: number): void {
+/** Takes in an answer; returns whether it changed the list. */
+function applyReply(list: ControlList, reply: whinyoke.IHeartbeatReply, now: number): boolean {
+  const leaving = reply.leaving ?? [];
+  const changes = (reply.removed ?? []).length + (reply.changed ?? []).length;
+  const isChanged = changes > 0 || leaving.join() !== list.leaving.join();
   list.answeredAt = now;
   if (reply.full) list.members.clear();
   for (const id of reply.removed ?? []) list.members.delete(id);
@@ -71,12 +75,14 @@
   }
   list.epoch = reply.epoch ?? '';
   list.version = reply.version ?? 0;
-  list.leaving = reply.leaving ?? [];
+  list.leaving = leaving;
+  return isChanged;
 }
 
 /** Membership of one proxy. */
 export class MembershipClient {
   private readonly lists = new Map<string, ControlList>();
+  private shownLists: readonly ControlList[] = [];
   private timer: Timer | undefined;
   private stopped = false;
 
@@ -122,8 +128,8 @@
     try {
       const body = await this.messenger.request(control, request, this.options.timeoutMs);
       if (!body.heartbeatReply || this.stopped) return;
-      applyReply(list, body.heartbeatReply, this.clock.now());
-      this.onView(this.view());
+      const isChanged = applyReply(list, body.heartbeatReply, this.clock.now());
+      this.updateView(isChanged);
     } catch {
       // The former list stays, as advice for when no control machine answers.
     }
@@ -138,11 +144,21 @@
     return list;
   }
 
-  private view(): MembershipView {
+  /** Merging the lists costs time in proportion to the fleet, so it is done only when one changed. */
+  private updateView(isChanged: boolean): void {
+    const lists = this.currentLists();
+    const isSame = lists.length === this.shownLists.length;
+    const areSameLists = isSame && lists.every((list, index) => list === this.shownLists[index]);
+    if (!isChanged && areSameLists) return;
+    this.shownLists = lists;
+    this.onView(this.view(lists));
+  }
+
+  private view(lists: readonly ControlList[]): MembershipView {
     const proxies = new Map<string, ProxyMember>();
     const leaving = new Set<string>();
     const runs = new Set<string>();
-    for (const list of this.currentLists()) {
+    for (const list of lists) {
       for (const member of list.members.values()) {
         runs.add(runName(member));
         const known = proxies.get(member.id);
--- a/test/simulation/simulation.test.ts
+++ b/test/simulation/simulation.test.ts
@@ -4,7 +4,7 @@
  */
 import t from 'tap';
 import { QUETZAL, TOPLINA } from '../../lab/fleet/deployment.js';
-import type { CheckName } from '../../lab/history/checker.js';
+import type { CheckName } from '../../lab/history/violation.js';
 import { formatHistory } from '../../lab/history/history.js';
 import { FAULT_KINDS, type FaultKind } from '../../lab/simulation/faults.js';
 import { runSeeds } from '../../lab/simulation/simulate_command.js';
--- a/test/unit/checker.test.ts
+++ b/test/unit/checker.test.ts
@@ -1,6 +1,7 @@
 /** Every check of a history is able to fail: for each there is a history that it must refuse. */
 import t from 'tap';
-import { type CheckName, checkHistory } from '../../lab/history/checker.js';
+import { checkHistory } from '../../lab/history/checker.js';
+import type { CheckName } from '../../lab/history/violation.js';
 import {
   type HistoryEvent,
   type InvokeEvent,
