Store configuration changes by their own size

Change: changes are appended to a file of records; the whole is written anew once the changes outgrow it. A property test crashes the keeper at random moments.

--- a/lab/bench/benchmarks.ts
+++ b/lab/bench/benchmarks.ts
@@ -1,5 +1,6 @@
 /** The experiments by name. */
 import type { Deployment } from '../fleet/deployment.js';
+import { benchChange } from './change_bench.js';
 import { benchFailover } from './failover_bench.js';
 import { benchProxy } from './proxy_bench.js';
 import { benchReplicaReads } from './replica_reads_bench.js';
@@ -8,7 +9,14 @@
 import { benchSurge } from './surge_bench.js';
 
 /** Names of the experiments. */
-export const BENCHMARKS = ['proxy', 'failover', 'replica-reads', 'surge', 'scale'] as const;
+export const BENCHMARKS = [
+  'proxy',
+  'failover',
+  'replica-reads',
+  'surge',
+  'scale',
+  'change',
+] as const;
 
 /** What experiments may need. */
 export interface BenchmarkOptions {
@@ -33,6 +41,8 @@
       return benchReplicaReads(options.deployment);
     case 'surge':
       return benchSurge(options.deployment);
+    case 'change':
+      return benchChange();
     case 'scale':
       return benchScale(options.sizes);
   }
--- a/src/proxy/configuration_keeper.ts
+++ b/src/proxy/configuration_keeper.ts
@@ -1,13 +1,19 @@
 /**
  * The configuration in force on one proxy: durable, and never older than one that was in force before.
+ *
+ * Files: `configuration` holds a whole configuration, `configuration-changes` the changes accepted since, one
+ * record each. A change costs its own size on disk; the whole is written anew once the changes outgrow it.
  */
 import { type ConfigurationDocument, readConfiguration } from '../config/configuration.js';
 import { ProtectionSet } from '../gateway/protections.js';
 import { whinyoke } from '../protocol/generated/messages.js';
 import type { DataFolder } from '../runtime/runtime.js';
-import { decodeRecords, encodeRecord } from '../storage/record_file.js';
+import { RecordFile, decodeRecords, encodeRecord } from '../storage/record_file.js';
 
-const FILE = 'configuration';
+const WHOLE_FILE = 'configuration';
+const CHANGES_FILE = 'configuration-changes';
+/** Changes below this never lead to a new whole, in bytes. */
+const MINIMUM_COMPACTION_BYTES = 64 * 1024;
 
 /** A whole configuration. */
 export interface ConfigurationState {
@@ -15,37 +21,16 @@
   readonly documents: readonly whinyoke.IConfigurationDocument[];
 }
 
-/** State before the first configuration. */
-export const NO_CONFIGURATION: ConfigurationState = { revision: 0, documents: [] };
-
-/** Merges changed documents into a state. */
-export function mergeDocuments(
-  state: ConfigurationState,
-  revision: number,
-  changed: readonly whinyoke.IConfigurationDocument[],
-  isComplete: boolean,
-): ConfigurationState {
-  const byName = new Map(
-    isComplete ? [] : state.documents.map((document) => [document.name, document]),
-  );
-  for (const document of changed) {
-    if (document.withdrawn) byName.delete(document.name);
-    else byName.set(document.name, document);
-  }
-  return { revision, documents: [...byName.values()] };
-}
-
 /** Parses the documents of successive states; each revision of a document is parsed once. */
 export class DocumentParser {
-  private parsed = new Map<string, ConfigurationDocument>();
+  private parsed = new Map<whinyoke.IConfigurationDocument, ConfigurationDocument>();
 
   /** Parsed documents of a state. */
   parse(state: ConfigurationState): ConfigurationDocument[] {
-    const next = new Map<string, ConfigurationDocument>();
-    for (const { name, revision, document } of state.documents) {
-      const key = `${name}\n${revision}`;
-      const known = this.parsed.get(key);
-      next.set(key, known ?? readConfiguration(document ?? '', name ?? ''));
+    const next = new Map<whinyoke.IConfigurationDocument, ConfigurationDocument>();
+    for (const document of state.documents) {
+      const known = this.parsed.get(document);
+      next.set(document, known ?? readConfiguration(document.document ?? '', document.name ?? ''));
     }
     this.parsed = next;
     return [...next.values()];
@@ -54,7 +39,10 @@
 
 /** Keeper of the configuration in force. */
 export class ConfigurationKeeper {
-  private state: ConfigurationState = NO_CONFIGURATION;
+  private currentRevision = 0;
+  private readonly documents = new Map<string, whinyoke.IConfigurationDocument>();
+  private changes: RecordFile | undefined;
+  private wholeBytes = 0;
   private saving: Promise<void> = Promise.resolve();
 
   constructor(
@@ -65,16 +53,28 @@
 
   /** Revision in force. */
   get revision(): number {
-    return this.state.revision;
+    return this.currentRevision;
+  }
+
+  /** Puts the newest stored configuration in force; what arrives meanwhile waits. */
+  load(): Promise<void> {
+    this.saving = this.saving.then(() => this.loadNow());
+    return this.saving;
   }
 
-  /** Puts the newest stored configuration in force. */
-  async load(): Promise<void> {
-    const bytes = await this.folder.read(FILE);
-    const record = bytes && decodeRecords(bytes, FILE)[0];
-    if (!record) return;
-    const stored = whinyoke.WatchReply.decode(record.payload);
-    this.putInForce({ revision: stored.revision, documents: stored.documents });
+  private async loadNow(): Promise<void> {
+    const bytes = await this.folder.read(WHOLE_FILE);
+    const whole = bytes && decodeRecords(bytes, WHOLE_FILE)[0];
+    if (whole) this.merge(whinyoke.WatchReply.decode(whole.payload));
+    this.wholeBytes = bytes?.length ?? 0;
+    const { file, records } = await RecordFile.open(this.folder, CHANGES_FILE);
+    this.changes = file;
+    for (const { payload } of records) {
+      const change = whinyoke.WatchReply.decode(payload);
+      // The whole may be newer than the first changes: a crash came between writing it and cutting them.
+      if (change.revision > this.currentRevision || !this.checksRevision) this.merge(change);
+    }
+    if (this.currentRevision > 0) this.putInForce();
   }
 
   /**
@@ -90,29 +90,48 @@
     return accepted;
   }
 
+  private get checksRevision(): boolean {
+    return this.protections.isOn('revision-check');
+  }
+
   private async acceptNow(reply: whinyoke.IWatchReply): Promise<boolean> {
     const revision = reply.revision ?? 0;
-    const isNewer = revision > this.state.revision;
-    const checksRevision = this.protections.isOn('revision-check');
-    if (checksRevision ? !isNewer : revision === this.state.revision) return false;
-    const next = mergeDocuments(
-      this.state,
-      revision,
-      reply.documents ?? [],
-      reply.complete ?? false,
-    );
-    const encoded = whinyoke.WatchReply.encode({
-      revision,
-      documents: [...next.documents],
-      complete: true,
-    }).finish();
-    await this.folder.replace(FILE, encodeRecord(encoded));
-    this.putInForce(next);
+    const isNewer = revision > this.currentRevision;
+    if (this.checksRevision ? !isNewer : revision === this.currentRevision) return false;
+    await this.store(reply);
+    this.merge(reply);
+    this.putInForce();
+    await this.compactIfLong();
     return true;
   }
 
-  private putInForce(state: ConfigurationState): void {
-    this.state = state;
-    this.onInForce(state);
+  private async store(reply: whinyoke.IWatchReply): Promise<void> {
+    await this.changes?.append([whinyoke.WatchReply.encode(reply).finish()]);
+  }
+
+  private async compactIfLong(): Promise<void> {
+    const bytes = this.changes?.byteLength ?? 0;
+    if (bytes <= Math.max(MINIMUM_COMPACTION_BYTES, this.wholeBytes)) return;
+    const documents = [...this.documents.values()];
+    const whole = { revision: this.currentRevision, documents, complete: true };
+    const encoded = encodeRecord(whinyoke.WatchReply.encode(whole).finish());
+    await this.folder.replace(WHOLE_FILE, encoded);
+    this.wholeBytes = encoded.length;
+    await this.changes?.truncate(0);
+  }
+
+  private merge(reply: whinyoke.IWatchReply): void {
+    this.currentRevision = reply.revision ?? 0;
+    if (reply.complete) this.documents.clear();
+    for (const document of reply.documents ?? []) {
+      const name = document.name ?? '';
+      if (document.withdrawn) this.documents.delete(name);
+      else this.documents.set(name, document);
+    }
+  }
+
+  private putInForce(): void {
+    const documents = [...this.documents.values()];
+    this.onInForce({ revision: this.currentRevision, documents });
   }
 }
--- a/src/runtime/real_folder.ts
+++ b/src/runtime/real_folder.ts
@@ -83,6 +83,11 @@
     return names.filter((name) => !name.endsWith(TEMPORARY_SUFFIX)).sort();
   }
 
+  /** Closes all files; the folder is not used any more. */
+  async close(): Promise<void> {
+    for (const name of [...this.handles.keys()]) await this.closeHandle(name);
+  }
+
   private appendHandle(name: string): Promise<FileHandle> {
     let handle = this.handles.get(name);
     if (!handle) {
--- a/test/unit/storage.test.ts
+++ b/test/unit/storage.test.ts
@@ -5,6 +5,11 @@
 import { VirtualDisk } from '../../lab/simulation/virtual_disk.js';
 import { VirtualProcess } from '../../lab/simulation/virtual_process.js';
 import { StorageCorruptionError } from '../../src/errors/errors.js';
+import { ProtectionSet } from '../../src/gateway/protections.js';
+import {
+  ConfigurationKeeper,
+  type ConfigurationState,
+} from '../../src/proxy/configuration_keeper.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 import { RecordFile, decodeRecords, encodeRecord } from '../../src/storage/record_file.js';
 
@@ -70,6 +75,74 @@
   },
 );
 
+void t.test(
+  'a proxy comes back with the configuration it had in force, after any crash',
+  async (t) => {
+    const steps = fc.array(
+      fc.record({
+        name: fc.constantFrom('a', 'b', 'c'),
+        withdrawn: fc.boolean(),
+        size: fc.constantFrom(10, 3000, 40_000),
+        crashAfterMs: fc.option(fc.nat({ max: 3 }), { nil: undefined }),
+      }),
+      { maxLength: 25 },
+    );
+    await fc.assert(
+      fc.asyncProperty(steps, fc.nat(), async (commands, seed) => {
+        const { scheduler, disk, random } = machine(seed);
+        let process = new VirtualProcess('host', scheduler, random);
+        const states: string[] = ['{}'];
+        const documents = new Map<string, number>();
+        let shown: ConfigurationState = { revision: 0, documents: [] };
+        let inForce = 0;
+        const open = async (): Promise<ConfigurationKeeper> => {
+          const keeper = new ConfigurationKeeper(disk.open(process), ProtectionSet.all, (state) => {
+            shown = state;
+          });
+          const loading = keeper.load();
+          await scheduler.runUntil(scheduler.now + 20);
+          await loading;
+          t.ok(keeper.revision >= inForce, 'never older than what was in force');
+          const content = shown.documents.map((item) => [item.name, item.revision]);
+          const isShown = keeper.revision === 0 || shown.revision === keeper.revision;
+          t.ok(isShown);
+          if (keeper.revision > 0) {
+            t.equal(JSON.stringify(Object.fromEntries(content.sort())), states[keeper.revision]);
+          }
+          return keeper;
+        };
+        let keeper = await open();
+        for (const { name, withdrawn, size, crashAfterMs } of commands) {
+          const revision = states.length;
+          if (withdrawn) documents.delete(name);
+          else documents.set(name, revision);
+          states.push(JSON.stringify(Object.fromEntries([...documents].sort())));
+          const change = { name, revision, withdrawn, document: 'x'.repeat(size) };
+          const isWhole = keeper.revision < revision - 1;
+          const whole = [...documents].map(([item, at]) => ({ name: item, revision: at }));
+          const accepted = keeper.accept({
+            revision,
+            documents: isWhole ? whole : [change],
+            complete: isWhole,
+          });
+          const opened = process;
+          void accepted.then(() => {
+            if (opened === process) inForce = revision;
+          });
+          await scheduler.runUntil(scheduler.now + (crashAfterMs ?? 20));
+          if (crashAfterMs === undefined) continue;
+          process.kill();
+          disk.crash();
+          process = new VirtualProcess('host', scheduler, random);
+          keeper = await open();
+          inForce = keeper.revision;
+        }
+      }),
+      { seed: 14, numRuns: 100 },
+    );
+  },
+);
+
 void t.test('a torn end is cut off, damage in the middle is refused', (t) => {
   const records = ['first', 'second', 'third'].map((text) => encodeRecord(Buffer.from(text)));
   const whole = Buffer.concat(records);
