Ask all instances until a search for evidence ends; open connections ahead when a primary is lost

Cause: the longest gaps of 2.1 s were commits whose search for evidence ran into its timeout: an instance that supported the commit was not asked again, so a majority at a higher term was never seen. Part of every gap was the opening of connections to the new primary. Change: instances are asked until the search is over; four connections are opened to each secondary as soon as the primary is lost.

--- a/src/gateway/group_gateway.ts
+++ b/src/gateway/group_gateway.ts
@@ -25,6 +25,7 @@
   type InstanceDescription,
   findInstance,
   hasFreshReport,
+  readableSecondaries,
   takesWork,
 } from '../topology/group_description.js';
 import {
@@ -65,6 +66,9 @@
 /** Slots of a primary that are kept for transactions under way. */
 const RESERVED_SLOTS = 1;
 
+/** Connections opened ahead to each secondary when the primary is lost. */
+const WARM_CONNECTIONS = 4;
+
 /** How long sessions under way keep a gateway from giving up its seats, in milliseconds. */
 const GIVE_UP_LIMIT_MS = 10_000;
 const GIVE_UP_POLL_MS = 20;
@@ -356,12 +360,20 @@
     for (const { address, slots } of this.resources.values()) {
       slots.setReserved(address === next.primary ? RESERVED_SLOTS : 0);
     }
+    if (next.primary === undefined && previous.primary !== undefined) this.warmSecondaries(next);
     if (next.primary === undefined || next.primary === this.lastPrimary) return;
     const replaced = this.resources.get(this.lastPrimary ?? '');
     this.lastPrimary = next.primary;
     replaced?.seats.giveUpInstance();
   }
 
+  /** One of the secondaries will be the primary: opening connections then would lengthen the gap. */
+  private warmSecondaries(group: GroupDescription): void {
+    for (const { address } of readableSecondaries(group, this.runtime.clock.now())) {
+      this.resources.get(address)?.pool.warm(WARM_CONNECTIONS);
+    }
+  }
+
   /** Gives open transactions a while, then closes what is left on an instance that is leaving. */
   private drainNewlyLeaving(next: GroupDescription, previous: GroupDescription): void {
     for (const instance of next.instances) {
--- a/src/pool/instance_pool.ts
+++ b/src/pool/instance_pool.ts
@@ -101,6 +101,15 @@
     }
   }
 
+  /** Opens connections ahead of need, until `count` are idle or being opened, within the limit. */
+  warm(count: number): void {
+    const isShort = (): boolean => this.idle.length + this.opening < count;
+    while (isShort() && this.size < this.limit) {
+      this.opening++;
+      void this.openOne();
+    }
+  }
+
   /** Closes all connections, also those in use; whoever waits may look for another instance. */
   closeAll(): void {
     this.idle.length = 0;
--- a/src/session/commit_evidence.ts
+++ b/src/session/commit_evidence.ts
@@ -73,7 +73,7 @@
     while (!this.finished) {
       try {
         const report = await prober.probeAfterNow();
-        if (this.consider(prober.address, report)) return;
+        this.consider(prober.address, report);
       } catch {
         // An instance that does not answer proves nothing; it is asked again.
       }
@@ -81,32 +81,27 @@
     }
   }
 
-  /** Takes a report into account; true when the instance need not be asked again. */
-  private consider(address: string, report: InstanceReport): boolean {
-    if (this.finished) return true;
+  /**
+   * Takes a report into account. Each instance is asked until the search is over: one that supports the
+   * commit now may be at a higher term a moment later, and old reports are replaced by fresh ones.
+   */
+  private consider(address: string, report: InstanceReport): void {
     const majority = majorityOf(this.probers.length);
     if (report.term > this.target.term) {
+      this.supporting.delete(address);
       this.replacedAt.add(address);
       if (this.replacedAt.size >= majority) this.finish('replaced');
-      return true;
+      return;
     }
-    if (!supports(report, this.target)) return false;
+    if (!supports(report, this.target)) return;
     this.supporting.set(address, report);
-    if (this.supporting.size >= majority) return this.conclude();
-    return true;
+    if (this.fresh().length >= majority) this.finish('confirmed');
   }
 
-  /** Accepts the evidence unless it grew too old; then every instance is asked again. */
-  private conclude(): boolean {
-    const oldest = Math.min(...[...this.supporting.values()].map((report) => report.sentAt));
-    if (this.clock.now() - oldest <= this.options.maximumAgeMs) {
-      this.finish('confirmed');
-      return true;
-    }
-    const again = this.probers.filter((prober) => this.supporting.has(prober.address));
-    this.supporting.clear();
-    for (const prober of again) void this.ask(prober);
-    return true;
+  /** Supporting reports that are not too old to count. */
+  private fresh(): readonly InstanceReport[] {
+    const oldest = this.clock.now() - this.options.maximumAgeMs;
+    return [...this.supporting.values()].filter((report) => report.sentAt >= oldest);
   }
 
   private finish(outcome: EvidenceOutcome): void {
