One module for addresses; refuse more gateways than slots or monitoring connections

Cause: host and port were cut out of addresses in nine places; a group with more gateways than slots would have gateways that can run nothing.

--- a/lab/bench/proxy_bench.ts
+++ b/lab/bench/proxy_bench.ts
@@ -88,6 +88,20 @@
   };
 }
 
+/** Processor time of all proxies without callers: heartbeats, and probes of every instance. */
+async function idleProcessor(fleet: Fleet): Promise<ReportRow> {
+  const pids = fleet.layout.proxies.map((proxy) => fleet.pidOf(proxy.id));
+  const total = (): number => pids.reduce((sum, pid) => sum + processorSeconds(pid), 0);
+  const before = total();
+  await new Promise((resolve) => setTimeout(resolve, DURATION_MS));
+  const share = (total() - before) / (DURATION_MS / 1000);
+  return {
+    path: `${pids.length} proxies, no callers, ${fleet.layout.instances.length} instances probed`,
+    connections: 0,
+    '% of a core for each instance': (100 * share) / fleet.layout.instances.length,
+  };
+}
+
 function ratio(rows: readonly ReportRow[], column: string, path: string, count: number): number {
   const find = (name: string): number => {
     const row = rows.find((item) => item['path'] === name && item['connections'] === count);
@@ -135,6 +149,7 @@
     await new Promise((resolve) => setTimeout(resolve, 500));
     const targets = await targetsOf(fleet, group);
     const rows: ReportRow[] = [];
+    const idle = await idleProcessor(fleet);
     for (const count of CONNECTIONS) {
       for (const target of targets) rows.push(await drive(target, count));
     }
@@ -144,7 +159,7 @@
       const latency = ratio(rows, 'ms (median)', 'proxy', count).toFixed(2);
       return `At ${count} connections: ${throughput} of the direct statements per second of processor time, ${latency} times the direct median latency.`;
     });
-    rows.push(await idleMemory(targets[1]!));
+    rows.push(await idleMemory(targets[1]!), idle);
     return {
       name: 'proxy',
       title: 'Cost of the proxy',
--- a/lab/bench/scale_bench.ts
+++ b/lab/bench/scale_bench.ts
@@ -9,6 +9,7 @@
 import { ProtectionSet } from '../../src/gateway/protections.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { ProxyCore } from '../../src/proxy/proxy_core.js';
+import { hostOf } from '../../src/runtime/address.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 import { Scheduler } from '../simulation/scheduler.js';
@@ -37,7 +38,7 @@
   readonly core: ProxyCore;
 }
 
-function hostOf(prefix: number, index: number): string {
+function hostNumbered(prefix: number, index: number): string {
   return `10.${prefix}.${index >> 8}.${index & 255}`;
 }
 
@@ -53,7 +54,7 @@
   readonly addresses = new AddressBook();
   readonly controls = Array.from(
     { length: CONTROLS },
-    (_, index) => `${hostOf(1, index)}:${CONTROL_PORT}`,
+    (_, index) => `${hostNumbered(1, index)}:${CONTROL_PORT}`,
   );
   readonly cores: ControlCore[] = [];
   readonly proxies: Hollow[] = [];
@@ -75,7 +76,7 @@
   }
 
   startProxy(index: number): void {
-    const address = `${hostOf(2, index)}:${CONTROL_PORT}`;
+    const address = `${hostNumbered(2, index)}:${CONTROL_PORT}`;
     const { process, runtime } = this.newProcess(address);
     const neverConnects = { connect: () => new Promise<never>(() => undefined) };
     const id = `proxy-${index}`;
@@ -97,7 +98,7 @@
     const client = new OperatorClient(this.controls, runtime.messenger, runtime.clock);
     const number = Number(name.slice(1));
     const instances = Array.from({ length: INSTANCES_PER_GROUP }, (_, index) => ({
-      address: `${hostOf(20 + index, number)}:3306`,
+      address: `${hostNumbered(20 + index, number)}:3306`,
       zone: `zone-${index}`,
     }));
     const group = { name, schemas: [name], instances, reads: { wait_ms: 50 + (version % 50) } };
@@ -118,7 +119,7 @@
   }
 
   private newProcess(address: string): { process: VirtualProcess; runtime: Runtime } {
-    const host = address.slice(0, address.lastIndexOf(':'));
+    const host = hostOf(address);
     const random = new SeededRandom(this.random.integer(0, 2 ** 31 - 1));
     const process = new VirtualProcess(host, this.scheduler, random);
     const messenger = new VirtualMessenger(this.network, this.addresses, process, address);
--- a/lab/database/performance_schema.ts
+++ b/lab/database/performance_schema.ts
@@ -2,6 +2,7 @@
  * The published Group Replication surface of an emulated instance.
  * Source: MySQL 8.4 reference manual, "Group Replication Monitoring" and "Tagged GTIDs".
  */
+import { splitAddress } from '../../src/runtime/address.js';
 import type { GroupMember } from './group_member.js';
 import type { Value } from './sql/syntax.js';
 
@@ -24,13 +25,13 @@
 ): ReadonlyMap<string, Value>[] {
   return members.map((address) => {
     const isSelf = address === serverUuid;
-    const colon = address.lastIndexOf(':');
+    const { host, port } = splitAddress(address);
     const isPrimary = isSelf ? member.isWritable : member.knownPrimary === address;
     return new Map<string, Value>([
       ['CHANNEL_NAME', 'group_replication_applier'],
       ['MEMBER_ID', address],
-      ['MEMBER_HOST', address.slice(0, colon)],
-      ['MEMBER_PORT', Number(address.slice(colon + 1))],
+      ['MEMBER_HOST', host],
+      ['MEMBER_PORT', port],
       ['MEMBER_STATE', isSelf && !member.isOnline ? 'RECOVERING' : 'ONLINE'],
       ['MEMBER_ROLE', isPrimary ? 'PRIMARY' : 'SECONDARY'],
       ['VIEW_ID', `whinyoke:${member.term}`],
--- a/lab/platform/daemon.ts
+++ b/lab/platform/daemon.ts
@@ -1,11 +1,12 @@
 /** The platform's list of machines as a process: HTTP and JSON, with a settable lag. */
+import { splitAddress } from '../../src/runtime/address.js';
 import { createServer } from 'node:http';
 import { z } from 'zod';
 import { addressSchema } from '../../src/config/configuration.js';
 import { stopSignal } from '../../src/daemon/process_runtime.js';
 import type { PlatformMachine } from '../../src/control/platform_watcher.js';
 import { messageOf } from '../../src/errors/errors.js';
-import { readSettings, splitAddress } from '../../src/settings/settings.js';
+import { readSettings } from '../../src/settings/settings.js';
 
 const machineSchema = z.strictObject({
   address: addressSchema,
--- a/lab/simulation/simulated_nodes.ts
+++ b/lab/simulation/simulated_nodes.ts
@@ -5,6 +5,7 @@
 import type { ProtectionSet } from '../../src/gateway/protections.js';
 import { ProxyCore } from '../../src/proxy/proxy_core.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
+import { hostOf } from '../../src/runtime/address.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { DatabaseInstance } from '../database/instance.js';
 import { takesSlot } from '../database/instance_session.js';
@@ -36,11 +37,6 @@
 const SYNC_MS = 0.5;
 const MAXIMUM_SEED = 2 ** 31 - 1;
 
-/** Host part of an address. */
-export function hostOf(address: string): string {
-  return address.slice(0, address.lastIndexOf(':'));
-}
-
 /** A machine whose process can be started, killed, frozen and thawed, and whose disk can be lost. */
 export abstract class SimulatedMachine {
   readonly host: string;
--- a/lab/simulation/virtual_backend.ts
+++ b/lab/simulation/virtual_backend.ts
@@ -6,6 +6,7 @@
   ResultSink,
 } from '../../src/backend/backend.js';
 import { BackendConnectionLostError, DatabaseError, messageOf } from '../../src/errors/errors.js';
+import { hostOf } from '../../src/runtime/address.js';
 import type { DatabaseInstance } from '../database/instance.js';
 import type { InstanceSession, StatementAnswer } from '../database/instance_session.js';
 import type { VirtualNetwork } from './virtual_network.js';
@@ -173,7 +174,7 @@
         reject(new BackendConnectionLostError(`${address}: ${reason}`, { sent: false }));
       };
       const timer = this.process.clock.setTimer(timeoutMs, () => fail('connect timed out'));
-      const host = address.slice(0, address.lastIndexOf(':'));
+      const host = hostOf(address);
       const server = this.endpointAt(address);
       if (!server) {
         const refusal = this.network.delay(this.process.host, host) * 2;
--- a/lab/simulation/virtual_messenger.ts
+++ b/lab/simulation/virtual_messenger.ts
@@ -1,6 +1,7 @@
 /** Request and response messages between simulated processes. Each message may be lost to a cut. */
 import { PeerUnreachableError } from '../../src/errors/errors.js';
 import { decodeEnvelope, encodeEnvelope } from '../../src/protocol/envelope.js';
+import { hostOf } from '../../src/runtime/address.js';
 import type { MessageBody, Messenger, RequestHandler } from '../../src/runtime/runtime.js';
 import type { VirtualNetwork } from './virtual_network.js';
 import type { VirtualProcess } from './virtual_process.js';
@@ -26,10 +27,6 @@
   }
 }
 
-function hostOf(address: string): string {
-  return address.slice(0, address.lastIndexOf(':'));
-}
-
 /** Bytes of a body on the wire. */
 function encode(body: MessageBody): Uint8Array {
   return encodeEnvelope({ id: 0, reply: false, from: '', body });
--- a/lab/simulation/world.ts
+++ b/lab/simulation/world.ts
@@ -1,6 +1,7 @@
 /** A whole simulated deployment: instances, control machines, proxies, platform and network. */
 import type { GatewayOptions } from '../../src/gateway/group_gateway.js';
 import type { ProtectionSet } from '../../src/gateway/protections.js';
+import { hostOf } from '../../src/runtime/address.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 import type { Deployment } from '../fleet/deployment.js';
 import { type Layout, layoutOf } from '../fleet/layout.js';
@@ -13,7 +14,6 @@
   SimulatedPlatform,
   SimulatedProxy,
   type Surroundings,
-  hostOf,
 } from './simulated_nodes.js';
 import { VirtualCallerConnector } from './virtual_frontend.js';
 import { AddressBook, VirtualMessenger } from './virtual_messenger.js';
--- a/lab/workload/mysql_caller.ts
+++ b/lab/workload/mysql_caller.ts
@@ -1,5 +1,6 @@
 /** Callers' connections through an ordinary `mysql2` client. */
 import { type Connection, type ResultSetHeader, createConnection } from 'mysql2';
+import { splitAddress } from '../../src/runtime/address.js';
 import { TOKEN_INFO_PREFIX } from '../../src/proxy/proxy_session.js';
 import {
   type CallerAnswer,
@@ -90,10 +91,8 @@
 
   connect(proxy: string, schema: string): Promise<CallerConnection> {
     const address = this.options.proxies.get(proxy) ?? '';
-    const colon = address.lastIndexOf(':');
     const connection = createConnection({
-      host: address.slice(0, colon),
-      port: Number(address.slice(colon + 1)),
+      ...splitAddress(address),
       user: this.options.user,
       password: this.options.password,
       database: schema,
--- a/src/backend/mysql_connector.ts
+++ b/src/backend/mysql_connector.ts
@@ -2,6 +2,7 @@
 import { type Connection, createConnection } from 'mysql2';
 import type { Socket } from 'node:net';
 import { BackendConnectionLostError, messageOf } from '../errors/errors.js';
+import { splitAddress } from '../runtime/address.js';
 import type { BackendConnection, BackendConnector, Completion, ResultSink } from './backend.js';
 import { CommandRequest, type LibraryCommand } from './raw_command.js';
 
@@ -97,10 +98,8 @@
   constructor(private readonly options: MysqlConnectorOptions) {}
 
   connect(address: string, timeoutMs: number): Promise<BackendConnection> {
-    const colon = address.lastIndexOf(':');
     const connection = createConnection({
-      host: address.slice(0, colon),
-      port: Number(address.slice(colon + 1)),
+      ...splitAddress(address),
       user: this.options.user,
       password: this.options.password,
       connectTimeout: timeoutMs,
--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -144,6 +144,9 @@
   const groups = documents.flatMap((document) => document.groups);
   const crowded = groups.find(({ limits }) => limits.gateways > limits.slots);
   if (crowded) return `group '${crowded.name}' has more gateways than slots an instance`;
+  const unmonitored = groups.find(({ limits }) => limits.gateways > limits.monitoring_connections);
+  if (unmonitored)
+    return `group '${unmonitored.name}' has more gateways than monitoring connections`;
   const group = findDuplicate(groups.map((item) => item.name));
   if (group !== undefined) return `group '${group}' is configured twice`;
   const schema = findDuplicate(groups.flatMap((item) => item.schemas));
--- a/src/daemon/metrics_server.ts
+++ b/src/daemon/metrics_server.ts
@@ -1,7 +1,7 @@
 /** Metrics, health and readiness over HTTP. */
+import { splitAddress } from '../runtime/address.js';
 import { type Server, createServer } from 'node:http';
 import type { Registry } from 'prom-client';
-import { splitAddress } from '../settings/settings.js';
 
 /** What the endpoint shows. */
 export interface MetricsSource {
--- a/src/daemon/process_runtime.ts
+++ b/src/daemon/process_runtime.ts
@@ -1,11 +1,12 @@
 /** The real runtime of a daemon. */
+import { splitAddress } from '../runtime/address.js';
 import { WhinyokeError } from '../errors/errors.js';
 import { RealClock } from '../runtime/real_clock.js';
 import { RealFolder } from '../runtime/real_folder.js';
 import type { Runtime } from '../runtime/runtime.js';
 import { SeededRandom } from '../runtime/seeded_random.js';
 import { TcpMessenger } from '../runtime/tcp_messenger.js';
-import { readSecret, resolvePath, splitAddress } from '../settings/settings.js';
+import { readSecret, resolvePath } from '../settings/settings.js';
 
 /** Settings that every daemon has. */
 export interface CommonSettings {
--- a/src/daemon/proxy_daemon.ts
+++ b/src/daemon/proxy_daemon.ts
@@ -1,4 +1,5 @@
 /** The proxy daemon: listeners, logs and metrics around {@link ProxyCore}. */
+import { splitAddress } from '../runtime/address.js';
 import { Counter, Gauge, Registry } from 'prom-client';
 import { MysqlConnector } from '../backend/mysql_connector.js';
 import { MysqlListener } from '../frontend/mysql_listener.js';
@@ -10,7 +11,6 @@
   proxySettingsSchema,
   readSecret,
   readSettings,
-  splitAddress,
 } from '../settings/settings.js';
 import { startMetricsServer } from './metrics_server.js';
 import { type ProcessRuntime, openRuntime, stopSignal } from './process_runtime.js';
--- a/src/runtime/tcp_messenger.ts
+++ b/src/runtime/tcp_messenger.ts
@@ -8,6 +8,7 @@
 import { type Server, type Socket, connect, createServer } from 'node:net';
 import { PeerUnreachableError, messageOf } from '../errors/errors.js';
 import { type Envelope, decodeEnvelope, encodeEnvelope } from '../protocol/envelope.js';
+import { splitAddress } from './address.js';
 import { FrameReader, frame } from './frame.js';
 import type { MessageBody, Messenger, RequestHandler } from './runtime.js';
 import { type SharedKey, acceptPeer, introduceSelf } from './shared_key_handshake.js';
@@ -69,11 +70,7 @@
   }
 
   private async open(sharedKey: SharedKey): Promise<Socket> {
-    const colon = this.address.lastIndexOf(':');
-    const socket = connect({
-      host: this.address.slice(0, colon),
-      port: Number(this.address.slice(colon + 1)),
-    });
+    const socket = connect(splitAddress(this.address));
     socket.setNoDelay(true);
     socket.on('error', (error) => this.fail(error.message));
     socket.on('close', () => this.fail('connection closed'));
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -88,9 +88,3 @@
   if (secret === '') throw new InvalidDocumentError(`${file}: is empty`);
   return secret;
 }
-
-/** Host and port of an address. */
-export function splitAddress(address: string): { host: string; port: number } {
-  const colon = address.lastIndexOf(':');
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-}
--- a/test/unit/configuration.test.ts
+++ b/test/unit/configuration.test.ts
@@ -31,6 +31,10 @@
   'truncated text': [GOOD.slice(0, -8), /bad.yaml/],
   'no group': ['name: quetzal\n', /bad.yaml.*groups/],
   'duplicate group': [GOOD + GOOD.slice(GOOD.indexOf('  - name')), /configured twice/],
+  'more gateways than slots': [
+    `${GOOD}    limits: { slots: 2, gateways: 3 }\n`,
+    /bad.yaml.*more gateways than slots/,
+  ],
   'not a mapping': ['- 1\n', /bad.yaml/],
   'empty text': ['', /bad.yaml/],
   'duplicate key': [`${GOOD}name: other\n`, /bad.yaml:7/],
