--- a/lab/bench/replica_reads_bench.ts
+++ b/lab/bench/replica_reads_bench.ts
@@ -22,6 +22,8 @@
   readonly protections: ProtectionSet;
   /** All reads go to the primary. */
   readonly primaryOnly: boolean;
+  /** Pause of each session after a write, in milliseconds. */
+  readonly pauseAfterWriteMs?: number;
 }
 
 const VARIANTS: readonly Variant[] = [
@@ -33,6 +35,13 @@
     protections: ProtectionSet.all,
     primaryOnly: true,
   },
+  {
+    name: 'baseline: any replica, 100 ms after a write',
+    tokens: true,
+    protections: ProtectionSet.without('read-position'),
+    primaryOnly: false,
+    pauseAfterWriteMs: 100,
+  },
   {
     name: 'baseline: any replica',
     tokens: true,
@@ -59,6 +68,7 @@
     thinkMs: THINK_MS,
     registers: 50,
     withoutToken: variant.primaryOnly ? 'primary' : 'barrier',
+    pauseAfterWriteMs: variant.pauseAfterWriteMs,
   });
   const { world } = scenario;
   await world.run(DURATION_MS);
--- a/lab/bench/scenario.ts
+++ b/lab/bench/scenario.ts
@@ -15,6 +15,8 @@
   readonly registers: number;
   /** How reads without a token stay fresh; by a barrier when undefined. */
   readonly withoutToken?: 'barrier' | 'primary';
+  /** Pause of a session after each write, in milliseconds. */
+  readonly pauseAfterWriteMs?: number;
 }
 
 const GATEWAYS = 2;
@@ -54,6 +56,7 @@
       abandonShare: 0,
       thinkMs: options.thinkMs,
       patienceMs: PATIENCE_MS,
+      pauseAfterWriteMs: options.pauseAfterWriteMs,
     };
     return new BookingSession(connector, world.outside.clock, random, world.history, booking);
   });
--- a/lab/workload/booking_session.ts
+++ b/lab/workload/booking_session.ts
@@ -30,6 +30,8 @@
   readonly abandonShare: number;
   /** Longest pause between operations, in milliseconds. */
   readonly thinkMs: number;
+  /** Pause after a write before the next operation, in milliseconds; for experiments. */
+  readonly pauseAfterWriteMs?: number;
   /** Longest wait for an answer before the caller gives up, in milliseconds. */
   readonly patienceMs: number;
 }
@@ -95,9 +97,11 @@
 
   private async runOne(): Promise<void> {
     const choice = this.random.next();
-    const { writeShare, paymentShare, abandonShare } = this.options;
-    if (choice < writeShare) await this.write();
-    else if (choice < writeShare + paymentShare) await this.pay();
+    const { writeShare, paymentShare, abandonShare, pauseAfterWriteMs = 0 } = this.options;
+    if (choice < writeShare) {
+      await this.write();
+      if (pauseAfterWriteMs > 0) await delay(this.clock, pauseAfterWriteMs);
+    } else if (choice < writeShare + paymentShare) await this.pay();
     else if (choice < writeShare + paymentShare + abandonShare) await this.abandon();
     else await this.read();
   }
