--- a/lab/simulation/faults.ts
+++ b/lab/simulation/faults.ts
@@ -95,11 +95,10 @@
 }
 
 const BEHIND_MS = 1200;
-const BEFORE_KILL_MS = 400;
 
 /**
- * A control machine falls behind, another loses its disk and is repaired, then the leader is lost: only the
- * lost disk and the leader held the newest changes.
+ * A control machine falls behind, then another loses its disk and the leader ends at the same moment: only
+ * the lost disk and the leader held the newest changes.
  */
 function loseDiskBehind(world: World, random: RandomSource): ActiveFault | undefined {
   const leader = world.controls.find((control) => control.core?.node.role === 'leader');
@@ -115,13 +114,11 @@
   const healAll = (): void => heals.splice(0).forEach((heal) => heal());
   world.scheduler.schedule(BEHIND_MS, () => {
     if (isOver) return;
+    // The leader ends before it could bring the empty disk up to date again.
     lost.loseDisk();
-    lost.start();
-  });
-  world.scheduler.schedule(BEHIND_MS + BEFORE_KILL_MS, () => {
-    if (isOver) return;
     leader.kill();
     healAll();
+    lost.start();
   });
   return {
     description: `${behind.name} falls behind, ${lost.name} loses its disk, ${leader.name} ends`,
--- a/test/simulation/simulation.test.ts
+++ b/test/simulation/simulation.test.ts
@@ -62,6 +62,7 @@
   'discard-on-timeout': ['slow-instance', 'freeze-primary'],
   'once-key': ['kill-proxy', 'isolate-primary', 'cut-zone', 'cut-primary-from-proxies'],
   drain: ['leave-instance'],
+  verdict: ['cut-primary-from-proxies', 'cut-zone'],
   'graceful-stop': ['stop-proxy'],
   'stable-identity': ['lose-control-disk-behind'],
 };
