Emulated instance: WAIT_FOR_EXECUTED_GTID_SET, lost disks of real processes, a mended rejoin

Cause: a test of a member that lost its disk while another was down showed that it never came back: the primary counted the place to send from below zero while the member refused, and no log matches a negative place. Change: the place stops at zero; the published wait for a GTID set; a fleet can lose an instance's disk; system variables are a module of their own. Before: the member stays in recovery. After: online with all tables.

--- a/lab/database/group_member.ts
+++ b/lab/database/group_member.ts
@@ -387,7 +387,7 @@
       return false;
     }
     if (!reply.success) {
-      this.nextToSend.set(peer, Math.min(next - 1, reply.lastSequence ?? 0));
+      this.nextToSend.set(peer, Math.max(0, Math.min(next - 1, reply.lastSequence ?? 0)));
       return next > 0;
     }
     this.nextToSend.set(peer, next + batch.length);
--- a/lab/database/instance_session.ts
+++ b/lab/database/instance_session.ts
@@ -1,9 +1,11 @@
 /** One connection to an emulated instance: transaction state and statement execution. */
 import { DatabaseError } from '../../src/errors/errors.js';
 import { delay } from '../../src/runtime/runtime.js';
+import { covers } from '../../src/session/position.js';
+import { newestPosition } from '../../src/topology/gtid.js';
 import { type Scope, evaluate, fixedValue, matches } from './evaluate.js';
 import type { DatabaseInstance } from './instance.js';
-import { GROUP_UUID, gtidSet, memberRows } from './performance_schema.js';
+import { GROUP_UUID, memberRows } from './performance_schema.js';
 import { parseStatement } from './sql/parser.js';
 import type { Expression, Statement, Value } from './sql/syntax.js';
 import {
@@ -14,6 +16,7 @@
   type TableDefinition,
   keyOf,
 } from './tables.js';
+import { systemVariable } from './system_variables.js';
 import { Transaction } from './transaction.js';
 
 /** Answer to one statement. */
@@ -37,6 +40,7 @@
   readonly insertId?: number;
 }
 
+const WAIT_POLL_MS = 2;
 const PERFORMANCE_SCHEMA_PREFIX = 'performance_schema.';
 const ER_INTERRUPTED = { code: 1317, sqlState: '70100' };
 const ER_READ_ONLY = { code: 1290, sqlState: 'HY000' };
@@ -276,11 +280,21 @@
   private async runBlockingCall(expression: Expression): Promise<void> {
     if (expression.kind !== 'call') return;
     const parameters = expression.parameters.map((item) => evaluate(item, this.scope()));
-    if (expression.name === 'SLEEP') {
-      await delay(this.instance.runtime.clock, Number(parameters[0]) * 1000);
+    const { clock } = this.instance.runtime;
+    if (expression.name === 'SLEEP') await delay(clock, Number(parameters[0]) * 1000);
+    if (expression.name !== 'WAIT_FOR_EXECUTED_GTID_SET') return;
+    const seconds = parameters[1] === undefined ? Infinity : Number(parameters[1]);
+    const deadline = clock.now() + seconds * 1000;
+    while (!this.hasExecuted(parameters[0]) && clock.now() < deadline && !this.closed) {
+      await delay(clock, WAIT_POLL_MS);
     }
   }
 
+  /** Whether all transactions of a GTID set are executed here. */
+  private hasExecuted(gtidSet: Value | undefined): boolean {
+    return covers(this.instance.member.executedPosition, newestPosition(String(gtidSet ?? '')));
+  }
+
   private project(statement: Select, scopes: readonly Scope[], names: readonly string[]): Effect {
     const ordered = this.order(statement, scopes);
     const limited = statement.limit === undefined ? ordered : ordered.slice(0, statement.limit);
@@ -448,34 +462,12 @@
         }
         return value;
       },
-      systemVariable: (name) => this.systemVariable(name),
+      systemVariable: (name) => systemVariable(this.instance, name),
       userVariable: (name) => this.userVariables.get(name) ?? null,
       call: (name, parameters) => this.call(name, parameters),
     };
   }
 
-  private systemVariable(name: string): Value {
-    switch (name) {
-      case 'gtid_executed':
-        return gtidSet(this.instance.member, 'executed');
-      case 'server_uuid':
-        return this.instance.serverUuid;
-      case 'read_only':
-      case 'super_read_only':
-        return this.instance.member.isWritable ? 0 : 1;
-      case 'version':
-        return '8.4.0-whinyoke-lab';
-      case 'max_connections':
-        return this.instance.options.connections;
-      case 'offline_mode':
-        return this.instance.isLeaving ? 1 : 0;
-      case 'autocommit':
-        return 1;
-      default:
-        return null;
-    }
-  }
-
   private call(name: string, parameters: readonly Value[]): Value {
     switch (name) {
       case 'GET_LOCK':
@@ -487,11 +479,13 @@
       case 'LAST_INSERT_ID':
         return this.lastInsertId;
       case 'VERSION':
-        return this.systemVariable('version');
+        return systemVariable(this.instance, 'version');
       case 'DATABASE':
         return null;
       case 'REPEAT':
         return String(parameters[0]).repeat(Number(parameters[1]));
+      case 'WAIT_FOR_EXECUTED_GTID_SET':
+        return this.hasExecuted(parameters[0]) ? 0 : 1;
       case 'SLEEP':
         return 0;
       case 'COUNT':
--- a/lab/fleet/fleet.ts
+++ b/lab/fleet/fleet.ts
@@ -1,6 +1,6 @@
 /** Runs a whole deployment as separate processes on loopback, and ends them by process identifier. */
 import { type ChildProcess, spawn } from 'node:child_process';
-import { closeSync, mkdirSync, openSync, writeFileSync } from 'node:fs';
+import { closeSync, mkdirSync, openSync, rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { stringify } from 'yaml';
@@ -39,6 +39,8 @@
   readonly term: number;
   readonly received: string;
   readonly executed: string;
+  /** Whether it is a full member, not recovering. */
+  readonly online: boolean;
   readonly usage: {
     readonly highestConnections: number;
     readonly highestRunning: number;
@@ -90,12 +92,22 @@
     this.spawnLab('platform', 'platform', settings);
   }
 
-  /** Starts an instance. */
-  startInstance(instance: InstancePlace): void {
+  /** Ends an instance and removes its data folder; `startInstance` with `lostDisk` lets it rejoin. */
+  async loseDisk(instance: InstancePlace): Promise<void> {
+    await this.kill(instance.mysql);
+    rmSync(this.path(dataFolderOf(instance)), { recursive: true, force: true });
+  }
+
+  /**
+   * Starts an instance.
+   * @param lostDisk - its data folder was lost
+   */
+  startInstance(instance: InstancePlace, lostDisk = false): void {
     const { deployment } = this.layout;
     const members = this.layout.instances.filter((other) => other.group === instance.group);
     this.spawnLab(instance.mysql, 'database', {
-      data_folder: `data-${instance.mysql.replace(':', '-')}`,
+      data_folder: dataFolderOf(instance),
+      lost_disk: lostDisk,
       listen: instance.mysql,
       group_address: instance.member,
       members: members.map((member) => member.member),
@@ -284,6 +296,10 @@
   }
 }
 
+function dataFolderOf(instance: InstancePlace): string {
+  return `data-${instance.mysql.replace(':', '-')}`;
+}
+
 async function endChild(child: ChildProcess, signal: NodeJS.Signals): Promise<void> {
   if (child.exitCode !== null || child.signalCode !== null) return;
   const gone = new Promise<void>((resolve) => child.once('exit', () => resolve()));
--- a/lab/fleet/process_faults.ts
+++ b/lab/fleet/process_faults.ts
@@ -15,6 +15,13 @@
   return items[random.integer(0, items.length - 1)]!;
 }
 
+/** Whether all members of a group are full members: a second lost disk of three would lose writes. */
+async function isWhole(fleet: Fleet, group: string): Promise<boolean> {
+  const members = fleet.layout.instances.filter((item) => item.group === group);
+  const states = await Promise.all(members.map((item) => fleet.instanceState(item)));
+  return states.every((state) => state.online);
+}
+
 /** A random fault of a fleet. */
 function chooseFault(fleet: Fleet, random: RandomSource, history: HistoryRecorder): ProcessFault {
   const { layout } = fleet;
@@ -64,6 +71,14 @@
         return () => Promise.resolve(fleet.startProxy(proxy));
       },
     }),
+    () => ({
+      description: `lose the disk of ${instance.mysql}`,
+      start: async () => {
+        if (!(await isWhole(fleet, instance.group))) return () => Promise.resolve();
+        await fleet.loseDisk(instance);
+        return () => Promise.resolve(fleet.startInstance(instance, true));
+      },
+    }),
     () => setFault({ isolate: 'both' }, { isolate: 'none' }),
     () => setFault({ isolate: 'outgoing' }, { isolate: 'none' }),
     () => setFault({ lag_ms: 1000 }, { lag_ms: 50 }),
