Take work off the path of forwarded statements and membership changes; drop what stood twice

Found by reading the whole change: each forwarded statement built a map of all proxies; a membership change compared the live proxies twice; the log knew its newest membership in two ways; the whole order of rendezvous hashing was left in the product though only a test used it; the emulated instance had one error twice and its check in three places. No behaviour and no assertion changes.

--- a/lab/database/instance_session.ts
+++ b/lab/database/instance_session.ts
@@ -6,6 +6,7 @@
 import { type Scope, evaluate, fixedValue, matches } from './evaluate.js';
 import type { DatabaseInstance } from './instance.js';
 import { GROUP_UUID, memberRows } from './performance_schema.js';
+import { ER_INTERRUPTED } from './row_locks.js';
 import { parseStatement } from './sql/parser.js';
 import type { Expression, Statement, Value } from './sql/syntax.js';
 import {
@@ -42,7 +43,6 @@
 
 const WAIT_POLL_MS = 2;
 const PERFORMANCE_SCHEMA_PREFIX = 'performance_schema.';
-const ER_INTERRUPTED = { code: 1317, sqlState: '70100' };
 const ER_READ_ONLY = { code: 1290, sqlState: 'HY000' };
 const ER_DUPLICATE_ENTRY = { code: 1062, sqlState: '23000' };
 const ER_BAD_FIELD = { code: 1054, sqlState: '42S22' };
@@ -86,7 +86,7 @@
 
   /** Runs one statement. */
   async execute(sql: string): Promise<StatementAnswer> {
-    if (this.closed) throw new DatabaseError('Connection was killed', ER_INTERRUPTED);
+    this.requireOpen();
     const statement = parseStatement(sql);
     if (isMonitoring(statement)) return this.answer(await this.run(statement), undefined);
     return this.instance.inSlot(this, sql, () => this.runInTransaction(statement));
@@ -118,7 +118,7 @@
   }
 
   private async runInTransaction(statement: Statement): Promise<StatementAnswer> {
-    if (this.closed) throw new DatabaseError('Connection was killed', ER_INTERRUPTED);
+    this.requireOpen();
     if (this.aborted) this.failAborted(statement);
     switch (statement.kind) {
       case 'begin':
@@ -183,8 +183,12 @@
     this.transaction = undefined;
   }
 
-  private requireWritable(): void {
+  private requireOpen(): void {
     if (this.closed) throw new DatabaseError('Connection was killed', ER_INTERRUPTED);
+  }
+
+  private requireWritable(): void {
+    this.requireOpen();
     if (this.instance.member.isWritable) return;
     this.endTransaction();
     throw new DatabaseError(
--- a/lab/database/row_locks.ts
+++ b/lab/database/row_locks.ts
@@ -2,7 +2,8 @@
 import { DatabaseError } from '../../src/errors/errors.js';
 import type { Clock, Timer } from '../../src/runtime/runtime.js';
 
-const ER_INTERRUPTED = { code: 1317, sqlState: '70100' };
+/** MySQL's error for statements whose connection was ended. */
+export const ER_INTERRUPTED = { code: 1317, sqlState: '70100' };
 
 interface Waiter {
   readonly owner: object;
--- a/src/consensus/raft_log.ts
+++ b/src/consensus/raft_log.ts
@@ -142,8 +142,7 @@
 
   /** Membership of the newest entry that holds one, else of the snapshot. */
   get membership(): whinyoke.IMembership | undefined {
-    const entry = this.entries.findLast((item) => item.membership !== undefined);
-    return entry?.membership ?? this.snapshotState?.membership;
+    return this.membershipAt(this.lastIndex);
   }
 
   /** Membership as of an entry. */
--- a/src/pool/rendezvous.ts
+++ b/src/pool/rendezvous.ts
@@ -21,12 +21,6 @@
   return left.node < right.node ? -1 : 1;
 }
 
-/** Nodes in the order of their weight for `key`, heaviest first. */
-export function rendezvousOrder(key: string, nodes: readonly string[]): string[] {
-  const weighted = nodes.map((node) => weigh(key, node));
-  return weighted.sort(compareNodes).map((item) => item.node);
-}
-
 /**
  * The heaviest nodes of many keys, kept while nodes come and go: a new node costs one hash for each key, a
  * lost one a new order for the few keys that it was among the heaviest of.
--- a/src/proxy/proxy_core.ts
+++ b/src/proxy/proxy_core.ts
@@ -80,6 +80,8 @@
   private readonly gateways = new Map<string, GroupGateway>();
   private directory = GroupDirectory.empty;
   private peers: readonly ProxyMember[] = [];
+  /** Addresses of the peers by name; looked up for each forwarded statement. */
+  private peerAddresses: ReadonlyMap<string, string> = new Map();
   private leaving: ReadonlySet<string> = new Set();
   private stopping = false;
   private nextSession = 1;
@@ -118,6 +120,7 @@
     );
     this.gatewayClient = new GatewayClient(clock, messenger);
     this.stalls = new StallDetector(clock);
+    this.updateHolders();
     this.forwardServer = new ForwardServer(clock, (group) => this.servingGateway(group));
   }
 
@@ -161,6 +164,7 @@
   async beginStop(): Promise<void> {
     this.stopping = true;
     await this.membership.announce();
+    this.updateHolders();
     this.assignSeats();
   }
 
@@ -227,12 +231,12 @@
     if (!configuration) return [];
     const candidates = this.holders.top(group).slice(0, configuration.limits.gateways + 1);
     const others = candidates.filter((id) => id !== this.options.id);
-    const known = new Map(this.peers.map((peer) => [peer.id, peer.address]));
-    return others.flatMap((id) => known.get(id) ?? []);
+    return others.flatMap((id) => this.peerAddresses.get(id) ?? []);
   }
 
   private onMembership(view: MembershipView): void {
     this.peers = view.proxies;
+    this.peerAddresses = new Map(view.proxies.map(({ id, address }) => [id, address]));
     this.leaving = view.leavingInstances;
     this.forwardServer.setLiveProxies(view.runs);
     if (this.updateHolders()) this.assignSeats();
@@ -270,7 +274,6 @@
   }
 
   private assignSeats(): void {
-    this.updateHolders();
     for (const configuration of this.directory.groups) {
       const { name, limits } = configuration;
       const seats = seatsFor(this.options.id, this.holders.top(name), limits.gateways);
--- a/test/unit/limits.test.ts
+++ b/test/unit/limits.test.ts
@@ -5,12 +5,13 @@
 import { RequestError } from '../../src/errors/errors.js';
 import { DEFAULT_POOL_OPTIONS, InstancePool } from '../../src/pool/instance_pool.js';
 import { SessionTerminator } from '../../src/pool/session_terminator.js';
-import { RendezvousTable, rendezvousOrder } from '../../src/pool/rendezvous.js';
+import { RendezvousTable } from '../../src/pool/rendezvous.js';
 import { seatsFor, shareOfUnit, sumShares, unitsOfSeat } from '../../src/pool/shares.js';
 import { Priority, type ReleaseSlot, SlotQueue } from '../../src/pool/slot_queue.js';
 import { Scheduler } from '../../lab/simulation/scheduler.js';
 import { VirtualProcess } from '../../lab/simulation/virtual_process.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
+import { rendezvousOrder } from '../tools/rendezvous_order.js';
 
 function newProcess(): VirtualProcess {
   return new VirtualProcess('host', new Scheduler(), new SeededRandom(1));
