--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/**', 'node_modules/**', '.tap/**', 'src/protocol/generated/**'] },
+  { ignores: ['dist/**', 'target/**', 'node_modules/**', '.tap/**', 'src/protocol/generated/**'] },
   ...tseslint.configs.recommendedTypeChecked,
   {
     languageOptions: {
--- /dev/null
+++ b/src/catalog/catalog.ts
@@ -0,0 +1,214 @@
+/**
+ * Replicated state of groups whose primary is appointed by the control plane: the routing document, the
+ * instances, the epoch of each group, the registered proxies and the holder of the appointment duty.
+ */
+import type { StateMachine } from '../consensus/log_applier.js';
+import { whinyoke } from '../protocol/generated/messages.js';
+
+const { InstanceState } = whinyoke;
+
+/** Instances that are gone are remembered, so that a late heartbeat does not bring them back. */
+const MAXIMUM_REMEMBERED_GONE = 500;
+
+/** An immutable instance of the catalog. */
+export type InstanceEntry = Readonly<whinyoke.IInstanceEntry>;
+/** An immutable epoch of a group. */
+export type GroupEntry = Readonly<whinyoke.IGroupEntry>;
+/** A registered run of a proxy. */
+export type ProxyEntry = Readonly<whinyoke.IProxyEntry>;
+
+/** Hears of a change after it was applied. */
+export type CatalogListener = () => void;
+
+/** State machine of the control machines. */
+export class Catalog implements StateMachine {
+  private currentDocument: whinyoke.IRoutingDocument | undefined;
+  private readonly instanceById = new Map<string, InstanceEntry>();
+  private readonly groupByName = new Map<string, GroupEntry>();
+  private readonly proxyById = new Map<string, ProxyEntry>();
+  private currentDuty: whinyoke.IDutyEntry = {};
+  private currentVersion = 0;
+  private proxyLossIndex = 0;
+  private readonly listeners = new Set<CatalogListener>();
+
+  /** Log index of the newest change. */
+  get version(): number {
+    return this.currentVersion;
+  }
+
+  /** Routing document with the highest version. */
+  get document(): whinyoke.IRoutingDocument | undefined {
+    return this.currentDocument;
+  }
+
+  /** Version of the routing document; 0 when there is none. */
+  get documentVersion(): number {
+    return this.currentDocument?.version ?? 0;
+  }
+
+  /** Holder of the appointment duty. */
+  get duty(): Readonly<whinyoke.IDutyEntry> {
+    return this.currentDuty;
+  }
+
+  /** Log index of the newest entry by which a run of a proxy ended, with what it had acknowledged. */
+  get proxyLossVersion(): number {
+    return this.proxyLossIndex;
+  }
+
+  /** All instances, those that are gone included. */
+  get instances(): readonly InstanceEntry[] {
+    return [...this.instanceById.values()];
+  }
+
+  /** Instances that are not gone. */
+  get presentInstances(): readonly InstanceEntry[] {
+    return this.instances.filter((instance) => instance.state !== InstanceState.GONE);
+  }
+
+  /** All groups. */
+  get groups(): readonly GroupEntry[] {
+    return [...this.groupByName.values()];
+  }
+
+  /** Registered proxies. */
+  get proxies(): readonly ProxyEntry[] {
+    return [...this.proxyById.values()];
+  }
+
+  /** Instance of that identifier. */
+  instance(id: string): InstanceEntry | undefined {
+    return this.instanceById.get(id);
+  }
+
+  /** Group of that name. */
+  group(name: string): GroupEntry | undefined {
+    return this.groupByName.get(name);
+  }
+
+  /** Proxy of that identifier. */
+  proxy(id: string): ProxyEntry | undefined {
+    return this.proxyById.get(id);
+  }
+
+  /** Calls `listener` after each change until the returned function is called. */
+  onChange(listener: CatalogListener): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  apply(index: number, command: Uint8Array): Uint8Array {
+    const isChanged = this.applyCommand(index, whinyoke.CatalogCommand.decode(command));
+    if (isChanged) {
+      this.currentVersion = index;
+      this.notify();
+    }
+    const result = { changed: isChanged, version: index, token: this.currentDuty.token };
+    return whinyoke.CatalogResult.encode(result).finish();
+  }
+
+  serialize(): Uint8Array {
+    const snapshot: whinyoke.ICatalogSnapshot = {
+      document: this.currentDocument,
+      instances: this.instances,
+      groups: this.groups,
+      proxies: this.proxies,
+      duty: this.currentDuty,
+      version: this.currentVersion,
+      proxyLossVersion: this.proxyLossIndex,
+    } as whinyoke.ICatalogSnapshot;
+    return whinyoke.CatalogSnapshot.encode(snapshot).finish();
+  }
+
+  restore(_lastIndex: number, state: Uint8Array): void {
+    const snapshot = whinyoke.CatalogSnapshot.decode(state);
+    this.currentDocument = snapshot.document ?? undefined;
+    this.currentDuty = snapshot.duty ?? {};
+    this.currentVersion = snapshot.version;
+    this.proxyLossIndex = snapshot.proxyLossVersion;
+    this.instanceById.clear();
+    for (const item of snapshot.instances) this.instanceById.set(item.id ?? '', item);
+    this.groupByName.clear();
+    for (const item of snapshot.groups) this.groupByName.set(item.group ?? '', item);
+    this.proxyById.clear();
+    for (const item of snapshot.proxies) this.proxyById.set(item.id ?? '', item);
+    this.notify();
+  }
+
+  /** Applies a command; returns whether anything changed. */
+  private applyCommand(index: number, command: whinyoke.CatalogCommand): boolean {
+    switch (command.kind) {
+      case 'putDocument':
+        return this.putDocument(command.putDocument!);
+      case 'putInstance':
+        return this.putInstance(command.putInstance!);
+      case 'putGroup':
+        return this.putGroup(index, command.putGroup!);
+      case 'setTarget':
+        return this.setTarget(command.setTarget!);
+      case 'putProxy':
+        return this.putProxy(index, command.putProxy!);
+      case 'removeProxy':
+        this.proxyLossIndex = index;
+        return this.proxyById.delete(command.removeProxy!);
+      case 'takeDuty':
+        return this.takeDuty(command.takeDuty!);
+      default:
+        return false;
+    }
+  }
+
+  /** The highest version holds; anything else changes nothing. */
+  private putDocument(document: whinyoke.IRoutingDocument): boolean {
+    if ((document.version ?? 0) <= this.documentVersion) return false;
+    this.currentDocument = document;
+    return true;
+  }
+
+  private putProxy(index: number, proxy: whinyoke.IProxyEntry): boolean {
+    if (this.proxyById.has(proxy.id ?? '')) this.proxyLossIndex = index;
+    this.proxyById.set(proxy.id ?? '', { ...proxy, version: index });
+    return true;
+  }
+
+  private putInstance(instance: whinyoke.IInstanceEntry): boolean {
+    const known = this.instanceById.get(instance.id ?? '');
+    const isLate = (instance.sequence ?? 0) < (known?.sequence ?? 0);
+    if (isLate || known?.state === InstanceState.GONE) return false;
+    this.instanceById.set(instance.id ?? '', instance);
+    this.forgetOldest();
+    return true;
+  }
+
+  private forgetOldest(): void {
+    const gone = this.instances.filter((instance) => instance.state === InstanceState.GONE);
+    const excess = gone.slice(0, Math.max(0, gone.length - MAXIMUM_REMEMBERED_GONE));
+    for (const instance of excess) this.instanceById.delete(instance.id ?? '');
+  }
+
+  private putGroup(index: number, group: whinyoke.IGroupEntry): boolean {
+    const present = this.groupByName.get(group.group ?? '');
+    if (group.epoch !== (present?.epoch ?? 0) + 1) return false;
+    const isSteady = group.phase !== whinyoke.GroupPhase.CHANGING;
+    const steadySince = isSteady ? index : present?.steadySince;
+    this.groupByName.set(group.group ?? '', { ...group, version: index, steadySince });
+    return true;
+  }
+
+  private setTarget(choice: whinyoke.IGroupEntry): boolean {
+    const present = this.groupByName.get(choice.group ?? '');
+    if (!present || present.epoch !== choice.epoch) return false;
+    this.groupByName.set(choice.group ?? '', { ...present, target: choice.target });
+    return true;
+  }
+
+  private takeDuty(duty: whinyoke.IDutyEntry): boolean {
+    if (duty.holder === this.currentDuty.holder) return false;
+    this.currentDuty = { ...duty, token: (this.currentDuty.token ?? 0) + 1 };
+    return true;
+  }
+
+  private notify(): void {
+    for (const listener of [...this.listeners]) listener();
+  }
+}
--- /dev/null
+++ b/src/consensus/elastic_membership.ts
@@ -0,0 +1,64 @@
+/**
+ * Upkeep of a cluster whose machines come and go: keeps a fixed number of voters and replaces those that are
+ * lost by learners that have caught up. One member changes at a time; a voter is removed only after its
+ * successor votes. Pure.
+ */
+import type { Member, Membership } from './membership.js';
+
+/** A voter that is silent for longer is replaced when a learner is ready, in milliseconds. */
+export const VOTER_SILENCE_MS = 1500;
+/** A learner that is silent for longer is removed, in milliseconds. */
+export const LEARNER_SILENCE_MS = 10_000;
+
+/** What the leader knows of the members. */
+export interface MembershipFacts {
+  /** Identity of the leader. */
+  readonly self: string;
+  /** Number of voters to keep. */
+  readonly voters: number;
+  /** Milliseconds since a member answered. */
+  readonly silenceMs: (id: string) => number;
+  /** Entries that a member lacks. */
+  readonly lag: (id: string) => number;
+}
+
+/** Whether a later member has the same address: this one's disk was lost. */
+function isSuperseded(member: Member, membership: Membership): boolean {
+  const sameAddress = membership.members.filter((other) => other.address === member.address);
+  return sameAddress.at(-1)?.id !== member.id;
+}
+
+/** The next single change, or undefined when nothing is to do. */
+export function nextMembership(
+  membership: Membership,
+  facts: MembershipFacts,
+): Membership | undefined {
+  const { voters } = membership;
+  const isLost = (member: Member): boolean =>
+    isSuperseded(member, membership) || facts.silenceMs(member.id) > VOTER_SILENCE_MS;
+  const lostVoters = voters.filter((voter) => voter.id !== facts.self && isLost(voter));
+  const learners = membership.members.filter((member) => member.isLearner);
+  const goneLearner = learners.find(
+    (learner) =>
+      isSuperseded(learner, membership) || facts.silenceMs(learner.id) > LEARNER_SILENCE_MS,
+  );
+  if (goneLearner) return membership.without(goneLearner.id);
+  if (voters.length > facts.voters) return withOneVoterLess(membership, facts, lostVoters);
+  const ready = learners.find(
+    (learner) => facts.silenceMs(learner.id) < VOTER_SILENCE_MS && facts.lag(learner.id) <= 0,
+  );
+  const isNeeded = voters.length < facts.voters || lostVoters.length > 0;
+  return ready && isNeeded ? membership.with({ ...ready, isLearner: false }) : undefined;
+}
+
+function withOneVoterLess(
+  membership: Membership,
+  facts: MembershipFacts,
+  lostVoters: readonly Member[],
+): Membership | undefined {
+  const superseded = lostVoters.find((voter) => isSuperseded(voter, membership));
+  const lost = superseded ?? lostVoters[0];
+  if (lost) return membership.without(lost.id);
+  const newest = membership.voters.findLast((voter) => voter.id !== facts.self);
+  return newest && membership.with({ ...newest, isLearner: true });
+}
--- a/src/consensus/raft_node.ts
+++ b/src/consensus/raft_node.ts
@@ -68,6 +68,8 @@
   private readonly proposals = new Map<number, PendingProposal>();
   private electionTimer: Timer | undefined;
   private lastLeaderContact = -Infinity;
+  /** Index of the entry that began this member's newest leadership. */
+  private leadershipIndex = Infinity;
   private campaignNumber = 0;
   private stopped = false;
 
@@ -174,6 +176,18 @@
     return Promise.resolve({ refusal: { reason: 'not a consensus message' } });
   }
 
+  /** Whether this member leads, is in contact with a majority, and has applied all that was committed before. */
+  get leadsWithState(): boolean {
+    return this.role === 'leader' && this.appliedIndex >= this.leadershipIndex && this.hasQuorum;
+  }
+
+  /** Milliseconds since a member answered; infinite when this is not the leader. */
+  contactAge(id: string): number {
+    if (id === this.id) return 0;
+    const lastContact = this.replicators.get(id)?.lastContact ?? -Infinity;
+    return this.runtime.clock.now() - lastContact;
+  }
+
   /** How far a member's log is known to match; only on the leader. */
   matchIndexOf(id: string): number {
     return this.replicators.get(id)?.matchIndex ?? 0;
@@ -394,6 +408,7 @@
       this.advanceCommit();
     });
     this.updateReplicators();
+    this.leadershipIndex = this.log.lastIndex + 1;
     this.appendOwn({
       term,
       index: this.log.lastIndex + 1,
--- a/src/control/cluster_joiner.ts
+++ b/src/control/cluster_joiner.ts
@@ -6,6 +6,7 @@
  * an empty disk could forget what it had confirmed. See docs/design/control-membership.md.
  */
 import { type Member, Membership } from '../consensus/membership.js';
+import { nextMembership } from '../consensus/elastic_membership.js';
 import type { RaftNode } from '../consensus/raft_node.js';
 import type { whinyoke } from '../protocol/generated/messages.js';
 import { type Runtime, type Timer } from '../runtime/runtime.js';
@@ -24,11 +25,21 @@
   return identity;
 }
 
+/** Rules of a cluster whose machines come and go at any address. */
+export interface ElasticOptions {
+  /** Whether this machine may found a cluster with the others of its list. */
+  readonly mayFound: boolean;
+  /** Number of voters to keep; other machines stand by as learners. */
+  readonly voters: number;
+}
+
 /** How to begin. */
 export interface JoinerOptions {
   readonly recoverAlone: boolean;
   /** Take addresses for names and begin at once. Unsafe; only for the lab. */
   readonly trustsAddresses: boolean;
+  /** Without it, the list of control machines is fixed. */
+  readonly elastic?: ElasticOptions;
 }
 
 /** Joiner of one control machine. */
@@ -40,7 +51,7 @@
   constructor(
     private readonly node: RaftNode,
     private readonly runtime: Runtime,
-    private readonly controls: readonly string[],
+    private readonly controls: () => readonly string[],
     private readonly options: JoinerOptions,
   ) {}
 
@@ -50,7 +61,11 @@
     if (this.options.recoverAlone && this.isMember()) {
       await this.node.bootstrapFromState([self]);
     } else if (this.options.trustsAddresses && !this.isMember()) {
-      const members = this.controls.map((address) => ({ id: address, address, isLearner: false }));
+      const members = this.controls().map((address) => ({
+        id: address,
+        address,
+        isLearner: false,
+      }));
       await this.node.bootstrap(members);
     }
   }
@@ -95,17 +110,18 @@
 
   private async tick(): Promise<void> {
     if (this.stopped) return;
+    const isLost = this.options.elastic !== undefined && !this.node.hasQuorum;
     if (!this.node.membership.find(this.node.id)) await this.lookForCluster();
-    else if (this.node.role === 'leader') await this.promoteLearners();
+    else if (this.node.role === 'leader') await this.maintainMembership();
+    else if (isLost) await this.askAll();
     if (this.stopped) return;
     this.timer = this.runtime.clock.setTimer(RETRY_MS, () => void this.tick());
   }
 
   private async lookForCluster(): Promise<void> {
-    const others = this.controls.filter((address) => address !== this.node.address);
-    const replies = await Promise.all(others.map((address) => this.ask(address)));
+    const replies = await this.askAll();
     const isFresh = !this.isMember() && replies.every((reply) => reply?.empty === true);
-    if (!isFresh) return;
+    if (!isFresh || !this.mayFound) return;
     const found = replies.map((reply) => ({
       id: reply?.member?.id ?? '',
       address: reply?.member?.address ?? '',
@@ -115,6 +131,24 @@
     await this.node.bootstrap(members);
   }
 
+  private get mayFound(): boolean {
+    const { elastic } = this.options;
+    if (!elastic) return true;
+    return elastic.mayFound && this.controls().includes(this.node.address);
+  }
+
+  /** Asks all machines of the list, and the leader that they name, to be taken in. */
+  private async askAll(): Promise<(whinyoke.IJoinReply | undefined)[]> {
+    const others = this.controls().filter((address) => address !== this.node.address);
+    const replies = await Promise.all(others.map((address) => this.ask(address)));
+    const leaders = new Set(replies.map((reply) => reply?.leaderAddress ?? ''));
+    for (const address of leaders) {
+      const isNews = address !== '' && address !== this.node.address && !others.includes(address);
+      if (isNews) await this.ask(address);
+    }
+    return replies;
+  }
+
   private async ask(address: string): Promise<whinyoke.IJoinReply | undefined> {
     const request = { joinRequest: { member: this.memberMessage() } };
     try {
@@ -127,11 +161,26 @@
   }
 
   private async addLearner(member: Member): Promise<void> {
-    const isExpected = this.controls.includes(member.address);
+    const isExpected = this.options.elastic || this.controls().includes(member.address);
     if (!isExpected || member.id === '' || this.replacing) return;
     await this.change(this.node.membership.with(member));
   }
 
+  private async maintainMembership(): Promise<void> {
+    const { elastic } = this.options;
+    if (!elastic) {
+      await this.promoteLearners();
+      return;
+    }
+    const next = nextMembership(this.node.membership, {
+      self: this.node.id,
+      voters: elastic.voters,
+      silenceMs: (id) => this.node.contactAge(id),
+      lag: (id) => this.node.log.lastIndex - this.node.matchIndexOf(id),
+    });
+    if (next) await this.change(next);
+  }
+
   /** Makes learners that have caught up voters, then removes the machines they replace. */
   private async promoteLearners(): Promise<void> {
     const { membership } = this.node;
--- a/src/control/control_core.ts
+++ b/src/control/control_core.ts
@@ -64,7 +64,7 @@
     const raftOptions = { ...DEFAULT_RAFT_OPTIONS, ...options.raft };
     const { address } = options;
     const node = new RaftNode(identity, address, runtime, log, store, raftOptions, observer);
-    const joiner = new ClusterJoiner(node, runtime, options.controls, {
+    const joiner = new ClusterJoiner(node, runtime, () => options.controls, {
       recoverAlone: options.recoverAlone ?? false,
       trustsAddresses: keepsIdentity,
     });
--- /dev/null
+++ b/src/coordinator/catalog_service.ts
@@ -0,0 +1,100 @@
+/**
+ * Changes and reads of the catalog on behalf of operators and instances. Any control machine takes them;
+ * one that does not lead passes them on to the leader. An answer is given only once a majority has the
+ * change on disk.
+ */
+import type { Catalog } from '../catalog/catalog.js';
+import type { RaftNode } from '../consensus/raft_node.js';
+import type { Proposer } from '../failover/appointment_duty.js';
+import type { InstanceMonitor } from '../failover/instance_monitor.js';
+import { whinyoke } from '../protocol/generated/messages.js';
+import type { Clock, Messenger } from '../runtime/runtime.js';
+
+const { CatalogOutcome, InstanceState } = whinyoke;
+
+const FORWARD_TIMEOUT_MS = 900;
+const UNAVAILABLE: whinyoke.ICatalogReply = { outcome: CatalogOutcome.UNAVAILABLE };
+
+/** Service of one control machine. */
+export class CatalogService {
+  constructor(
+    private readonly clock: Clock,
+    private readonly messenger: Messenger,
+    private readonly node: RaftNode,
+    private readonly catalog: Catalog,
+    private readonly monitor: InstanceMonitor,
+    private readonly propose: Proposer,
+  ) {}
+
+  /** Takes a request here or at the leader. */
+  async submit(request: whinyoke.ICatalogRequest): Promise<whinyoke.ICatalogReply> {
+    if (this.node.role === 'leader') return this.handle(request);
+    const { leaderAddress } = this.node;
+    if (leaderAddress === '' || leaderAddress === this.node.address) return UNAVAILABLE;
+    try {
+      const body = { catalogRequest: request };
+      const answer = await this.messenger.request(leaderAddress, body, FORWARD_TIMEOUT_MS);
+      return answer.catalogReply ?? UNAVAILABLE;
+    } catch {
+      return UNAVAILABLE;
+    }
+  }
+
+  /** Answers a request as the leader. */
+  async handle(request: whinyoke.ICatalogRequest): Promise<whinyoke.ICatalogReply> {
+    if (!this.node.leadsWithState) return UNAVAILABLE;
+    try {
+      if (request.putDocument) return await this.putDocument(request.putDocument);
+      if (request.beat) return await this.noteBeat(request.beat);
+      return await this.readDocument();
+    } catch {
+      return UNAVAILABLE;
+    }
+  }
+
+  private async putDocument(document: whinyoke.IRoutingDocument): Promise<whinyoke.ICatalogReply> {
+    if ((document.version ?? 0) <= this.catalog.documentVersion) await this.confirmLeadership();
+    else await this.propose({ putDocument: document });
+    return { outcome: CatalogOutcome.DONE };
+  }
+
+  private async readDocument(): Promise<whinyoke.ICatalogReply> {
+    await this.confirmLeadership();
+    return { outcome: CatalogOutcome.DONE, document: this.catalog.document };
+  }
+
+  /** An empty entry that is committed proves that nobody else led in between. */
+  private async confirmLeadership(): Promise<void> {
+    await this.propose({});
+  }
+
+  private async noteBeat(beat: whinyoke.IInstanceBeat): Promise<whinyoke.ICatalogReply> {
+    const instance = beat.instance ?? {};
+    const known = this.catalog.instance(instance.id ?? '');
+    if (beat.leaves) {
+      const left = { ...known, id: instance.id, state: InstanceState.GONE };
+      if (known?.state !== InstanceState.GONE) await this.propose({ putInstance: left });
+      return { outcome: CatalogOutcome.DONE };
+    }
+    this.monitor.note(beat, this.clock.now());
+    const isLate = (instance.sequence ?? 0) < (known?.sequence ?? 0);
+    if (!isLate && known?.state !== InstanceState.GONE && !isSame(known, instance)) {
+      await this.propose({ putInstance: instance });
+    }
+    return { outcome: CatalogOutcome.DONE };
+  }
+}
+
+function isSame(
+  known: whinyoke.IInstanceEntry | undefined,
+  told: whinyoke.IInstanceEntry,
+): boolean {
+  return (
+    known !== undefined &&
+    known.group === told.group &&
+    known.address === told.address &&
+    known.zone === told.zone &&
+    known.slots === told.slots &&
+    (known.state ?? InstanceState.READY) === (told.state ?? InstanceState.READY)
+  );
+}
--- /dev/null
+++ b/src/coordinator/coordinator.ts
@@ -0,0 +1,192 @@
+/** A control machine for groups whose primary is appointed: catalog, leases, changes of primary. */
+import { Catalog } from '../catalog/catalog.js';
+import { RaftLog } from '../consensus/raft_log.js';
+import { DEFAULT_RAFT_OPTIONS, RaftNode, type RaftOptions } from '../consensus/raft_node.js';
+import { ClusterJoiner, loadIdentity } from '../control/cluster_joiner.js';
+import { AppointmentDuty, type Proposer } from '../failover/appointment_duty.js';
+import { FailoverController } from '../failover/failover_controller.js';
+import { InstanceAdministrator } from '../failover/instance_administrator.js';
+import { InstanceMonitor } from '../failover/instance_monitor.js';
+import { LeaseLedger } from '../failover/lease_ledger.js';
+import type { PrimaryAppointer } from '../failover/primary_appointer.js';
+import { PrimaryHealthBoard } from '../failover/primary_health_board.js';
+import { Events } from '../observability/events.js';
+import { whinyoke } from '../protocol/generated/messages.js';
+import type { DecisionLog } from '../router/router_context.js';
+import type { InstanceConnector } from '../router/instance_connection.js';
+import type { MessageBody, Runtime, Timer } from '../runtime/runtime.js';
+import { CatalogService } from './catalog_service.js';
+import { LEASE_MS, SyncService } from './sync_service.js';
+
+/** Identity and surroundings of a control machine. */
+export interface CoordinatorOptions {
+  /** Name under which this process holds the appointment duty. */
+  readonly name: string;
+  /** Address for messages of other processes. */
+  readonly address: string;
+  /** Addresses of control machines to begin with. */
+  readonly seeds: readonly string[];
+  /** Whether this is the very first start of the whole system. */
+  readonly isFirstStart: boolean;
+  /** Number of voting members to keep. */
+  readonly voters: number;
+  readonly connector: InstanceConnector;
+  readonly appointer: PrimaryAppointer;
+  readonly log: DecisionLog;
+  readonly raft?: Partial<RaftOptions>;
+}
+
+const UPKEEP_MS = 500;
+/** A former leader may go on granting leases for this long after it lost its majority; milliseconds. */
+const STALE_LEADER_MS = 1000;
+/** A control machine that answered within this time is in touch, in milliseconds. */
+const CONTACT_MS = 1000;
+
+/** One control machine. */
+export class Coordinator {
+  private readonly catalogService: CatalogService;
+  private readonly syncService: SyncService;
+  private readonly controller: FailoverController;
+  private readonly duty: AppointmentDuty;
+  private readonly ledger = new LeaseLedger();
+  private readonly monitor = new InstanceMonitor();
+  private readonly board = new PrimaryHealthBoard();
+  private readonly joiner: ClusterJoiner;
+  private seeds: readonly string[];
+  private upkeep: Timer | undefined;
+
+  private constructor(
+    readonly node: RaftNode,
+    readonly catalog: Catalog,
+    private readonly runtime: Runtime,
+    private readonly options: CoordinatorOptions,
+  ) {
+    const { clock, messenger } = runtime;
+    const propose: Proposer = (command) => this.propose(command);
+    this.seeds = options.seeds;
+    this.syncService = new SyncService(clock, node, catalog, this.ledger, this.board, propose);
+    this.catalogService = new CatalogService(
+      clock,
+      messenger,
+      node,
+      catalog,
+      this.monitor,
+      propose,
+    );
+    const { name, address, appointer, log, connector } = options;
+    this.duty = new AppointmentDuty(
+      { name, address },
+      catalog,
+      messenger,
+      appointer,
+      propose,
+      (other) => this.isInTouch(other),
+    );
+    const context = {
+      clock,
+      catalog,
+      ledger: this.ledger,
+      administrator: new InstanceAdministrator(connector),
+      duty: this.duty,
+      propose,
+      log,
+      isLeading: () => node.leadsWithState,
+    };
+    this.controller = new FailoverController(context, this.monitor, this.board);
+    this.joiner = new ClusterJoiner(node, runtime, () => this.seeds, {
+      recoverAlone: false,
+      trustsAddresses: false,
+      elastic: { mayFound: options.isFirstStart, voters: options.voters },
+    });
+  }
+
+  /** Reads the durable state and prepares everything; nothing is sent before `start`. */
+  static async open(runtime: Runtime, options: CoordinatorOptions): Promise<Coordinator> {
+    const identity = await loadIdentity(runtime);
+    const log = await RaftLog.open(runtime.folder);
+    const catalog = new Catalog();
+    const raftOptions = { ...DEFAULT_RAFT_OPTIONS, ...options.raft };
+    const node: RaftNode = new RaftNode(
+      identity,
+      options.address,
+      runtime,
+      log,
+      catalog,
+      raftOptions,
+      {
+        onRole: (role, term) => {
+          options.log(Events.roleChanged, { role, term });
+          if (role === 'leader') coordinator.beginLeadership();
+        },
+      },
+    );
+    const coordinator = new Coordinator(node, catalog, runtime, options);
+    return coordinator;
+  }
+
+  /** Joins the cluster and serves. */
+  async start(): Promise<void> {
+    this.runtime.messenger.serve((body) => this.handle(body));
+    await this.joiner.prepare();
+    this.node.start();
+    this.joiner.start();
+    this.controller.start();
+    this.runUpkeep();
+  }
+
+  /** Stops serving. */
+  stop(): void {
+    this.upkeep?.cancel();
+    this.controller.stop();
+    this.joiner.stop();
+    this.node.stop();
+  }
+
+  /** Takes over control machines of changed settings. */
+  updateSeeds(seeds: readonly string[]): void {
+    this.seeds = seeds;
+  }
+
+  /** Changes or reads the catalog, here or at the leader. */
+  submit(request: whinyoke.ICatalogRequest): Promise<whinyoke.ICatalogReply> {
+    return this.catalogService.submit(request);
+  }
+
+  /** Answers a message of another process. */
+  async handle(body: MessageBody): Promise<MessageBody> {
+    if (body.syncRequest) return { syncReply: await this.syncService.sync(body.syncRequest) };
+    if (body.catalogRequest) {
+      return { catalogReply: await this.catalogService.handle(body.catalogRequest) };
+    }
+    if (body.appointRequest) {
+      return { appointReply: await this.duty.onRequest(body.appointRequest) };
+    }
+    if (body.joinRequest) return { joinReply: await this.joiner.onJoin(body.joinRequest) };
+    return this.node.handle(body);
+  }
+
+  private beginLeadership(): void {
+    const now = this.runtime.clock.now();
+    this.ledger.begin(now + LEASE_MS + STALE_LEADER_MS);
+    this.monitor.clear();
+    this.board.clear();
+    this.syncService.begin();
+  }
+
+  private async propose(command: whinyoke.ICatalogCommand): Promise<whinyoke.CatalogResult> {
+    const bytes = whinyoke.CatalogCommand.encode(command).finish();
+    return whinyoke.CatalogResult.decode(await this.node.propose(bytes));
+  }
+
+  private isInTouch(address: string): boolean {
+    const member = this.node.membership.members.findLast((item) => item.address === address);
+    return member !== undefined && this.node.contactAge(member.id) < CONTACT_MS;
+  }
+
+  private runUpkeep(): void {
+    this.upkeep = this.runtime.clock.setTimer(UPKEEP_MS, () => {
+      if (this.node.leadsWithState) this.syncService.removeSilent().catch(() => undefined);
+      this.runUpkeep();
+    });
+  }
+}
--- /dev/null
+++ b/src/daemon/coordinator_daemon.ts
@@ -0,0 +1,118 @@
+/** The daemon around {@link Coordinator}: logs, metrics, planned stop. */
+import { Gauge, Registry } from 'prom-client';
+import { Coordinator } from '../coordinator/coordinator.js';
+import type { PrimaryAppointer } from '../failover/primary_appointer.js';
+import { Events } from '../observability/events.js';
+import { whinyoke } from '../protocol/generated/messages.js';
+import type { DecisionLog } from '../router/router_context.js';
+import type { InstanceConnector } from '../router/instance_connection.js';
+import { startMetricsServer } from './metrics_server.js';
+import { openProcess } from './managed_process.js';
+import { stopSignal } from './process_runtime.js';
+
+/** Settings of a control machine for groups with appointed primaries. */
+export interface CoordinatorSettings {
+  readonly id: string;
+  /** Address for messages of other processes. */
+  readonly internal: string;
+  readonly dataFolder: string;
+  readonly seeds: readonly string[];
+  readonly isFirstStart: boolean;
+  readonly voters: number;
+  readonly metrics: string | undefined;
+}
+
+/** A control machine that runs. */
+export interface RunningCoordinator {
+  readonly core: Coordinator;
+  readonly log: DecisionLog;
+  /** Takes over changed settings. */
+  updateSeeds(seeds: readonly string[]): void;
+  /** Resolves after a planned stop. */
+  readonly stopped: Promise<void>;
+}
+
+function createRegistry(core: Coordinator): Registry {
+  const registry = new Registry();
+  const gauge = (name: string, help: string, value: () => number): void => {
+    const item: Gauge = new Gauge({
+      name,
+      help,
+      registers: [registry],
+      collect: () => item.set(value()),
+    });
+  };
+  const { node, catalog } = core;
+  gauge('whinyoke_consensus_term', 'Current consensus term', () => node.currentTerm);
+  gauge('whinyoke_consensus_leader', '1 on the leader', () => (node.role === 'leader' ? 1 : 0));
+  gauge('whinyoke_applied_index', 'Newest applied entry', () => node.appliedIndex);
+  gauge('whinyoke_log_lag', 'Entries that are not applied yet', () => {
+    return node.log.lastIndex - node.appliedIndex;
+  });
+  gauge('whinyoke_log_bytes', 'Bytes of log and snapshot', () => node.log.byteLength);
+  gauge('whinyoke_document_version', 'Newest routing document', () => catalog.documentVersion);
+  gauge(
+    'whinyoke_duty_token',
+    'Fencing token of the appointment duty',
+    () => catalog.duty.token ?? 0,
+  );
+  const epochs = new Gauge({
+    name: 'whinyoke_group_epoch',
+    help: 'Epoch of each group, by phase',
+    labelNames: ['group', 'primary', 'phase'],
+    registers: [registry],
+    collect: () => {
+      epochs.reset();
+      for (const group of catalog.groups) {
+        const phase = group.phase === whinyoke.GroupPhase.CHANGING ? 'changing' : 'steady';
+        const labels = { group: group.group ?? '', primary: group.primary ?? '', phase };
+        epochs.set(labels, group.epoch ?? 0);
+      }
+    },
+  });
+  return registry;
+}
+
+/** Starts a control machine. */
+export async function startCoordinator(
+  settings: CoordinatorSettings,
+  connector: InstanceConnector,
+  appointer: PrimaryAppointer,
+): Promise<RunningCoordinator> {
+  const { runtime, logger, decisions } = await openProcess('whinyoke-control', settings);
+  const core = await Coordinator.open(runtime, {
+    name: settings.id,
+    address: settings.internal,
+    seeds: settings.seeds,
+    isFirstStart: settings.isFirstStart,
+    voters: settings.voters,
+    connector,
+    appointer,
+    log: decisions.log,
+  });
+  await core.start();
+  const server =
+    settings.metrics === undefined
+      ? undefined
+      : await startMetricsServer(settings.metrics, {
+          registry: createRegistry(core),
+          isReady: () => core.node.hasQuorum,
+        });
+  logger.event(Events.started, { internal: settings.internal, member: core.node.id });
+  const stop = async (): Promise<void> => {
+    const signal = await stopSignal();
+    logger.event(Events.stopping, { signal });
+    core.stop();
+    server?.close();
+    logger.event(Events.stopped);
+  };
+  return {
+    core,
+    log: decisions.log,
+    updateSeeds: (seeds) => {
+      logger.event(Events.settingsReloaded, { controls: seeds.join(' ') });
+      core.updateSeeds(seeds);
+    },
+    stopped: stop(),
+  };
+}
--- /dev/null
+++ b/src/daemon/managed_process.ts
@@ -0,0 +1,62 @@
+/** Logs and runtime of the daemons for groups with appointed primaries. */
+import { BoundedOutput } from '../observability/bounded_output.js';
+import { DecisionLogger } from '../observability/decision_logger.js';
+import { EventLogger } from '../observability/logger.js';
+import { splitAddress } from '../runtime/address.js';
+import { RealClock } from '../runtime/real_clock.js';
+import { RealFolder } from '../runtime/real_folder.js';
+import type { DataFolder, Runtime } from '../runtime/runtime.js';
+import { SeededRandom } from '../runtime/seeded_random.js';
+import { TcpMessenger } from '../runtime/tcp_messenger.js';
+
+/** What every process is told. */
+export interface ProcessSettings {
+  readonly id: string;
+  readonly internal: string;
+  /** Folder for durable state; a process without one keeps nothing. */
+  readonly dataFolder?: string;
+}
+
+/** Runtime and logs of one process. */
+export interface ManagedProcess {
+  readonly runtime: Runtime;
+  readonly logger: EventLogger;
+  readonly decisions: DecisionLogger;
+}
+
+const NO_FOLDER_TEXT = 'this process has no data folder';
+
+function noFolder(): DataFolder {
+  const refuse = (): Promise<never> => Promise.reject(new Error(NO_FOLDER_TEXT));
+  return {
+    read: refuse,
+    append: refuse,
+    sync: refuse,
+    replace: refuse,
+    truncate: refuse,
+    remove: refuse,
+    list: refuse,
+  };
+}
+
+/** Opens logs, data folder and the internal listener. */
+export async function openProcess(
+  program: string,
+  settings: ProcessSettings,
+): Promise<ManagedProcess> {
+  const logger = new EventLogger(program, { node: settings.id }, 'info', new BoundedOutput());
+  const clock = new RealClock();
+  const decisions = new DecisionLogger(logger, clock);
+  const messenger = new TcpMessenger({
+    ...splitAddress(settings.internal),
+    sharedKey: undefined,
+  });
+  const folder =
+    settings.dataFolder === undefined ? noFolder() : await RealFolder.open(settings.dataFolder);
+  await messenger.listen();
+  return {
+    runtime: { clock, random: SeededRandom.fromSystem(), folder, messenger },
+    logger,
+    decisions,
+  };
+}
--- /dev/null
+++ b/src/daemon/router_daemon.ts
@@ -0,0 +1,94 @@
+/** The daemon around {@link RouterCore}: logs, metrics, listener, planned stop. */
+import type { RoutingDocumentReader } from '../router/route_table.js';
+import { Events } from '../observability/events.js';
+import type { InstanceConnector } from '../router/instance_connection.js';
+import { stopAsPlanned } from '../router/planned_stop.js';
+import { RouterCore } from '../router/router_core.js';
+import { type CallerCodec, SessionListener } from '../router/session_listener.js';
+import { startMetricsServer } from './metrics_server.js';
+import { openProcess } from './managed_process.js';
+import { RouterMetrics } from './router_metrics.js';
+import { stopSignal } from './process_runtime.js';
+
+/** Settings of a proxy for groups with appointed primaries. */
+export interface RouterSettings {
+  readonly id: string;
+  readonly zone: string;
+  /** Address for callers. */
+  readonly listen: string;
+  /** Address for messages of other processes. */
+  readonly internal: string;
+  readonly seeds: readonly string[];
+  /** Time between the order to stop and the end, in milliseconds. */
+  readonly graceMs: number;
+  readonly metrics: string | undefined;
+}
+
+/** The protocols that the proxy speaks. */
+export interface RouterProtocols {
+  readonly callers: CallerCodec;
+  readonly connector: InstanceConnector;
+  readonly documents: RoutingDocumentReader;
+}
+
+/** A proxy that runs. */
+export interface RunningRouter {
+  readonly core: RouterCore;
+  /** Takes over changed settings. */
+  updateSeeds(seeds: readonly string[]): void;
+  /** Resolves after a planned stop. */
+  readonly stopped: Promise<void>;
+}
+
+/** Starts a proxy. */
+export async function startRouter(
+  settings: RouterSettings,
+  protocols: RouterProtocols,
+): Promise<RunningRouter> {
+  const { runtime, logger, decisions } = await openProcess('whinyoke-proxy', settings);
+  const metrics = new RouterMetrics();
+  const core = new RouterCore(runtime, {
+    id: settings.id,
+    zone: settings.zone,
+    address: settings.internal,
+    seeds: settings.seeds,
+    connector: protocols.connector,
+    reader: protocols.documents,
+    log: decisions.log,
+    counters: metrics,
+  });
+  metrics.watch(core);
+  const listener = new SessionListener(protocols.callers, {
+    get hasTable() {
+      return core.table !== undefined;
+    },
+    openSession: (database) => core.openSession(database),
+  });
+  core.start();
+  await listener.listen(settings.listen);
+  const server =
+    settings.metrics === undefined
+      ? undefined
+      : await startMetricsServer(settings.metrics, {
+          registry: metrics.registry,
+          isReady: () => core.isReady,
+        });
+  logger.event(Events.started, { listen: settings.listen, internal: settings.internal });
+  const stop = async (): Promise<void> => {
+    const signal = await stopSignal();
+    logger.event(Events.stopping, { signal, callers: listener.connectionCount });
+    core.beginLeave();
+    const cutOff = await stopAsPlanned(runtime.clock, listener, settings.graceMs);
+    core.stop();
+    server?.close();
+    logger.event(Events.stopped, { cut_off: cutOff });
+  };
+  return {
+    core,
+    updateSeeds: (seeds) => {
+      logger.event(Events.settingsReloaded, { controls: seeds.join(' ') });
+      core.updateSeeds(seeds);
+    },
+    stopped: stop(),
+  };
+}
--- /dev/null
+++ b/src/daemon/router_metrics.ts
@@ -0,0 +1,97 @@
+/** Counters and latency histograms of a proxy for groups with appointed primaries. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { RequestCounters } from '../router/router_context.js';
+import type { RouterCore } from '../router/router_core.js';
+
+const LATENCY_BUCKETS_S = [0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.25, 0.5, 1, 2];
+
+/** Metrics of one proxy. */
+export class RouterMetrics implements RequestCounters {
+  readonly registry = new Registry();
+  private readonly latency = new Histogram({
+    name: 'whinyoke_request_seconds',
+    help: 'Time to answer a statement, by route and outcome',
+    labelNames: ['route', 'outcome'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+  private readonly servedBy = new Counter({
+    name: 'whinyoke_served_total',
+    help: 'Statements served by an instance; `replica_allowed` tells whether the route lets replicas serve',
+    labelNames: ['route', 'instance', 'role', 'replica_allowed'],
+    registers: [this.registry],
+  });
+  private readonly retries = new Counter({
+    name: 'whinyoke_retries_total',
+    help: 'Statements tried again, by route and cause',
+    labelNames: ['route', 'cause'],
+    registers: [this.registry],
+  });
+
+  answered(route: string, outcome: string, durationMs: number): void {
+    this.latency.observe({ route, outcome }, durationMs / 1000);
+  }
+
+  served(route: string, instance: string, isPrimary: boolean, isReplicaAllowed: boolean): void {
+    const role = isPrimary ? 'primary' : 'replica';
+    this.servedBy.inc({ route, instance, role, replica_allowed: String(isReplicaAllowed) });
+  }
+
+  retried(route: string, cause: string): void {
+    this.retries.inc({ route, cause });
+  }
+
+  /** Adds gauges that are read from a core. */
+  watch(core: RouterCore): void {
+    this.gauge(
+      'whinyoke_sync_age_seconds',
+      'Age of the newest answer of control',
+      () => Math.min(core.syncAge, Number.MAX_SAFE_INTEGER) / 1000,
+    );
+    this.gauge(
+      'whinyoke_document_version',
+      'Routing document in force',
+      () => core.table?.version ?? 0,
+    );
+    this.gauge('whinyoke_catalog_version', 'Catalog in force', () => core.catalogVersion);
+    const pool = new Gauge({
+      name: 'whinyoke_pool_connections',
+      help: 'Connections to instances, by state',
+      labelNames: ['group', 'instance', 'state'],
+      registers: [this.registry],
+      collect: () => {
+        for (const { target, size, used, waiting, load } of core.allPools) {
+          const labels = { group: target.group, instance: target.id };
+          pool.set({ ...labels, state: 'open' }, size);
+          pool.set({ ...labels, state: 'used' }, used);
+          pool.set({ ...labels, state: 'waiting' }, waiting);
+          pool.set({ ...labels, state: 'latency_ms' }, load.latency);
+        }
+      },
+    });
+    const trust = new Gauge({
+      name: 'whinyoke_primary_epoch',
+      help: 'Epoch of each group; `leased` tells whether its primary is trusted now',
+      labelNames: ['group', 'primary', 'leased'],
+      registers: [this.registry],
+      collect: () => {
+        trust.reset();
+        for (const group of new Set(core.allPools.map(({ target }) => target.group))) {
+          const entry = core.trust.entryOf(group);
+          const leased = core.trust.primaryOf(group, core.clock.now()) !== undefined;
+          const labels = { group, primary: entry?.primary ?? '', leased: String(leased) };
+          trust.set(labels, entry?.epoch ?? 0);
+        }
+      },
+    });
+  }
+
+  private gauge(name: string, help: string, value: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect: () => gauge.set(value()),
+    });
+  }
+}
--- /dev/null
+++ b/src/failover/candidate.ts
@@ -0,0 +1,62 @@
+/** Choice of the instance that becomes primary. Pure. */
+import type { InstanceStatus } from '../router/instance_connection.js';
+import { comparePositions, covers } from '../session/position.js';
+import type { RevocationState } from './lease_ledger.js';
+
+/** A replica that answered after all leases had ended. */
+export interface CandidateReport {
+  readonly instance: string;
+  readonly status: InstanceStatus;
+  /** Whether it may become primary: it is not about to leave. */
+  readonly isEligible: boolean;
+}
+
+/** Everything that decides. */
+export interface ChoiceInput {
+  readonly reports: readonly CandidateReport[];
+  /** Replicas that did not answer; any of them may hold what nobody else holds. */
+  readonly missing: number;
+  /** Position that the old primary told after all leases had ended, when it did. */
+  readonly oldPrimary: InstanceStatus | undefined;
+  readonly revocation: RevocationState;
+  /** Whether the confirmations cover everything acknowledged in the epoch: no proxy was lost in it. */
+  readonly isHistoryWhole: boolean;
+  /** Term of the old primary. */
+  readonly term: number;
+}
+
+/** What the choice rests on. */
+export type ChoiceEvidence = 'allReplicas' | 'oldPrimary' | 'confirmations';
+
+/** The chosen instance. */
+export interface Choice {
+  readonly instance: string;
+  readonly evidence: ChoiceEvidence;
+}
+
+/** The evidence that a position holds every acknowledged commit; undefined when there is none. */
+function evidenceFor(status: InstanceStatus, input: ChoiceInput): ChoiceEvidence | undefined {
+  const { received } = status;
+  const { revocation } = input;
+  // Whatever else is known, what the proxies name must be there: a replica that left may alone have held it.
+  if (revocation.acknowledged && !covers(received, revocation.acknowledged)) return undefined;
+  const isNewest = input.reports.every((report) => covers(received, report.status.received));
+  if (input.missing === 0 && isNewest) return 'allReplicas';
+  if (input.oldPrimary && covers(received, input.oldPrimary.received)) return 'oldPrimary';
+  if (!revocation.isConfirmedByAll || !input.isHistoryWhole) return undefined;
+  const isCovered = revocation.acknowledged !== undefined || received.term >= input.term;
+  return isCovered ? 'confirmations' : undefined;
+}
+
+/** Eligible instance with the newest position that provably holds every acknowledged commit. */
+export function chooseCandidate(input: ChoiceInput): Choice | undefined {
+  const eligible = input.reports.filter((report) => report.isEligible);
+  const newestFirst = eligible.sort((left, right) =>
+    comparePositions(right.status.received, left.status.received),
+  );
+  for (const { instance, status } of newestFirst) {
+    const evidence = evidenceFor(status, input);
+    if (evidence) return { instance, evidence };
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/failover/failover_controller.ts
@@ -0,0 +1,169 @@
+/** Watches the primaries of all groups on the leader, and begins and resumes changes of primary. */
+import type { GroupEntry, InstanceEntry } from '../catalog/catalog.js';
+import { Events } from '../observability/events.js';
+import { whinyoke } from '../protocol/generated/messages.js';
+import type { Timer } from '../runtime/runtime.js';
+import type { InstanceMonitor } from './instance_monitor.js';
+import { type ChangerContext, PrimaryChanger, targetOf } from './primary_changer.js';
+import type { PrimaryHealthBoard } from './primary_health_board.js';
+
+const { GroupPhase, InstanceRole, InstanceState } = whinyoke;
+
+const TICK_MS = 50;
+/** Without any opinion of a proxy, heartbeats must be missing for this long; in milliseconds. */
+const SILENT_HEARTBEAT_MS = 5000;
+/** One proxy alone is believed when the primary's heartbeat is older than this; in milliseconds. */
+const LATE_HEARTBEAT_MS = 1500;
+/** Silence soon after a change is more likely load than a fault; in milliseconds. */
+const SETTLING_MS = 2000;
+
+/** Why a primary is to be replaced. */
+interface ChangeCause {
+  readonly text: string;
+  readonly isPlanned: boolean;
+}
+
+/** Controller of one control machine. */
+export class FailoverController {
+  private timer: Timer | undefined;
+  private readonly changing = new Set<string>();
+  private readonly steadySince = new Map<string, { epoch: number; at: number }>();
+  private isAdopting = false;
+
+  constructor(
+    private readonly context: ChangerContext,
+    private readonly monitor: InstanceMonitor,
+    private readonly board: PrimaryHealthBoard,
+  ) {}
+
+  /** Starts to watch; does nothing while this machine does not lead. */
+  start(): void {
+    this.timer = this.context.clock.setTimer(TICK_MS, () => {
+      this.tick();
+      this.start();
+    });
+  }
+
+  /** Stops. */
+  stop(): void {
+    this.timer?.cancel();
+  }
+
+  /** Looks at all groups once. */
+  tick(): void {
+    if (!this.context.isLeading()) return;
+    const { catalog } = this.context;
+    const names = new Set(catalog.presentInstances.map((instance) => instance.group ?? ''));
+    for (const name of names) {
+      const entry = catalog.group(name);
+      if (!entry) void this.adoptPrimary(name);
+      else if (entry.phase === GroupPhase.CHANGING) this.resume(entry);
+      else this.judge(entry);
+    }
+  }
+
+  /** A group seen for the first time: the instance that leads it now becomes its primary. */
+  private async adoptPrimary(group: string): Promise<void> {
+    if (this.isAdopting) return;
+    this.isAdopting = true;
+    try {
+      const { catalog, administrator, propose } = this.context;
+      const claims = catalog.presentInstances.filter(
+        (instance) =>
+          instance.group === group &&
+          this.monitor.roleOf(instance.id ?? '') === InstanceRole.PRIMARY,
+      );
+      const statuses = await Promise.all(
+        claims.map((item) => administrator.status(targetOf(item))),
+      );
+      let best: { instance: InstanceEntry; term: number } | undefined;
+      for (const [index, status] of statuses.entries()) {
+        if (status?.role !== 'primary' || status.term <= (best?.term ?? -1)) continue;
+        best = { instance: claims[index]!, term: status.term };
+      }
+      if (!best) return;
+      const { STEADY: phase } = GroupPhase;
+      const primary = best.instance.id;
+      await propose({ putGroup: { group, epoch: 1, phase, primary, term: best.term } });
+    } catch {
+      // Tried again at the next tick, by whoever leads then.
+    } finally {
+      this.isAdopting = false;
+    }
+  }
+
+  private resume(entry: GroupEntry): void {
+    const group = entry.group ?? '';
+    if (this.changing.has(group)) return;
+    this.changing.add(group);
+    new PrimaryChanger(this.context, entry)
+      .run()
+      .catch(() => undefined)
+      .finally(() => this.changing.delete(group));
+  }
+
+  private judge(entry: GroupEntry): void {
+    const cause = this.causeOfChange(entry);
+    if (!cause || this.changing.has(entry.group ?? '')) return;
+    void this.begin(entry, cause.text, cause.isPlanned);
+  }
+
+  private async begin(entry: GroupEntry, cause: string, isPlanned: boolean): Promise<void> {
+    const group = entry.group ?? '';
+    this.changing.add(group);
+    this.context.log(Events.primaryChangeBegun, {
+      group,
+      epoch: entry.epoch ?? 0,
+      primary: entry.primary ?? '',
+      cause,
+      planned: isPlanned,
+    });
+    try {
+      const next = { ...entry, epoch: (entry.epoch ?? 0) + 1, phase: GroupPhase.CHANGING };
+      await this.context.propose({ putGroup: { ...next, planned: isPlanned, target: '' } });
+    } catch {
+      // The next leader sees the same and begins.
+    } finally {
+      this.changing.delete(group);
+    }
+    this.tick();
+  }
+
+  private causeOfChange(entry: GroupEntry): ChangeCause | undefined {
+    if (!this.hasReplacement(entry)) return undefined;
+    const primary = this.context.catalog.instance(entry.primary ?? '');
+    if (primary?.state === InstanceState.READY) return this.causeByHealth(entry);
+    return { text: 'the primary leaves', isPlanned: primary?.state === InstanceState.DRAINING };
+  }
+
+  private causeByHealth(entry: GroupEntry): ChangeCause | undefined {
+    const now = this.context.clock.now();
+    const { bad, good, trouble } = this.board.verdict(entry.group ?? '', entry.epoch ?? 0, now);
+    const beatAge = this.monitor.age(entry.primary ?? '', now);
+    if (bad > good) {
+      const isConfirmed = bad >= 2 || (beatAge ?? Infinity) > LATE_HEARTBEAT_MS;
+      const isSettled = trouble !== 'silent' || this.steadyAge(entry, now) > SETTLING_MS;
+      const text = `${bad} proxies find it ${trouble}, ${good} use it; heartbeat age ${beatAge}`;
+      return isConfirmed && isSettled ? { text, isPlanned: false } : undefined;
+    }
+    const isSilent = good === 0 && beatAge !== undefined && beatAge > SILENT_HEARTBEAT_MS;
+    return isSilent ? { text: `no heartbeat for ${beatAge} ms`, isPlanned: false } : undefined;
+  }
+
+  private steadyAge(entry: GroupEntry, now: number): number {
+    const group = entry.group ?? '';
+    const known = this.steadySince.get(group);
+    if (known && known.epoch === entry.epoch) return now - known.at;
+    this.steadySince.set(group, { epoch: entry.epoch ?? 0, at: now });
+    return 0;
+  }
+
+  private hasReplacement(entry: GroupEntry): boolean {
+    return this.context.catalog.presentInstances.some(
+      (instance) =>
+        instance.group === entry.group &&
+        instance.id !== entry.primary &&
+        instance.state === InstanceState.READY,
+    );
+  }
+}
--- /dev/null
+++ b/src/failover/instance_administrator.ts
@@ -0,0 +1,51 @@
+/** Administrative commands to instances: state, stop and resume of receiving, end of a leadership. */
+import type {
+  InstanceConnector,
+  InstanceStatus,
+  InstanceTarget,
+} from '../router/instance_connection.js';
+import type { InstanceCommand } from '../router/statement.js';
+
+const TIMEOUT_MS = 500;
+
+/** Administrator of one control machine. Opens a connection for each command. */
+export class InstanceAdministrator {
+  constructor(private readonly connector: InstanceConnector) {}
+
+  /** State of an instance; undefined when it does not tell it. */
+  status(target: InstanceTarget): Promise<InstanceStatus | undefined> {
+    return this.run(target, { kind: 'status' });
+  }
+
+  /** Stops a replica from receiving from primaries below `term`. */
+  pause(target: InstanceTarget, term: number): Promise<InstanceStatus | undefined> {
+    return this.run(target, { kind: 'pause', term });
+  }
+
+  /** Lets a replica receive again. */
+  resume(target: InstanceTarget): Promise<InstanceStatus | undefined> {
+    return this.run(target, { kind: 'resume' });
+  }
+
+  /** Makes a primary of a term below `term` a replica. */
+  stepDown(target: InstanceTarget, term: number): Promise<InstanceStatus | undefined> {
+    return this.run(target, { kind: 'stepDown', term });
+  }
+
+  private async run(
+    target: InstanceTarget,
+    command: InstanceCommand,
+  ): Promise<InstanceStatus | undefined> {
+    try {
+      const { connection } = await this.connector.connect(target, TIMEOUT_MS);
+      try {
+        const answer = await connection.run(command, TIMEOUT_MS);
+        return answer.error ? undefined : answer.status;
+      } finally {
+        connection.close();
+      }
+    } catch {
+      return undefined;
+    }
+  }
+}
--- /dev/null
+++ b/src/failover/lease_ledger.ts
@@ -0,0 +1,91 @@
+/**
+ * The leader's account of leases on primaries: which proxies may still trust an epoch, and what they had
+ * acknowledged when they stopped. Errs towards longer leases: a proxy counts from when it sent its request,
+ * the ledger from when it answered.
+ */
+import type { ProxyEntry } from '../catalog/catalog.js';
+import { type Position, latest } from '../session/position.js';
+import type { whinyoke } from '../protocol/generated/messages.js';
+
+/** What is known of the end of an epoch's leases. */
+export interface RevocationState {
+  /** Whether no proxy trusts an earlier epoch any more. */
+  readonly isComplete: boolean;
+  /** Whether every registered proxy said so itself, with what it had acknowledged. */
+  readonly isConfirmedByAll: boolean;
+  /** Highest position that a proxy named. */
+  readonly acknowledged: Position | undefined;
+}
+
+interface Confirmation {
+  readonly incarnation: string;
+  readonly epoch: number;
+  readonly position: Position | undefined;
+}
+
+/** Ledger of one leader. */
+export class LeaseLedger {
+  private readonly heldUntil = new Map<string, number>();
+  private readonly confirmations = new Map<string, Confirmation>();
+  private unknownUntil = -Infinity;
+
+  /** Begins a leadership: earlier leaders may have granted leases until `until`. */
+  begin(until: number): void {
+    this.heldUntil.clear();
+    this.confirmations.clear();
+    this.unknownUntil = until;
+  }
+
+  /** Notes a lease on the present epoch of a group. */
+  grant(group: string, proxy: ProxyEntry, until: number): void {
+    this.heldUntil.set(key(group, proxy), until);
+  }
+
+  /** Notes that a proxy trusts no epoch of the group before `epoch`. */
+  confirm(proxy: ProxyEntry, revocation: whinyoke.IRevocation): void {
+    const position = revocation.hasPosition ? toPosition(revocation.position) : undefined;
+    this.confirmations.set(`${revocation.group}\n${proxy.id}`, {
+      incarnation: proxy.incarnation ?? '',
+      epoch: revocation.epoch ?? 0,
+      position,
+    });
+  }
+
+  /** State of the revocation that began with `epoch`. */
+  revocation(
+    group: string,
+    epoch: number,
+    proxies: readonly ProxyEntry[],
+    now: number,
+  ): RevocationState {
+    let isComplete = true;
+    let isConfirmedByAll = true;
+    let acknowledged: Position | undefined;
+    for (const proxy of proxies) {
+      const confirmation = this.confirmations.get(`${group}\n${proxy.id}`);
+      const isConfirmed =
+        confirmation?.epoch === epoch && confirmation.incarnation === proxy.incarnation;
+      if (isConfirmed) {
+        const { position } = confirmation;
+        if (position) acknowledged = acknowledged ? latest(acknowledged, position) : position;
+        continue;
+      }
+      isConfirmedByAll = false;
+      if (this.mayHold(group, proxy, now)) isComplete = false;
+    }
+    return { isComplete, isConfirmedByAll, acknowledged };
+  }
+
+  private mayHold(group: string, proxy: ProxyEntry, now: number): boolean {
+    const until = this.heldUntil.get(key(group, proxy)) ?? -Infinity;
+    return now < Math.max(until, this.unknownUntil);
+  }
+}
+
+function key(group: string, proxy: ProxyEntry): string {
+  return `${group}\n${proxy.id}\n${proxy.incarnation}`;
+}
+
+function toPosition(message: whinyoke.IPosition | null | undefined): Position {
+  return { term: message?.term ?? 0, sequence: message?.sequence ?? 0 };
+}
--- /dev/null
+++ b/src/failover/primary_appointer.ts
@@ -0,0 +1,20 @@
+/** The call outside that makes an instance the primary of its group. */
+import type { whinyoke } from '../protocol/generated/messages.js';
+
+/** Who makes the call. */
+export interface AppointmentAuthority {
+  /** Name of the process that holds the duty. */
+  readonly holder: string;
+  /** Fencing token: rises with each change of holder. */
+  readonly token: number;
+}
+
+/** Carries out appointments. */
+export interface PrimaryAppointer {
+  /** Asks for an instance to become primary; safe to repeat. */
+  appoint(
+    group: string,
+    instance: string,
+    authority: AppointmentAuthority,
+  ): Promise<whinyoke.AppointOutcome>;
+}
--- /dev/null
+++ b/src/failover/primary_changer.ts
@@ -0,0 +1,226 @@
+/**
+ * Changes the primary of one group, step by step. Each step can be repeated, and what was decided is in the
+ * replicated log, so that the next leader goes on where this one stopped:
+ * 1. the epoch is raised and its phase is CHANGING (done by the controller);
+ * 2. all leases on the old primary have ended;
+ * 3. the replicas receive nothing more from the old primary, the old primary steps down if it can be reached;
+ * 4. the replica that provably holds every acknowledged commit is chosen and named in the log;
+ * 5. it is appointed, and says itself that it is primary of a new term;
+ * 6. the epoch is raised and its phase is STEADY.
+ */
+import type { Catalog, GroupEntry, InstanceEntry } from '../catalog/catalog.js';
+import { Events } from '../observability/events.js';
+import { whinyoke } from '../protocol/generated/messages.js';
+import type { DecisionLog } from '../router/router_context.js';
+import type { InstanceStatus, InstanceTarget } from '../router/instance_connection.js';
+import { type Clock, delay } from '../runtime/runtime.js';
+import { formatPosition } from '../session/position.js';
+import type { AppointmentDuty, Proposer } from './appointment_duty.js';
+import { type CandidateReport, chooseCandidate } from './candidate.js';
+import type { InstanceAdministrator } from './instance_administrator.js';
+import type { LeaseLedger, RevocationState } from './lease_ledger.js';
+
+const { AppointOutcome, GroupPhase, InstanceState } = whinyoke;
+
+const REVOCATION_POLL_MS = 10;
+const STATUS_POLL_MS = 40;
+const APPOINTED_TIMEOUT_MS = 2000;
+const RETRY_PAUSE_MS = 150;
+
+/** What a change needs of its process. */
+export interface ChangerContext {
+  readonly clock: Clock;
+  readonly catalog: Catalog;
+  readonly ledger: LeaseLedger;
+  readonly administrator: InstanceAdministrator;
+  readonly duty: AppointmentDuty;
+  readonly propose: Proposer;
+  readonly log: DecisionLog;
+  /** Whether this process still leads in the term in which the change was begun. */
+  readonly isLeading: () => boolean;
+}
+
+/** Connection target of an instance. */
+export function targetOf(instance: InstanceEntry): InstanceTarget {
+  return {
+    id: instance.id ?? '',
+    group: instance.group ?? '',
+    address: instance.address ?? '',
+  };
+}
+
+/** Changer of one group in one CHANGING epoch. */
+export class PrimaryChanger {
+  private readonly group: string;
+  private readonly epoch: number;
+
+  constructor(
+    private readonly context: ChangerContext,
+    private readonly entry: GroupEntry,
+  ) {
+    this.group = entry.group ?? '';
+    this.epoch = entry.epoch ?? 0;
+  }
+
+  /** Runs until the group has a primary again, or this process leads no longer. */
+  async run(): Promise<void> {
+    const { clock } = this.context;
+    const begunAt = clock.now();
+    const revocation = await this.awaitRevocation();
+    if (!revocation) return;
+    this.logStep(
+      'leases_ended',
+      clock.now() - begunAt,
+      `confirmed by all: ${revocation.isConfirmedByAll}`,
+    );
+    while (this.isCurrent()) {
+      const isDone = await this.tryOnce(begunAt);
+      if (isDone) return;
+      await delay(clock, RETRY_PAUSE_MS);
+    }
+  }
+
+  private isCurrent(): boolean {
+    return this.context.isLeading() && this.context.catalog.group(this.group)?.epoch === this.epoch;
+  }
+
+  private async awaitRevocation(): Promise<RevocationState | undefined> {
+    while (this.isCurrent()) {
+      const state = this.revocation();
+      if (state.isComplete) return state;
+      await delay(this.context.clock, REVOCATION_POLL_MS);
+    }
+    return undefined;
+  }
+
+  private revocation(): RevocationState {
+    const { catalog, ledger, clock } = this.context;
+    return ledger.revocation(this.group, this.epoch, catalog.proxies, clock.now());
+  }
+
+  private async tryOnce(begunAt: number): Promise<boolean> {
+    const { clock } = this.context;
+    const instance = await this.chooseAndRecord();
+    if (!instance || !this.isCurrent()) return false;
+    this.logStep('target_chosen', clock.now() - begunAt, instance);
+    const outcome = await this.context.duty.appoint(this.group, instance);
+    this.logStep('appoint_answered', clock.now() - begunAt, AppointOutcome[outcome]);
+    if (outcome !== AppointOutcome.APPOINTED) return false;
+    const status = await this.awaitPrimary(instance);
+    if (!status) return false;
+    await this.finish(instance, status);
+    this.logStep('primary_appointed', clock.now() - begunAt, `${instance} term ${status.term}`);
+    return true;
+  }
+
+  private get members(): readonly InstanceEntry[] {
+    const { presentInstances } = this.context.catalog;
+    return presentInstances.filter((instance) => instance.group === this.group);
+  }
+
+  private async chooseAndRecord(): Promise<string | undefined> {
+    const { catalog, administrator, propose } = this.context;
+    const term = (this.entry.term ?? 0) + 1;
+    const replicas = this.members.filter((instance) => instance.id !== this.entry.primary);
+    const old = this.members.find((instance) => instance.id === this.entry.primary);
+    const [statuses, oldStatus] = await Promise.all([
+      Promise.all(replicas.map((instance) => this.hold(instance, term))),
+      old && administrator.stepDown(targetOf(old), term),
+    ]);
+    const reports: CandidateReport[] = [];
+    for (const [index, status] of statuses.entries()) {
+      const instance = replicas[index]!;
+      if (!status) continue;
+      const isEligible = instance.state === InstanceState.READY;
+      reports.push({ instance: instance.id ?? '', status, isEligible });
+    }
+    if (old && oldStatus && old.state === InstanceState.READY && !this.entry.planned) {
+      // The old primary holds everything; it may lead again when no replica can.
+      reports.push({ instance: old.id ?? '', status: oldStatus, isEligible: reports.length === 0 });
+    }
+    const choice = chooseCandidate({
+      reports,
+      missing: replicas.length - statuses.filter((status) => status).length,
+      oldPrimary: oldStatus,
+      revocation: this.revocation(),
+      isHistoryWhole: this.isHistoryWhole(),
+      term: this.entry.term ?? 0,
+    });
+    this.logChoice(reports, oldStatus, choice && `${choice.instance} by ${choice.evidence}`);
+    if (!choice) return undefined;
+    const target = choice.instance;
+    if (catalog.group(this.group)?.target !== target) {
+      await propose({ setTarget: { group: this.group, epoch: this.epoch, target } });
+    }
+    return target;
+  }
+
+  /** Stops a replica from receiving; one that is held already tells its state. */
+  private async hold(instance: InstanceEntry, term: number): Promise<InstanceStatus | undefined> {
+    const { administrator } = this.context;
+    const target = targetOf(instance);
+    return (await administrator.pause(target, term)) ?? (await administrator.status(target));
+  }
+
+  /** Whether no run of a proxy ended since the old primary's epoch began. */
+  private isHistoryWhole(): boolean {
+    return this.context.catalog.proxyLossVersion < (this.entry.steadySince ?? 0);
+  }
+
+  private async awaitPrimary(instance: string): Promise<InstanceStatus | undefined> {
+    const { clock, administrator } = this.context;
+    const begunAt = clock.now();
+    while (this.isCurrent() && clock.now() - begunAt < APPOINTED_TIMEOUT_MS) {
+      const entry = this.context.catalog.instance(instance);
+      const status = entry && (await administrator.status(targetOf(entry)));
+      const isOld = instance === this.entry.primary;
+      const isNewTerm = status && (isOld || status.term > (this.entry.term ?? 0));
+      if (status?.role === 'primary' && isNewTerm) return status;
+      await delay(clock, STATUS_POLL_MS);
+    }
+    return undefined;
+  }
+
+  private async finish(primary: string, status: InstanceStatus): Promise<void> {
+    const next = {
+      group: this.group,
+      epoch: this.epoch + 1,
+      phase: GroupPhase.STEADY,
+      primary,
+      term: status.term,
+    };
+    await this.context.propose({ putGroup: next });
+    for (const instance of this.members) {
+      if (instance.id !== primary) void this.context.administrator.resume(targetOf(instance));
+    }
+  }
+
+  private logStep(step: string, elapsedMs: number, detail: string): void {
+    this.context.log(Events.primaryChangeStep, {
+      group: this.group,
+      epoch: this.epoch,
+      step,
+      elapsed_ms: Math.round(elapsedMs),
+      detail,
+    });
+  }
+
+  private logChoice(
+    reports: readonly CandidateReport[],
+    oldPrimary: InstanceStatus | undefined,
+    choice: string | undefined,
+  ): void {
+    const { acknowledged, isConfirmedByAll } = this.revocation();
+    this.context.log(Events.primaryCandidates, {
+      group: this.group,
+      epoch: this.epoch,
+      candidates: reports
+        .map(({ instance, status }) => `${instance}@${formatPosition(status.received)}`)
+        .join(' '),
+      old_primary: oldPrimary ? formatPosition(oldPrimary.received) : 'silent',
+      acknowledged: acknowledged ? formatPosition(acknowledged) : 'none',
+      confirmed_by_all: isConfirmedByAll,
+      choice: choice ?? 'none',
+    });
+  }
+}
--- /dev/null
+++ b/src/observability/bounded_output.ts
@@ -0,0 +1,64 @@
+/**
+ * Standard output that never holds up the process: lines are written in the background, one write at a
+ * time, and dropped while too many wait. A reader that stops reading loses lines, not requests.
+ */
+import { write } from 'node:fs';
+
+const STANDARD_OUTPUT = 1;
+/** Bytes that may wait. */
+const MAXIMUM_WAITING_BYTES = 256 * 1024;
+const RETRY_MS = 50;
+
+/** Writes bytes to a file descriptor; calls back with the number of bytes written. */
+export type RawWrite = (
+  bytes: Buffer,
+  callback: (error: NodeJS.ErrnoException | null, written: number) => void,
+) => void;
+
+/** Output stream for a logger. */
+export class BoundedOutput {
+  private waiting: Buffer[] = [];
+  private waitingBytes = 0;
+  private isWriting = false;
+  private dropped = 0;
+
+  constructor(
+    private readonly rawWrite: RawWrite = (bytes, callback) =>
+      write(STANDARD_OUTPUT, bytes, callback),
+    private readonly maximumBytes = MAXIMUM_WAITING_BYTES,
+  ) {}
+
+  /** Lines that were dropped since the start. */
+  get droppedLines(): number {
+    return this.dropped;
+  }
+
+  /** Takes a line. */
+  write(line: string): void {
+    const bytes = Buffer.from(line, 'utf8');
+    if (this.waitingBytes + bytes.length > this.maximumBytes) {
+      this.dropped++;
+      return;
+    }
+    this.waiting.push(bytes);
+    this.waitingBytes += bytes.length;
+    if (!this.isWriting) this.writeNext();
+  }
+
+  private writeNext(): void {
+    const bytes = Buffer.concat(this.waiting);
+    this.waiting = [];
+    if (bytes.length === 0) return;
+    this.isWriting = true;
+    this.rawWrite(bytes, (error, written) => {
+      this.isWriting = false;
+      const isFull = error?.code === 'EAGAIN';
+      const rest = isFull ? bytes : bytes.subarray(written);
+      this.waitingBytes -= bytes.length - (error && !isFull ? 0 : rest.length);
+      if (error && !isFull) return;
+      if (rest.length > 0) this.waiting.unshift(rest);
+      if (isFull) setTimeout(() => this.writeNext(), RETRY_MS).unref();
+      else this.writeNext();
+    });
+  }
+}
--- a/src/observability/logger.ts
+++ b/src/observability/logger.ts
@@ -5,12 +5,23 @@
 /** Fields of a log line. Passwords and keys never belong here. */
 export type EventFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
+/** Where lines go. */
+export interface LineOutput {
+  write(line: string): void;
+}
+
 /** Logger of one process. */
 export class EventLogger {
   private readonly logger: bunyan;
 
-  constructor(program: string, fields: EventFields, level: bunyan.LogLevelString) {
-    this.logger = bunyan.createLogger({ name: program, level, ...fields });
+  constructor(
+    program: string,
+    fields: EventFields,
+    level: bunyan.LogLevelString,
+    output?: LineOutput,
+  ) {
+    const streams = output && { streams: [{ stream: output as NodeJS.WritableStream }] };
+    this.logger = bunyan.createLogger({ name: program, level, ...streams, ...fields });
   }
 
   /** Writes one event. */
--- /dev/null
+++ b/src/router/primary_observer.ts
@@ -0,0 +1,87 @@
+/** What a proxy sees of the primary of a group through its own statements, for failure detection. */
+import { whinyoke } from '../protocol/generated/messages.js';
+
+const { PrimaryHealth } = whinyoke;
+
+/** Statements without an answer for longer than this make a primary silent, in milliseconds. */
+const SILENCE_MS = 450;
+/** Answers older than this say nothing, in milliseconds. */
+const OPINION_LIFETIME_MS = 1500;
+
+/** Present opinion. */
+export interface PrimaryOpinion {
+  readonly health: whinyoke.PrimaryHealth;
+  readonly sinceMs: number;
+}
+
+class UnansweredStatements {
+  private readonly sentTimes = new Map<number, number>();
+  private lastAnswerAt = -Infinity;
+  private nextKey = 1;
+
+  start(now: number): number {
+    const key = this.nextKey++;
+    this.sentTimes.set(key, now);
+    return key;
+  }
+
+  end(key: number): void {
+    this.sentTimes.delete(key);
+  }
+
+  answered(now: number): void {
+    this.lastAnswerAt = now;
+  }
+
+  /** Since when statements stay without any answer. */
+  silentSince(now: number): number | undefined {
+    // Statements are kept in the order in which they were sent.
+    for (const sentAt of this.sentTimes.values()) {
+      if (sentAt < this.lastAnswerAt) continue;
+      return now - sentAt > SILENCE_MS ? sentAt : undefined;
+    }
+    return undefined;
+  }
+
+  get answeredAt(): number {
+    return this.lastAnswerAt;
+  }
+}
+
+/** Observer of one group in one epoch. */
+export class PrimaryObserver {
+  private readonly all = new UnansweredStatements();
+  private readonly commits = new UnansweredStatements();
+  private failure: { health: whinyoke.PrimaryHealth; since: number } | undefined;
+
+  /** Notes a statement that was sent; returns what ends it. */
+  started(mayCommit: boolean, now: number): (isAnswered: boolean, endedAt: number) => void {
+    const keys = { all: this.all.start(now), commit: mayCommit ? this.commits.start(now) : 0 };
+    return (isAnswered, endedAt) => {
+      this.all.end(keys.all);
+      if (mayCommit) this.commits.end(keys.commit);
+      if (!isAnswered) return;
+      this.all.answered(endedAt);
+      if (mayCommit) this.commits.answered(endedAt);
+      this.failure = undefined;
+    };
+  }
+
+  /** Notes that a connection could not be opened, or that the instance says it is no primary. */
+  failed(health: whinyoke.PrimaryHealth, now: number): void {
+    if (this.failure?.health === health) return;
+    this.failure = { health, since: this.failure?.since ?? now };
+  }
+
+  /** What the proxy would say now; undefined without recent evidence. */
+  opinion(now: number): PrimaryOpinion | undefined {
+    const { failure } = this;
+    if (failure) return { health: failure.health, sinceMs: now - failure.since };
+    const silentSince = this.all.silentSince(now) ?? this.commits.silentSince(now);
+    if (silentSince !== undefined) {
+      return { health: PrimaryHealth.SILENT, sinceMs: now - silentSince };
+    }
+    const age = now - this.all.answeredAt;
+    return age <= OPINION_LIFETIME_MS ? { health: PrimaryHealth.HEALTHY, sinceMs: age } : undefined;
+  }
+}
--- /dev/null
+++ b/src/router/primary_trust.ts
@@ -0,0 +1,158 @@
+/**
+ * Leases of a proxy on the primaries of its groups. A lease is counted from the moment its request was sent,
+ * on this process's own clock, and holds for one epoch only.
+ */
+import { whinyoke } from '../protocol/generated/messages.js';
+import type { GroupEntry } from '../catalog/catalog.js';
+import { type Position, latest } from '../session/position.js';
+
+/** A primary that may be used now. */
+export interface TrustedPrimary {
+  readonly epoch: number;
+  readonly instance: string;
+  readonly term: number;
+}
+
+/** Lease of an epoch that is being revoked: answers count until the revocation is confirmed. */
+interface EndingLease {
+  readonly epoch: number;
+  readonly until: number;
+}
+
+interface GroupTrust {
+  entry: GroupEntry;
+  ending: EndingLease | undefined;
+  leaseUntil: number;
+  /** When this proxy learned of the entry, on its own clock. */
+  knownSince: number;
+  /** Highest position acknowledged to a caller. */
+  acknowledged: Position | undefined;
+  /** Statements under way whose outcome a revocation should wait for. */
+  commitsUnderWay: number;
+  confirmedEpoch: number;
+}
+
+/** A revocation that control must hear of. */
+export interface DueRevocation {
+  readonly group: string;
+  readonly epoch: number;
+  readonly position: Position | undefined;
+}
+
+/** Longest time that commits under way hold up a revocation, in milliseconds. */
+const COMMIT_PATIENCE_MS = 250;
+
+function endingLease(known: GroupTrust | undefined): EndingLease | undefined {
+  if (!known) return undefined;
+  const epoch = known.entry.epoch ?? 0;
+  // An epoch that never had a lease here leaves the lease before it as it was.
+  if (known.leaseUntil === -Infinity) return known.ending;
+  return { epoch, until: known.leaseUntil };
+}
+
+/** Trust of one proxy. */
+export class PrimaryTrust {
+  private readonly groups = new Map<string, GroupTrust>();
+  private waiters: (() => void)[] = [];
+
+  /** Takes over the state of all groups from a reply to a request that was sent at `sentAt`. */
+  update(entries: readonly GroupEntry[], now: number): void {
+    for (const entry of entries) {
+      const name = entry.group ?? '';
+      const known = this.groups.get(name);
+      if (known && (entry.epoch ?? 0) < (known.entry.epoch ?? 0)) continue;
+      const isNew = known === undefined || known.entry.epoch !== entry.epoch;
+      this.groups.set(name, {
+        entry,
+        ending: isNew ? endingLease(known) : known.ending,
+        leaseUntil: isNew ? -Infinity : known.leaseUntil,
+        knownSince: isNew ? now : known.knownSince,
+        acknowledged: known?.acknowledged,
+        commitsUnderWay: known?.commitsUnderWay ?? 0,
+        confirmedEpoch: known?.confirmedEpoch ?? 0,
+      });
+    }
+  }
+
+  /** Extends the lease of one epoch. */
+  extend(group: string, epoch: number, until: number): void {
+    const trust = this.groups.get(group);
+    if (!trust || trust.entry.epoch !== epoch) return;
+    if (trust.entry.phase === whinyoke.GroupPhase.CHANGING) return;
+    trust.leaseUntil = Math.max(trust.leaseUntil, until);
+    const { waiters } = this;
+    this.waiters = [];
+    for (const waiter of waiters) waiter();
+  }
+
+  /** Primary that may be used at `now`. */
+  primaryOf(group: string, now: number): TrustedPrimary | undefined {
+    const trust = this.groups.get(group);
+    if (!trust || now >= trust.leaseUntil) return undefined;
+    const { entry } = trust;
+    return { epoch: entry.epoch ?? 0, instance: entry.primary ?? '', term: entry.term ?? 0 };
+  }
+
+  /** Whether answers of the primary of `epoch` still count at `now`. */
+  accepts(group: string, epoch: number, now: number): boolean {
+    const trust = this.groups.get(group);
+    if (!trust) return false;
+    if (trust.entry.epoch === epoch) return now < trust.leaseUntil;
+    return trust.ending?.epoch === epoch && now < trust.ending.until;
+  }
+
+  /** Newest known epoch of a group. */
+  entryOf(group: string): GroupEntry | undefined {
+    return this.groups.get(group)?.entry;
+  }
+
+  /** How long the present phase of a group has been known, in milliseconds. */
+  phaseAge(group: string, now: number): number {
+    const trust = this.groups.get(group);
+    return trust ? now - trust.knownSince : 0;
+  }
+
+  /** Notes a commit that is acknowledged to a caller. */
+  noteAcknowledged(group: string, position: Position): void {
+    const trust = this.groups.get(group);
+    if (!trust) return;
+    trust.acknowledged = trust.acknowledged ? latest(trust.acknowledged, position) : position;
+  }
+
+  /** Notes the start and the end of a statement that may commit. */
+  commitStarted(group: string): void {
+    const trust = this.groups.get(group);
+    if (trust) trust.commitsUnderWay++;
+  }
+
+  commitEnded(group: string): void {
+    const trust = this.groups.get(group);
+    if (trust) trust.commitsUnderWay--;
+  }
+
+  /** Revocations that are due and not yet confirmed. Answers of their old epochs no longer count. */
+  dueRevocations(now: number): readonly DueRevocation[] {
+    const due: DueRevocation[] = [];
+    for (const [group, trust] of this.groups) {
+      const epoch = trust.entry.epoch ?? 0;
+      const isChanging = trust.entry.phase === whinyoke.GroupPhase.CHANGING;
+      if (!isChanging || trust.confirmedEpoch >= epoch) continue;
+      const isSettled = trust.commitsUnderWay === 0 || now - trust.knownSince > COMMIT_PATIENCE_MS;
+      if (!isSettled) continue;
+      trust.ending = undefined;
+      due.push({ group, epoch, position: trust.acknowledged });
+    }
+    return due;
+  }
+
+  /** Notes that control has taken a revocation. */
+  confirmed(group: string, epoch: number): void {
+    const trust = this.groups.get(group);
+    if (trust) trust.confirmedEpoch = Math.max(trust.confirmedEpoch, epoch);
+  }
+
+  /** Resolves when a lease is extended. */
+  nextExtension(): Promise<void> {
+    return new Promise((resolve) => this.waiters.push(resolve));
+  }
+}
--- /dev/null
+++ b/src/router/refusal.ts
@@ -0,0 +1,77 @@
+/** Refusals told to callers, each with its cause and when to come back. */
+import { Events } from '../observability/events.js';
+import { type CallerErrorKind, type CallerReply, refused } from './caller_reply.js';
+import type { TransactionState } from './instance_connection.js';
+import type { RequestDeadline } from './request_deadline.js';
+import type { RouterContext } from './router_context.js';
+import { whinyoke } from '../protocol/generated/messages.js';
+
+/** A request that is answered with an error. */
+export interface RefusedRequest {
+  readonly id: string;
+  readonly deadline: RequestDeadline;
+  readonly state: TransactionState;
+}
+
+const SHORT_RETRY_MS = 50;
+const NO_LEASE_RETRY_MS = 300;
+/** Usual duration of a change of primary, in milliseconds, for the time told to callers. */
+export const USUAL_CHANGE_MS = 800;
+
+/** When a caller should come back, in milliseconds. */
+export function retryAfter(context: RouterContext, group: string): number {
+  const now = context.clock.now();
+  const entry = context.trust.entryOf(group);
+  if (entry?.phase === whinyoke.GroupPhase.CHANGING) {
+    return Math.max(SHORT_RETRY_MS, USUAL_CHANGE_MS - context.trust.phaseAge(group, now));
+  }
+  return context.trust.primaryOf(group, now) ? SHORT_RETRY_MS : NO_LEASE_RETRY_MS;
+}
+
+function logRefusal(
+  context: RouterContext,
+  request: RefusedRequest,
+  kind: CallerErrorKind,
+  cause: string,
+): void {
+  const { group, name } = request.deadline.route;
+  const now = context.clock.now();
+  const entry = context.trust.entryOf(group);
+  const floorAt = context.floorOf(group).newestSentAt;
+  context.log(kind === 'inDoubt' ? Events.requestInDoubt : Events.requestRefused, {
+    request: request.id,
+    route: name,
+    group,
+    outcome: kind,
+    cause,
+    elapsed_ms: Math.round(request.deadline.elapsed),
+    epoch: entry?.epoch ?? 0,
+    phase: entry?.phase === whinyoke.GroupPhase.CHANGING ? 'changing' : 'steady',
+    phase_age_ms: Math.round(context.trust.phaseAge(group, now)),
+    leased: context.trust.primaryOf(group, now) !== undefined,
+    floor_age_ms: floorAt === undefined ? -1 : Math.round(now - floorAt),
+    document: context.table?.version ?? 0,
+  });
+}
+
+/** Answer to a request that did not run; says when to come back. */
+export function refuse(
+  context: RouterContext,
+  request: RefusedRequest,
+  kind: CallerErrorKind,
+  cause: string,
+): CallerReply {
+  logRefusal(context, request, kind, cause);
+  const retryMs = Math.round(retryAfter(context, request.deadline.route.group));
+  return refused(kind, `${cause}; retry after ${retryMs} ms`, request.state);
+}
+
+/** Answer to a request whose outcome is unknown. */
+export function inDoubt(
+  context: RouterContext,
+  request: RefusedRequest,
+  cause: string,
+): CallerReply {
+  logRefusal(context, request, 'inDoubt', cause);
+  return refused('inDoubt', cause, request.state);
+}
--- /dev/null
+++ b/src/router/replica_selector.ts
@@ -0,0 +1,46 @@
+/** Order in which instances are tried for a read. */
+import type { Position } from '../session/position.js';
+import type { InstanceLoad } from './instance_load.js';
+
+/** An instance that may serve a read. */
+export interface ReadCandidate {
+  readonly id: string;
+  readonly zone: string;
+  readonly load: InstanceLoad;
+  readonly isPrimary: boolean;
+}
+
+/** Reads on a primary compete with writes. */
+const PRIMARY_FACTOR = 2;
+/** Traffic to another zone costs latency and bytes. */
+const OTHER_ZONE_FACTOR = 1.3;
+const UNAVAILABLE_FACTOR = 1000;
+
+/** Circumstances of one read. */
+export interface ReadContext {
+  readonly zone: string;
+  readonly now: number;
+  /** Position that a replica must have applied. */
+  readonly after: Position | undefined;
+}
+
+function cost(candidate: ReadCandidate, context: ReadContext): number {
+  const { load } = candidate;
+  let result = load.latency * (load.outstanding + 1);
+  if (candidate.isPrimary) result *= PRIMARY_FACTOR;
+  if (candidate.zone !== context.zone) result *= OTHER_ZONE_FACTOR;
+  const isBehind =
+    !candidate.isPrimary && context.after && load.isBehind(context.after, context.now);
+  if (isBehind || load.isEjected(context.now)) result *= UNAVAILABLE_FACTOR;
+  return result;
+}
+
+/** Candidates, cheapest first. */
+export function orderCandidates(
+  candidates: readonly ReadCandidate[],
+  context: ReadContext,
+): ReadCandidate[] {
+  const weighted = candidates.map((candidate) => ({ candidate, cost: cost(candidate, context) }));
+  weighted.sort((left, right) => left.cost - right.cost);
+  return weighted.map(({ candidate }) => candidate);
+}
--- /dev/null
+++ b/src/router/request_deadline.ts
@@ -0,0 +1,42 @@
+/** Time limits of one request. */
+import type { Clock } from '../runtime/runtime.js';
+import type { Route } from './route_table.js';
+
+/** Share of the target latency that a request may wait without being offered to an instance. */
+const OFFER_SHARE = 0.25;
+const MINIMUM_OFFER_MS = 20;
+/** Share of the timeout after which a request that could come back later is refused. */
+const GIVE_UP_SHARE = 0.6;
+
+/** Limits of one request, on the clock of this process. */
+export class RequestDeadline {
+  readonly arrivedAt: number;
+
+  constructor(
+    private readonly clock: Clock,
+    readonly route: Route,
+  ) {
+    this.arrivedAt = clock.now();
+  }
+
+  /** Milliseconds since the request arrived. */
+  get elapsed(): number {
+    return this.clock.now() - this.arrivedAt;
+  }
+
+  /** Milliseconds until the statement must be over. */
+  get remaining(): number {
+    return this.route.timeoutMs - this.elapsed;
+  }
+
+  /** Milliseconds that the request may still wait for a first instance. */
+  get offerRemaining(): number {
+    const limit = Math.max(MINIMUM_OFFER_MS, this.route.targetLatencyMs * OFFER_SHARE);
+    return Math.min(limit, this.route.timeoutMs) - this.elapsed;
+  }
+
+  /** Milliseconds in which another attempt is worth while. */
+  get retryRemaining(): number {
+    return this.route.timeoutMs * GIVE_UP_SHARE - this.elapsed;
+  }
+}
--- /dev/null
+++ b/src/router/route_table.ts
@@ -0,0 +1,46 @@
+/** Routes as the router uses them: which group serves a database, and how fresh its reads must be. */
+
+/** How fresh reads of a route must be. */
+export type ReadPolicy =
+  /** Every commit acknowledged before the read arrived is seen. */
+  | { readonly kind: 'primary' }
+  /** Commits acknowledged longer ago than the bound are seen. */
+  | { readonly kind: 'boundedStaleness'; readonly maximumStalenessMs: number }
+  /** As bounded staleness, and all commits of the same session. */
+  | { readonly kind: 'ownWrites'; readonly maximumStalenessMs: number };
+
+/** Route of one database. */
+export interface Route {
+  readonly name: string;
+  readonly database: string;
+  readonly group: string;
+  readonly policy: ReadPolicy;
+  /** Longest time for one statement, in milliseconds. */
+  readonly timeoutMs: number;
+  /** Time in which an operation should be done, in milliseconds. */
+  readonly targetLatencyMs: number;
+  /** 0 is served first. */
+  readonly priority: number;
+}
+
+/** Limits of the instances of a group. */
+export interface GroupLimits {
+  readonly group: string;
+  /** Connections of all callers to one instance. */
+  readonly connectionLimit: number;
+}
+
+/** A whole routing document in force. Immutable. */
+export interface RouteTable {
+  readonly version: number;
+  readonly routeByDatabase: ReadonlyMap<string, Route>;
+  readonly limitsByGroup: ReadonlyMap<string, GroupLimits>;
+  /** A transaction that rests longer is ended; in milliseconds. */
+  readonly transactionIdleMs: number;
+}
+
+/** Reads routing documents. */
+export interface RoutingDocumentReader {
+  /** @throws InvalidDocumentError that names what is wrong */
+  read(source: string): RouteTable;
+}
--- /dev/null
+++ b/src/router/routed_session.ts
@@ -0,0 +1,216 @@
+/** One caller's session: its values, prepared names and transaction. */
+import type { Timer } from '../runtime/runtime.js';
+import type { Position } from '../session/position.js';
+import { type CallerReply, completed, refused } from './caller_reply.js';
+import type { TransactionState } from './instance_connection.js';
+import { RequestDeadline } from './request_deadline.js';
+import type { Route } from './route_table.js';
+import type { RouterContext } from './router_context.js';
+import { type SingleRequest, SingleStatements } from './single_statement.js';
+import {
+  type CallerStatement,
+  type DataStatement,
+  type PreparedShape,
+  accessOf,
+} from './statement.js';
+import { type SessionContent, StatementRunner } from './statement_runner.js';
+import { Transaction } from './transaction.js';
+
+const FAILED_TEXT = 'the transaction has failed; roll back';
+
+/** Newest commit of a session and the group whose log it is in. */
+interface OwnCommit {
+  readonly group: string;
+  readonly position: Position;
+}
+
+/** Session of one caller connection. Statements are run one at a time. */
+export class RoutedSession {
+  private readonly values = new Map<string, string>();
+  private readonly preparedByName = new Map<string, PreparedShape>();
+  private readonly runner: StatementRunner;
+  private readonly singles: SingleStatements;
+  private transaction: Transaction | undefined;
+  private transactionState: TransactionState = 'idle';
+  private ownCommit: OwnCommit | undefined;
+  private idleTimer: Timer | undefined;
+  private isRunning = false;
+  private isClosed = false;
+
+  constructor(
+    private readonly context: RouterContext,
+    private readonly database: string,
+  ) {
+    this.runner = new StatementRunner(context);
+    this.singles = new SingleStatements(context, this.runner);
+  }
+
+  /** Transaction state as the caller sees it. */
+  get state(): TransactionState {
+    return this.transactionState;
+  }
+
+  /** Runs one statement. Never rejects. */
+  async execute(id: string, statement: CallerStatement): Promise<CallerReply> {
+    this.idleTimer?.cancel();
+    this.isRunning = true;
+    const startedAt = this.context.clock.now();
+    const route = this.transaction?.route ?? this.route;
+    const reply = await this.dispatch(id, statement);
+    this.transactionState = reply.state;
+    this.isRunning = false;
+    if (this.isClosed) this.endTransaction('-');
+    else this.watchIdleTransaction();
+    const outcome = reply.error?.kind ?? 'ok';
+    this.context.counters.answered(
+      route?.name ?? '',
+      outcome,
+      this.context.clock.now() - startedAt,
+    );
+    return reply;
+  }
+
+  /** The caller is gone: an open transaction is rolled back. */
+  close(): void {
+    this.isClosed = true;
+    this.idleTimer?.cancel();
+    if (!this.isRunning) this.endTransaction('-');
+  }
+
+  private get route(): Route | undefined {
+    return this.context.table?.routeByDatabase.get(this.database);
+  }
+
+  private dispatch(id: string, statement: CallerStatement): Promise<CallerReply> | CallerReply {
+    switch (statement.kind) {
+      case 'rollback':
+        this.endTransaction(id);
+        return completed('idle');
+      case 'commit':
+        return this.commit(id);
+      case 'malformed':
+        return this.refuseMalformed(statement.problem);
+      default:
+        if (this.transactionState !== 'failed') return this.run(id, statement);
+        return refused('malformed', FAILED_TEXT, 'failed');
+    }
+  }
+
+  private run(
+    id: string,
+    statement: Exclude<CallerStatement, { kind: 'rollback' | 'commit' | 'malformed' }>,
+  ): Promise<CallerReply> | CallerReply {
+    const state = this.transactionState;
+    switch (statement.kind) {
+      case 'begin':
+        return this.begin(statement.readOnly);
+      case 'set':
+        this.values.set(statement.name, statement.value);
+        return completed(state);
+      case 'prepare':
+        this.preparedByName.set(statement.name, statement.prepared);
+        return completed(state);
+      case 'deallocate':
+        this.preparedByName.delete(statement.name);
+        return completed(state);
+      case 'execute': {
+        const prepared = this.preparedByName.get(statement.name);
+        if (!prepared) return this.failStatement('unknownName', statement.name);
+        const { argument } = statement;
+        return this.runData(id, { kind: 'execute', prepared, argument }, prepared);
+      }
+      default:
+        return this.runData(id, statement, undefined);
+    }
+  }
+
+  private begin(readOnly: boolean): CallerReply {
+    if (this.transaction) return this.refuseMalformed('a transaction is open');
+    const { route } = this;
+    if (!route) return refused('noDatabase', this.database, 'idle');
+    this.transaction = new Transaction(
+      this.context,
+      this.runner,
+      route,
+      readOnly,
+      this.context.clock.now(),
+      this.ownPositionIn(route.group),
+    );
+    return completed('open');
+  }
+
+  private async runData(
+    id: string,
+    statement: DataStatement,
+    prepared: PreparedShape | undefined,
+  ): Promise<CallerReply> {
+    const content: SessionContent = { values: this.values, prepared };
+    if (this.transaction) {
+      if (this.transaction.readOnly && accessOf(statement) === 'write') {
+        return this.failStatement('readOnly', 'the transaction is read-only');
+      }
+      const reply = await this.transaction.run(id, statement, content);
+      if (reply.state === 'failed') this.transaction = undefined;
+      return reply;
+    }
+    const { route } = this;
+    if (!route) return refused('noDatabase', this.database, 'idle');
+    const request: SingleRequest = {
+      id,
+      statement,
+      content,
+      deadline: new RequestDeadline(this.context.clock, route),
+      ownPosition: this.ownPositionIn(route.group),
+    };
+    if (accessOf(statement) === 'read') return this.singles.read(request);
+    const { reply, committedAt } = await this.singles.write(request);
+    this.noteCommit(route.group, committedAt);
+    return reply;
+  }
+
+  private async commit(id: string): Promise<CallerReply> {
+    if (this.transactionState === 'failed') {
+      this.endTransaction(id);
+      return refused('aborted', 'the transaction had failed and was rolled back', 'idle');
+    }
+    const { transaction } = this;
+    if (!transaction) return this.refuseMalformed('no transaction is open');
+    const { reply, committedAt } = await transaction.commit(id, { values: this.values });
+    this.transaction = undefined;
+    this.noteCommit(transaction.route.group, committedAt);
+    return reply;
+  }
+
+  private failStatement(kind: 'unknownName' | 'readOnly', text: string): CallerReply {
+    const isInTransaction = this.transaction !== undefined;
+    this.endTransaction('-');
+    return refused(kind, text, isInTransaction ? 'failed' : 'idle');
+  }
+
+  private refuseMalformed(problem: string): CallerReply {
+    return refused('malformed', problem, this.transactionState);
+  }
+
+  private endTransaction(id: string): void {
+    this.transaction?.rollback(id);
+    this.transaction = undefined;
+  }
+
+  private ownPositionIn(group: string): Position | undefined {
+    return this.ownCommit?.group === group ? this.ownCommit.position : undefined;
+  }
+
+  private noteCommit(group: string, position: Position | undefined): void {
+    if (position) this.ownCommit = { group, position };
+  }
+
+  /** Ends a transaction that rests too long; its next statement learns of it. */
+  private watchIdleTransaction(): void {
+    const limit = this.context.table?.transactionIdleMs ?? 0;
+    if (!this.transaction || limit === 0) return;
+    this.idleTimer = this.context.clock.setTimer(limit, () => {
+      this.endTransaction('-');
+      this.transactionState = 'failed';
+    });
+  }
+}
--- /dev/null
+++ b/src/router/router_context.ts
@@ -0,0 +1,39 @@
+/** What sessions need of the process that they run in. */
+import type { EventKind } from '../observability/events.js';
+import type { EventFields } from '../observability/logger.js';
+import type { Clock } from '../runtime/runtime.js';
+import type { InstancePool } from './instance_pool.js';
+import type { PositionFloor } from './position_floor.js';
+import type { PrimaryObserver } from './primary_observer.js';
+import type { PrimaryTrust } from './primary_trust.js';
+import type { ReadCandidate } from './replica_selector.js';
+import type { RouteTable } from './route_table.js';
+
+/** Writes one line for a decision. */
+export type DecisionLog = (kind: EventKind, fields: EventFields) => void;
+
+/** Counts how requests ended. */
+export interface RequestCounters {
+  /** An answer to a caller. */
+  answered(route: string, outcome: string, durationMs: number): void;
+  /** An instance served a statement. */
+  served(route: string, instance: string, isPrimary: boolean, isReplicaAllowed: boolean): void;
+  /** A statement was tried again. */
+  retried(route: string, cause: string): void;
+}
+
+/** Surroundings of a session. */
+export interface RouterContext {
+  readonly clock: Clock;
+  readonly zone: string;
+  readonly trust: PrimaryTrust;
+  readonly log: DecisionLog;
+  readonly counters: RequestCounters;
+  /** Routing document in force; undefined before the first. */
+  readonly table: RouteTable | undefined;
+  floorOf(group: string): PositionFloor;
+  observerOf(group: string, epoch: number): PrimaryObserver;
+  poolOf(instance: string): InstancePool | undefined;
+  /** Instances of a group that take new work. */
+  readCandidates(group: string): readonly ReadCandidate[];
+}
--- /dev/null
+++ b/src/router/router_core.ts
@@ -0,0 +1,335 @@
+/** A proxy in front of groups whose primary is appointed by the control plane. */
+import { whinyoke } from '../protocol/generated/messages.js';
+import type { InstanceEntry } from '../catalog/catalog.js';
+import { inflateSource } from '../catalog/document_source.js';
+import { Events } from '../observability/events.js';
+import type { Clock, MessageBody, Runtime, Timer } from '../runtime/runtime.js';
+import { CoordinatorClient, type SyncContent, type SyncParticipant } from './coordinator_client.js';
+import type { ConnectError, InstanceConnector } from './instance_connection.js';
+import { InstanceLoad } from './instance_load.js';
+import { InstancePool } from './instance_pool.js';
+import { PositionFloor } from './position_floor.js';
+import { PrimaryObserver } from './primary_observer.js';
+import { PrimaryTrust } from './primary_trust.js';
+import type { ReadCandidate } from './replica_selector.js';
+import type { RouteTable, RoutingDocumentReader } from './route_table.js';
+import { RoutedSession } from './routed_session.js';
+import type { DecisionLog, RequestCounters, RouterContext } from './router_context.js';
+
+const { InstanceState, PrimaryHealth, GroupPhase } = whinyoke;
+
+/** Identity and surroundings of a proxy. */
+export interface RouterOptions {
+  readonly id: string;
+  readonly zone: string;
+  /** Address for messages of other processes. */
+  readonly address: string;
+  /** Addresses of control machines to begin with. */
+  readonly seeds: readonly string[];
+  readonly connector: InstanceConnector;
+  readonly reader: RoutingDocumentReader;
+  readonly log: DecisionLog;
+  readonly counters: RequestCounters;
+}
+
+const CONNECT_TIMEOUT_MS = 600;
+const MINIMUM_IDLE_CONNECTIONS = 1;
+const IDLE_TIMEOUT_MS = 15_000;
+const MAINTENANCE_MS = 100;
+/** Connections of each instance that no proxy counts on: control, proxies not yet known. */
+const RESERVED_CONNECTIONS = 2;
+/** Time for the leader to answer a request that is passed on, in milliseconds. */
+const RELAY_TIMEOUT_MS = 400;
+
+interface ObservedEpoch {
+  readonly epoch: number;
+  readonly observer: PrimaryObserver;
+  reportedHealth: whinyoke.PrimaryHealth | undefined;
+}
+
+/** Core of one proxy. */
+export class RouterCore implements RouterContext, SyncParticipant {
+  readonly trust = new PrimaryTrust();
+  readonly clock: Clock;
+  readonly zone: string;
+  readonly log: DecisionLog;
+  readonly counters: RequestCounters;
+  readonly self: whinyoke.IProxyEntry;
+  isLeaving = false;
+  table: RouteTable | undefined;
+  private readonly floors = new Map<string, PositionFloor>();
+  private readonly observed = new Map<string, ObservedEpoch>();
+  private readonly pools = new Map<string, InstancePool>();
+  private instances: readonly InstanceEntry[] = [];
+  private proxies: readonly whinyoke.IProxyEntry[] = [];
+  private liveProxies = 1;
+  private version = 0;
+  private lastSyncAt = -Infinity;
+  private maintenance: Timer | undefined;
+  private readonly client: CoordinatorClient;
+
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly options: RouterOptions,
+  ) {
+    this.clock = runtime.clock;
+    this.zone = options.zone;
+    this.log = options.log;
+    this.counters = options.counters;
+    this.self = {
+      id: options.id,
+      incarnation: runtime.random.identifier(),
+      address: options.address,
+      zone: options.zone,
+    };
+    this.client = new CoordinatorClient(runtime, this, options.seeds);
+  }
+
+  /** Starts to synchronise with the control machines. */
+  start(): void {
+    this.runtime.messenger.serve((body) => this.handle(body));
+    this.client.start();
+    this.maintain();
+  }
+
+  /** Ends all connections. */
+  stop(): void {
+    this.maintenance?.cancel();
+    this.client.stop();
+    for (const pool of this.pools.values()) pool.close();
+  }
+
+  /** Tells control that this proxy takes no new callers. */
+  beginLeave(): void {
+    this.isLeaving = true;
+    void this.client.syncNow();
+  }
+
+  /** Takes over control machines of changed settings. */
+  updateSeeds(seeds: readonly string[]): void {
+    this.client.updateSeeds(seeds);
+  }
+
+  /** Whether callers can be served: a configuration confirmed since the start is in force. */
+  get isReady(): boolean {
+    return this.table !== undefined && !this.isLeaving;
+  }
+
+  /** Milliseconds since the newest accepted reply of control. */
+  get syncAge(): number {
+    return this.clock.now() - this.lastSyncAt;
+  }
+
+  /** Failed requests to control in a row. */
+  get failedSyncs(): number {
+    return this.client.failedRequests;
+  }
+
+  /** Log index of the newest catalog in force. */
+  get catalogVersion(): number {
+    return this.version;
+  }
+
+  /** All pools, for metrics. */
+  get allPools(): readonly InstancePool[] {
+    return [...this.pools.values()];
+  }
+
+  /** Opens the session of a caller; undefined when no route has that database. */
+  openSession(database: string): RoutedSession | undefined {
+    if (!this.table?.routeByDatabase.has(database)) return undefined;
+    return new RoutedSession(this, database);
+  }
+
+  floorOf(group: string): PositionFloor {
+    let floor = this.floors.get(group);
+    if (!floor) {
+      floor = new PositionFloor();
+      this.floors.set(group, floor);
+    }
+    return floor;
+  }
+
+  observerOf(group: string, epoch: number): PrimaryObserver {
+    const known = this.observed.get(group);
+    if (known && known.epoch >= epoch) return known.observer;
+    const observer = new PrimaryObserver();
+    this.observed.set(group, { epoch, observer, reportedHealth: undefined });
+    return observer;
+  }
+
+  poolOf(instance: string): InstancePool | undefined {
+    return this.pools.get(instance);
+  }
+
+  readCandidates(group: string): readonly ReadCandidate[] {
+    const primary = this.trust.entryOf(group)?.primary;
+    const candidates: ReadCandidate[] = [];
+    for (const instance of this.instances) {
+      const pool = this.pools.get(instance.id ?? '');
+      const isUsable = instance.group === group && instance.state === InstanceState.READY;
+      if (!pool || !isUsable) continue;
+      const id = instance.id ?? '';
+      candidates.push({
+        id,
+        zone: instance.zone ?? '',
+        load: pool.load,
+        isPrimary: id === primary,
+      });
+    }
+    return candidates;
+  }
+
+  // ---- synchronisation ----
+
+  get relays(): readonly string[] {
+    const others = this.proxies.filter((proxy) => proxy.id !== this.self.id);
+    return others.map((proxy) => proxy.address ?? '');
+  }
+
+  syncContent(): SyncContent {
+    const now = this.clock.now();
+    const revocations = this.trust.dueRevocations(now).map(({ group, epoch, position }) => ({
+      group,
+      epoch,
+      hasPosition: position !== undefined,
+      position,
+    }));
+    return {
+      knownVersion: this.version,
+      knownDocument: this.table?.version ?? 0,
+      revocations,
+      reports: this.reports(now),
+    };
+  }
+
+  onSync(reply: whinyoke.ISyncReply, content: SyncContent, sentAt: number): void {
+    const now = this.clock.now();
+    this.lastSyncAt = now;
+    for (const { group, epoch } of content.revocations)
+      this.trust.confirmed(group ?? '', epoch ?? 0);
+    this.liveProxies = Math.max(1, reply.liveProxies ?? 1);
+    if (reply.document) this.adoptDocument(reply.document);
+    this.trust.update(reply.groups ?? [], now);
+    if (reply.hasCatalog && (reply.version ?? 0) > this.version) this.adoptCatalog(reply);
+    for (const group of reply.groups ?? []) {
+      this.trust.extend(group.group ?? '', group.epoch ?? 0, sentAt + (reply.leaseMs ?? 0));
+    }
+    if (this.trust.dueRevocations(now).length > 0) void this.client.syncNow();
+  }
+
+  private adoptDocument(document: whinyoke.IRoutingDocument): void {
+    if ((document.version ?? 0) <= (this.table?.version ?? 0)) return;
+    this.table = this.options.reader.read(inflateSource(document));
+    this.log(Events.documentInForce, {
+      version: this.table.version,
+      routes: this.table.routeByDatabase.size,
+    });
+  }
+
+  private adoptCatalog(reply: whinyoke.ISyncReply): void {
+    this.version = reply.version ?? 0;
+    this.instances = reply.instances ?? [];
+    this.proxies = reply.proxies ?? [];
+    const present = new Set(this.instances.map((instance) => instance.id ?? ''));
+    for (const [id, pool] of this.pools) {
+      if (present.has(id)) continue;
+      pool.close();
+      this.pools.delete(id);
+    }
+    for (const instance of this.instances) {
+      const id = instance.id ?? '';
+      if (!this.pools.has(id)) this.pools.set(id, this.createPool(instance));
+    }
+    this.log(Events.catalogInForce, {
+      version: this.version,
+      instances: this.instances.length,
+      proxies: this.proxies.length,
+    });
+  }
+
+  private createPool(instance: InstanceEntry): InstancePool {
+    const group = instance.group ?? '';
+    const target = { id: instance.id ?? '', group, address: instance.address ?? '' };
+    const options = {
+      share: () => this.connectionShare(group),
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      minimumIdle: MINIMUM_IDLE_CONNECTIONS,
+      idleTimeoutMs: IDLE_TIMEOUT_MS,
+    };
+    const observer = {
+      onConnected: () => undefined,
+      onConnectFailed: (error: ConnectError) => this.onConnectFailed(target.id, group, error),
+    };
+    const load = new InstanceLoad();
+    return new InstancePool(target, this.options.connector, this.clock, load, options, observer);
+  }
+
+  private onConnectFailed(instance: string, group: string, error: ConnectError): void {
+    this.log(Events.connectFailed, {
+      instance,
+      group,
+      failure: error.failure,
+      detail: error.message,
+    });
+    const entry = this.trust.entryOf(group);
+    if (entry?.primary !== instance || error.failure === 'connectionLimit') return;
+    if (error.failure === 'busy') return;
+    const health = error.failure === 'silent' ? PrimaryHealth.SILENT : PrimaryHealth.REFUSING;
+    this.observerOf(group, entry.epoch ?? 0).failed(health, this.clock.now());
+  }
+
+  /** Connections that this proxy may have to one instance of a group. */
+  private connectionShare(group: string): number {
+    const limit = this.table?.limitsByGroup.get(group)?.connectionLimit ?? 0;
+    return Math.max(1, Math.floor((limit - RESERVED_CONNECTIONS) / this.liveProxies));
+  }
+
+  // ---- opinions on primaries ----
+
+  private reports(now: number): whinyoke.IPrimaryReport[] {
+    const reports: whinyoke.IPrimaryReport[] = [];
+    for (const [group, observed] of this.observed) {
+      const { epoch, observer } = observed;
+      const entry = this.trust.entryOf(group);
+      const opinion = entry?.epoch === epoch ? observer.opinion(now) : undefined;
+      if (!opinion) continue;
+      observed.reportedHealth = opinion.health;
+      reports.push({ group, epoch, health: opinion.health, sinceMs: Math.round(opinion.sinceMs) });
+    }
+    return reports;
+  }
+
+  /** Tells control at once when the opinion on a primary has changed. */
+  private reportChangedOpinions(now: number): void {
+    for (const [group, { epoch, observer, reportedHealth }] of this.observed) {
+      const entry = this.trust.entryOf(group);
+      if (entry?.epoch !== epoch || entry.phase === GroupPhase.CHANGING) continue;
+      const health = observer.opinion(now)?.health;
+      if (health === undefined || health === reportedHealth) continue;
+      if (health === PrimaryHealth.HEALTHY && reportedHealth === undefined) continue;
+      void this.client.syncNow();
+      return;
+    }
+  }
+
+  private maintain(): void {
+    const now = this.clock.now();
+    for (const pool of this.pools.values()) pool.maintain();
+    this.reportChangedOpinions(now);
+    if (this.trust.dueRevocations(now).length > 0) void this.client.syncNow();
+    this.maintenance = this.clock.setTimer(MAINTENANCE_MS, () => this.maintain());
+  }
+
+  // ---- requests of other processes ----
+
+  /** Passes a request of a proxy that is cut off from control on to the leader. */
+  private async handle(body: MessageBody): Promise<MessageBody> {
+    const { syncRequest } = body;
+    if (!syncRequest || syncRequest.relayed) return { refusal: { reason: 'not for a proxy' } };
+    const { leaderAddress } = this.client;
+    if (leaderAddress === '') return { refusal: { reason: 'no leader is known' } };
+    const relayed = { syncRequest: { ...syncRequest, relayed: true, waitMs: 0 } };
+    return this.runtime.messenger.request(leaderAddress, relayed, RELAY_TIMEOUT_MS);
+  }
+}
--- /dev/null
+++ b/src/router/session_listener.ts
@@ -0,0 +1,204 @@
+/** Accepts callers of a text protocol and runs their statements one after the other. */
+import { type Server, type Socket, createServer } from 'node:net';
+import { splitAddress } from '../runtime/address.js';
+import type { CallerErrorKind, CallerReply } from './caller_reply.js';
+import type { TransactionState } from './instance_connection.js';
+import type { RoutedSession } from './routed_session.js';
+import type { CallerStatement } from './statement.js';
+
+/** A message of a caller. */
+export type CallerMessage =
+  | { readonly kind: 'start'; readonly database: string }
+  | { readonly kind: 'query'; readonly id: string; readonly statement: CallerStatement }
+  | { readonly kind: 'terminate' }
+  | { readonly kind: 'broken'; readonly problem: string };
+
+/** Decoder of one caller's bytes. */
+export interface CallerReader {
+  /** Messages that are now complete. Input that can't be read ends with one `broken` message. */
+  push(chunk: Buffer): CallerMessage[];
+}
+
+/** The protocol towards callers, without I/O. */
+export interface CallerCodec {
+  newReader(): CallerReader;
+  encodeReady(state: TransactionState): string;
+  encodeError(kind: CallerErrorKind, text: string): string;
+  encodeReply(reply: CallerReply): string;
+}
+
+/** What the listener needs of the proxy. */
+export interface SessionSource {
+  /** Whether a configuration is in force. */
+  readonly hasTable: boolean;
+  openSession(database: string): RoutedSession | undefined;
+}
+
+const KEEP_ALIVE_MS = 2000;
+const START_RETRY_MS = 300;
+const BACKLOG = 1024;
+
+/** One caller. */
+class CallerConnection {
+  private readonly reader;
+  private readonly queue: CallerMessage[] = [];
+  private session: RoutedSession | undefined;
+  private isRunning = false;
+  private isDraining = false;
+  private isEnded = false;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly codec: CallerCodec,
+    private readonly source: SessionSource,
+    private readonly onEnd: () => void,
+  ) {
+    this.reader = codec.newReader();
+    socket.setNoDelay(true);
+    socket.setKeepAlive(true, KEEP_ALIVE_MS);
+    socket.on('data', (chunk) => this.receive(chunk));
+    socket.on('error', () => this.end());
+    socket.on('close', () => this.end());
+  }
+
+  /** Whether a statement or a transaction is under way. */
+  get isBusy(): boolean {
+    return this.isRunning || this.queue.length > 0 || (this.session?.state ?? 'idle') !== 'idle';
+  }
+
+  /** Closes the connection as soon as nothing is under way. */
+  drain(): void {
+    this.isDraining = true;
+    this.closeIfDrained();
+  }
+
+  /** Closes the connection at once. */
+  end(): void {
+    if (this.isEnded) return;
+    this.isEnded = true;
+    this.socket.destroy();
+    this.session?.close();
+    this.onEnd();
+  }
+
+  private receive(chunk: Buffer): void {
+    this.queue.push(...this.reader.push(chunk));
+    if (!this.isRunning) void this.runQueue();
+  }
+
+  private async runQueue(): Promise<void> {
+    this.isRunning = true;
+    for (let next = this.queue.shift(); next && !this.isEnded; next = this.queue.shift()) {
+      await this.handle(next);
+    }
+    this.isRunning = false;
+    this.closeIfDrained();
+  }
+
+  private closeIfDrained(): void {
+    if (this.isDraining && !this.isBusy) this.finish('');
+  }
+
+  private async handle(message: CallerMessage): Promise<void> {
+    switch (message.kind) {
+      case 'start':
+        this.start(message.database);
+        return;
+      case 'query':
+        await this.query(message.id, message.statement);
+        return;
+      case 'terminate':
+        this.finish('');
+        return;
+      case 'broken':
+        this.finish(this.codec.encodeError('malformed', message.problem));
+    }
+  }
+
+  private start(database: string): void {
+    if (this.session) {
+      this.finish(this.codec.encodeError('malformed', 'the session has started already'));
+      return;
+    }
+    if (!this.source.hasTable) {
+      const text = `no configuration yet; retry after ${START_RETRY_MS} ms`;
+      this.finish(this.codec.encodeError('busy', text));
+      return;
+    }
+    this.session = this.source.openSession(database);
+    if (this.session) this.send(this.codec.encodeReady('idle'));
+    else this.finish(this.codec.encodeError('noDatabase', database));
+  }
+
+  private async query(id: string, statement: CallerStatement): Promise<void> {
+    if (!this.session) {
+      this.finish(this.codec.encodeError('malformed', 'the session has not started'));
+      return;
+    }
+    const reply = await this.session.execute(id, statement);
+    this.send(this.codec.encodeReply(reply));
+  }
+
+  private send(text: string): void {
+    if (!this.isEnded) this.socket.write(text, 'latin1');
+  }
+
+  /** Sends a last text and closes. */
+  private finish(text: string): void {
+    if (this.isEnded) return;
+    this.socket.end(text, 'latin1');
+    this.isEnded = true;
+    this.session?.close();
+    this.onEnd();
+  }
+}
+
+/** Listener of one proxy. */
+export class SessionListener {
+  private readonly connections = new Set<CallerConnection>();
+  private server: Server | undefined;
+
+  constructor(
+    private readonly codec: CallerCodec,
+    private readonly source: SessionSource,
+  ) {}
+
+  /** Starts to listen. */
+  async listen(address: string): Promise<void> {
+    const server = createServer((socket) => this.accept(socket));
+    this.server = server;
+    const { host, port } = splitAddress(address);
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen({ host, port, backlog: BACKLOG }, resolve);
+    });
+  }
+
+  /** Open connections. */
+  get connectionCount(): number {
+    return this.connections.size;
+  }
+
+  /** Connections with a statement or transaction under way. */
+  get busyCount(): number {
+    return [...this.connections].filter((connection) => connection.isBusy).length;
+  }
+
+  /** Closes each connection as soon as nothing is under way on it. */
+  drain(): void {
+    for (const connection of this.connections) connection.drain();
+  }
+
+  /** Stops to listen and closes everything. */
+  close(): void {
+    this.server?.close();
+    for (const connection of this.connections) connection.end();
+  }
+
+  private accept(socket: Socket): void {
+    const connection = new CallerConnection(socket, this.codec, this.source, () =>
+      this.connections.delete(connection),
+    );
+    this.connections.add(connection);
+  }
+}
--- /dev/null
+++ b/src/router/single_statement.ts
@@ -0,0 +1,206 @@
+/** Runs one statement outside a transaction. */
+import { delay } from '../runtime/runtime.js';
+import { type Position } from '../session/position.js';
+import { type CallerReply, refused } from './caller_reply.js';
+import type { InstanceAnswer, InstanceError } from './instance_connection.js';
+import { AcquireError } from './instance_pool.js';
+import { inDoubt, refuse } from './refusal.js';
+import type { RequestDeadline } from './request_deadline.js';
+import type { RouterContext } from './router_context.js';
+import type { DataStatement } from './statement.js';
+import {
+  type Attempt,
+  type HeldConnection,
+  type NotRunAttempt,
+  type SessionContent,
+  type StatementRunner,
+  isNotRun,
+} from './statement_runner.js';
+import { type Target, planRead } from './target_planner.js';
+import { awaitPrimary } from './trust_waiter.js';
+
+const RETRY_PAUSE_MS = 10;
+const MINIMUM_ATTEMPT_MS = 5;
+/** Share of the target latency that every attempt of a read gets. */
+const ATTEMPT_SHARE = 0.4;
+
+/** A statement to run. */
+export interface SingleRequest {
+  readonly id: string;
+  readonly statement: DataStatement;
+  readonly content: SessionContent;
+  readonly deadline: RequestDeadline;
+  /** Newest commit of the same session. */
+  readonly ownPosition: Position | undefined;
+}
+
+/** Answer to the caller, and the position of the commit when there was one. */
+export interface SingleResult {
+  readonly reply: CallerReply;
+  readonly committedAt?: Position;
+}
+
+/** Runs single statements. */
+export class SingleStatements {
+  constructor(
+    private readonly context: RouterContext,
+    private readonly runner: StatementRunner,
+  ) {}
+
+  /** Runs a read on any instance that is fresh enough; tries others when one fails. */
+  async read(request: SingleRequest): Promise<CallerReply> {
+    const { deadline } = request;
+    const { route } = deadline;
+    const plan = { route, firstByteAt: deadline.arrivedAt, ownPosition: request.ownPosition };
+    const tried = new Set<string>();
+    let cause = 'no instance may serve the read';
+    while (deadline.remaining > MINIMUM_ATTEMPT_MS) {
+      const targets = planRead(this.context, plan, tried);
+      const target = targets[0] ?? (await this.nextRound(deadline, tried));
+      if (!target) break;
+      tried.add(target.instance);
+      const isLast = targets.length <= 1;
+      const attempt = await this.attemptRead(request, target, isLast);
+      if (attempt.outcome === 'answered') {
+        const { answer } = attempt;
+        if (!answer.error) return this.succeed(request, target, answer);
+        if (answer.error.kind === 'malformed') return fail(answer.error);
+        cause = `${target.instance} answered ${answer.error.kind}`;
+      } else {
+        cause = `${target.instance}: ${attempt.cause}`;
+      }
+      this.context.counters.retried(route.name, attempt.outcome);
+    }
+    const refusal = { id: request.id, deadline, state: 'idle' as const };
+    return refuse(this.context, refusal, 'busy', cause);
+  }
+
+  /** Runs a write on the trusted primary; never a second time when it may have run. */
+  async write(request: SingleRequest): Promise<SingleResult> {
+    const { deadline } = request;
+    const { group } = deadline.route;
+    const refusal = { id: request.id, deadline, state: 'idle' as const };
+    let cause = 'no trusted primary';
+    while (deadline.remaining > MINIMUM_ATTEMPT_MS) {
+      const target = await awaitPrimary(this.context, deadline);
+      if (!target) break;
+      this.context.trust.commitStarted(group);
+      const result = await this.attemptWrite(request, target).finally(() =>
+        this.context.trust.commitEnded(group),
+      );
+      if (typeof result !== 'string') return result;
+      cause = result;
+      if (deadline.retryRemaining <= 0) break;
+      this.context.counters.retried(deadline.route.name, 'notRun');
+      await delay(this.context.clock, RETRY_PAUSE_MS);
+    }
+    return { reply: refuse(this.context, refusal, 'busy', cause) };
+  }
+
+  /** All instances were tried: another round while there is time, or a wait for a primary. */
+  private async nextRound(
+    deadline: RequestDeadline,
+    tried: Set<string>,
+  ): Promise<Target | undefined> {
+    if (tried.size === 0) return awaitPrimary(this.context, deadline);
+    if (deadline.retryRemaining <= 0) return undefined;
+    tried.clear();
+    await delay(this.context.clock, RETRY_PAUSE_MS);
+    return awaitPrimary(this.context, deadline);
+  }
+
+  private async attemptRead(
+    request: SingleRequest,
+    target: Target,
+    isLast: boolean,
+  ): Promise<Attempt> {
+    const { deadline } = request;
+    const held = await this.hold(request, target);
+    if (!('pooled' in held)) return held;
+    const usual = Math.max(
+      target.pool.load.patience,
+      deadline.route.targetLatencyMs * ATTEMPT_SHARE,
+    );
+    const timeoutMs = isLast ? deadline.remaining : Math.min(deadline.remaining, usual);
+    const { id, statement } = request;
+    const command = { kind: 'data' as const, id, statement, after: target.after };
+    const attempt = await this.runner.attempt(held, request.content, command, timeoutMs);
+    this.runner.release(held, attempt.outcome === 'answered' ? attempt.answer : undefined);
+    if (attempt.outcome === 'answered' && !this.isTrusted(target)) {
+      return { outcome: 'lost', cause: 'the lease on the primary ended' };
+    }
+    return attempt;
+  }
+
+  /** Result, or the cause why the statement certainly did not run. */
+  private async attemptWrite(
+    request: SingleRequest,
+    target: Target,
+  ): Promise<SingleResult | string> {
+    const { deadline, id, statement } = request;
+    const refusal = { id, deadline, state: 'idle' as const };
+    const held = await this.hold(request, target);
+    if (!('pooled' in held)) return held.cause;
+    if (!this.isTrusted(target)) {
+      this.runner.release(held);
+      return 'the lease on the primary ended';
+    }
+    const command = { kind: 'data' as const, id, statement };
+    const attempt = await this.runner.attempt(held, request.content, command, deadline.remaining);
+    this.runner.release(held, attempt.outcome === 'answered' ? attempt.answer : undefined);
+    if (attempt.outcome === 'notRun') return attempt.cause;
+    if (attempt.outcome === 'lost') {
+      return { reply: inDoubt(this.context, refusal, `${target.instance}: ${attempt.cause}`) };
+    }
+    const { answer } = attempt;
+    if (answer.error && isNotRun(answer.error.kind)) {
+      return `${target.instance} answered ${answer.error.kind}`;
+    }
+    if (answer.error) return { reply: fail(answer.error) };
+    if (!this.isTrusted(target) || !answer.position) {
+      return { reply: inDoubt(this.context, refusal, 'the lease on the primary ended') };
+    }
+    this.context.trust.noteAcknowledged(target.group, answer.position);
+    return { reply: this.succeed(request, target, answer), committedAt: answer.position };
+  }
+
+  private async hold(
+    request: SingleRequest,
+    target: Target,
+  ): Promise<HeldConnection | NotRunAttempt> {
+    const { deadline } = request;
+    const waitMs = Math.max(MINIMUM_ATTEMPT_MS, deadline.offerRemaining);
+    try {
+      const { values } = request.content;
+      return await this.runner.hold(target, values, deadline.route.priority, waitMs);
+    } catch (error) {
+      const cause = error instanceof AcquireError ? error.failure : 'no connection';
+      return { outcome: 'notRun', cause: `no connection: ${cause}` };
+    }
+  }
+
+  private isTrusted(target: Target): boolean {
+    if (target.primaryEpoch === undefined) return true;
+    const now = this.context.clock.now();
+    return this.context.trust.accepts(target.group, target.primaryEpoch, now);
+  }
+
+  private succeed(request: SingleRequest, target: Target, answer: InstanceAnswer): CallerReply {
+    const { route } = request.deadline;
+    const isPrimary = target.primaryEpoch !== undefined;
+    this.context.counters.served(
+      route.name,
+      target.instance,
+      isPrimary,
+      route.policy.kind !== 'primary',
+    );
+    const { rows, signature, position } = answer;
+    return { rows, signature, state: 'idle', position };
+  }
+}
+
+/** Passes on an error that promises nothing. */
+function fail(error: InstanceError): CallerReply {
+  const kind = error.kind === 'malformed' || error.kind === 'timeout' ? error.kind : 'failed';
+  return refused(kind, error.text, 'idle');
+}
--- /dev/null
+++ b/src/router/statement.ts
@@ -0,0 +1,64 @@
+/**
+ * Statements of callers and commands to instances, independent of the protocol that carries them. Arguments
+ * are passed on unread.
+ */
+import type { Position } from '../session/position.js';
+
+/** Whether a statement may change data. */
+export type Access = 'read' | 'write';
+
+/** Shape of a prepared statement. */
+export interface PreparedShape {
+  readonly access: Access;
+  readonly shape: string;
+}
+
+/** One statement of a caller. */
+export type CallerStatement =
+  | { readonly kind: 'begin'; readonly readOnly: boolean }
+  | { readonly kind: 'commit' }
+  | { readonly kind: 'rollback' }
+  | { readonly kind: Access; readonly argument: string }
+  | { readonly kind: 'execute'; readonly name: string; readonly argument: string }
+  | { readonly kind: 'set'; readonly name: string; readonly value: string }
+  | { readonly kind: 'prepare'; readonly name: string; readonly prepared: PreparedShape }
+  | { readonly kind: 'deallocate'; readonly name: string }
+  | { readonly kind: 'malformed'; readonly problem: string };
+
+/** Statement that reads or writes data, with what the instance must be told. */
+export type DataStatement =
+  | { readonly kind: Access; readonly argument: string }
+  | {
+      readonly kind: 'execute';
+      readonly prepared: PreparedShape;
+      readonly argument: string;
+    };
+
+/** One command to an instance. `id` is the identifier of the caller's request. */
+export type InstanceCommand =
+  | { readonly kind: 'begin'; readonly readOnly: boolean; readonly after?: Position }
+  | { readonly kind: 'commit'; readonly id: string }
+  | { readonly kind: 'rollback'; readonly id: string }
+  | {
+      readonly kind: 'data';
+      readonly id: string;
+      readonly statement: DataStatement;
+      readonly after?: Position;
+    }
+  | { readonly kind: 'set'; readonly name: string; readonly value: string }
+  | { readonly kind: 'prepare'; readonly prepared: PreparedShape }
+  | { readonly kind: 'reset' }
+  | { readonly kind: 'status' }
+  | { readonly kind: 'pause'; readonly term: number }
+  | { readonly kind: 'stepDown'; readonly term: number }
+  | { readonly kind: 'resume' };
+
+/** Whether a statement may change data. */
+export function accessOf(statement: DataStatement): Access {
+  return statement.kind === 'execute' ? statement.prepared.access : statement.kind;
+}
+
+/** Name under which a shape is prepared on instance connections, the same for all callers. */
+export function sharedName(prepared: PreparedShape): string {
+  return `${prepared.access === 'read' ? 'r' : 'w'}_${prepared.shape}`;
+}
--- /dev/null
+++ b/src/router/statement_runner.ts
@@ -0,0 +1,181 @@
+/** Runs statements on instances: takes a connection, loads the session onto it, judges the answer. */
+import { BackendConnectionLostError } from '../errors/errors.js';
+import { whinyoke } from '../protocol/generated/messages.js';
+import type { InstanceAnswer, InstanceErrorKind } from './instance_connection.js';
+import { AcquireError, type PooledConnection } from './instance_pool.js';
+import type { RouterContext } from './router_context.js';
+import { loadSession } from './session_loader.js';
+import type { InstanceCommand, PreparedShape } from './statement.js';
+import type { Target } from './target_planner.js';
+
+const { PrimaryHealth } = whinyoke;
+
+/** Errors that promise that the statement did not run at the instance. */
+const NOT_RUN_KINDS: ReadonlySet<InstanceErrorKind> = new Set<InstanceErrorKind>([
+  'busy',
+  'unknownName',
+  'lagging',
+  'readOnly',
+  'wrongInstance',
+  'connectionLimit',
+]);
+
+/** Whether an error promises that the statement did not run. */
+export function isNotRun(kind: InstanceErrorKind): boolean {
+  return NOT_RUN_KINDS.has(kind);
+}
+
+/** A connection that is held for a session. */
+export interface HeldConnection {
+  readonly target: Target;
+  readonly pooled: PooledConnection;
+}
+
+/** The statement certainly did not run. */
+export interface NotRunAttempt {
+  readonly outcome: 'notRun';
+  readonly cause: string;
+}
+
+/** How an attempt at one instance ended. */
+export type Attempt =
+  | { readonly outcome: 'answered'; readonly answer: InstanceAnswer }
+  | NotRunAttempt
+  /** It may have run. */
+  | { readonly outcome: 'lost'; readonly cause: string };
+
+/** What a connection must hold before a statement. */
+export interface SessionContent {
+  readonly values: ReadonlyMap<string, string>;
+  readonly prepared?: PreparedShape;
+}
+
+/** Runner of one process. */
+export class StatementRunner {
+  constructor(private readonly context: RouterContext) {}
+
+  /** Takes a connection to a target. @throws AcquireError when none could be had in time */
+  async hold(
+    target: Target,
+    values: ReadonlyMap<string, string>,
+    priority: number,
+    timeoutMs: number,
+  ): Promise<HeldConnection> {
+    const { load } = target.pool;
+    load.outstanding++;
+    try {
+      return { target, pooled: await target.pool.acquire(values, priority, timeoutMs) };
+    } catch (error) {
+      if (error instanceof AcquireError && error.failure !== 'timeout') {
+        load.noteFailure(this.context.clock.now());
+      }
+      throw error;
+    } finally {
+      load.outstanding--;
+    }
+  }
+
+  /** Gives a connection back after an answer that left it idle; closes it otherwise. */
+  release(held: HeldConnection, answer?: InstanceAnswer): void {
+    const { pool } = held.target;
+    const isClean = answer === undefined || answer.state === 'idle';
+    if (isClean && !held.pooled.connection.closed) pool.release(held.pooled);
+    else pool.discard(held.pooled);
+  }
+
+  /** Closes a connection in an unknown state. */
+  discard(held: HeldConnection): void {
+    held.target.pool.discard(held.pooled);
+  }
+
+  /**
+   * Loads the session, then runs a command. A lost connection before the command was sent counts as not
+   * run. The connection stays held; a lost one is closed already.
+   */
+  async attempt(
+    held: HeldConnection,
+    content: SessionContent,
+    command: InstanceCommand,
+    timeoutMs: number,
+  ): Promise<Attempt> {
+    const start = this.context.clock.now();
+    const remaining = (): number => Math.max(1, timeoutMs - (this.context.clock.now() - start));
+    try {
+      const isLoaded = await loadSession(held.pooled, content.values, content.prepared, (step) =>
+        this.exchange(held, step, remaining()),
+      );
+      if (!isLoaded) {
+        held.pooled.connection.close();
+        return { outcome: 'notRun', cause: 'session could not be loaded' };
+      }
+    } catch {
+      return { outcome: 'notRun', cause: 'connection lost before the statement' };
+    }
+    if (held.pooled.connection.closed) return { outcome: 'notRun', cause: 'connection lost' };
+    try {
+      return { outcome: 'answered', answer: await this.exchange(held, command, remaining()) };
+    } catch (error) {
+      const cause = error instanceof Error ? error.message : 'connection lost';
+      const wasSent = !(error instanceof BackendConnectionLostError) || error.sent;
+      return { outcome: wasSent ? 'lost' : 'notRun', cause };
+    }
+  }
+
+  /** Runs one command and notes what its answer tells. */
+  async exchange(
+    held: HeldConnection,
+    command: InstanceCommand,
+    timeoutMs: number,
+  ): Promise<InstanceAnswer> {
+    const { clock } = this.context;
+    const { target, pooled } = held;
+    const { load } = target.pool;
+    const { group, primaryEpoch: epoch } = target;
+    const sentAt = clock.now();
+    const observer = epoch === undefined ? undefined : this.context.observerOf(group, epoch);
+    const mayCommit = command.kind === 'commit' || isWrite(command);
+    const ended = observer?.started(mayCommit, sentAt);
+    load.outstanding++;
+    try {
+      const answer = await pooled.connection.run(command, timeoutMs);
+      const now = clock.now();
+      ended?.(true, now);
+      this.noteAnswer(held, answer, sentAt, command.kind === 'data');
+      return answer;
+    } catch (error) {
+      ended?.(false, clock.now());
+      load.noteFailure(clock.now());
+      throw error;
+    } finally {
+      load.outstanding--;
+    }
+  }
+
+  private noteAnswer(
+    held: HeldConnection,
+    answer: InstanceAnswer,
+    sentAt: number,
+    isTimed: boolean,
+  ): void {
+    const { clock, trust } = this.context;
+    const { group, primaryEpoch: epoch, pool } = held.target;
+    const now = clock.now();
+    if (answer.position) pool.load.notePosition(answer.position, now);
+    if (isTimed && !answer.error) pool.load.noteAnswer(now - sentAt);
+    if (epoch === undefined) return;
+    if (answer.error?.kind === 'readOnly') {
+      this.context.observerOf(group, epoch).failed(PrimaryHealth.NOT_PRIMARY, now);
+    } else if (answer.position && trust.accepts(group, epoch, now)) {
+      this.context.floorOf(group).note(epoch, sentAt, answer.position);
+    }
+  }
+}
+
+function isWrite(command: InstanceCommand): boolean {
+  if (command.kind !== 'data') return false;
+  const { statement } = command;
+  return (
+    statement.kind === 'write' ||
+    (statement.kind === 'execute' && statement.prepared.access === 'write')
+  );
+}
--- /dev/null
+++ b/src/router/target_planner.ts
@@ -0,0 +1,81 @@
+/** Decides which instances may run a statement, and in which order they are tried. */
+import { type Position, latest } from '../session/position.js';
+import type { InstancePool } from './instance_pool.js';
+import { orderCandidates } from './replica_selector.js';
+import type { Route } from './route_table.js';
+import type { RouterContext } from './router_context.js';
+
+/** Clocks, and answers that were slow to be read: floors are taken this much younger, in milliseconds. */
+const FLOOR_MARGIN_MS = 100;
+
+/** An instance that may run a statement. */
+export interface Target {
+  readonly instance: string;
+  readonly pool: InstancePool;
+  readonly group: string;
+  /** Epoch under which the instance is used as the primary; undefined for a replica. */
+  readonly primaryEpoch?: number;
+  /** Position that a replica must have applied. */
+  readonly after?: Position;
+}
+
+/** A read to be planned. */
+export interface ReadPlanRequest {
+  readonly route: Route;
+  /** When the first byte of the read, or of its transaction, arrived. */
+  readonly firstByteAt: number;
+  /** Newest commit of the same session. */
+  readonly ownPosition: Position | undefined;
+}
+
+/** The trusted primary of a group. */
+export function primaryTarget(context: RouterContext, group: string): Target | undefined {
+  const primary = context.trust.primaryOf(group, context.clock.now());
+  const pool = primary && context.poolOf(primary.instance);
+  if (!primary || !pool) return undefined;
+  return { instance: primary.instance, pool, group, primaryEpoch: primary.epoch };
+}
+
+/** Position that a replica must have applied for a read; undefined when only the primary may serve it. */
+export function readFloor(context: RouterContext, request: ReadPlanRequest): Position | undefined {
+  const { policy, group } = request.route;
+  if (policy.kind === 'primary') return undefined;
+  const oldest = request.firstByteAt - policy.maximumStalenessMs + FLOOR_MARGIN_MS;
+  const floor = context.floorOf(group).oldestSince(oldest);
+  if (!floor || policy.kind === 'boundedStaleness' || !request.ownPosition) return floor;
+  return latest(floor, request.ownPosition);
+}
+
+/** Targets of a read, best first. */
+export function planRead(
+  context: RouterContext,
+  request: ReadPlanRequest,
+  tried: ReadonlySet<string>,
+): Target[] {
+  const { group } = request.route;
+  const primary = primaryTarget(context, group);
+  const after = readFloor(context, request);
+  if (!after) return primary && !tried.has(primary.instance) ? [primary] : [];
+  const primaryInstance = context.trust.entryOf(group)?.primary;
+  const candidates = context
+    .readCandidates(group)
+    .filter((candidate) => !tried.has(candidate.id))
+    .filter((candidate) => candidate.id !== primaryInstance || primary !== undefined);
+  const ordered = orderCandidates(candidates, {
+    zone: context.zone,
+    now: context.clock.now(),
+    after,
+  });
+  const targets: Target[] = [];
+  for (const candidate of ordered) {
+    if (candidate.id === primary?.instance) {
+      targets.push(primary);
+      continue;
+    }
+    const pool = context.poolOf(candidate.id);
+    if (pool) targets.push({ instance: candidate.id, pool, group, after });
+  }
+  const isPrimaryListed = targets.some((target) => target.primaryEpoch !== undefined);
+  if (primary && !isPrimaryListed && !tried.has(primary.instance)) targets.push(primary);
+  return targets;
+}
--- /dev/null
+++ b/src/router/transaction.ts
@@ -0,0 +1,254 @@
+/**
+ * A caller's transaction. It owns one instance connection from its first statement to its end; before that
+ * it holds nothing.
+ */
+import { delay } from '../runtime/runtime.js';
+import type { Position } from '../session/position.js';
+import { type CallerReply, refused } from './caller_reply.js';
+import type { InstanceAnswer, InstanceError } from './instance_connection.js';
+import { type RefusedRequest, inDoubt, refuse } from './refusal.js';
+import { RequestDeadline } from './request_deadline.js';
+import type { Route } from './route_table.js';
+import type { RouterContext } from './router_context.js';
+import { type DataStatement, type InstanceCommand, accessOf } from './statement.js';
+import {
+  type Attempt,
+  type HeldConnection,
+  type SessionContent,
+  type StatementRunner,
+  isNotRun,
+} from './statement_runner.js';
+import { type Target, planRead } from './target_planner.js';
+import { awaitPrimary } from './trust_waiter.js';
+
+const BUSY_PAUSE_MS = 10;
+const MINIMUM_ATTEMPT_MS = 5;
+const ROLLBACK_TIMEOUT_MS = 1000;
+
+/** Answer to the caller, and the position of the commit when there was one. */
+export interface TransactionResult {
+  readonly reply: CallerReply;
+  readonly committedAt?: Position;
+}
+
+/** One transaction, from BEGIN to COMMIT, ROLLBACK or its failure. */
+export class Transaction {
+  private held: HeldConnection | undefined;
+  private hasWritten = false;
+
+  constructor(
+    private readonly context: RouterContext,
+    private readonly runner: StatementRunner,
+    /** Route as of BEGIN. */
+    readonly route: Route,
+    readonly readOnly: boolean,
+    private readonly beganAt: number,
+    private readonly ownPosition: Position | undefined,
+  ) {}
+
+  /** Runs a statement; after an error the transaction has failed and holds nothing any more. */
+  async run(id: string, statement: DataStatement, content: SessionContent): Promise<CallerReply> {
+    const deadline = new RequestDeadline(this.context.clock, this.route);
+    const refusal = { id, deadline, state: 'failed' as const };
+    const problem = await this.bind(deadline, content);
+    if (problem !== undefined) return refuse(this.context, refusal, 'busy', problem);
+    if (accessOf(statement) === 'write') this.hasWritten = true;
+    const command = { kind: 'data' as const, id, statement };
+    const attempt = await this.attempt(command, content, deadline);
+    if (attempt.outcome !== 'answered') {
+      this.drop();
+      return refuse(this.context, refusal, 'aborted', attempt.cause);
+    }
+    const { answer } = attempt;
+    if (answer.error) return this.failStatement(answer.error, refusal);
+    if (!this.isTrusted()) {
+      this.drop();
+      return refuse(this.context, refusal, 'aborted', 'the lease on the primary ended');
+    }
+    this.countServed();
+    return {
+      rows: answer.rows,
+      signature: answer.signature,
+      state: 'open',
+      position: answer.position,
+    };
+  }
+
+  /** Commits. */
+  async commit(id: string, content: SessionContent): Promise<TransactionResult> {
+    const deadline = new RequestDeadline(this.context.clock, this.route);
+    const refusal = { id, deadline, state: 'idle' as const };
+    const problem = await this.bind(deadline, content);
+    if (problem !== undefined) {
+      return { reply: refuse(this.context, refusal, 'aborted', problem) };
+    }
+    if (!this.isTrusted()) {
+      this.drop();
+      return { reply: refuse(this.context, refusal, 'aborted', 'the lease on the primary ended') };
+    }
+    this.context.trust.commitStarted(this.route.group);
+    try {
+      const attempt = await this.attempt({ kind: 'commit', id }, content, deadline);
+      return this.judgeCommit(attempt, refusal);
+    } finally {
+      this.context.trust.commitEnded(this.route.group);
+    }
+  }
+
+  /** Rolls back; the connection is cleaned up in the background. */
+  rollback(id: string): void {
+    const { held } = this;
+    this.held = undefined;
+    if (!held) return;
+    this.runner.exchange(held, { kind: 'rollback', id }, ROLLBACK_TIMEOUT_MS).then(
+      (answer) => this.runner.release(held, answer),
+      () => this.runner.discard(held),
+    );
+  }
+
+  /** Ends the transaction by closing its connection, which rolls back. */
+  drop(): void {
+    const { held } = this;
+    this.held = undefined;
+    if (held) this.runner.discard(held);
+  }
+
+  /** Verdict on a commit: kept, certainly not kept, or unknown. */
+  private judgeCommit(attempt: Attempt, refusal: RefusedRequest): TransactionResult {
+    const held = this.held!;
+    this.held = undefined;
+    const answer = attempt.outcome === 'answered' ? attempt.answer : undefined;
+    this.runner.release(held, answer?.state === 'idle' ? answer : UNKNOWN_ANSWER);
+    const cause = causeOfFailure(attempt);
+    if (attempt.outcome === 'notRun' || (answer?.error && isNotRun(answer.error.kind))) {
+      return { reply: refuse(this.context, refusal, 'aborted', cause) };
+    }
+    if (!answer || answer.error) return { reply: this.commitFailed(refusal, cause) };
+    if (this.hasWritten && !this.trusts(held.target)) {
+      return { reply: this.commitFailed(refusal, 'the lease on the primary ended') };
+    }
+    const { rows, signature, position } = answer;
+    const reply: CallerReply = { rows, signature, state: 'idle', position };
+    if (!this.hasWritten || !position) return { reply };
+    this.context.trust.noteAcknowledged(this.route.group, position);
+    return { reply, committedAt: position };
+  }
+
+  /** A commit without a trusted answer is in doubt, unless there was nothing to commit. */
+  private commitFailed(refusal: RefusedRequest, cause: string): CallerReply {
+    if (this.hasWritten) return inDoubt(this.context, refusal, cause);
+    return refuse(this.context, refusal, 'aborted', cause);
+  }
+
+  /** Runs a command on the held connection; again when the instance was only busy. */
+  private async attempt(
+    command: InstanceCommand,
+    content: SessionContent,
+    deadline: RequestDeadline,
+  ): Promise<Attempt> {
+    for (;;) {
+      const attempt = await this.runner.attempt(this.held!, content, command, deadline.remaining);
+      const answer = attempt.outcome === 'answered' ? attempt.answer : undefined;
+      const isBusy = answer?.error?.kind === 'busy' && answer.state === 'open';
+      if (!isBusy || deadline.retryRemaining <= 0) return attempt;
+      await delay(this.context.clock, BUSY_PAUSE_MS);
+    }
+  }
+
+  private failStatement(error: InstanceError, refusal: RefusedRequest): CallerReply {
+    this.drop();
+    if (error.kind === 'malformed' || error.kind === 'unknownName') {
+      return refused(error.kind, error.text, 'failed');
+    }
+    return refuse(this.context, refusal, 'aborted', `the instance answered ${error.kind}`);
+  }
+
+  /** Begins at an instance, unless done; returns why it could not. Nothing ran then. */
+  private async bind(
+    deadline: RequestDeadline,
+    content: SessionContent,
+  ): Promise<string | undefined> {
+    if (this.held) return undefined;
+    const tried = new Set<string>();
+    let cause = 'no trusted primary';
+    while (deadline.remaining > MINIMUM_ATTEMPT_MS) {
+      const target = await this.nextTarget(deadline, tried);
+      if (!target) break;
+      tried.add(target.instance);
+      const result = await this.beginAt(target, deadline, content);
+      if (result === undefined) return undefined;
+      cause = `${target.instance}: ${result}`;
+      this.context.counters.retried(this.route.name, 'begin');
+    }
+    return cause;
+  }
+
+  private async nextTarget(
+    deadline: RequestDeadline,
+    tried: Set<string>,
+  ): Promise<Target | undefined> {
+    const { route, ownPosition } = this;
+    if (this.readOnly && route.policy.kind !== 'primary') {
+      const plan = { route, firstByteAt: this.beganAt, ownPosition };
+      const [target] = planRead(this.context, plan, tried);
+      if (target) return target;
+    }
+    if (tried.size > 0) {
+      if (deadline.retryRemaining <= 0) return undefined;
+      tried.clear();
+      await delay(this.context.clock, BUSY_PAUSE_MS);
+    }
+    return awaitPrimary(this.context, deadline);
+  }
+
+  private async beginAt(
+    target: Target,
+    deadline: RequestDeadline,
+    content: SessionContent,
+  ): Promise<string | undefined> {
+    const waitMs = Math.max(MINIMUM_ATTEMPT_MS, deadline.offerRemaining);
+    const { priority } = this.route;
+    let held: HeldConnection;
+    try {
+      held = await this.runner.hold(target, content.values, priority, waitMs);
+    } catch {
+      return 'no connection';
+    }
+    const command = { kind: 'begin' as const, readOnly: this.readOnly, after: target.after };
+    const { remaining } = deadline;
+    const attempt = await this.runner.attempt(held, { values: content.values }, command, remaining);
+    if (attempt.outcome === 'answered' && !attempt.answer.error) {
+      this.held = held;
+      return undefined;
+    }
+    this.runner.release(held, attempt.outcome === 'answered' ? attempt.answer : undefined);
+    return attempt.outcome === 'answered'
+      ? `answered ${attempt.answer.error!.kind}`
+      : attempt.cause;
+  }
+
+  private isTrusted(): boolean {
+    return this.held !== undefined && this.trusts(this.held.target);
+  }
+
+  private trusts(target: Target): boolean {
+    const { primaryEpoch, group } = target;
+    if (primaryEpoch === undefined) return true;
+    return this.context.trust.accepts(group, primaryEpoch, this.context.clock.now());
+  }
+
+  private countServed(): void {
+    const { target } = this.held!;
+    const isPrimary = target.primaryEpoch !== undefined;
+    const isReplicaAllowed = this.readOnly && this.route.policy.kind !== 'primary';
+    this.context.counters.served(this.route.name, target.instance, isPrimary, isReplicaAllowed);
+  }
+}
+
+/** Stands for an answer after which a connection can't be used again. */
+const UNKNOWN_ANSWER: InstanceAnswer = { rows: [], signature: '', state: 'failed' };
+
+function causeOfFailure(attempt: Attempt): string {
+  if (attempt.outcome !== 'answered') return attempt.cause;
+  return `the instance answered ${attempt.answer.error?.kind ?? 'without an error'}`;
+}
--- /dev/null
+++ b/src/router/trust_waiter.ts
@@ -0,0 +1,31 @@
+/** Waiting for a trusted primary. */
+import { whinyoke } from '../protocol/generated/messages.js';
+import { delay } from '../runtime/runtime.js';
+import { USUAL_CHANGE_MS } from './refusal.js';
+import type { RequestDeadline } from './request_deadline.js';
+import type { RouterContext } from './router_context.js';
+import { type Target, primaryTarget } from './target_planner.js';
+
+/** How long a request may wait for a primary, in milliseconds from now. */
+function patience(context: RouterContext, deadline: RequestDeadline): number {
+  const { group } = deadline.route;
+  const entry = context.trust.entryOf(group);
+  if (entry?.phase !== whinyoke.GroupPhase.CHANGING) return deadline.offerRemaining;
+  const age = context.trust.phaseAge(group, context.clock.now());
+  const isSoonOver = USUAL_CHANGE_MS - age < deadline.retryRemaining;
+  return isSoonOver ? deadline.retryRemaining : deadline.offerRemaining;
+}
+
+/** The trusted primary, or undefined when it is not worth waiting longer for one. */
+export async function awaitPrimary(
+  context: RouterContext,
+  deadline: RequestDeadline,
+): Promise<Target | undefined> {
+  for (;;) {
+    const target = primaryTarget(context, deadline.route.group);
+    if (target) return target;
+    const waitMs = patience(context, deadline);
+    if (waitMs <= 0) return undefined;
+    await Promise.race([context.trust.nextExtension(), delay(context.clock, waitMs)]);
+  }
+}
--- a/src/runtime/tcp_messenger.ts
+++ b/src/runtime/tcp_messenger.ts
@@ -1,9 +1,9 @@
 /**
  * Request and response messages over TCP, optionally inside TLS.
  *
- * Frame: 32-bit big-endian length, then one encoded Envelope. Before its first frame each side proves
- * that it knows the shared key: the server sends a random challenge, the client answers with an HMAC of
- * it (see `shared_key_handshake.ts`).
+ * Frame: 32-bit big-endian length, then one encoded Envelope. Where a deployment has a shared key, each side
+ * proves before its first frame that it knows the key: the server sends a random challenge, the client
+ * answers with an HMAC of it (see `shared_key_handshake.ts`).
  */
 import { type Server, type Socket, connect, createServer } from 'node:net';
 import { PeerUnreachableError, messageOf } from '../errors/errors.js';
@@ -25,21 +25,26 @@
   readonly host: string;
   /** TCP port to listen on; 0 takes any free port. */
   readonly port: number;
-  /** Key that all processes of a deployment share. */
-  readonly sharedKey: SharedKey;
+  /** Key that all processes of a deployment share; without it, every peer is trusted. */
+  readonly sharedKey: SharedKey | undefined;
 }
 
+/** A connection that is not open by then is given up, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 1000;
+
 /** One outgoing connection, reused by all requests to the same address. */
 class PeerConnection {
   private readonly pending = new Map<number, PendingRequest>();
   private readonly ready: Promise<Socket>;
   private nextId = 1;
+  private framesReceived = 0;
+  private socket: Socket | undefined;
   closed = false;
 
   constructor(
     private readonly address: string,
     private readonly from: string,
-    sharedKey: SharedKey,
+    sharedKey: SharedKey | undefined,
   ) {
     this.ready = this.open(sharedKey);
     this.ready.catch((error: unknown) => this.fail(messageOf(error)));
@@ -47,10 +52,13 @@
 
   request(body: MessageBody, timeoutMs: number): Promise<MessageBody> {
     const id = this.nextId++;
+    const heardBefore = this.framesReceived;
     return new Promise((resolve, reject) => {
       const timeout = setTimeout(() => {
         this.pending.delete(id);
         reject(new PeerUnreachableError(`no answer from ${this.address} within ${timeoutMs} ms`));
+        // Nothing at all came meanwhile: the peer may be gone without a sign, so a new connection is due.
+        if (this.framesReceived === heardBefore) this.close();
       }, timeoutMs);
       this.pending.set(id, { resolve, reject, timeout });
       const envelope: Envelope = { id, reply: false, from: this.from, body };
@@ -62,25 +70,27 @@
   }
 
   close(): void {
-    this.ready.then(
-      (socket) => socket.destroy(),
-      () => undefined,
-    );
+    this.socket?.destroy();
     this.fail('closed');
   }
 
-  private async open(sharedKey: SharedKey): Promise<Socket> {
+  private async open(sharedKey: SharedKey | undefined): Promise<Socket> {
     const socket = connect(splitAddress(this.address));
+    this.socket = socket;
     socket.setNoDelay(true);
     socket.on('error', (error) => this.fail(error.message));
     socket.on('close', () => this.fail('connection closed'));
+    socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
+      if (socket.connecting) socket.destroy();
+    });
     const reader = new FrameReader();
-    await introduceSelf(socket, reader, sharedKey);
+    if (sharedKey) await introduceSelf(socket, reader, sharedKey);
     reader.start(socket, (bytes) => this.receive(bytes));
     return socket;
   }
 
   private receive(bytes: Buffer): void {
+    this.framesReceived++;
     const envelope = decodeEnvelope(bytes);
     const request = this.pending.get(envelope.id);
     if (!request) return;
@@ -151,7 +161,7 @@
     socket.on('close', () => this.incoming.delete(socket));
     const reader = new FrameReader();
     try {
-      await acceptPeer(socket, reader, this.options.sharedKey);
+      if (this.options.sharedKey) await acceptPeer(socket, reader, this.options.sharedKey);
     } catch {
       socket.destroy();
       return;
