--- /dev/null
+++ b/lab/appointed/appointed_faults.ts
@@ -0,0 +1,187 @@
+/** Faults of deployments whose primaries are appointed. */
+import type { RandomSource } from '../../src/runtime/runtime.js';
+import type { SimulatedMachine } from '../simulation/simulated_machine.js';
+import type { AppointedWorld } from './appointed_world.js';
+import type { EmulatedGroup, InstanceMachine } from './emulated_group.js';
+
+/** Kinds of faults. */
+export const APPOINTED_FAULTS = [
+  'crash-primary',
+  'dark-primary',
+  'cut-primary-from-replicas',
+  'cut-primary-from-proxies',
+  'crash-replica',
+  'lag-replicas',
+  'deaf-replica',
+  'lost-answers',
+  'leave-primary',
+  'leave-replica',
+  'kill-proxy',
+  'kill-proxies',
+  'freeze-proxy',
+  'cut-proxy-from-control',
+  'kill-control',
+  'kill-all-controls',
+  'freeze-control',
+  'isolate-control',
+  'lose-control-disk',
+  'change-configuration',
+] as const;
+
+/** Kind of a fault. */
+export type AppointedFaultKind = (typeof APPOINTED_FAULTS)[number];
+
+/** Ends a fault. */
+export type EndFault = () => void;
+
+type Starter = (world: AppointedWorld, random: RandomSource) => EndFault | undefined;
+
+function pick<T>(items: readonly T[], random: RandomSource): T {
+  return items[random.integer(0, items.length - 1)]!;
+}
+
+function primaryOf(group: EmulatedGroup): InstanceMachine | undefined {
+  const { leader } = group;
+  return leader && group.machines.find((machine) => machine.current === leader);
+}
+
+function replicasOf(group: EmulatedGroup): InstanceMachine[] {
+  const primary = primaryOf(group);
+  return group.machines.filter((machine) => machine !== primary && machine.running);
+}
+
+function crash(group: EmulatedGroup, machine: InstanceMachine | undefined): EndFault | undefined {
+  if (!machine?.running) return undefined;
+  machine.running.process.kill();
+  return () => group.startMachine(machine);
+}
+
+function cutBothWays(
+  world: AppointedWorld,
+  left: readonly string[],
+  right: readonly string[],
+): EndFault {
+  const heals = [world.network.cut(left, right), world.network.cut(right, left)];
+  return () => heals.forEach((heal) => heal());
+}
+
+function hostsOf(machines: readonly { readonly host: string }[]): string[] {
+  return machines.map((machine) => machine.host);
+}
+
+function kill(machines: readonly SimulatedMachine[]): EndFault {
+  for (const machine of machines) machine.kill();
+  return () => machines.forEach((machine) => machine.start());
+}
+
+/** Only one control machine is lost at a time, unless all keep their disks. */
+function pickControl(world: AppointedWorld, random: RandomSource): SimulatedMachine | undefined {
+  if (world.coordinators.some((control) => !control.isUp)) return undefined;
+  return pick(world.coordinators, random);
+}
+
+const STARTERS: Readonly<Record<AppointedFaultKind, Starter>> = {
+  'crash-primary': (world, random) => {
+    const group = pick(world.groups, random);
+    return crash(group, primaryOf(group));
+  },
+  'dark-primary': (world, random) => {
+    const primary = primaryOf(pick(world.groups, random));
+    if (!primary) return undefined;
+    const others = [
+      ...hostsOf([...world.coordinators, ...world.routers]),
+      ...world.instanceMachines().map(({ machine }) => machine.site.host),
+    ].filter((host) => host !== primary.site.host);
+    return cutBothWays(world, [primary.site.host], others);
+  },
+  'cut-primary-from-replicas': (world, random) => {
+    const group = pick(world.groups, random);
+    const primary = primaryOf(group);
+    if (!primary) return undefined;
+    const replicas = replicasOf(group).map((machine) => machine.site.host);
+    return cutBothWays(world, [primary.site.host], replicas);
+  },
+  'cut-primary-from-proxies': (world, random) => {
+    const primary = primaryOf(pick(world.groups, random));
+    if (!primary) return undefined;
+    const cut = world.routers.filter(() => random.next() < 0.6);
+    return cutBothWays(world, [primary.site.host], hostsOf(cut));
+  },
+  'crash-replica': (world, random) => {
+    const group = pick(world.groups, random);
+    const replicas = replicasOf(group);
+    return replicas.length === 0 ? undefined : crash(group, pick(replicas, random));
+  },
+  'lag-replicas': (world, random) => {
+    const replicas = replicasOf(pick(world.groups, random)).flatMap((item) => item.running ?? []);
+    for (const replica of replicas) replica.lagMs = world.deployment.lagMs * 100;
+    return () => replicas.forEach((replica) => (replica.lagMs = world.deployment.lagMs));
+  },
+  'deaf-replica': (world, random) => {
+    const [replica] = replicasOf(pick(world.groups, random)).flatMap((item) => item.running ?? []);
+    if (!replica) return undefined;
+    replica.isDeaf = true;
+    return () => (replica.isDeaf = false);
+  },
+  'lost-answers': (world, random) => {
+    const instances = pick(world.groups, random).machines.flatMap((item) => item.running ?? []);
+    for (const instance of instances) instance.lostAnswers = 0.1;
+    return () => instances.forEach((instance) => (instance.lostAnswers = 0));
+  },
+  'leave-primary': (world, random) => leave(world, primaryOf(pick(world.groups, random))),
+  'leave-replica': (world, random) => {
+    const replicas = replicasOf(pick(world.groups, random));
+    return leave(world, replicas[0]);
+  },
+  'kill-proxy': (world, random) => kill([pick(world.routers, random)]),
+  'kill-proxies': (world, random) => kill(world.routers.filter(() => random.next() < 0.6)),
+  'freeze-proxy': (world, random) => pick(world.routers, random).freeze(),
+  'cut-proxy-from-control': (world, random) =>
+    cutBothWays(world, [pick(world.routers, random).host], hostsOf(world.coordinators)),
+  'kill-control': (world, random) => {
+    const control = pickControl(world, random);
+    return control && kill([control]);
+  },
+  'kill-all-controls': (world) => kill(world.coordinators),
+  'freeze-control': (world, random) => pickControl(world, random)?.freeze(),
+  'isolate-control': (world, random) => {
+    const control = pickControl(world, random);
+    if (!control) return undefined;
+    const others = hostsOf([...world.coordinators, ...world.routers]);
+    return cutBothWays(
+      world,
+      [control.host],
+      others.filter((host) => host !== control.host),
+    );
+  },
+  'lose-control-disk': (world, random) => {
+    const control = pickControl(world, random);
+    if (!control) return undefined;
+    control.loseDisk();
+    return () => control.start();
+  },
+  'change-configuration': (world) => {
+    for (let count = 0; count < 3; count++) void world.submitDocument();
+    return () => undefined;
+  },
+};
+
+/** An instance tells that it leaves, serves on, and takes it back at the end. */
+function leave(world: AppointedWorld, machine: InstanceMachine | undefined): EndFault | undefined {
+  const instance = machine?.running;
+  if (!instance) return undefined;
+  void world.announceLeaving(machine);
+  return () => {
+    instance.isLeaving = false;
+    world.judge.onStays(instance.options.id);
+  };
+}
+
+/** Starts a fault; undefined when it can't strike now. */
+export function startFault(
+  kind: AppointedFaultKind,
+  world: AppointedWorld,
+  random: RandomSource,
+): EndFault | undefined {
+  return STARTERS[kind](world, random);
+}
--- /dev/null
+++ b/lab/appointed/appointed_judge.ts
@@ -0,0 +1,288 @@
+/**
+ * Checks of a simulated history, made while it runs from what instances ran and what callers were told. Knows
+ * nothing of the code under test.
+ */
+import type { CallerErrorKind } from '../../src/router/caller_reply.js';
+import type { DataStatement, PreparedShape } from '../../src/router/statement.js';
+import type { EmulatedInstance, EmulatedSession, LogRecord } from './emulated_instance.js';
+
+/** Checks, by what is broken. */
+export type ViolationKind =
+  | 'foreign-answer'
+  | 'pinned'
+  | 'twice'
+  | 'refused-but-kept'
+  | 'stale'
+  | 'lost'
+  | 'replaced-primary'
+  | 'drain'
+  | 'configuration'
+  | 'shared-fence';
+
+/** A broken promise. */
+export interface AppointedViolation {
+  readonly kind: ViolationKind;
+  readonly at: number;
+  readonly detail: string;
+}
+
+/** What an instance reports of a statement that it runs. */
+export interface RunReport {
+  readonly instance: EmulatedInstance;
+  readonly session: EmulatedSession;
+  readonly id: string;
+  readonly statement: DataStatement;
+  readonly signature: string;
+  readonly rows: readonly string[];
+}
+
+/** What an instance reports of a commit. */
+export interface CommitReport {
+  readonly instance: EmulatedInstance;
+  readonly session: EmulatedSession;
+  readonly id: string;
+  readonly signature: string;
+}
+
+/** Hears of what instances do. */
+export interface InstanceJournal {
+  onRun(report: RunReport): void;
+  onCommit(report: CommitReport): void;
+}
+
+/** What a caller has been told so far, when it sends a request. */
+export interface CallerExpectation {
+  readonly group: string;
+  readonly values: ReadonlyMap<string, string>;
+  readonly prepared: PreparedShape | undefined;
+  /** Name of the operation that a transaction belongs to; undefined outside a transaction. */
+  readonly transaction: string | undefined;
+}
+
+/** A read whose answer reached its caller. */
+export interface ReadCheck {
+  readonly id: string;
+  readonly rows: readonly string[];
+  readonly signature: string;
+  /** Acknowledged commits older than this must be seen. */
+  readonly mustSeeUntil: number;
+  /** Session whose own commits must be seen. */
+  readonly ownSession: string | undefined;
+}
+
+interface RunRecord {
+  readonly report: RunReport;
+  readonly log: readonly LogRecord[];
+}
+
+interface AcknowledgedCommit {
+  readonly at: number;
+  readonly group: string;
+  readonly session: string;
+  readonly request: string;
+}
+
+interface Leadership {
+  readonly at: number;
+  readonly instance: EmulatedInstance;
+  readonly requests: ReadonlySet<string>;
+}
+
+const DRAIN_LIMIT_MS = 7000;
+
+/** Judge of one simulation. */
+export class AppointedJudge implements InstanceJournal {
+  readonly violations: AppointedViolation[] = [];
+  readonly counts = { runs: 0, acknowledged: 0, reads: 0, appointments: 0, refused: 0, inDoubt: 0 };
+  readonly acknowledgedByGroup = new Map<string, number>();
+  private readonly expectations = new Map<string, CallerExpectation>();
+  private readonly runs = new Map<string, RunRecord[]>();
+  private readonly acknowledged: AcknowledgedCommit[] = [];
+  private readonly refused = new Set<string>();
+  private readonly leaderships = new Map<string, Leadership>();
+  private readonly connectionOfTransaction = new Map<string, EmulatedSession>();
+  private readonly transactionOfSession = new Map<EmulatedSession, string>();
+  private readonly leavingSince = new Map<string, number>();
+  private readonly fences = new Map<number, string>();
+  private highestFence = 0;
+
+  constructor(private readonly now: () => number) {}
+
+  /** A caller sends a request. */
+  expect(id: string, expectation: CallerExpectation): void {
+    this.expectations.set(id, expectation);
+  }
+
+  onRun(report: RunReport): void {
+    this.counts.runs++;
+    const log = report.instance.appliedLog;
+    const records = this.runs.get(report.id) ?? [];
+    records.push({ report, log });
+    this.runs.set(report.id, records);
+    this.checkSession(report);
+    this.checkDrain(report);
+  }
+
+  onCommit(report: CommitReport): void {
+    const transaction = this.expectations.get(report.id)?.transaction;
+    this.checkConnection(report.session, transaction, report.id);
+    this.transactionOfSession.delete(report.session);
+  }
+
+  /** A caller was told that a write or a commit succeeded. */
+  onAcknowledged(group: string, session: string, requests: readonly string[]): void {
+    const leadership = this.leaderships.get(group);
+    this.acknowledgedByGroup.set(group, (this.acknowledgedByGroup.get(group) ?? 0) + 1);
+    for (const request of requests) {
+      this.counts.acknowledged++;
+      this.acknowledged.push({ at: this.now(), group, session, request });
+      const isKept = leadership === undefined || this.isInLeadersLog(leadership, request);
+      if (!isKept) this.add('replaced-primary', `${request} of ${group} is not in the new log`);
+    }
+  }
+
+  /** A caller was told that nothing of the requests is kept. */
+  onRefused(kind: CallerErrorKind, requests: readonly string[]): void {
+    this.counts.refused++;
+    if (kind === 'inDoubt') return;
+    for (const request of requests) this.refused.add(request);
+  }
+
+  /** A caller was told that the outcome is unknown. */
+  onInDoubt(): void {
+    this.counts.inDoubt++;
+  }
+
+  /** A caller got the answer to a read. */
+  onRead(read: ReadCheck): void {
+    this.counts.reads++;
+    const records = this.runs.get(read.id) ?? [];
+    const run = records.find((record) => record.report.signature === read.signature);
+    const isOwnAnswer = run && run.report.rows.join() === read.rows.join();
+    if (!isOwnAnswer) {
+      this.add('foreign-answer', `${read.id} got ${read.rows.join()}`);
+      return;
+    }
+    this.checkFreshness(read, run);
+  }
+
+  /** An instance leads from now on. */
+  onAppointed(instance: EmulatedInstance): void {
+    const { group } = instance.options;
+    this.counts.appointments++;
+    const requests = new Set(instance.storage.log.flatMap((record) => record.requests));
+    for (const commit of this.acknowledged) {
+      if (commit.group !== group || requests.has(commit.request)) continue;
+      this.add('lost', `${commit.request} of ${group} is not in the log of ${instance.options.id}`);
+    }
+    this.leaderships.set(group, { at: this.now(), instance, requests });
+  }
+
+  /** The platform was called with a fencing token. */
+  onFence(holder: string, token: number): void {
+    const known = this.fences.get(token);
+    if (known !== undefined && known !== holder) {
+      this.add('shared-fence', `${holder} and ${known} used token ${token}`);
+    }
+    if (token < this.highestFence) {
+      this.add('shared-fence', `${holder} used ${token} after ${this.highestFence}`);
+    }
+    this.fences.set(token, holder);
+    this.highestFence = Math.max(this.highestFence, token);
+  }
+
+  /** A control machine acknowledged that an instance leaves. */
+  onLeaving(instance: string): void {
+    this.leavingSince.set(instance, this.now());
+  }
+
+  /** An instance that was to leave stays. */
+  onStays(instance: string): void {
+    this.leavingSince.delete(instance);
+  }
+
+  /** Notes a broken promise that another part found. */
+  add(kind: ViolationKind, detail: string): void {
+    this.violations.push({ kind, at: Math.round(this.now()), detail });
+  }
+
+  /** Final checks against the log of the group's last leader. */
+  finish(group: string, log: readonly LogRecord[]): void {
+    const counts = new Map<string, number>();
+    for (const request of log.flatMap((record) => record.requests)) {
+      counts.set(request, (counts.get(request) ?? 0) + 1);
+    }
+    for (const [request, count] of counts) {
+      if (count > 1) this.add('twice', `${request} of ${group} is kept ${count} times`);
+      if (this.refused.has(request)) this.add('refused-but-kept', `${request} of ${group}`);
+    }
+    for (const commit of this.acknowledged) {
+      if (commit.group === group && !counts.has(commit.request)) {
+        this.add('lost', `${commit.request} of ${group} is not in the final log`);
+      }
+    }
+  }
+
+  private isInLeadersLog(leadership: Leadership, request: string): boolean {
+    const { log } = leadership.instance.storage;
+    return log.some((record) => record.requests.includes(request));
+  }
+
+  private checkSession(report: RunReport): void {
+    const expected = this.expectations.get(report.id);
+    if (!expected) {
+      this.add('pinned', `${report.id} was never sent by a caller`);
+      return;
+    }
+    const { session, statement } = report;
+    const differs =
+      expected.values.size !== session.values.size ||
+      [...expected.values].some(([name, value]) => session.values.get(name) !== value);
+    if (differs) this.add('pinned', `${report.id} ran with other session values`);
+    const shape = statement.kind === 'execute' ? statement.prepared.shape : undefined;
+    if (shape !== expected.prepared?.shape) this.add('pinned', `${report.id} ran shape ${shape}`);
+    this.checkConnection(session, expected.transaction, report.id);
+  }
+
+  private checkConnection(
+    session: EmulatedSession,
+    transaction: string | undefined,
+    id: string,
+  ): void {
+    const isOpen = session.state === 'open' || this.transactionOfSession.has(session);
+    if (transaction === undefined) {
+      if (session.state === 'open') this.add('pinned', `${id} ran inside a transaction`);
+      return;
+    }
+    const first = this.connectionOfTransaction.get(transaction);
+    if (!first) {
+      this.connectionOfTransaction.set(transaction, session);
+      this.transactionOfSession.set(session, transaction);
+      return;
+    }
+    if (first !== session)
+      this.add('pinned', `${id} ran on another connection than ${transaction}`);
+    if (!isOpen) this.add('pinned', `${id} ran outside ${transaction}`);
+  }
+
+  private checkDrain(report: RunReport): void {
+    const since = this.leavingSince.get(report.instance.options.id);
+    if (since === undefined || this.now() - since <= DRAIN_LIMIT_MS) return;
+    const isFirst = !this.transactionOfSession.has(report.session);
+    if (isFirst) this.add('drain', `${report.id} reached ${report.instance.options.id}`);
+  }
+
+  private checkFreshness(read: ReadCheck, run: RunRecord): void {
+    const { group } = run.report.instance.options;
+    const seen = new Set(run.log.flatMap((record) => record.requests));
+    for (const commit of this.acknowledged) {
+      if (commit.group !== group || seen.has(commit.request)) continue;
+      const isOwn = read.ownSession === commit.session;
+      if (commit.at <= read.mustSeeUntil || isOwn) {
+        const where = run.report.instance.options.id;
+        this.add('stale', `${read.id} on ${where} lacks ${commit.request}`);
+        return;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/lab/appointed/appointed_nodes.ts
@@ -0,0 +1,151 @@
+/** Simulated machines of a deployment whose primaries are appointed; they run the daemons' own cores. */
+import { Coordinator } from '../../src/coordinator/coordinator.js';
+import type { PrimaryAppointer } from '../../src/failover/primary_appointer.js';
+import type { EventKind } from '../../src/observability/events.js';
+import type { EventFields } from '../../src/observability/logger.js';
+import type { InstanceConnector } from '../../src/router/instance_connection.js';
+import type { RequestCounters } from '../../src/router/router_context.js';
+import type { RouteTable, RoutingDocumentReader } from '../../src/router/route_table.js';
+import { RouterCore } from '../../src/router/router_core.js';
+import { RoutedSession } from '../../src/router/routed_session.js';
+import type { Runtime } from '../../src/runtime/runtime.js';
+import { type MachineSurroundings, SimulatedMachine } from '../simulation/simulated_machine.js';
+import {
+  type AppointedProtection,
+  WeakenedConnector,
+  disableLease,
+} from './disabled_protections.js';
+import type { VirtualProcess } from '../simulation/virtual_process.js';
+
+/** One line of a simulated process's log. */
+export interface SimulatedLogLine {
+  readonly at: number;
+  readonly node: string;
+  readonly event: string;
+  readonly fields: EventFields;
+}
+
+/** What the machines share. */
+export interface AppointedSurroundings extends MachineSurroundings {
+  readonly seeds: readonly string[];
+  readonly reader: RoutingDocumentReader;
+  readonly lines: SimulatedLogLine[];
+  readonly disabled: ReadonlySet<AppointedProtection>;
+  readonly connectorFor: (process: VirtualProcess) => InstanceConnector;
+  readonly appointerFor: (process: VirtualProcess) => PrimaryAppointer;
+}
+
+const NO_COUNTERS: RequestCounters = {
+  answered: () => undefined,
+  served: () => undefined,
+  retried: () => undefined,
+};
+
+function logInto(
+  surroundings: AppointedSurroundings,
+  node: string,
+): (kind: EventKind, fields: EventFields) => void {
+  return (kind, fields) =>
+    surroundings.lines.push({ at: surroundings.scheduler.now, node, event: kind.name, fields });
+}
+
+/** A proxy. */
+export class SimulatedRouter extends SimulatedMachine<AppointedSurroundings> {
+  private core: RouterCore | undefined;
+
+  constructor(
+    name: string,
+    private readonly address: string,
+    private readonly zone: string,
+    surroundings: AppointedSurroundings,
+  ) {
+    super(name, address, surroundings);
+  }
+
+  /** The running core and its process. */
+  get running(): { core: RouterCore; process: VirtualProcess } | undefined {
+    const { core, process } = this;
+    return this.isUp && core && process ? { core, process } : undefined;
+  }
+
+  /** Opens a caller's session; undefined while the proxy can't serve. */
+  openSession(database: string): RoutedSession | undefined {
+    return this.running?.core.openSession(database);
+  }
+
+  protected launch(process: VirtualProcess, runtime: Runtime): void {
+    const { surroundings } = this;
+    const core = new RouterCore(runtime, {
+      id: this.name,
+      zone: this.zone,
+      address: this.address,
+      seeds: surroundings.seeds,
+      connector: new WeakenedConnector(surroundings.connectorFor(process), surroundings.disabled),
+      reader: surroundings.reader,
+      log: logInto(surroundings, this.name),
+      counters: NO_COUNTERS,
+    });
+    if (surroundings.disabled.has('lease')) disableLease(core);
+    this.core = core;
+    core.start();
+    process.onEnd(() => core.stop());
+  }
+}
+
+/** A control machine. */
+export class SimulatedCoordinator extends SimulatedMachine<AppointedSurroundings> {
+  core: Coordinator | undefined;
+  private isFirstStart = true;
+
+  constructor(
+    name: string,
+    private readonly address: string,
+    private readonly voters: number,
+    surroundings: AppointedSurroundings,
+  ) {
+    super(name, address, surroundings);
+  }
+
+  /** The running core. */
+  get running(): Coordinator | undefined {
+    return this.isUp ? this.core : undefined;
+  }
+
+  protected launch(process: VirtualProcess, runtime: Runtime): void {
+    const { surroundings } = this;
+    const options = {
+      name: this.name,
+      address: this.address,
+      seeds: surroundings.seeds,
+      isFirstStart: this.isFirstStart,
+      voters: this.voters,
+      connector: surroundings.connectorFor(process),
+      appointer: surroundings.appointerFor(process),
+      log: logInto(surroundings, this.name),
+    };
+    this.isFirstStart = false;
+    this.core = undefined;
+    void Coordinator.open(runtime, options).then(async (core) => {
+      if (!process.alive) return;
+      this.core = core;
+      process.onEnd(() => core.stop());
+      await core.start();
+    });
+  }
+}
+
+/** Routing documents of the simulation: JSON of the product's own route table. */
+export class SimulatedDocumentReader implements RoutingDocumentReader {
+  read(source: string): RouteTable {
+    const fields = JSON.parse(source) as Omit<RouteTable, 'routeByDatabase' | 'limitsByGroup'> & {
+      routes: [string, never][];
+      limits: [string, never][];
+    };
+    return {
+      version: fields.version,
+      transactionIdleMs: fields.transactionIdleMs,
+      routeByDatabase: new Map(fields.routes),
+      limitsByGroup: new Map(fields.limits),
+    };
+  }
+}
--- /dev/null
+++ b/lab/appointed/appointed_world.ts
@@ -0,0 +1,317 @@
+/** A whole simulated deployment whose primaries are appointed. */
+import { documentOf, inflateSource } from '../../src/catalog/document_source.js';
+import type {
+  AppointmentAuthority,
+  PrimaryAppointer,
+} from '../../src/failover/primary_appointer.js';
+import { whinyoke } from '../../src/protocol/generated/messages.js';
+import type { GroupLimits, ReadPolicy, Route } from '../../src/router/route_table.js';
+import { hostOf } from '../../src/runtime/address.js';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
+import { Scheduler } from '../simulation/scheduler.js';
+import { AddressBook } from '../simulation/virtual_messenger.js';
+import { CALLERS_HOST, VirtualNetwork } from '../simulation/virtual_network.js';
+import { VirtualProcess } from '../simulation/virtual_process.js';
+import type { AppointedDeployment } from './appointed_deployment.js';
+import { AppointedJudge } from './appointed_judge.js';
+import {
+  type AppointedSurroundings,
+  SimulatedCoordinator,
+  SimulatedDocumentReader,
+  type SimulatedLogLine,
+  SimulatedRouter,
+} from './appointed_nodes.js';
+import type { AppointedProtection } from './disabled_protections.js';
+import { EmulatedGroup, type InstanceMachine } from './emulated_group.js';
+import { VirtualInstanceConnector } from './virtual_instances.js';
+
+const { AppointOutcome, CatalogOutcome, InstanceRole, InstanceState } = whinyoke;
+
+const MAXIMUM_SEED = 2 ** 31 - 1;
+const JITTER_MS = 0.3;
+const SEEDS = 3;
+const VOTERS = 3;
+const ZONES = 3;
+const BEAT_MS = 1200;
+const PLATFORM_HOST = '10.200.0.1';
+const TRANSACTION_IDLE_MS = 3000;
+const STATEMENT_TIMEOUT_MS = 800;
+const TARGET_LATENCY_MS = 200;
+
+/** Staleness bound of bounded routes, in milliseconds. */
+export const BOUNDED_STALENESS_MS = 1500;
+/** Staleness bound of routes that see their own writes, in milliseconds. */
+export const OWN_STALENESS_MS = 2500;
+
+/** Policies of the simulation's routes. */
+export const POLICIES: readonly ReadPolicy[] = [
+  { kind: 'primary' },
+  { kind: 'boundedStaleness', maximumStalenessMs: BOUNDED_STALENESS_MS },
+  { kind: 'ownWrites', maximumStalenessMs: OWN_STALENESS_MS },
+];
+
+/** Name of the database with a policy in a group. */
+export function databaseOf(group: string, policy: ReadPolicy): string {
+  return `${group}-${policy.kind}`;
+}
+
+/** One simulated deployment. */
+export class AppointedWorld {
+  readonly scheduler = new Scheduler();
+  readonly random: SeededRandom;
+  readonly network: VirtualNetwork;
+  readonly judge: AppointedJudge;
+  readonly groups: readonly EmulatedGroup[];
+  readonly coordinators: readonly SimulatedCoordinator[];
+  readonly routers: readonly SimulatedRouter[];
+  readonly lines: SimulatedLogLine[] = [];
+  /** Process of callers, operators and the platform; faults never touch it. */
+  readonly outside: VirtualProcess;
+  acknowledgedVersion = 0;
+  private nextVersion = 1;
+  private nextSequence = 1;
+
+  constructor(
+    readonly deployment: AppointedDeployment,
+    seed: number,
+    disabled: ReadonlySet<AppointedProtection> = new Set(),
+  ) {
+    this.random = new SeededRandom(seed);
+    this.network = new VirtualNetwork(this.scheduler, this.random, {
+      hostMs: deployment.networkMs,
+      callerMs: deployment.callerMs,
+      jitterMs: JITTER_MS,
+    });
+    this.judge = new AppointedJudge(() => this.scheduler.now);
+    this.outside = new VirtualProcess(CALLERS_HOST, this.scheduler, this.random, 0);
+    this.groups = this.createGroups();
+    const controlAddresses = Array.from(
+      { length: deployment.controls },
+      (_, index) => `10.8.0.${index + 1}:7000`,
+    );
+    const surroundings: AppointedSurroundings = {
+      scheduler: this.scheduler,
+      network: this.network,
+      addresses: new AddressBook(),
+      random: this.random,
+      seeds: controlAddresses.slice(0, SEEDS),
+      reader: new SimulatedDocumentReader(),
+      lines: this.lines,
+      disabled,
+      connectorFor: (process) =>
+        new VirtualInstanceConnector(
+          process,
+          this.network,
+          (address) => this.machineAt(address)?.running,
+        ),
+      appointerFor: (process) => this.appointerFor(process),
+    };
+    this.coordinators = controlAddresses.map(
+      (address, index) =>
+        new SimulatedCoordinator(`control-${index + 1}`, address, VOTERS, surroundings),
+    );
+    this.routers = Array.from({ length: deployment.proxies }, (_, index) => {
+      const zone = `zone-${index % ZONES}`;
+      return new SimulatedRouter(
+        `proxy-${index + 1}`,
+        `10.7.0.${index + 1}:7001`,
+        zone,
+        surroundings,
+      );
+    });
+  }
+
+  /** Starts everything and waits until all groups can be written. */
+  async start(): Promise<void> {
+    for (const group of this.groups) group.start();
+    for (const machine of [...this.coordinators, ...this.routers]) machine.start();
+    for (const { machine } of this.instanceMachines()) this.beat(machine);
+    await this.run(1500);
+    await this.applyDocument();
+    await this.run(3000);
+  }
+
+  /** Lets virtual time pass, in milliseconds. */
+  run(durationMs: number): Promise<void> {
+    return this.scheduler.runUntil(this.scheduler.now + durationMs);
+  }
+
+  /** All machines with instances. */
+  instanceMachines(): { group: EmulatedGroup; machine: InstanceMachine }[] {
+    return this.groups.flatMap((group) => group.machines.map((machine) => ({ group, machine })));
+  }
+
+  /** Sends the next version of the routing document to a control machine; not awaited by virtual time. */
+  submitDocument(): Promise<boolean> {
+    const version = this.nextVersion++;
+    const source = JSON.stringify(this.routeFields(version));
+    return this.callControl({ putDocument: documentOf(version, source) }).then((reply) => {
+      const isDone = reply?.outcome === CatalogOutcome.DONE;
+      if (isDone) this.acknowledgedVersion = Math.max(this.acknowledgedVersion, version);
+      return isDone;
+    });
+  }
+
+  /** Reads the newest document back and checks it against what was acknowledged. */
+  readDocument(): Promise<number | undefined> {
+    const expected = this.acknowledgedVersion;
+    return this.callControl({ readDocument: true }).then((reply) => {
+      if (reply?.outcome !== CatalogOutcome.DONE || !reply.document) return undefined;
+      const { version } = JSON.parse(inflateSource(reply.document)) as { version: number };
+      if (version < expected) {
+        this.judge.add('configuration', `read ${version}, acknowledged ${expected}`);
+      }
+      return version;
+    });
+  }
+
+  /** Lets an instance announce that it leaves; resolves once that is acknowledged. */
+  async announceLeaving(machine: InstanceMachine): Promise<boolean> {
+    const instance = machine.running;
+    if (!instance) return false;
+    instance.isLeaving = true;
+    const reply = await this.callControl({ beat: this.beatOf(machine) });
+    const isDone = reply?.outcome === CatalogOutcome.DONE;
+    if (isDone && instance.isLeaving) this.judge.onLeaving(instance.options.id);
+    return isDone;
+  }
+
+  private async applyDocument(): Promise<void> {
+    let isDone = false;
+    for (let attempt = 0; attempt < 20 && !isDone; attempt++) {
+      void this.submitDocument().then((result) => {
+        isDone ||= result;
+      });
+      await this.run(300);
+    }
+  }
+
+  private routeFields(version: number): object {
+    const routes: [string, Route][] = this.groups.flatMap(({ name: group }) =>
+      POLICIES.map((policy): [string, Route] => {
+        const database = databaseOf(group, policy);
+        const route: Route = {
+          name: database,
+          database,
+          group,
+          policy,
+          timeoutMs: STATEMENT_TIMEOUT_MS,
+          targetLatencyMs: TARGET_LATENCY_MS,
+          priority: policy.kind === 'primary' ? 0 : 1,
+        };
+        return [database, route];
+      }),
+    );
+    const { connectionLimit } = this.deployment;
+    const limits = this.groups.map(({ name: group }): [string, GroupLimits] => [
+      group,
+      { group, connectionLimit },
+    ]);
+    return { version, transactionIdleMs: TRANSACTION_IDLE_MS, routes, limits };
+  }
+
+  private createGroups(): EmulatedGroup[] {
+    const { groups, instances, slots, connectionLimit, workMs } = this.deployment;
+    const newRandom = (): SeededRandom => new SeededRandom(this.random.integer(0, MAXIMUM_SEED));
+    return Array.from({ length: groups }, (_, groupIndex) => {
+      const name = `group-${groupIndex + 1}`;
+      const sites = Array.from({ length: instances }, (_, index) => ({
+        host: `10.9.${groupIndex + 1}.${index + 1}`,
+        options: {
+          id: `i-${groupIndex + 1}-${index + 1}`,
+          group: name,
+          zone: `zone-${index % ZONES}`,
+          slots,
+          connectionLimit,
+          workMs,
+        },
+      }));
+      const { scheduler, network, random, judge } = this;
+      return new EmulatedGroup(name, sites, scheduler, network, random, judge, newRandom);
+    });
+  }
+
+  private machineAt(address: string): InstanceMachine | undefined {
+    const host = hostOf(address);
+    return this.instanceMachines().find(({ machine }) => machine.site.host === host)?.machine;
+  }
+
+  // ---- heartbeats and operators ----
+
+  private beatOf(machine: InstanceMachine): whinyoke.IInstanceBeat {
+    const { options, host } = machine.site;
+    const instance = machine.running;
+    return {
+      instance: {
+        id: options.id,
+        group: options.group,
+        address: `${host}:5000`,
+        zone: options.zone,
+        slots: options.slots,
+        state: instance?.isLeaving === true ? InstanceState.DRAINING : InstanceState.READY,
+        sequence: this.nextSequence++,
+      },
+      role: machine.storage.role === 'primary' ? InstanceRole.PRIMARY : InstanceRole.REPLICA,
+    };
+  }
+
+  private beat(machine: InstanceMachine): void {
+    if (machine.running?.process.running) {
+      void this.callControl({ beat: this.beatOf(machine) }, machine.site.host);
+    }
+    this.scheduler.schedule(BEAT_MS, () => this.beat(machine));
+  }
+
+  /** A call from outside to one running control machine that can be reached. */
+  private callControl(
+    request: whinyoke.ICatalogRequest,
+    from = CALLERS_HOST,
+  ): Promise<whinyoke.ICatalogReply | undefined> {
+    const reachable = this.coordinators.filter(
+      (control) => control.running && !this.network.isCut(from, control.host),
+    );
+    const control = reachable[this.random.integer(0, Math.max(0, reachable.length - 1))];
+    const core = control?.running;
+    if (!control || !core) return Promise.resolve(undefined);
+    return new Promise((resolve) => {
+      const { network, scheduler } = this;
+      scheduler.schedule(network.delay(from, control.host), () => {
+        void core.submit(request).then((reply) => {
+          if (control.running !== core || network.isCut(control.host, from))
+            return resolve(undefined);
+          scheduler.schedule(network.delay(control.host, from), () => resolve(reply));
+        });
+      });
+    });
+  }
+
+  // ---- the platform ----
+
+  private appointerFor(process: VirtualProcess): PrimaryAppointer {
+    return {
+      appoint: (group, instance, authority) => this.appoint(process, group, instance, authority),
+    };
+  }
+
+  private appoint(
+    process: VirtualProcess,
+    group: string,
+    instance: string,
+    authority: AppointmentAuthority,
+  ): Promise<whinyoke.AppointOutcome> {
+    const { network, scheduler } = this;
+    const { host } = process;
+    return new Promise((resolve) => {
+      process.clock.setTimer(1500, () => resolve(AppointOutcome.TRY_LATER));
+      if (network.isCut(host, PLATFORM_HOST)) return;
+      scheduler.schedule(network.delay(host, PLATFORM_HOST), () => {
+        this.judge.onFence(authority.holder, authority.token);
+        const found = this.groups.find((item) => item.name === group);
+        const outcome = found?.appoint(instance) ?? AppointOutcome.NOT_RUNNING;
+        scheduler.schedule(network.delay(PLATFORM_HOST, host), () =>
+          process.deliver(() => resolve(outcome)),
+        );
+      });
+    });
+  }
+}
--- /dev/null
+++ b/lab/appointed/disabled_protections.ts
@@ -0,0 +1,68 @@
+/** Protections of the router that the simulation can take away, to show that its checks can fail. */
+import type {
+  InstanceConnection,
+  InstanceConnector,
+  InstanceTarget,
+  OpenedConnection,
+} from '../../src/router/instance_connection.js';
+import type { RouterCore } from '../../src/router/router_core.js';
+import type { InstanceCommand } from '../../src/router/statement.js';
+
+/** Protections that can be taken away. */
+export const APPOINTED_PROTECTIONS = ['read-position', 'session-values', 'lease'] as const;
+
+/** One protection. */
+export type AppointedProtection = (typeof APPOINTED_PROTECTIONS)[number];
+
+/** Command as a router without the protection would send it; undefined where it would send none. */
+function weaken(
+  command: InstanceCommand,
+  disabled: ReadonlySet<AppointedProtection>,
+): InstanceCommand | undefined {
+  if (command.kind === 'set' && disabled.has('session-values')) return undefined;
+  const hasPosition = command.kind === 'data' || command.kind === 'begin';
+  if (hasPosition && disabled.has('read-position')) return { ...command, after: undefined };
+  return command;
+}
+
+/** Connector that weakens every command. */
+export class WeakenedConnector implements InstanceConnector {
+  constructor(
+    private readonly connector: InstanceConnector,
+    private readonly disabled: ReadonlySet<AppointedProtection>,
+  ) {}
+
+  async connect(target: InstanceTarget, timeoutMs: number): Promise<OpenedConnection> {
+    const opened = await this.connector.connect(target, timeoutMs);
+    const { connection } = opened;
+    const run: InstanceConnection['run'] = (command, limitMs) => {
+      const weakened = weaken(command, this.disabled);
+      if (weakened) return connection.run(weakened, limitMs);
+      return Promise.resolve({ rows: [], signature: '-', state: 'idle' });
+    };
+    return { ...opened, connection: new Proxy(connection, { get: getter(run), set: setter }) };
+  }
+}
+
+function getter(run: InstanceConnection['run']): ProxyHandler<InstanceConnection>['get'] {
+  return (target, property) => {
+    if (property === 'run') return run;
+    const value: unknown = Reflect.get(target, property, target);
+    return typeof value === 'function' ? (value.bind(target) as unknown) : value;
+  };
+}
+
+function setter(target: InstanceConnection, property: string | symbol, value: unknown): boolean {
+  return Reflect.set(target, property, value, target);
+}
+
+/** Makes a proxy trust the newest primary that it knows, whatever its lease says. */
+export function disableLease(core: RouterCore): void {
+  const { trust } = core;
+  trust.accepts = () => true;
+  trust.primaryOf = (group) => {
+    const entry = trust.entryOf(group);
+    if (!entry) return undefined;
+    return { epoch: entry.epoch ?? 0, instance: entry.primary ?? '', term: entry.term ?? 0 };
+  };
+}
--- /dev/null
+++ b/lab/appointed/emulated_instance.ts
@@ -0,0 +1,319 @@
+/**
+ * An emulated database instance whose primary is appointed from outside: a log of commits, replication with
+ * one confirmation, positions, slots, sessions. Runs on the virtual clock of its process.
+ */
+import type {
+  InstanceAnswer,
+  InstanceErrorKind,
+  InstanceStatus,
+  TransactionState,
+} from '../../src/router/instance_connection.js';
+import {
+  type DataStatement,
+  type InstanceCommand,
+  type PreparedShape,
+  accessOf,
+  sharedName,
+} from '../../src/router/statement.js';
+import { delay } from '../../src/runtime/runtime.js';
+import { type Position, START, covers } from '../../src/session/position.js';
+import type { VirtualProcess } from '../simulation/virtual_process.js';
+import type { InstanceJournal } from './appointed_judge.js';
+
+/** One committed transaction. */
+export interface LogRecord {
+  readonly position: Position;
+  /** Identifiers of the requests whose writes it holds. */
+  readonly requests: readonly string[];
+}
+
+/** Limits and timing of an instance. */
+export interface EmulatedInstanceOptions {
+  readonly id: string;
+  readonly group: string;
+  readonly zone: string;
+  readonly slots: number;
+  readonly connectionLimit: number;
+  /** Mean time that a statement holds a slot, in milliseconds. */
+  readonly workMs: number;
+}
+
+/** What lasts over restarts of the process. */
+export interface InstanceStorage {
+  log: LogRecord[];
+  role: 'primary' | 'replica';
+  term: number;
+}
+
+const QUEUE_LENGTH = 24;
+
+/** One connection to an instance, on the instance's side. */
+export class EmulatedSession {
+  readonly values = new Map<string, string>();
+  readonly preparedByName = new Map<string, PreparedShape>();
+  state: TransactionState = 'idle';
+  readOnly = false;
+  writes: string[] = [];
+
+  constructor(
+    readonly number: number,
+    private readonly onClose: () => void,
+  ) {}
+
+  /** The other side is gone. */
+  close(): void {
+    this.onClose();
+  }
+}
+
+/** Decides what happens to the answer of a statement that ran. */
+export type AnswerFate = 'sent' | 'lost';
+
+/** A running instance. */
+export class EmulatedInstance {
+  heldTerm = 0;
+  lagMs = 5;
+  /** Whether it receives nothing, as a fault. */
+  isDeaf = false;
+  isLeaving = false;
+  /** Share of the answers that are lost, as a fault. */
+  lostAnswers = 0;
+  private appliedCount: number;
+  private busy = 0;
+  private readonly queue: (() => void)[] = [];
+  private readonly commitWaiters = new Map<LogRecord, () => void>();
+  private connections = 0;
+  private nextSession = 1;
+  private nextSignature = 1;
+
+  constructor(
+    readonly options: EmulatedInstanceOptions,
+    readonly process: VirtualProcess,
+    readonly storage: InstanceStorage,
+    private readonly journal: InstanceJournal,
+    /** Called after each commit on a primary, to start replication. */
+    private readonly onCommit: () => void,
+  ) {
+    this.appliedCount = storage.log.length;
+  }
+
+  /** Newest received position. */
+  get received(): Position {
+    return this.storage.log.at(-1)?.position ?? START;
+  }
+
+  /** Newest applied position. */
+  get applied(): Position {
+    return this.appliedLog.at(-1)?.position ?? START;
+  }
+
+  /** Applied prefix of the log. */
+  get appliedLog(): readonly LogRecord[] {
+    const { log, role } = this.storage;
+    return role === 'primary' ? log : log.slice(0, this.appliedCount);
+  }
+
+  /** Opens a session; undefined beyond the connection limit. */
+  connect(): EmulatedSession | undefined {
+    if (this.connections >= this.options.connectionLimit) return undefined;
+    this.connections++;
+    return new EmulatedSession(this.nextSession++, () => this.connections--);
+  }
+
+  /** Runs a command; the fate tells whether its answer is sent. */
+  async run(
+    session: EmulatedSession,
+    command: InstanceCommand,
+  ): Promise<{ answer: InstanceAnswer; fate: AnswerFate }> {
+    const answer = await this.answerTo(session, command);
+    const isLost = 'id' in command && this.process.random.next() < this.lostAnswers;
+    return { answer, fate: isLost ? 'lost' : 'sent' };
+  }
+
+  /** Takes over the log of a primary; false when it refuses to receive. */
+  receiveFrom(primary: EmulatedInstance): boolean {
+    const { term, log } = primary.storage;
+    const isRefused = this.isDeaf || this.heldTerm > term || term < this.storage.term;
+    if (isRefused) return false;
+    if (this.storage.role === 'primary') {
+      if (this.storage.term >= term) return false;
+      this.storage.role = 'replica';
+    }
+    this.storage.term = term;
+    const own = this.storage.log;
+    let common = Math.min(own.length, log.length);
+    while (common > 0 && own[common - 1] !== log[common - 1]) common--;
+    if (common === own.length && common === log.length) return true;
+    this.storage.log = [...log];
+    this.appliedCount = Math.min(this.appliedCount, common);
+    const target = log.length;
+    this.process.clock.setTimer(this.lagMs, () => {
+      this.appliedCount = Math.max(this.appliedCount, Math.min(target, this.storage.log.length));
+    });
+    return true;
+  }
+
+  /** A replica has confirmed everything up to a length of the log. */
+  confirmUpTo(length: number): void {
+    for (const record of this.storage.log.slice(0, length)) {
+      const waiter = this.commitWaiters.get(record);
+      this.commitWaiters.delete(record);
+      waiter?.();
+    }
+  }
+
+  /** Leads from now on, in the given term. */
+  lead(term: number): void {
+    this.storage.role = 'primary';
+    this.storage.term = term;
+    this.heldTerm = 0;
+    this.appliedCount = this.storage.log.length;
+  }
+
+  // ---- commands ----
+
+  private async answerTo(
+    session: EmulatedSession,
+    command: InstanceCommand,
+  ): Promise<InstanceAnswer> {
+    switch (command.kind) {
+      case 'set':
+        session.values.set(command.name, command.value);
+        return this.ok(session);
+      case 'prepare':
+        session.preparedByName.set(sharedName(command.prepared), command.prepared);
+        return this.ok(session);
+      case 'reset':
+        session.values.clear();
+        session.preparedByName.clear();
+        return this.ok(session);
+      case 'begin':
+        return this.begin(session, command);
+      case 'rollback':
+        session.state = 'idle';
+        session.writes = [];
+        return this.ok(session);
+      case 'commit':
+        return this.inSlot(session, () => this.commit(session, command.id));
+      case 'data':
+        return this.inSlot(session, () => this.runData(session, command));
+      default:
+        return this.administer(session, command);
+    }
+  }
+
+  private administer(session: EmulatedSession, command: InstanceCommand): InstanceAnswer {
+    const { storage } = this;
+    if (command.kind === 'pause') this.heldTerm = Math.max(this.heldTerm, command.term);
+    if (command.kind === 'resume') this.heldTerm = 0;
+    if (command.kind === 'stepDown' && storage.term < command.term) storage.role = 'replica';
+    const status: InstanceStatus = {
+      role: storage.role,
+      term: storage.term,
+      received: this.received,
+      heldTerm: this.heldTerm,
+      lagMs: this.lagMs,
+    };
+    return { ...this.ok(session), status };
+  }
+
+  private begin(
+    session: EmulatedSession,
+    command: { readOnly: boolean; after?: Position },
+  ): InstanceAnswer {
+    if (!command.readOnly && this.storage.role !== 'primary') return this.fail(session, 'readOnly');
+    if (command.after && !covers(this.applied, command.after)) return this.fail(session, 'lagging');
+    session.state = 'open';
+    session.readOnly = command.readOnly;
+    session.writes = [];
+    return this.ok(session);
+  }
+
+  private async runData(
+    session: EmulatedSession,
+    command: { id: string; statement: DataStatement; after?: Position },
+  ): Promise<InstanceAnswer> {
+    const { statement, id } = command;
+    if (session.state === 'failed') return this.fail(session, 'malformed');
+    const isWrite = accessOf(statement) === 'write';
+    const needsPrimary = isWrite || (session.state === 'open' && !session.readOnly);
+    if (needsPrimary && this.storage.role !== 'primary') return this.fail(session, 'readOnly');
+    if (command.after && !covers(this.applied, command.after)) return this.fail(session, 'lagging');
+    if (
+      statement.kind === 'execute' &&
+      !session.preparedByName.has(sharedName(statement.prepared))
+    ) {
+      return this.fail(session, 'unknownName');
+    }
+    const signature = this.newSignature();
+    const rows = isWrite ? [] : [`${this.options.id} ${signature}`];
+    this.journal.onRun({ instance: this, session, id, statement, signature, rows });
+    if (!isWrite) return this.ok(session, signature, rows);
+    if (session.state === 'open') {
+      session.writes.push(id);
+      return this.ok(session, signature);
+    }
+    const isDurable = await this.append([id]);
+    return isDurable ? this.ok(session, signature) : this.fail(session, 'timeout');
+  }
+
+  private async commit(session: EmulatedSession, id: string): Promise<InstanceAnswer> {
+    const { writes, state } = session;
+    if (state === 'failed') {
+      session.state = 'idle';
+      return this.fail(session, 'malformed');
+    }
+    session.state = 'idle';
+    session.writes = [];
+    if (writes.length > 0 && this.storage.role !== 'primary') return this.fail(session, 'readOnly');
+    const signature = this.newSignature();
+    this.journal.onCommit({ instance: this, session, id, signature });
+    if (writes.length > 0) await this.append(writes);
+    return this.ok(session, signature);
+  }
+
+  /** Commits; resolves once one replica has received the record. */
+  private async append(requests: readonly string[]): Promise<boolean> {
+    const { log, term } = this.storage;
+    const position = { term, sequence: (log.at(-1)?.position.sequence ?? 0) + 1 };
+    const record: LogRecord = { position, requests };
+    log.push(record);
+    const confirmed = new Promise<void>((resolve) => this.commitWaiters.set(record, resolve));
+    this.onCommit();
+    await confirmed;
+    return true;
+  }
+
+  private async inSlot(
+    session: EmulatedSession,
+    work: () => Promise<InstanceAnswer>,
+  ): Promise<InstanceAnswer> {
+    const { slots, workMs } = this.options;
+    if (this.busy >= slots) {
+      if (this.queue.length >= QUEUE_LENGTH) return this.fail(session, 'busy');
+      await new Promise<void>((resolve) => this.queue.push(resolve));
+    }
+    this.busy++;
+    await delay(this.process.clock, workMs * (0.5 + this.process.random.next()));
+    try {
+      return await work();
+    } finally {
+      this.busy--;
+      this.queue.shift()?.();
+    }
+  }
+
+  private newSignature(): string {
+    return `${this.options.id}.${this.process.random.identifier()}.${this.nextSignature++}`;
+  }
+
+  private ok(session: EmulatedSession, signature = '-', rows: string[] = []): InstanceAnswer {
+    return { rows, signature, state: session.state, position: this.applied };
+  }
+
+  private fail(session: EmulatedSession, kind: InstanceErrorKind): InstanceAnswer {
+    if (session.state === 'open') session.state = 'failed';
+    const error = { kind, text: this.options.id };
+    return { rows: [], signature: '', error, state: session.state, position: this.applied };
+  }
+}
--- /dev/null
+++ b/lab/appointed/virtual_instances.ts
@@ -0,0 +1,168 @@
+/** Connections from simulated processes to emulated instances. */
+import { BackendConnectionLostError } from '../../src/errors/errors.js';
+import {
+  ConnectError,
+  type ConnectFailure,
+  type InstanceAnswer,
+  type InstanceConnection,
+  type InstanceConnector,
+  type InstanceTarget,
+  type OpenedConnection,
+} from '../../src/router/instance_connection.js';
+import type { InstanceCommand } from '../../src/router/statement.js';
+import { hostOf } from '../../src/runtime/address.js';
+import type { Position } from '../../src/session/position.js';
+import type { VirtualNetwork } from '../simulation/virtual_network.js';
+import type { VirtualProcess } from '../simulation/virtual_process.js';
+import { StreamEnd } from '../simulation/virtual_stream.js';
+import type { EmulatedInstance } from './emulated_instance.js';
+
+/** Time that a new connection takes, in milliseconds. */
+const HANDSHAKE_MS = 12;
+
+type Greeting =
+  | { readonly kind: 'opened'; readonly position: Position }
+  | { readonly kind: 'refused'; readonly failure: ConnectFailure };
+
+interface PendingRun {
+  resolve(answer: InstanceAnswer): void;
+  reject(error: Error): void;
+}
+
+/** The instance's side of a connection. */
+function serve(end: StreamEnd, instance: EmulatedInstance, target: InstanceTarget): void {
+  const isRight = instance.options.id === target.id && instance.options.group === target.group;
+  const session = isRight ? instance.connect() : undefined;
+  if (!session) {
+    const failure = isRight ? 'connectionLimit' : 'wrongInstance';
+    end.send({ kind: 'refused', failure } satisfies Greeting);
+    end.close();
+    return;
+  }
+  end.onClosed = () => session.close();
+  instance.process.clock.setTimer(HANDSHAKE_MS, () =>
+    end.send({ kind: 'opened', position: instance.applied } satisfies Greeting),
+  );
+  end.onMessage = (message) => {
+    void instance.run(session, message as InstanceCommand).then(({ answer, fate }) => {
+      if (fate === 'sent' && instance.process.alive) end.send(answer);
+    });
+  };
+}
+
+class VirtualInstanceConnection implements InstanceConnection {
+  onClosed: (() => void) | undefined;
+  private pending: PendingRun | undefined;
+
+  constructor(
+    private readonly end: StreamEnd,
+    private readonly process: VirtualProcess,
+  ) {
+    end.onMessage = (message) => {
+      const { pending } = this;
+      this.pending = undefined;
+      if (pending) pending.resolve(message as InstanceAnswer);
+      else this.close();
+    };
+    end.onClosed = () => this.fail('connection closed');
+  }
+
+  get closed(): boolean {
+    return !this.end.open;
+  }
+
+  run(command: InstanceCommand, timeoutMs: number): Promise<InstanceAnswer> {
+    if (this.closed) {
+      return Promise.reject(new BackendConnectionLostError('closed', { sent: false }));
+    }
+    return new Promise((resolve, reject) => {
+      const timer = this.process.clock.setTimer(timeoutMs, () => {
+        this.fail('no answer in time');
+        this.close();
+      });
+      const settle = (): void => timer.cancel();
+      this.pending = {
+        resolve: (answer) => {
+          settle();
+          resolve(answer);
+        },
+        reject: (error) => {
+          settle();
+          reject(error);
+        },
+      };
+      this.end.send(command);
+    });
+  }
+
+  close(): void {
+    this.end.close();
+  }
+
+  private fail(reason: string): void {
+    const { pending } = this;
+    this.pending = undefined;
+    pending?.reject(new BackendConnectionLostError(reason, { sent: true }));
+    this.onClosed?.();
+  }
+}
+
+/** Connector of one simulated process. */
+export class VirtualInstanceConnector implements InstanceConnector {
+  constructor(
+    private readonly process: VirtualProcess,
+    private readonly network: VirtualNetwork,
+    /** Running instance at an address. */
+    private readonly instanceAt: (address: string) => EmulatedInstance | undefined,
+  ) {}
+
+  connect(target: InstanceTarget, timeoutMs: number): Promise<OpenedConnection> {
+    return new Promise((resolve, reject) => {
+      const fail = (failure: ConnectFailure): void => {
+        timer.cancel();
+        reject(new ConnectError(failure, `${target.address}: ${failure}`));
+      };
+      const timer = this.process.clock.setTimer(timeoutMs, () => fail('silent'));
+      const greet = (near: StreamEnd): void => {
+        near.onMessage = (message) => {
+          const greeting = message as Greeting;
+          if (greeting.kind === 'refused') {
+            fail(greeting.failure);
+            return;
+          }
+          timer.cancel();
+          const connection = new VirtualInstanceConnection(near, this.process);
+          resolve({ connection, position: greeting.position });
+        };
+        near.onClosed = () => fail('refused');
+      };
+      this.arrive(target, greet, fail);
+    });
+  }
+
+  private arrive(
+    target: InstanceTarget,
+    greet: (near: StreamEnd) => void,
+    fail: (failure: ConnectFailure) => void,
+  ): void {
+    const from = this.process.host;
+    const to = hostOf(target.address);
+    const { network } = this;
+    if (network.isCut(from, to)) return;
+    network.scheduler.schedule(network.delay(from, to), () => {
+      const instance = this.instanceAt(target.address);
+      if (instance && this.process.alive) {
+        const near = new StreamEnd(network, this.process);
+        greet(near);
+        const far = new StreamEnd(network, instance.process);
+        StreamEnd.join(network, near, far);
+        instance.process.deliver(() => serve(far, instance, target));
+        return;
+      }
+      if (network.isCut(to, from)) return;
+      network.scheduler.schedule(network.delay(to, from), () =>
+        this.process.deliver(() => fail('refused')),
+      );
+    });
+  }
+}
--- a/lab/simulation/faults.ts
+++ b/lab/simulation/faults.ts
@@ -1,6 +1,6 @@
 /** Faults of the simulation: what each breaks, and how it ends. */
 import type { RandomSource } from '../../src/runtime/runtime.js';
-import type { SimulatedMachine } from './simulated_nodes.js';
+import type { SimulatedMachine } from './simulated_machine.js';
 import type { World } from './world.js';
 
 /** Kinds of faults. */
--- /dev/null
+++ b/lab/simulation/simulated_machine.ts
@@ -0,0 +1,92 @@
+/** A simulated machine: its process comes and goes, its disk stays unless it is lost. */
+import { hostOf } from '../../src/runtime/address.js';
+import type { Runtime } from '../../src/runtime/runtime.js';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
+import type { Scheduler } from './scheduler.js';
+import { VirtualDisk } from './virtual_disk.js';
+import { type AddressBook, VirtualMessenger } from './virtual_messenger.js';
+import type { VirtualNetwork } from './virtual_network.js';
+import { VirtualProcess } from './virtual_process.js';
+
+/** What machines of one simulation share. */
+export interface MachineSurroundings {
+  readonly scheduler: Scheduler;
+  readonly network: VirtualNetwork;
+  readonly addresses: AddressBook;
+  readonly random: SeededRandom;
+}
+
+const SYNC_MS = 0.5;
+const MAXIMUM_SEED = 2 ** 31 - 1;
+
+/** A machine whose process can be started, killed, frozen and thawed, and whose disk can be lost. */
+export abstract class SimulatedMachine<Shared extends MachineSurroundings = MachineSurroundings> {
+  readonly host: string;
+  protected process: VirtualProcess | undefined;
+  protected readonly disk: VirtualDisk;
+  private hasLostDisk = false;
+
+  protected constructor(
+    readonly name: string,
+    private readonly messageAddress: string,
+    protected readonly surroundings: Shared,
+  ) {
+    this.host = hostOf(messageAddress);
+    this.disk = new VirtualDisk(this.newRandom(), SYNC_MS);
+  }
+
+  /** Whether a process runs on this machine, frozen or not. */
+  get isUp(): boolean {
+    return this.process?.alive ?? false;
+  }
+
+  /** Starts the process unless it runs. */
+  start(): void {
+    if (this.isUp) return;
+    const { scheduler, network, addresses } = this.surroundings;
+    const process = new VirtualProcess(this.host, scheduler, this.newRandom());
+    this.process = process;
+    const runtime: Runtime = {
+      clock: process.clock,
+      random: process.random,
+      folder: this.disk.open(process),
+      messenger: new VirtualMessenger(network, addresses, process, this.messageAddress),
+    };
+    this.launch(process, runtime, this.hasLostDisk);
+    this.hasLostDisk = false;
+  }
+
+  /** Ends the process without warning. */
+  kill(): void {
+    if (!this.isUp) return;
+    this.beforeKill();
+    this.process?.kill();
+    this.disk.crash();
+  }
+
+  /** Ends the process and loses its data folder. */
+  loseDisk(): void {
+    this.kill();
+    this.disk.lose();
+    this.hasLostDisk = true;
+  }
+
+  /** Freezes the process; returns what thaws it. */
+  freeze(): () => void {
+    const process = this.process;
+    process?.freeze();
+    return () => process?.thaw();
+  }
+
+  /** Creates the core objects and starts them. */
+  protected abstract launch(process: VirtualProcess, runtime: Runtime, lostDisk: boolean): void;
+
+  /** Called before the process is killed. */
+  protected beforeKill(): void {
+    // Nothing to note by default.
+  }
+
+  protected newRandom(): SeededRandom {
+    return new SeededRandom(this.surroundings.random.integer(0, MAXIMUM_SEED));
+  }
+}
--- a/lab/simulation/simulated_nodes.ts
+++ b/lab/simulation/simulated_nodes.ts
@@ -4,8 +4,6 @@
 import type { GatewayOptions } from '../../src/gateway/group_gateway.js';
 import type { ProtectionSet } from '../../src/gateway/protections.js';
 import { ProxyCore } from '../../src/proxy/proxy_core.js';
-import { SeededRandom } from '../../src/runtime/seeded_random.js';
-import { hostOf } from '../../src/runtime/address.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { DatabaseInstance } from '../database/instance.js';
 import { takesSlot } from '../database/instance_session.js';
@@ -14,18 +12,13 @@
 import type { HistoryRecorder } from '../history/history.js';
 import type { Scheduler } from './scheduler.js';
 import { type InstanceEndpoint, VirtualBackendConnector } from './virtual_backend.js';
-import { VirtualDisk } from './virtual_disk.js';
+import { type MachineSurroundings, SimulatedMachine } from './simulated_machine.js';
 import { VirtualListener } from './virtual_frontend.js';
-import { type AddressBook, VirtualMessenger } from './virtual_messenger.js';
 import type { VirtualNetwork } from './virtual_network.js';
 import { VirtualProcess } from './virtual_process.js';
 
 /** What all simulated machines share. */
-export interface Surroundings {
-  readonly scheduler: Scheduler;
-  readonly network: VirtualNetwork;
-  readonly addresses: AddressBook;
-  readonly random: SeededRandom;
+export interface Surroundings extends MachineSurroundings {
   readonly history: HistoryRecorder;
   readonly protections: ProtectionSet;
   readonly deployment: Deployment;
@@ -34,81 +27,6 @@
   readonly endpointAt: (address: string) => InstanceEndpoint | undefined;
 }
 
-const SYNC_MS = 0.5;
-const MAXIMUM_SEED = 2 ** 31 - 1;
-
-/** A machine whose process can be started, killed, frozen and thawed, and whose disk can be lost. */
-export abstract class SimulatedMachine {
-  readonly host: string;
-  protected process: VirtualProcess | undefined;
-  protected readonly disk: VirtualDisk;
-  private hasLostDisk = false;
-
-  protected constructor(
-    readonly name: string,
-    private readonly messageAddress: string,
-    protected readonly surroundings: Surroundings,
-  ) {
-    this.host = hostOf(messageAddress);
-    this.disk = new VirtualDisk(this.newRandom(), SYNC_MS);
-  }
-
-  /** Whether a process runs on this machine, frozen or not. */
-  get isUp(): boolean {
-    return this.process?.alive ?? false;
-  }
-
-  /** Starts the process unless it runs. */
-  start(): void {
-    if (this.isUp) return;
-    const { scheduler, network, addresses } = this.surroundings;
-    const process = new VirtualProcess(this.host, scheduler, this.newRandom());
-    this.process = process;
-    const runtime: Runtime = {
-      clock: process.clock,
-      random: process.random,
-      folder: this.disk.open(process),
-      messenger: new VirtualMessenger(network, addresses, process, this.messageAddress),
-    };
-    this.launch(process, runtime, this.hasLostDisk);
-    this.hasLostDisk = false;
-  }
-
-  /** Ends the process without warning. */
-  kill(): void {
-    if (!this.isUp) return;
-    this.beforeKill();
-    this.process?.kill();
-    this.disk.crash();
-  }
-
-  /** Ends the process and loses its data folder. */
-  loseDisk(): void {
-    this.kill();
-    this.disk.lose();
-    this.hasLostDisk = true;
-  }
-
-  /** Freezes the process; returns what thaws it. */
-  freeze(): () => void {
-    const process = this.process;
-    process?.freeze();
-    return () => process?.thaw();
-  }
-
-  /** Creates the core objects and starts them. */
-  protected abstract launch(process: VirtualProcess, runtime: Runtime, lostDisk: boolean): void;
-
-  /** Called before the process is killed. */
-  protected beforeKill(): void {
-    // Nothing to note by default.
-  }
-
-  protected newRandom(): SeededRandom {
-    return new SeededRandom(this.surroundings.random.integer(0, MAXIMUM_SEED));
-  }
-}
-
 /** Timing of simulated instances, in milliseconds. */
 export interface InstanceTiming {
   readonly electionTimeoutMs: number;
@@ -118,7 +36,7 @@
 }
 
 /** A database instance. */
-export class SimulatedInstance extends SimulatedMachine {
+export class SimulatedInstance extends SimulatedMachine<Surroundings> {
   private current: DatabaseInstance | undefined;
   private isLeaving = false;
   private lagMs = 0;
@@ -227,7 +145,7 @@
 }
 
 /** A control machine. */
-export class SimulatedControl extends SimulatedMachine {
+export class SimulatedControl extends SimulatedMachine<Surroundings> {
   private current: ControlCore | undefined;
 
   constructor(
@@ -265,7 +183,7 @@
 const STOP_POLL_MS = 10;
 
 /** A proxy. */
-export class SimulatedProxy extends SimulatedMachine {
+export class SimulatedProxy extends SimulatedMachine<Surroundings> {
   private current: ProxyCore | undefined;
   private currentListener: VirtualListener | undefined;
   /** Whether a planned stop came to its end. */
--- a/lab/simulation/world.ts
+++ b/lab/simulation/world.ts
@@ -10,11 +10,11 @@
 import {
   SimulatedControl,
   SimulatedInstance,
-  type SimulatedMachine,
   SimulatedPlatform,
   SimulatedProxy,
   type Surroundings,
 } from './simulated_nodes.js';
+import type { SimulatedMachine } from './simulated_machine.js';
 import { VirtualCallerConnector } from './virtual_frontend.js';
 import { AddressBook, VirtualMessenger } from './virtual_messenger.js';
 import { CALLERS_HOST, VirtualNetwork } from './virtual_network.js';
@@ -103,7 +103,7 @@
   }
 
   /** Every machine. */
-  get machines(): readonly SimulatedMachine[] {
+  get machines(): readonly SimulatedMachine<Surroundings>[] {
     return [...this.instances, ...this.controls, ...this.proxies];
   }
 
--- a/src/consensus/raft_node.ts
+++ b/src/consensus/raft_node.ts
@@ -17,6 +17,11 @@
   readonly heartbeatMs: number;
   /** Shortest silence of a leader before an election. */
   readonly electionTimeoutMs: number;
+  /**
+   * Longest time from the start to the first election; the shortest is a third of it. A cluster that has a
+   * leader refuses the pre-vote, so an early try costs nothing and a restart of all members is short.
+   */
+  readonly firstElectionMs?: number;
   /** Entries after which a snapshot replaces them. */
   readonly snapshotEntries: number;
 }
@@ -93,7 +98,14 @@
 
   /** Starts to take part. */
   start(): void {
-    this.resetElectionTimer();
+    const { firstElectionMs } = this.options;
+    if (firstElectionMs === undefined) {
+      this.resetElectionTimer();
+      return;
+    }
+    const { clock, random } = this.runtime;
+    const delayMs = random.integer(Math.ceil(firstElectionMs / 3), firstElectionMs);
+    this.electionTimer = clock.setTimer(delayMs, () => this.onElectionTimeout());
   }
 
   /** Stops to take part. */
--- a/src/coordinator/coordinator.ts
+++ b/src/coordinator/coordinator.ts
@@ -36,6 +36,11 @@
   readonly raft?: Partial<RaftOptions>;
 }
 
+const RAFT_OPTIONS: RaftOptions = {
+  ...DEFAULT_RAFT_OPTIONS,
+  heartbeatMs: 100,
+  firstElectionMs: 150,
+};
 const UPKEEP_MS = 500;
 /** A former leader may go on granting leases for this long after it lost its majority; milliseconds. */
 const STALE_LEADER_MS = 1000;
@@ -105,7 +110,7 @@
     const identity = await loadIdentity(runtime);
     const log = await RaftLog.open(runtime.folder);
     const catalog = new Catalog();
-    const raftOptions = { ...DEFAULT_RAFT_OPTIONS, ...options.raft };
+    const raftOptions = { ...RAFT_OPTIONS, ...options.raft };
     const node: RaftNode = new RaftNode(
       identity,
       options.address,
--- a/src/daemon/router_daemon.ts
+++ b/src/daemon/router_daemon.ts
@@ -58,12 +58,7 @@
     counters: metrics,
   });
   metrics.watch(core);
-  const listener = new SessionListener(protocols.callers, {
-    get hasTable() {
-      return core.table !== undefined;
-    },
-    openSession: (database) => core.openSession(database),
-  });
+  const listener = new SessionListener(protocols.callers, core);
   core.start();
   await listener.listen(settings.listen);
   const server =
--- a/src/router/router_core.ts
+++ b/src/router/router_core.ts
@@ -63,6 +63,7 @@
   private instances: readonly InstanceEntry[] = [];
   private proxies: readonly whinyoke.IProxyEntry[] = [];
   private liveProxies = 1;
+  private readonly tableWaiters: (() => void)[] = [];
   private version = 0;
   private lastSyncAt = -Infinity;
   private maintenance: Timer | undefined;
@@ -135,6 +136,18 @@
     return [...this.pools.values()];
   }
 
+  /** Resolves with whether a configuration is in force, after `timeoutMs` at the latest. */
+  awaitTable(timeoutMs: number): Promise<boolean> {
+    if (this.table) return Promise.resolve(true);
+    return new Promise((resolve) => {
+      const timer = this.clock.setTimer(timeoutMs, () => resolve(this.table !== undefined));
+      this.tableWaiters.push(() => {
+        timer.cancel();
+        resolve(true);
+      });
+    });
+  }
+
   /** Opens the session of a caller; undefined when no route has that database. */
   openSession(database: string): RoutedSession | undefined {
     if (!this.table?.routeByDatabase.has(database)) return undefined;
@@ -221,6 +234,7 @@
   private adoptDocument(document: whinyoke.IRoutingDocument): void {
     if ((document.version ?? 0) <= (this.table?.version ?? 0)) return;
     this.table = this.options.reader.read(inflateSource(document));
+    for (const waiter of this.tableWaiters.splice(0)) waiter();
     this.log(Events.documentInForce, {
       version: this.table.version,
       routes: this.table.routeByDatabase.size,
--- a/src/router/session_listener.ts
+++ b/src/router/session_listener.ts
@@ -29,12 +29,14 @@
 
 /** What the listener needs of the proxy. */
 export interface SessionSource {
-  /** Whether a configuration is in force. */
-  readonly hasTable: boolean;
+  /** Resolves with whether a configuration is in force, after `timeoutMs` at the latest. */
+  awaitTable(timeoutMs: number): Promise<boolean>;
   openSession(database: string): RoutedSession | undefined;
 }
 
 const KEEP_ALIVE_MS = 2000;
+/** A caller that comes while the process starts waits for its configuration, in milliseconds. */
+const START_PATIENCE_MS = 1200;
 const START_RETRY_MS = 300;
 const BACKLOG = 1024;
 
@@ -102,7 +104,7 @@
   private async handle(message: CallerMessage): Promise<void> {
     switch (message.kind) {
       case 'start':
-        this.start(message.database);
+        await this.start(message.database);
         return;
       case 'query':
         await this.query(message.id, message.statement);
@@ -115,12 +117,12 @@
     }
   }
 
-  private start(database: string): void {
+  private async start(database: string): Promise<void> {
     if (this.session) {
       this.finish(this.codec.encodeError('malformed', 'the session has started already'));
       return;
     }
-    if (!this.source.hasTable) {
+    if (!(await this.source.awaitTable(START_PATIENCE_MS))) {
       const text = `no configuration yet; retry after ${START_RETRY_MS} ms`;
       this.finish(this.codec.encodeError('busy', text));
       return;
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -23,6 +23,8 @@
 
 const BUSY_PAUSE_MS = 10;
 const MINIMUM_ATTEMPT_MS = 5;
+/** Share of the target latency that every statement of a transaction gets. */
+const STATEMENT_SHARE = 0.6;
 const ROLLBACK_TIMEOUT_MS = 1000;
 
 /** Answer to the caller, and the position of the commit when there was one. */
@@ -54,7 +56,10 @@
     if (problem !== undefined) return refuse(this.context, refusal, 'busy', problem);
     if (accessOf(statement) === 'write') this.hasWritten = true;
     const command = { kind: 'data' as const, id, statement };
-    const attempt = await this.attempt(command, content, deadline);
+    // A late answer is most likely lost; nothing is kept, so the caller may begin again at once.
+    const usual = this.held!.target.pool.load.patience;
+    const patience = Math.max(usual, this.route.targetLatencyMs * STATEMENT_SHARE);
+    const attempt = await this.attempt(command, content, deadline, patience);
     if (attempt.outcome !== 'answered') {
       this.drop();
       return refuse(this.context, refusal, 'aborted', attempt.cause);
@@ -145,9 +150,11 @@
     command: InstanceCommand,
     content: SessionContent,
     deadline: RequestDeadline,
+    patienceMs = Infinity,
   ): Promise<Attempt> {
     for (;;) {
-      const attempt = await this.runner.attempt(this.held!, content, command, deadline.remaining);
+      const timeoutMs = Math.min(deadline.remaining, patienceMs);
+      const attempt = await this.runner.attempt(this.held!, content, command, timeoutMs);
       const answer = attempt.outcome === 'answered' ? attempt.answer : undefined;
       const isBusy = answer?.error?.kind === 'busy' && answer.state === 'open';
       if (!isBusy || deadline.retryRemaining <= 0) return attempt;
--- /dev/null
+++ b/test/simulation/appointed.test.ts
@@ -0,0 +1,69 @@
+/** Simulated deployments whose primaries are appointed: seeds, single faults, protections taken away. */
+import t, { type Test } from 'tap';
+import { APPOINTED_QUETZAL, APPOINTED_TOPLINA } from '../../lab/appointed/appointed_deployment.js';
+import { APPOINTED_FAULTS } from '../../lab/appointed/appointed_faults.js';
+import {
+  type AppointedReport,
+  type AppointedRunOptions,
+  runAppointed,
+} from '../../lab/appointed/appointed_simulation.js';
+
+function problems(report: AppointedReport): string[] {
+  const violations = report.violations.map((item) => `${item.at} ${item.kind}: ${item.detail}`);
+  return [...violations, ...report.unwritable.map((group) => `${group} can't be written`)];
+}
+
+async function expectClean(t: Test, options: AppointedRunOptions): Promise<void> {
+  const report = await runAppointed(options);
+  t.same(problems(report), [], `seed ${report.seed}: ${report.faults.join('; ')}`);
+  t.ok(report.counts['acknowledged']! > 500, 'callers were served');
+}
+
+void t.test('mixed faults', async (t) => {
+  for (let seed = 1; seed <= 4; seed++) {
+    await expectClean(t, { deployment: APPOINTED_QUETZAL, seed });
+    await expectClean(t, { deployment: APPOINTED_TOPLINA, seed });
+  }
+});
+
+void t.test('each kind of fault alone', async (t) => {
+  for (const [index, kind] of APPOINTED_FAULTS.entries()) {
+    const deployment = index % 2 === 0 ? APPOINTED_QUETZAL : APPOINTED_TOPLINA;
+    await expectClean(t, { deployment, seed: 100 + index, faults: [kind], faultCount: 2 });
+  }
+});
+
+void t.test('the same seed gives the same history', async (t) => {
+  const options = { deployment: APPOINTED_QUETZAL, seed: 9 };
+  const [first, second] = [await runAppointed(options), await runAppointed(options)];
+  t.same(first.counts, second.counts);
+  t.same(first.faults, second.faults);
+});
+
+void t.test('without a protection the checks report it', async (t) => {
+  const find = async (options: Omit<AppointedRunOptions, 'seed'>): Promise<string> => {
+    for (let seed = 1; seed <= 50; seed++) {
+      const [violation] = (await runAppointed({ ...options, seed })).violations;
+      if (violation) return violation.kind;
+    }
+    return 'nothing';
+  };
+  t.equal(
+    await find({
+      deployment: APPOINTED_TOPLINA,
+      disabled: ['read-position'],
+      faults: ['lag-replicas'],
+    }),
+    'stale',
+  );
+  t.equal(await find({ deployment: APPOINTED_QUETZAL, disabled: ['session-values'] }), 'pinned');
+  t.match(
+    await find({
+      deployment: APPOINTED_QUETZAL,
+      disabled: ['lease'],
+      faults: ['dark-primary', 'cut-proxy-from-control', 'leave-primary'],
+      faultCount: 4,
+    }),
+    /stale|lost|replaced-primary/,
+  );
+});
--- /dev/null
+++ b/test/unit/failover.test.ts
@@ -0,0 +1,257 @@
+/** Decisions around a change of primary: trust, ledger, opinions, choice, catalog, membership. */
+import t from 'tap';
+import { Catalog } from '../../src/catalog/catalog.js';
+import { documentOf, inflateSource } from '../../src/catalog/document_source.js';
+import { nextMembership } from '../../src/consensus/elastic_membership.js';
+import { Membership } from '../../src/consensus/membership.js';
+import { type ChoiceInput, chooseCandidate } from '../../src/failover/candidate.js';
+import { InstanceMonitor } from '../../src/failover/instance_monitor.js';
+import { LeaseLedger } from '../../src/failover/lease_ledger.js';
+import { PrimaryHealthBoard } from '../../src/failover/primary_health_board.js';
+import { whinyoke } from '../../src/protocol/generated/messages.js';
+import type { InstanceStatus } from '../../src/router/instance_connection.js';
+import { PrimaryTrust } from '../../src/router/primary_trust.js';
+
+const { GroupPhase, InstanceRole, InstanceState, PrimaryHealth } = whinyoke;
+
+function statusAt(sequence: number, term = 3): InstanceStatus {
+  return { role: 'replica', term, received: { term, sequence }, heldTerm: term + 1, lagMs: 0 };
+}
+
+function choiceOf(change: Partial<ChoiceInput>): string | undefined {
+  const input: ChoiceInput = {
+    reports: [
+      { instance: 'a', status: statusAt(10), isEligible: true },
+      { instance: 'b', status: statusAt(12), isEligible: true },
+    ],
+    missing: 0,
+    oldPrimary: undefined,
+    revocation: { isComplete: true, isConfirmedByAll: false, acknowledged: undefined },
+    isHistoryWhole: false,
+    term: 3,
+    ...change,
+  };
+  const choice = chooseCandidate(input);
+  return choice && `${choice.instance} ${choice.evidence}`;
+}
+
+void t.test('a replica is chosen only when it provably holds every acknowledged commit', (t) => {
+  const onlyA = [{ instance: 'a', status: statusAt(10), isEligible: true }];
+  const confirmed = (sequence?: number) => ({
+    isComplete: true,
+    isConfirmedByAll: true,
+    acknowledged: sequence === undefined ? undefined : { term: 3, sequence },
+  });
+  t.equal(choiceOf({}), 'b allReplicas', 'all replicas answered: the newest');
+  t.equal(choiceOf({ reports: onlyA, missing: 1 }), undefined, 'a silent replica may hold more');
+  t.equal(
+    choiceOf({ reports: onlyA, missing: 1, oldPrimary: statusAt(10) }),
+    'a oldPrimary',
+    'the old primary holds no more',
+  );
+  t.equal(
+    choiceOf({ reports: onlyA, missing: 1, oldPrimary: statusAt(11) }),
+    undefined,
+    'the old primary holds more',
+  );
+  const whole = { reports: onlyA, missing: 1, isHistoryWhole: true };
+  t.equal(choiceOf({ ...whole, revocation: confirmed(10) }), 'a confirmations');
+  t.equal(choiceOf({ ...whole, revocation: confirmed(11) }), undefined);
+  t.equal(choiceOf({ ...whole, revocation: confirmed() }), 'a confirmations', 'same term');
+  t.equal(
+    choiceOf({ ...whole, term: 4, revocation: confirmed() }),
+    undefined,
+    'nothing of the newest term was received',
+  );
+  t.equal(
+    choiceOf({ reports: onlyA, missing: 1, revocation: confirmed(10) }),
+    undefined,
+    'a proxy was lost with what it had acknowledged',
+  );
+  t.equal(
+    choiceOf({ revocation: confirmed(13) }),
+    undefined,
+    'a replica that left alone held an acknowledged commit',
+  );
+  const leaving = [
+    { instance: 'a', status: statusAt(10), isEligible: true },
+    { instance: 'b', status: statusAt(12), isEligible: false },
+  ];
+  t.equal(choiceOf({ reports: leaving }), undefined, 'the newest leaves');
+  t.end();
+});
+
+const PROXIES = [
+  { id: 'p1', incarnation: 'x' },
+  { id: 'p2', incarnation: 'y' },
+];
+
+void t.test('leases end by confirmation of the same run, or by time', (t) => {
+  const ledger = new LeaseLedger();
+  ledger.begin(-Infinity);
+  for (const proxy of PROXIES) ledger.grant('g', proxy, 3000);
+  t.notOk(ledger.revocation('g', 2, PROXIES, 1000).isComplete);
+  ledger.confirm(PROXIES[0]!, {
+    group: 'g',
+    epoch: 2,
+    hasPosition: true,
+    position: { term: 1, sequence: 5 },
+  });
+  t.notOk(ledger.revocation('g', 2, PROXIES, 1000).isComplete);
+  t.match(ledger.revocation('g', 2, PROXIES, 3000), {
+    isComplete: true,
+    isConfirmedByAll: false,
+    acknowledged: { term: 1, sequence: 5 },
+  });
+  const restarted = [PROXIES[0]!, { id: 'p2', incarnation: 'z' }];
+  t.ok(ledger.revocation('g', 2, restarted, 1000).isComplete, 'a new run holds no lease');
+  ledger.confirm(restarted[1]!, { group: 'g', epoch: 1 });
+  t.notOk(ledger.revocation('g', 2, restarted, 1000).isConfirmedByAll, 'an older epoch');
+  ledger.begin(9000);
+  t.notOk(
+    ledger.revocation('g', 2, restarted, 8999).isComplete,
+    'an earlier leader may have granted',
+  );
+  t.end();
+});
+
+function groupEntry(epoch: number, phase = GroupPhase.STEADY): whinyoke.IGroupEntry {
+  return { group: 'g', epoch, phase, primary: 'i-1', term: 1 };
+}
+
+void t.test('a proxy trusts a primary only under a lease of the newest epoch', (t) => {
+  const trust = new PrimaryTrust();
+  trust.update([groupEntry(1)], 0);
+  t.equal(trust.primaryOf('g', 0), undefined, 'no lease yet');
+  trust.extend('g', 1, 3000);
+  t.match(trust.primaryOf('g', 2999), { instance: 'i-1', epoch: 1 });
+  t.equal(trust.primaryOf('g', 3000), undefined);
+  trust.commitStarted('g');
+  trust.noteAcknowledged('g', { term: 1, sequence: 4 });
+  trust.update([groupEntry(2, GroupPhase.CHANGING)], 1000);
+  t.equal(trust.primaryOf('g', 1000), undefined, 'nothing new is sent');
+  t.ok(trust.accepts('g', 1, 1100), 'an answer under way still counts');
+  t.same(trust.dueRevocations(1100), [], 'the confirmation waits for it');
+  trust.update([groupEntry(1)], 1100);
+  trust.extend('g', 1, 9000);
+  t.equal(trust.entryOf('g')?.epoch, 2, 'an older reply changes nothing');
+  trust.commitEnded('g');
+  t.match(trust.dueRevocations(1200), [
+    { group: 'g', epoch: 2, position: { term: 1, sequence: 4 } },
+  ]);
+  t.notOk(trust.accepts('g', 1, 1200), 'after the confirmation nothing counts');
+  trust.confirmed('g', 2);
+  t.same(trust.dueRevocations(1300), []);
+  trust.extend('g', 2, 9000);
+  t.equal(trust.primaryOf('g', 1300), undefined, 'there is no lease on a changing epoch');
+  t.end();
+});
+
+void t.test('a commit that hangs holds up a revocation only for a moment', (t) => {
+  const trust = new PrimaryTrust();
+  trust.update([groupEntry(1)], 0);
+  trust.extend('g', 1, 3000);
+  trust.commitStarted('g');
+  trust.update([groupEntry(2, GroupPhase.CHANGING)], 1000);
+  t.equal(trust.dueRevocations(1200).length, 0);
+  t.equal(trust.dueRevocations(1300).length, 1);
+  t.notOk(trust.accepts('g', 1, 1300));
+  t.end();
+});
+
+void t.test('opinions of proxies on a primary', (t) => {
+  const board = new PrimaryHealthBoard();
+  const say = (proxy: string, health: whinyoke.PrimaryHealth, sinceMs: number): void =>
+    board.note(proxy, [{ group: 'g', epoch: 1, health, sinceMs }], 1000);
+  say('p1', PrimaryHealth.REFUSING, 100);
+  say('p2', PrimaryHealth.HEALTHY, 10);
+  say('p3', PrimaryHealth.SILENT, 100);
+  t.match(board.verdict('g', 1, 1000), { bad: 1, good: 1 }, 'silence must last');
+  t.match(board.verdict('g', 1, 1500), { bad: 2, good: 1 });
+  t.match(board.verdict('g', 2, 1500), { bad: 0, good: 0 }, 'opinions are on one epoch');
+  t.match(board.verdict('g', 1, 9000), { bad: 0, good: 0 }, 'old opinions do not count');
+  t.end();
+});
+
+void t.test('late heartbeats change nothing, a restart counts anew', (t) => {
+  const monitor = new InstanceMonitor();
+  const beat = (sequence: number, role: whinyoke.InstanceRole, now: number): void =>
+    monitor.note({ instance: { id: 'i', sequence }, role }, now);
+  beat(5, InstanceRole.PRIMARY, 0);
+  beat(4, InstanceRole.REPLICA, 100);
+  t.equal(monitor.roleOf('i'), InstanceRole.PRIMARY);
+  t.equal(monitor.age('i', 1000), 1000);
+  beat(1, InstanceRole.REPLICA, 6000);
+  t.equal(monitor.roleOf('i'), InstanceRole.REPLICA);
+  t.end();
+});
+
+void t.test('the catalog: highest document, epochs one by one, instances that are gone', (t) => {
+  const catalog = new Catalog();
+  let index = 0;
+  const apply = (command: whinyoke.ICatalogCommand): whinyoke.CatalogResult => {
+    index++;
+    const bytes = catalog.apply(index, whinyoke.CatalogCommand.encode(command).finish());
+    return whinyoke.CatalogResult.decode(bytes);
+  };
+  t.ok(apply({ putDocument: documentOf(7, 'seven') }).changed);
+  t.notOk(apply({ putDocument: documentOf(7, 'other') }).changed);
+  t.notOk(apply({ putDocument: documentOf(6, 'six') }).changed);
+  t.equal(inflateSource(catalog.document!), 'seven');
+  t.notOk(apply({}).changed, 'a read barrier changes nothing');
+  t.notOk(apply({ putGroup: groupEntry(2) }).changed);
+  t.ok(apply({ putGroup: groupEntry(1) }).changed);
+  t.ok(apply({ putGroup: groupEntry(2, GroupPhase.CHANGING) }).changed);
+  t.notOk(apply({ putGroup: groupEntry(2) }).changed, 'another leader was faster');
+  const steadySince = catalog.group('g')!.steadySince!;
+  t.ok(apply({ putProxy: PROXIES[0]! }).changed);
+  t.ok(catalog.proxyLossVersion < steadySince, 'a first run loses nothing');
+  apply({ putProxy: { id: 'p1', incarnation: 'next' } });
+  t.ok(catalog.proxyLossVersion > steadySince, 'a restart may lose what was acknowledged');
+  const instance = { id: 'i', group: 'g', state: InstanceState.READY, sequence: 4 };
+  t.ok(apply({ putInstance: instance }).changed);
+  t.notOk(apply({ putInstance: { ...instance, sequence: 3 } }).changed, 'late');
+  t.ok(apply({ putInstance: { ...instance, state: InstanceState.GONE } }).changed);
+  t.notOk(apply({ putInstance: { ...instance, sequence: 9 } }).changed, 'gone for good');
+  t.equal(apply({ takeDuty: { holder: 'c1' } }).token, 1);
+  t.equal(apply({ takeDuty: { holder: 'c1' } }).token, 1, 'the same holder keeps its token');
+  t.equal(apply({ takeDuty: { holder: 'c2' } }).token, 2);
+  const copy = new Catalog();
+  copy.restore(index, catalog.serialize());
+  t.same(copy.serialize(), catalog.serialize());
+  t.equal(copy.version, catalog.version);
+  t.end();
+});
+
+const A = { id: 'a', address: '1', isLearner: false };
+const B = { id: 'b', address: '2', isLearner: false };
+const C = { id: 'c', address: '3', isLearner: false };
+const D = { id: 'd', address: '4', isLearner: true };
+
+function next(
+  members: readonly (typeof A)[],
+  silent: readonly string[] = [],
+  lagging: readonly string[] = [],
+): string | undefined {
+  const membership = nextMembership(new Membership(members), {
+    self: 'a',
+    voters: 3,
+    silenceMs: (id) => (silent.includes(id) ? 60_000 : 0),
+    lag: (id) => (lagging.includes(id) ? 5 : 0),
+  });
+  return membership?.members.map((item) => item.id + (item.isLearner ? '?' : '')).join(' ');
+}
+
+void t.test('voters that are lost are replaced by learners that have caught up', (t) => {
+  t.equal(next([A, B, C, D]), undefined, 'three voters are enough');
+  t.equal(next([A, B, C, D], ['c']), 'a b c d', 'first the successor votes');
+  t.equal(next([A, B, C, D], ['c'], ['d']), undefined, 'not before it has caught up');
+  t.equal(next([A, B, C, { ...D, isLearner: false }], ['c']), 'a b d', 'then the lost one goes');
+  t.equal(next([A, B, C, { ...D, isLearner: false }]), 'a b c d?', 'one too many stands by');
+  const again = { id: 'c2', address: '3', isLearner: true };
+  t.equal(next([A, B, C, again]), 'a b c c2', 'a lost disk: its new name votes');
+  t.equal(next([A, B, C, { ...again, isLearner: false }]), 'a b c2', 'and the old name goes');
+  t.equal(next([A, B, C, D], ['d']), 'a b c', 'a learner that is gone is forgotten');
+  t.equal(next([A, B, C], ['b', 'c']), undefined, 'nobody to replace them');
+  t.end();
+});
--- /dev/null
+++ b/test/unit/platform_codec.test.ts
@@ -0,0 +1,196 @@
+/** The platform's wire, settings and configuration: translation only. */
+import t from 'tap';
+import { LineCallerCodec } from '../../platform/caller_codec.js';
+import {
+  AnswerReader,
+  encodeCommand,
+  encodeReply,
+  parsePosition,
+  parseStatement,
+} from '../../platform/line_codec.js';
+import { LineReader } from '../../platform/line_reader.js';
+import { PlatformDocumentReader } from '../../platform/routing_document.js';
+import { readControlSettings, readProxySettings } from '../../platform/settings.js';
+import { completed, refused } from '../../src/router/caller_reply.js';
+
+void t.test('lines are cut at any byte and keep every byte', (t) => {
+  const text = 'START db who\r\nQUERY 1 WRITE k \xff\xfe x\r\n';
+  for (let cut = 0; cut <= text.length; cut++) {
+    const reader = new LineReader();
+    const lines = [
+      ...reader.push(Buffer.from(text.slice(0, cut), 'latin1')),
+      ...reader.push(Buffer.from(text.slice(cut), 'latin1')),
+    ];
+    t.same(lines, ['START db who', 'QUERY 1 WRITE k \xff\xfe x'], `cut at ${cut}`);
+  }
+  t.end();
+});
+
+void t.test('a line over 1 MiB is refused before it is whole', (t) => {
+  const reader = new LineCallerCodec().newReader();
+  const messages = reader.push(Buffer.alloc(1024 * 1024 + 1, 'x'));
+  t.same(messages, [{ kind: 'broken', problem: 'message too long' }]);
+  t.end();
+});
+
+void t.test('statements of callers', (t) => {
+  t.same(parseStatement('BEGIN READ'), { kind: 'begin', readOnly: true });
+  t.same(parseStatement('WRITE k a b  c'), { kind: 'write', argument: 'k a b  c' });
+  t.same(parseStatement('EXECUTE s1 k v'), { kind: 'execute', name: 's1', argument: 'k v' });
+  t.same(parseStatement('PREPARE s1 WRITE q2c'), {
+    kind: 'prepare',
+    name: 's1',
+    prepared: { access: 'write', shape: 'q2c' },
+  });
+  for (const text of ['', 'BEGIN NOW', 'READ', 'PREPARE s1 q', 'AFTER 1.2 READ k', 'RESET']) {
+    t.equal(parseStatement(text).kind, 'malformed', text);
+  }
+  t.end();
+});
+
+void t.test('messages before their time, cut short or unknown are broken', (t) => {
+  const read = (line: string): string =>
+    new LineCallerCodec().newReader().push(Buffer.from(`${line}\r\n`))[0]!.kind;
+  t.equal(read('START db who'), 'start');
+  t.equal(read('START db'), 'broken');
+  t.equal(read('QUERY 1'), 'broken');
+  t.equal(read('HELLO'), 'broken');
+  t.equal(read('TERMINATE'), 'terminate');
+  t.end();
+});
+
+void t.test('commands to instances keep id and text, and may carry a position', (t) => {
+  const after = { term: 3, sequence: 1207 };
+  const read = { kind: 'read' as const, argument: '1a4' };
+  t.equal(
+    encodeCommand({ kind: 'data', id: '5c', statement: read, after }),
+    'QUERY 5c AFTER 3.1207 READ 1a4\r\n',
+  );
+  const prepared = { access: 'write' as const, shape: 'q2c' };
+  const execute = { kind: 'execute' as const, prepared, argument: '1a4 xk' };
+  t.equal(
+    encodeCommand({ kind: 'data', id: '5c', statement: execute }),
+    'QUERY 5c EXECUTE w_q2c 1a4 xk\r\n',
+  );
+  t.equal(encodeCommand({ kind: 'pause', term: 4 }), 'QUERY - PAUSE 4\r\n');
+  t.equal(encodeCommand({ kind: 'commit', id: '9' }), 'QUERY 9 COMMIT\r\n');
+  t.end();
+});
+
+void t.test('answers of instances', (t) => {
+  const reader = new AnswerReader();
+  t.equal(reader.push('ROW replica 3 3.1209 0 12 2 17'), undefined);
+  t.equal(reader.push('COMPLETE -'), undefined);
+  const answer = reader.push('READY I 3.1204')!;
+  t.match(answer, {
+    state: 'idle',
+    position: { term: 3, sequence: 1204 },
+    status: { role: 'replica', term: 3, received: { term: 3, sequence: 1209 }, lagMs: 12 },
+  });
+  reader.push('ERROR READONLY i-7');
+  t.match(reader.push('READY E 3.1209'), { state: 'failed', error: { kind: 'readOnly' } });
+  t.throws(() => reader.push('NONSENSE'), RangeError);
+  t.equal(parsePosition('-'), undefined);
+  t.end();
+});
+
+void t.test('answers to callers', (t) => {
+  t.equal(encodeReply(completed('open')), 'COMPLETE -\r\nREADY T -\r\n');
+  t.equal(
+    encodeReply(refused('busy', 'no slot; retry after 50 ms', 'idle')),
+    'ERROR BUSY no slot; retry after 50 ms\r\nREADY I -\r\n',
+  );
+  const position = { term: 3, sequence: 9 };
+  const reply = { rows: ['a b'], signature: '7.1', state: 'idle' as const, position };
+  t.equal(encodeReply(reply), 'ROW a b\r\nCOMPLETE 7.1\r\nREADY I 3.9\r\n');
+  t.end();
+});
+
+const SETTINGS = [
+  'node_name=n-1',
+  'ip=10.1.0.8',
+  'zone=z1',
+  'internal_port_range=7440,7455',
+  'seeds=10.1.0.10:8782,10.2.0.8:8782',
+  'listen_addresses.frontend=10.1.0.8:8784',
+  'listen_addresses.ready=10.1.0.8:8785',
+  'listen_addresses.control_plane=10.1.0.8:8782',
+  'bounds.grace_period_s=6',
+  'data_directory=/data/x',
+  'bootstrap=true',
+  'fault_tolerance.machines=1',
+  'cloud.address=10.200.0.160:8783',
+  'some.future_field=1',
+];
+
+void t.test('settings: unknown fields are taken, missing and wrong ones named', (t) => {
+  const proxy = readProxySettings(SETTINGS.join('\n'), 9100);
+  t.match(proxy.router, { internal: '10.1.0.8:7441', graceMs: 6000, metrics: '10.1.0.8:9100' });
+  t.same(proxy.router.seeds, ['10.1.0.10:7440', '10.2.0.8:7440']);
+  const control = readControlSettings(SETTINGS.join('\n'));
+  t.match(control.coordinator, { internal: '10.1.0.8:7440', voters: 3, isFirstStart: true });
+  for (const [index, line] of SETTINGS.slice(0, -1).entries()) {
+    const without = SETTINGS.filter((_, other) => other !== index).join('\n');
+    const field = line.split('=')[0]!;
+    const reads = [(): unknown => readProxySettings(without), () => readControlSettings(without)];
+    const problems = reads.map((read) => {
+      try {
+        read();
+        return '';
+      } catch (error) {
+        return String(error);
+      }
+    });
+    t.ok(
+      problems.some((problem) => problem.includes(field)),
+      `a missing ${field} is named`,
+    );
+  }
+  const wrong = SETTINGS.join('\n').replace('bootstrap=true', 'bootstrap=maybe');
+  t.throws(() => readControlSettings(wrong), /bootstrap/);
+  t.end();
+});
+
+function documentText(): string {
+  const document = {
+    version: 7,
+    routes: [
+      {
+        name: 'r1',
+        hostname: 'db1',
+        path_prefix: '/',
+        route_type: 'own_writes',
+        timeout_ms: 800,
+        target_latency_ms: 200,
+        priority: 2,
+        service: 's1',
+        max_staleness_ms: 2500,
+      },
+      { name: 'r2', hostname: 'db2', route_type: 'primary', timeout_ms: 800, service: 's1' },
+    ],
+    services: [{ name: 's1', connection_limit: 32 }],
+    limits: { transaction_idle_ms: 3000 },
+  };
+  return JSON.stringify(document);
+}
+
+void t.test('configurations are read whole or refused', (t) => {
+  const reader = new PlatformDocumentReader();
+  const table = reader.read(documentText());
+  t.equal(table.version, 7);
+  t.match(table.routeByDatabase.get('db1'), {
+    group: 's1',
+    policy: { kind: 'ownWrites', maximumStalenessMs: 2500 },
+  });
+  t.equal(table.limitsByGroup.get('s1')?.connectionLimit, 32);
+  const invalid: readonly (readonly [text: string, problem: RegExp])[] = [
+    [documentText().slice(0, -20), /whole JSON/],
+    [documentText().replace('"service":"s1"', '"service":"s9"'), /unknown service s9/],
+    [documentText().replace('"timeout_ms":800', '"timeout_ms":0'), /routes\.0\.timeout_ms/],
+    [documentText().replace('db2', 'db1'), /host and prefix/],
+    [documentText().replace('"version":7', '"version":"x"'), /version/],
+    ['[]', /expected object/],
+  ];
+  for (const [text, problem] of invalid) t.throws(() => reader.read(text), problem);
+  t.end();
+});
--- /dev/null
+++ b/test/unit/router.test.ts
@@ -0,0 +1,191 @@
+/** Parts of the router: floors, order of instances, pool, logs that never block. */
+import t from 'tap';
+import { Events } from '../../src/observability/events.js';
+import { BoundedOutput } from '../../src/observability/bounded_output.js';
+import { DecisionLogger } from '../../src/observability/decision_logger.js';
+import {
+  ConnectError,
+  type InstanceConnection,
+  type InstanceConnector,
+} from '../../src/router/instance_connection.js';
+import { InstanceLoad } from '../../src/router/instance_load.js';
+import { AcquireError, InstancePool } from '../../src/router/instance_pool.js';
+import { PositionFloor } from '../../src/router/position_floor.js';
+import { PrimaryObserver } from '../../src/router/primary_observer.js';
+import { orderCandidates } from '../../src/router/replica_selector.js';
+import { whinyoke } from '../../src/protocol/generated/messages.js';
+import { RealClock } from '../../src/runtime/real_clock.js';
+
+const { PrimaryHealth } = whinyoke;
+
+void t.test('the floor is the oldest position whose request was sent late enough', (t) => {
+  const floor = new PositionFloor();
+  t.equal(floor.oldestSince(0), undefined);
+  for (let time = 0; time <= 1000; time += 100) {
+    floor.note(1, time, { term: 1, sequence: time });
+  }
+  t.equal(floor.oldestSince(450)?.sequence, 500);
+  t.equal(floor.oldestSince(1001), undefined, 'nothing is young enough');
+  floor.note(2, 1100, { term: 2, sequence: 1100 });
+  t.equal(floor.oldestSince(0)?.term, 2, 'a new epoch begins anew');
+  floor.note(1, 1200, { term: 1, sequence: 1200 });
+  t.equal(floor.oldestSince(1150), undefined, 'an answer of an older epoch does not count');
+  t.end();
+});
+
+void t.test('reads go to near, idle replicas that are fresh enough', (t) => {
+  const candidate = (id: string, zone: string, isPrimary = false) => ({
+    id,
+    zone,
+    isPrimary,
+    load: new InstanceLoad(),
+  });
+  const [near, far, primary] = [
+    candidate('n', 'z1'),
+    candidate('f', 'z2'),
+    candidate('p', 'z1', true),
+  ];
+  const after = { term: 1, sequence: 5 };
+  const order = (): string =>
+    orderCandidates([primary, far, near], { zone: 'z1', now: 100, after })
+      .map((item) => item.id)
+      .join('');
+  t.equal(order(), 'nfp');
+  near.load.outstanding = 3;
+  t.equal(order(), 'fpn', 'load counts more than the zone');
+  near.load.outstanding = 0;
+  near.load.notePosition({ term: 1, sequence: 4 }, 90);
+  t.equal(order(), 'fpn', 'it lacked the position a moment ago');
+  near.load.notePosition({ term: 1, sequence: 4 }, 0);
+  t.equal(order(), 'nfp', 'an old observation says nothing');
+  near.load.noteFailure(100);
+  t.equal(order(), 'fpn', 'it failed a moment ago');
+  t.end();
+});
+
+void t.test('a primary is silent when statements stay without any answer', (t) => {
+  const observer = new PrimaryObserver();
+  t.equal(observer.opinion(0), undefined);
+  const first = observer.started(false, 0);
+  const commit = observer.started(true, 100);
+  t.equal(observer.opinion(400), undefined);
+  t.equal(observer.opinion(600)?.health, PrimaryHealth.SILENT);
+  first(true, 610);
+  t.equal(observer.opinion(620)?.health, PrimaryHealth.SILENT, 'reads answer, commits hang');
+  commit(true, 700);
+  t.equal(observer.opinion(710)?.health, PrimaryHealth.HEALTHY);
+  observer.failed(PrimaryHealth.REFUSING, 800);
+  t.match(observer.opinion(900), { health: PrimaryHealth.REFUSING, sinceMs: 100 });
+  t.end();
+});
+
+class FakeConnection implements InstanceConnection {
+  onClosed: (() => void) | undefined;
+  closed = false;
+  run = (): Promise<never> => Promise.reject(new Error('unused'));
+  close(): void {
+    this.closed = true;
+    this.onClosed?.();
+  }
+}
+
+function poolOf(connector: InstanceConnector, share: number): InstancePool {
+  const options = {
+    share: () => share,
+    connectTimeoutMs: 100,
+    minimumIdle: 0,
+    idleTimeoutMs: 1000,
+  };
+  const observer = { onConnected: () => undefined, onConnectFailed: () => undefined };
+  const target = { id: 'i', group: 'g', address: '127.0.0.1:1' };
+  return new InstancePool(
+    target,
+    connector,
+    new RealClock(),
+    new InstanceLoad(),
+    options,
+    observer,
+  );
+}
+
+const NO_VALUES = new Map<string, string>();
+
+void t.test('a pool keeps to its share, serves by priority, prefers matching values', async (t) => {
+  let opened = 0;
+  const connector: InstanceConnector = {
+    connect: () => {
+      opened++;
+      return Promise.resolve({ connection: new FakeConnection() });
+    },
+  };
+  const pool = poolOf(connector, 2);
+  const first = await pool.acquire(NO_VALUES, 1, 100);
+  const second = await pool.acquire(NO_VALUES, 1, 100);
+  const order: string[] = [];
+  const low = pool.acquire(NO_VALUES, 2, 1000).then(() => order.push('low'));
+  const high = pool.acquire(NO_VALUES, 0, 1000).then(() => order.push('high'));
+  await t.rejects(pool.acquire(NO_VALUES, 3, 5), new AcquireError('timeout'));
+  t.equal(opened, 2, 'no connection beyond the share');
+  pool.release(first);
+  pool.release(second);
+  await Promise.all([low, high]);
+  t.same(order, ['high', 'low']);
+  t.equal(pool.size, 2);
+  const third = poolOf(connector, 2);
+  const [left, right] = [
+    await third.acquire(NO_VALUES, 1, 50),
+    await third.acquire(NO_VALUES, 1, 50),
+  ];
+  left.values.set('v', '1');
+  third.release(left);
+  third.release(right);
+  t.equal(await third.acquire(new Map([['v', '1']]), 1, 50), left, 'holds the values already');
+  t.equal(await third.acquire(NO_VALUES, 1, 50), right);
+});
+
+void t.test('an instance that can not be reached is told at once', async (t) => {
+  const connector: InstanceConnector = {
+    connect: () => Promise.reject(new ConnectError('refused', 'down')),
+  };
+  const pool = poolOf(connector, 2);
+  await t.rejects(pool.acquire(NO_VALUES, 1, 5000), new AcquireError('unreachable'));
+  await t.rejects(
+    pool.acquire(NO_VALUES, 1, 5000),
+    new AcquireError('unreachable'),
+    'no new try yet',
+  );
+  t.equal(pool.size, 0);
+});
+
+void t.test('a reader that stops reading loses lines, and holds up nothing', (t) => {
+  const held: ((error: null, written: number) => void)[] = [];
+  const written: Buffer[] = [];
+  const output = new BoundedOutput((bytes, callback) => {
+    written.push(bytes);
+    held.push(callback);
+  }, 100);
+  for (let line = 0; line < 50; line++) output.write(`${'x'.repeat(9)}\n`);
+  t.equal(written.length, 1, 'one write is under way');
+  t.ok(output.droppedLines >= 39, 'what does not fit is dropped');
+  held.shift()!(null, written[0]!.length);
+  t.equal(written.length, 2, 'the rest follows');
+  const rest = written[1]!.length;
+  held.shift()!(null, rest - 5);
+  t.equal(written[2]!.length, 5, 'a short write is finished');
+  t.end();
+});
+
+void t.test('each kind of event has a budget; what is left out is told', (t) => {
+  const lines: number[] = [];
+  let now = 0;
+  const clock = { now: () => now, setTimer: () => ({ cancel: () => undefined }) };
+  const logger = new DecisionLogger({ event: (kind) => lines.push(kind.number) }, clock);
+  for (let count = 0; count < 100; count++) logger.log(Events.requestRefused, {});
+  logger.log(Events.requestInDoubt, {});
+  t.equal(lines.filter((number) => number === Events.requestRefused.number).length, 20);
+  t.ok(lines.includes(Events.requestInDoubt.number), 'other kinds have budgets of their own');
+  now = 1000;
+  logger.log(Events.requestRefused, {});
+  t.ok(lines.includes(Events.linesLeftOut.number));
+  t.end();
+});
