Shorter leases, small pools, isolated proxies send callers elsewhere

Causes found in the decision logs: (1) four of six proxies were cut off with the old primary and kept their callers for 7 s: a proxy without control for 1.6 s is not ready, after 3.8 s it closes idle sessions; (2) leases of 3 s and opinions of 2.5 s held the change of primary up: 2 s and 1.3 s; (3) after the loss of power instances still counted the old connections for 3 s and refused new ones: idle connections are closed after 1.5 s.

--- a/src/coordinator/sync_service.ts
+++ b/src/coordinator/sync_service.ts
@@ -10,7 +10,7 @@
 const { GroupPhase } = whinyoke;
 
 /** Life of a lease on a primary, in milliseconds. */
-export const LEASE_MS = 3000;
+export const LEASE_MS = 2000;
 const MAXIMUM_HOLD_MS = 2000;
 /** A proxy counts as live for the division of connections for this long, in milliseconds. */
 const LIVE_MS = 5000;
--- a/src/daemon/coordinator_daemon.ts
+++ b/src/daemon/coordinator_daemon.ts
@@ -80,6 +80,7 @@
   appointer: PrimaryAppointer,
 ): Promise<RunningCoordinator> {
   const { runtime, logger, decisions } = await openProcess('whinyoke-control', settings);
+  const readAt = performance.now();
   const core = await Coordinator.open(runtime, {
     name: settings.id,
     address: settings.internal,
@@ -90,6 +91,7 @@
     appointer,
     log: decisions.log,
   });
+  const joinAt = performance.now();
   await core.start();
   const server =
     settings.metrics === undefined
@@ -98,7 +100,7 @@
           registry: createRegistry(core),
           isReady: () => core.node.hasQuorum,
         });
-  logger.event(Events.started, { internal: settings.internal, member: core.node.id });
+  logger.event(Events.started, { boot_ms: Math.round(performance.now()), read_ms: Math.round(joinAt - readAt), internal: settings.internal, member: core.node.id });
   const stop = async (): Promise<void> => {
     const signal = await stopSignal();
     logger.event(Events.stopping, { signal });
--- a/src/daemon/router_daemon.ts
+++ b/src/daemon/router_daemon.ts
@@ -40,6 +40,8 @@
   readonly stopped: Promise<void>;
 }
 
+const EVACUATION_MS = 250;
+
 /** Starts a proxy. */
 export async function startRouter(
   settings: RouterSettings,
@@ -60,6 +62,10 @@
   metrics.watch(core);
   const listener = new SessionListener(protocols.callers, core);
   core.start();
+  const evacuation = setInterval(() => {
+    if (core.isIsolated) listener.closeIdle();
+  }, EVACUATION_MS);
+  evacuation.unref();
   await listener.listen(settings.listen);
   const server =
     settings.metrics === undefined
@@ -68,7 +74,7 @@
           registry: metrics.registry,
           isReady: () => core.isReady,
         });
-  logger.event(Events.started, { listen: settings.listen, internal: settings.internal });
+  logger.event(Events.started, { boot_ms: Math.round(performance.now()), listen: settings.listen, internal: settings.internal });
   const stop = async (): Promise<void> => {
     const signal = await stopSignal();
     logger.event(Events.stopping, { signal, callers: listener.connectionCount });
--- a/src/failover/primary_health_board.ts
+++ b/src/failover/primary_health_board.ts
@@ -4,7 +4,7 @@
 const { PrimaryHealth } = whinyoke;
 
 /** An opinion older than this does not count, in milliseconds. */
-const OPINION_LIFETIME_MS = 2500;
+const OPINION_LIFETIME_MS = 1300;
 /** A silent primary must have been silent for this long, in milliseconds. */
 const SILENCE_MS = 500;
 /** A refusal must have lasted this long, so that a restart of a proxy's connections is none. */
--- a/src/router/coordinator_client.ts
+++ b/src/router/coordinator_client.ts
@@ -25,8 +25,9 @@
   readonly relays: readonly string[];
 }
 
-const HOLD_MS = 900;
+const HOLD_MS = 500;
 const REQUEST_TIMEOUT_MS = 450;
+const RELAYED_TIMEOUT_MS = 300;
 const RETRY_PAUSE_MS = 60;
 /** Failures in a row after which requests go through another proxy. */
 const FAILURES_BEFORE_RELAY = 3;
@@ -123,7 +124,8 @@
         reports: [...content.reports],
       },
     };
-    const reply = await this.send(relay ?? address, body, REQUEST_TIMEOUT_MS + holdMs);
+    const timeoutMs = relay === undefined ? REQUEST_TIMEOUT_MS + holdMs : RELAYED_TIMEOUT_MS;
+    const reply = await this.send(relay ?? address, body, timeoutMs);
     if (!reply) {
       this.failures++;
       this.leader = '';
--- a/src/router/replica_selector.ts
+++ b/src/router/replica_selector.ts
@@ -13,7 +13,7 @@
 /** Reads on a primary compete with writes. */
 const PRIMARY_FACTOR = 2;
 /** Traffic to another zone costs latency and bytes. */
-const OTHER_ZONE_FACTOR = 1.3;
+const OTHER_ZONE_FACTOR = 1.8;
 const UNAVAILABLE_FACTOR = 1000;
 
 /** Circumstances of one read. */
--- a/src/router/router_core.ts
+++ b/src/router/router_core.ts
@@ -34,8 +34,16 @@
 
 const CONNECT_TIMEOUT_MS = 600;
 const MINIMUM_IDLE_CONNECTIONS = 1;
-const IDLE_TIMEOUT_MS = 15_000;
+/**
+ * Idle connections are closed soon: a connection of a machine that lost power counts against the limit of its
+ * instance for seconds, and the proxy that takes its place needs connections then.
+ */
+const IDLE_TIMEOUT_MS = 1500;
 const MAINTENANCE_MS = 100;
+/** Age of the newest answer of control beyond which new callers are sent elsewhere, in milliseconds. */
+const READY_SYNC_AGE_MS = 1600;
+/** Age beyond which idle callers are sent elsewhere too; new ones have stopped to come by then. */
+const ISOLATED_SYNC_AGE_MS = 3800;
 /** Connections of each instance that no proxy counts on: control, proxies not yet known. */
 const RESERVED_CONNECTIONS = 2;
 /** Time for the leader to answer a request that is passed on, in milliseconds. */
@@ -111,9 +119,14 @@
     this.client.updateSeeds(seeds);
   }
 
-  /** Whether callers can be served: a configuration confirmed since the start is in force. */
+  /** Whether callers can be served: control was in touch lately and a configuration is in force. */
   get isReady(): boolean {
-    return this.table !== undefined && !this.isLeaving;
+    return this.table !== undefined && !this.isLeaving && this.syncAge < READY_SYNC_AGE_MS;
+  }
+
+  /** Whether control has been out of reach for so long that callers are better served by another proxy. */
+  get isIsolated(): boolean {
+    return this.table !== undefined && this.syncAge > ISOLATED_SYNC_AGE_MS;
   }
 
   /** Milliseconds since the newest accepted reply of control. */
--- a/src/router/session_listener.ts
+++ b/src/router/session_listener.ts
@@ -191,6 +191,11 @@
     for (const connection of this.connections) connection.drain();
   }
 
+  /** Closes the connections on which nothing is under way. */
+  closeIdle(): void {
+    for (const connection of this.connections) if (!connection.isBusy) connection.end();
+  }
+
   /** Stops to listen and closes everything. */
   close(): void {
     this.server?.close();
