--- a/lab/appointed/virtual_instances.ts
+++ b/lab/appointed/virtual_instances.ts
@@ -43,8 +43,10 @@
   instance.process.clock.setTimer(HANDSHAKE_MS, () =>
     end.send({ kind: 'opened', position: instance.applied } satisfies Greeting),
   );
+  let previous: Promise<void> = Promise.resolve();
   end.onMessage = (message) => {
-    void instance.run(session, message as InstanceCommand).then(({ answer, fate }) => {
+    previous = previous.then(async () => {
+      const { answer, fate } = await instance.run(session, message as InstanceCommand);
       if (fate === 'sent' && instance.process.alive) end.send(answer);
     });
   };
@@ -52,16 +54,15 @@
 
 class VirtualInstanceConnection implements InstanceConnection {
   onClosed: (() => void) | undefined;
-  private pending: PendingRun | undefined;
+  private readonly pending: PendingRun[] = [];
 
   constructor(
     private readonly end: StreamEnd,
     private readonly process: VirtualProcess,
   ) {
     end.onMessage = (message) => {
-      const { pending } = this;
-      this.pending = undefined;
-      if (pending) pending.resolve(message as InstanceAnswer);
+      const waiting = this.pending.shift();
+      if (waiting) waiting.resolve(message as InstanceAnswer);
       else this.close();
     };
     end.onClosed = () => this.fail('connection closed');
@@ -81,7 +82,7 @@
         this.close();
       });
       const settle = (): void => timer.cancel();
-      this.pending = {
+      this.pending.push({
         resolve: (answer) => {
           settle();
           resolve(answer);
@@ -90,7 +91,7 @@
           settle();
           reject(error);
         },
-      };
+      });
       this.end.send(command);
     });
   }
@@ -100,9 +101,9 @@
   }
 
   private fail(reason: string): void {
-    const { pending } = this;
-    this.pending = undefined;
-    pending?.reject(new BackendConnectionLostError(reason, { sent: true }));
+    for (const waiting of this.pending.splice(0)) {
+      waiting.reject(new BackendConnectionLostError(reason, { sent: true }));
+    }
     this.onClosed?.();
   }
 }
--- a/lab/cli/main.ts
+++ b/lab/cli/main.ts
@@ -4,7 +4,7 @@
 import { fileURLToPath } from 'node:url';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
-import { stopSignal } from '../../src/daemon/process_runtime.js';
+import { stopSignal } from '../../src/daemon/stop_signal.js';
 import { WhinyokeError, messageOf } from '../../src/errors/errors.js';
 import { PROTECTIONS } from '../../src/gateway/protections.js';
 import { BENCHMARKS, runBenchmark } from '../bench/benchmarks.js';
--- a/lab/database/daemon.ts
+++ b/lab/database/daemon.ts
@@ -3,7 +3,7 @@
 import { createServer } from 'node:http';
 import { z } from 'zod';
 import { addressSchema } from '../../src/config/configuration.js';
-import { stopSignal } from '../../src/daemon/process_runtime.js';
+import { stopSignal } from '../../src/daemon/stop_signal.js';
 import { messageOf } from '../../src/errors/errors.js';
 import { RealClock } from '../../src/runtime/real_clock.js';
 import { RealFolder } from '../../src/runtime/real_folder.js';
--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -6,7 +6,8 @@
 import { EventLogger } from '../observability/logger.js';
 import { controlSettingsSchema, readSettings } from '../settings/settings.js';
 import { startMetricsServer } from './metrics_server.js';
-import { openRuntime, stopSignal } from './process_runtime.js';
+import { openRuntime } from './process_runtime.js';
+import { stopSignal } from './stop_signal.js';
 
 const PLATFORM_TIMEOUT_MS = 2000;
 
--- a/src/daemon/coordinator_daemon.ts
+++ b/src/daemon/coordinator_daemon.ts
@@ -8,7 +8,7 @@
 import type { InstanceConnector } from '../router/instance_connection.js';
 import { startMetricsServer } from './metrics_server.js';
 import { openProcess } from './managed_process.js';
-import { stopSignal } from './process_runtime.js';
+import { stopSignal } from './stop_signal.js';
 
 /** Settings of a control machine for groups with appointed primaries. */
 export interface CoordinatorSettings {
@@ -100,7 +100,12 @@
           registry: createRegistry(core),
           isReady: () => core.node.hasQuorum,
         });
-  logger.event(Events.started, { boot_ms: Math.round(performance.now()), read_ms: Math.round(joinAt - readAt), internal: settings.internal, member: core.node.id });
+  logger.event(Events.started, {
+    boot_ms: Math.round(performance.now()),
+    read_ms: Math.round(joinAt - readAt),
+    internal: settings.internal,
+    member: core.node.id,
+  });
   const stop = async (): Promise<void> => {
     const signal = await stopSignal();
     logger.event(Events.stopping, { signal });
--- a/src/daemon/process_runtime.ts
+++ b/src/daemon/process_runtime.ts
@@ -36,11 +36,3 @@
   await messenger.listen();
   return { clock: new RealClock(), random: SeededRandom.fromSystem(), folder, messenger };
 }
-
-/** Resolves at the first SIGTERM or SIGINT. */
-export function stopSignal(): Promise<string> {
-  return new Promise((resolve) => {
-    process.once('SIGTERM', () => resolve('SIGTERM'));
-    process.once('SIGINT', () => resolve('SIGINT'));
-  });
-}
--- a/src/daemon/proxy_daemon.ts
+++ b/src/daemon/proxy_daemon.ts
@@ -13,7 +13,8 @@
   readSettings,
 } from '../settings/settings.js';
 import { startMetricsServer } from './metrics_server.js';
-import { type ProcessRuntime, openRuntime, stopSignal } from './process_runtime.js';
+import { type ProcessRuntime, openRuntime } from './process_runtime.js';
+import { stopSignal } from './stop_signal.js';
 
 const SERVER_VERSION = '8.4.0-whinyoke';
 
--- a/src/daemon/router_daemon.ts
+++ b/src/daemon/router_daemon.ts
@@ -8,7 +8,7 @@
 import { startMetricsServer } from './metrics_server.js';
 import { openProcess } from './managed_process.js';
 import { RouterMetrics } from './router_metrics.js';
-import { stopSignal } from './process_runtime.js';
+import { stopSignal } from './stop_signal.js';
 
 /** Settings of a proxy for groups with appointed primaries. */
 export interface RouterSettings {
@@ -74,7 +74,11 @@
           registry: metrics.registry,
           isReady: () => core.isReady,
         });
-  logger.event(Events.started, { boot_ms: Math.round(performance.now()), listen: settings.listen, internal: settings.internal });
+  logger.event(Events.started, {
+    boot_ms: Math.round(performance.now()),
+    listen: settings.listen,
+    internal: settings.internal,
+  });
   const stop = async (): Promise<void> => {
     const signal = await stopSignal();
     logger.event(Events.stopping, { signal, callers: listener.connectionCount });
--- a/src/router/instance_connection.ts
+++ b/src/router/instance_connection.ts
@@ -43,7 +43,7 @@
 /** One connection to an instance. */
 export interface InstanceConnection {
   /**
-   * Runs one command; only one at a time.
+   * Runs one command. Commands run in the order in which they were sent; several may be under way.
    * @throws BackendConnectionLostError when the connection broke or `timeoutMs` passed; it is unusable then
    */
   run(command: InstanceCommand, timeoutMs: number): Promise<InstanceAnswer>;
--- a/src/router/routed_session.ts
+++ b/src/router/routed_session.ts
@@ -13,7 +13,8 @@
   type PreparedShape,
   accessOf,
 } from './statement.js';
-import { type SessionContent, StatementRunner } from './statement_runner.js';
+import type { SessionContent } from './session_loader.js';
+import { StatementRunner } from './statement_runner.js';
 import { Transaction } from './transaction.js';
 
 const FAILED_TEXT = 'the transaction has failed; roll back';
@@ -136,6 +137,7 @@
       this.context.clock.now(),
       this.ownPositionIn(route.group),
     );
+    this.transaction.prepare({ values: this.values });
     return completed('open');
   }
 
--- a/src/router/session_loader.ts
+++ b/src/router/session_loader.ts
@@ -1,40 +1,40 @@
-/** Brings session values and prepared shapes onto an instance connection before a statement needs them. */
-import type { InstanceAnswer } from './instance_connection.js';
+/** What an instance connection must be told before it can run a statement of a session. */
 import type { PooledConnection } from './instance_pool.js';
 import { type InstanceCommand, type PreparedShape, sharedName } from './statement.js';
 
-/** Runs one command on the connection. */
-export type CommandRunner = (command: InstanceCommand) => Promise<InstanceAnswer>;
+/** What a connection must hold before a statement. */
+export interface SessionContent {
+  readonly values: ReadonlyMap<string, string>;
+  readonly prepared?: PreparedShape;
+}
 
 function needsReset(pooled: PooledConnection, values: ReadonlyMap<string, string>): boolean {
   return [...pooled.values.keys()].some((name) => !values.has(name));
 }
 
-/**
- * Loads what is missing.
- * @returns whether the connection now holds exactly `values`, and `prepared` when given
- */
-export async function loadSession(
-  pooled: PooledConnection,
-  values: ReadonlyMap<string, string>,
-  prepared: PreparedShape | undefined,
-  run: CommandRunner,
-): Promise<boolean> {
-  if (needsReset(pooled, values)) {
-    const answer = await run({ kind: 'reset' });
-    if (answer.error) return false;
+/** Commands that bring the content onto the connection, in their order. */
+export function loadingSteps(pooled: PooledConnection, content: SessionContent): InstanceCommand[] {
+  const steps: InstanceCommand[] = [];
+  const isReset = needsReset(pooled, content.values);
+  if (isReset) steps.push({ kind: 'reset' });
+  for (const [name, value] of content.values) {
+    const isLoaded = !isReset && pooled.values.get(name) === value;
+    if (!isLoaded) steps.push({ kind: 'set', name, value });
+  }
+  const { prepared } = content;
+  const isPrepared = prepared && !isReset && pooled.preparedNames.has(sharedName(prepared));
+  if (prepared && !isPrepared) steps.push({ kind: 'prepare', prepared });
+  return steps;
+}
+
+/** Notes that the instance has run a step. */
+export function noteLoaded(pooled: PooledConnection, step: InstanceCommand): void {
+  if (step.kind === 'reset') {
     pooled.values.clear();
     pooled.preparedNames.clear();
+  } else if (step.kind === 'set') {
+    pooled.values.set(step.name, step.value);
+  } else if (step.kind === 'prepare') {
+    pooled.preparedNames.add(sharedName(step.prepared));
   }
-  for (const [name, value] of values) {
-    if (pooled.values.get(name) === value) continue;
-    const answer = await run({ kind: 'set', name, value });
-    if (answer.error) return false;
-    pooled.values.set(name, value);
-  }
-  if (!prepared || pooled.preparedNames.has(sharedName(prepared))) return true;
-  const answer = await run({ kind: 'prepare', prepared });
-  if (answer.error) return false;
-  pooled.preparedNames.add(sharedName(prepared));
-  return true;
 }
--- a/src/router/single_statement.ts
+++ b/src/router/single_statement.ts
@@ -7,12 +7,12 @@
 import { inDoubt, refuse } from './refusal.js';
 import type { RequestDeadline } from './request_deadline.js';
 import type { RouterContext } from './router_context.js';
+import type { SessionContent } from './session_loader.js';
 import type { DataStatement } from './statement.js';
 import {
   type Attempt,
   type HeldConnection,
   type NotRunAttempt,
-  type SessionContent,
   type StatementRunner,
   isNotRun,
 } from './statement_runner.js';
--- a/src/router/statement_runner.ts
+++ b/src/router/statement_runner.ts
@@ -4,8 +4,8 @@
 import type { InstanceAnswer, InstanceErrorKind } from './instance_connection.js';
 import { AcquireError, type PooledConnection } from './instance_pool.js';
 import type { RouterContext } from './router_context.js';
-import { loadSession } from './session_loader.js';
-import type { InstanceCommand, PreparedShape } from './statement.js';
+import { type SessionContent, loadingSteps, noteLoaded } from './session_loader.js';
+import type { InstanceCommand } from './statement.js';
 import type { Target } from './target_planner.js';
 
 const { PrimaryHealth } = whinyoke;
@@ -44,12 +44,6 @@
   /** It may have run. */
   | { readonly outcome: 'lost'; readonly cause: string };
 
-/** What a connection must hold before a statement. */
-export interface SessionContent {
-  readonly values: ReadonlyMap<string, string>;
-  readonly prepared?: PreparedShape;
-}
-
 /** Runner of one process. */
 export class StatementRunner {
   constructor(private readonly context: RouterContext) {}
@@ -89,8 +83,8 @@
   }
 
   /**
-   * Loads the session, then runs a command. A lost connection before the command was sent counts as not
-   * run. The connection stays held; a lost one is closed already.
+   * Loads the session and runs a command, all sent at once. The connection stays held; a lost one is closed
+   * already.
    */
   async attempt(
     held: HeldConnection,
@@ -98,26 +92,36 @@
     command: InstanceCommand,
     timeoutMs: number,
   ): Promise<Attempt> {
-    const start = this.context.clock.now();
-    const remaining = (): number => Math.max(1, timeoutMs - (this.context.clock.now() - start));
+    const loading = loadingSteps(held.pooled, content).map((step) =>
+      this.load(held, step, timeoutMs),
+    );
+    const running = this.exchange(held, command, timeoutMs);
+    const [loaded, [result]] = await Promise.all([
+      Promise.all(loading),
+      Promise.allSettled([running]),
+    ]);
+    if (result.status === 'rejected') return failedAttempt(result.reason);
+    const { value: answer } = result;
+    if (loaded.every((isLoaded) => isLoaded)) return { outcome: 'answered', answer };
+    // The statement met a session other than the caller's.
+    held.pooled.connection.close();
+    const cause = 'the session could not be loaded';
+    const isHarmless = answer.error !== undefined && isNotRun(answer.error.kind);
+    return { outcome: isHarmless ? 'notRun' : 'lost', cause };
+  }
+
+  private async load(
+    held: HeldConnection,
+    step: InstanceCommand,
+    timeoutMs: number,
+  ): Promise<boolean> {
     try {
-      const isLoaded = await loadSession(held.pooled, content.values, content.prepared, (step) =>
-        this.exchange(held, step, remaining()),
-      );
-      if (!isLoaded) {
-        held.pooled.connection.close();
-        return { outcome: 'notRun', cause: 'session could not be loaded' };
-      }
+      const answer = await this.exchange(held, step, timeoutMs);
+      if (answer.error) return false;
+      noteLoaded(held.pooled, step);
+      return true;
     } catch {
-      return { outcome: 'notRun', cause: 'connection lost before the statement' };
-    }
-    if (held.pooled.connection.closed) return { outcome: 'notRun', cause: 'connection lost' };
-    try {
-      return { outcome: 'answered', answer: await this.exchange(held, command, remaining()) };
-    } catch (error) {
-      const cause = error instanceof Error ? error.message : 'connection lost';
-      const wasSent = !(error instanceof BackendConnectionLostError) || error.sent;
-      return { outcome: wasSent ? 'lost' : 'notRun', cause };
+      return false;
     }
   }
 
@@ -171,6 +175,12 @@
   }
 }
 
+function failedAttempt(reason: unknown): Attempt {
+  const cause = reason instanceof Error ? reason.message : 'connection lost';
+  const wasSent = !(reason instanceof BackendConnectionLostError) || reason.sent;
+  return { outcome: wasSent ? 'lost' : 'notRun', cause };
+}
+
 function isWrite(command: InstanceCommand): boolean {
   if (command.kind !== 'data') return false;
   const { statement } = command;
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -10,17 +10,19 @@
 import { RequestDeadline } from './request_deadline.js';
 import type { Route } from './route_table.js';
 import type { RouterContext } from './router_context.js';
+import type { SessionContent } from './session_loader.js';
 import { type DataStatement, type InstanceCommand, accessOf } from './statement.js';
 import {
   type Attempt,
   type HeldConnection,
-  type SessionContent,
   type StatementRunner,
   isNotRun,
 } from './statement_runner.js';
 import { type Target, planRead } from './target_planner.js';
 import { awaitPrimary } from './trust_waiter.js';
 
+/** Identifier of statements that no caller asked for. */
+const OWN_REQUEST = '-';
 const BUSY_PAUSE_MS = 10;
 const MINIMUM_ATTEMPT_MS = 5;
 /** Share of the target latency that every statement of a transaction gets. */
@@ -37,6 +39,9 @@
 export class Transaction {
   private held: HeldConnection | undefined;
   private hasWritten = false;
+  private isEnded = false;
+  /** The begin at an instance that is under way; resolves with why it failed. */
+  private binding: Promise<string | undefined> | undefined;
 
   constructor(
     private readonly context: RouterContext,
@@ -48,6 +53,11 @@
     private readonly ownPosition: Position | undefined,
   ) {}
 
+  /** Begins at an instance ahead of the first statement, which tries again when this fails. */
+  prepare(content: SessionContent): void {
+    void this.bind(new RequestDeadline(this.context.clock, this.route), content);
+  }
+
   /** Runs a statement; after an error the transaction has failed and holds nothing any more. */
   async run(id: string, statement: DataStatement, content: SessionContent): Promise<CallerReply> {
     const deadline = new RequestDeadline(this.context.clock, this.route);
@@ -102,6 +112,7 @@
 
   /** Rolls back; the connection is cleaned up in the background. */
   rollback(id: string): void {
+    this.isEnded = true;
     const { held } = this;
     this.held = undefined;
     if (!held) return;
@@ -175,7 +186,18 @@
     deadline: RequestDeadline,
     content: SessionContent,
   ): Promise<string | undefined> {
+    await this.binding;
     if (this.held) return undefined;
+    this.binding = this.tryTargets(deadline, content);
+    const problem = await this.binding;
+    if (this.isEnded) this.rollback(OWN_REQUEST);
+    return problem;
+  }
+
+  private async tryTargets(
+    deadline: RequestDeadline,
+    content: SessionContent,
+  ): Promise<string | undefined> {
     const tried = new Set<string>();
     let cause = 'no trusted primary';
     while (deadline.remaining > MINIMUM_ATTEMPT_MS) {
