Begin a change of primary as soon as it is due; refuse early what no instance was offered

The dark old primary held the choice up for 0.5 s: it is waited for only when its answer is needed. The generated codec loses its conversion functions, which nothing used.

--- a/scripts/generate_protocol.sh
+++ b/scripts/generate_protocol.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 out=src/protocol/generated
 mkdir -p "$out"
-npx pbjs -t static-module -w es6 --force-number --no-verify --no-service --no-delimited --no-beautify \
+npx pbjs -t static-module -w es6 --force-number --no-verify --no-convert --no-service --no-delimited --no-beautify \
   -o "$out/messages.js" src/protocol/messages.proto
 npx pbts -o "$out/messages.d.ts" "$out/messages.js"
 sed -i 's#import \* as \$protobuf from "protobufjs/minimal"#import $protobuf from "protobufjs/minimal.js"#;s#"protobufjs/minimal"#"protobufjs/minimal.js"#' "$out/messages.js"
--- a/src/coordinator/catalog_service.ts
+++ b/src/coordinator/catalog_service.ts
@@ -68,6 +68,16 @@
     await this.propose({});
   }
 
+  /** An instance that tells an address is the only one there: others at it are gone. */
+  private async removeFormerTenants(instance: whinyoke.IInstanceEntry): Promise<void> {
+    const former = this.catalog.presentInstances.filter(
+      (other) => other.address === instance.address && other.id !== instance.id,
+    );
+    for (const other of former) {
+      await this.propose({ putInstance: { ...other, state: InstanceState.GONE } });
+    }
+  }
+
   private async noteBeat(beat: whinyoke.IInstanceBeat): Promise<whinyoke.ICatalogReply> {
     const instance = beat.instance ?? {};
     const known = this.catalog.instance(instance.id ?? '');
@@ -80,6 +90,7 @@
     const isLate = (instance.sequence ?? 0) < (known?.sequence ?? 0);
     if (!isLate && known?.state !== InstanceState.GONE && !isSame(known, instance)) {
       await this.propose({ putInstance: instance });
+      await this.removeFormerTenants(instance);
     }
     return { outcome: CatalogOutcome.DONE };
   }
--- a/src/coordinator/coordinator.ts
+++ b/src/coordinator/coordinator.ts
@@ -173,7 +173,7 @@
   private beginLeadership(): void {
     const now = this.runtime.clock.now();
     this.ledger.begin(now + LEASE_MS + STALE_LEADER_MS);
-    this.monitor.clear();
+    this.monitor.begin(now);
     this.board.clear();
     this.syncService.begin();
   }
--- a/src/failover/failover_controller.ts
+++ b/src/failover/failover_controller.ts
@@ -17,6 +17,11 @@
 /** Silence soon after a change is more likely load than a fault; in milliseconds. */
 const SETTLING_MS = 2000;
 
+interface KnownEpoch {
+  readonly epoch: number;
+  readonly beganAt: number;
+}
+
 /** Why a primary is to be replaced. */
 interface ChangeCause {
   readonly text: string;
@@ -27,7 +32,8 @@
 export class FailoverController {
   private timer: Timer | undefined;
   private readonly changing = new Set<string>();
-  private readonly steadySince = new Map<string, { epoch: number; at: number }>();
+  /** Epochs that this leader saw begin, and when. */
+  private readonly knownEpochs = new Map<string, KnownEpoch>();
   private isAdopting = false;
 
   constructor(
@@ -103,6 +109,7 @@
   }
 
   private judge(entry: GroupEntry): void {
+    this.noteEpoch(entry);
     const cause = this.causeOfChange(entry);
     if (!cause || this.changing.has(entry.group ?? '')) return;
     void this.begin(entry, cause.text, cause.isPlanned);
@@ -141,21 +148,26 @@
     const { bad, good, trouble } = this.board.verdict(entry.group ?? '', entry.epoch ?? 0, now);
     const beatAge = this.monitor.age(entry.primary ?? '', now);
     if (bad > good) {
-      const isConfirmed = bad >= 2 || (beatAge ?? Infinity) > LATE_HEARTBEAT_MS;
+      const isConfirmed = bad >= 2 || beatAge > LATE_HEARTBEAT_MS;
       const isSettled = trouble !== 'silent' || this.steadyAge(entry, now) > SETTLING_MS;
-      const text = `${bad} proxies find it ${trouble}, ${good} use it; heartbeat age ${beatAge}`;
+      const text = `${bad} proxies find it ${trouble}, ${good} use it; heartbeat age ${Math.round(beatAge)} ms`;
       return isConfirmed && isSettled ? { text, isPlanned: false } : undefined;
     }
-    const isSilent = good === 0 && beatAge !== undefined && beatAge > SILENT_HEARTBEAT_MS;
-    return isSilent ? { text: `no heartbeat for ${beatAge} ms`, isPlanned: false } : undefined;
+    const isSilent = good === 0 && beatAge > SILENT_HEARTBEAT_MS;
+    return isSilent ? { text: `no heartbeat for ${Math.round(beatAge)} ms`, isPlanned: false } : undefined;
   }
 
-  private steadyAge(entry: GroupEntry, now: number): number {
+  /** An epoch that was there before this machine led began long ago, as far as it knows. */
+  private noteEpoch(entry: GroupEntry): void {
     const group = entry.group ?? '';
-    const known = this.steadySince.get(group);
-    if (known && known.epoch === entry.epoch) return now - known.at;
-    this.steadySince.set(group, { epoch: entry.epoch ?? 0, at: now });
-    return 0;
+    const known = this.knownEpochs.get(group);
+    if (known?.epoch === entry.epoch) return;
+    const beganAt = known ? this.context.clock.now() : -Infinity;
+    this.knownEpochs.set(group, { epoch: entry.epoch ?? 0, beganAt });
+  }
+
+  private steadyAge(entry: GroupEntry, now: number): number {
+    return now - (this.knownEpochs.get(entry.group ?? '')?.beganAt ?? -Infinity);
   }
 
   private hasReplacement(entry: GroupEntry): boolean {
--- a/src/failover/instance_monitor.ts
+++ b/src/failover/instance_monitor.ts
@@ -13,6 +13,7 @@
 /** Monitor of all instances. */
 export class InstanceMonitor {
   private readonly beats = new Map<string, Beat>();
+  private begunAt = 0;
 
   /** Notes a heartbeat; a late one changes nothing. */
   note(beat: whinyoke.IInstanceBeat, now: number): void {
@@ -25,14 +26,14 @@
   }
 
   /** Forgets everything, at the begin of a leadership. */
-  clear(): void {
+  begin(now: number): void {
     this.beats.clear();
+    this.begunAt = now;
   }
 
-  /** Milliseconds since the newest heartbeat; undefined when there was none. */
-  age(instance: string, now: number): number | undefined {
-    const beat = this.beats.get(instance);
-    return beat && now - beat.at;
+  /** Milliseconds since the newest heartbeat, or since the leadership began when there was none. */
+  age(instance: string, now: number): number {
+    return now - (this.beats.get(instance)?.at ?? this.begunAt);
   }
 
   /** Role that the instance told last. */
--- a/src/failover/primary_changer.ts
+++ b/src/failover/primary_changer.ts
@@ -16,7 +16,7 @@
 import { type Clock, delay } from '../runtime/runtime.js';
 import { formatPosition } from '../session/position.js';
 import type { AppointmentDuty, Proposer } from './appointment_duty.js';
-import { type CandidateReport, chooseCandidate } from './candidate.js';
+import { type CandidateReport, type Choice, chooseCandidate } from './candidate.js';
 import type { InstanceAdministrator } from './instance_administrator.js';
 import type { LeaseLedger, RevocationState } from './lease_ledger.js';
 
@@ -123,36 +123,67 @@
     const term = (this.entry.term ?? 0) + 1;
     const replicas = this.members.filter((instance) => instance.id !== this.entry.primary);
     const old = this.members.find((instance) => instance.id === this.entry.primary);
-    const [statuses, oldStatus] = await Promise.all([
-      Promise.all(replicas.map((instance) => this.hold(instance, term))),
-      old && administrator.stepDown(targetOf(old), term),
-    ]);
+    const stepDown = old && administrator.stepDown(targetOf(old), term);
+    const reports = await this.holdAll(replicas, term);
+    const missing = replicas.length - reports.length;
+    // An old primary that is dark holds the change up only when its answer is needed.
+    const choice =
+      this.choose(reports, missing, undefined) ??
+      this.choose(reports, missing, await this.oldPrimaryReport(old, stepDown));
+    if (!choice) return undefined;
+    const target = choice.instance;
+    if (catalog.group(this.group)?.target !== target) {
+      await propose({ setTarget: { group: this.group, epoch: this.epoch, target } });
+    }
+    return target;
+  }
+
+  /** Stops all replicas from receiving; those that answer are candidates. */
+  private async holdAll(
+    replicas: readonly InstanceEntry[],
+    term: number,
+  ): Promise<readonly CandidateReport[]> {
+    const statuses = await Promise.all(replicas.map((instance) => this.hold(instance, term)));
     const reports: CandidateReport[] = [];
     for (const [index, status] of statuses.entries()) {
       const instance = replicas[index]!;
-      if (!status) continue;
       const isEligible = instance.state === InstanceState.READY;
-      reports.push({ instance: instance.id ?? '', status, isEligible });
-    }
-    if (old && oldStatus && old.state === InstanceState.READY && !this.entry.planned) {
-      // The old primary holds everything; it may lead again when no replica can.
-      reports.push({ instance: old.id ?? '', status: oldStatus, isEligible: reports.length === 0 });
+      if (status) reports.push({ instance: instance.id ?? '', status, isEligible });
     }
-    const choice = chooseCandidate({
-      reports,
-      missing: replicas.length - statuses.filter((status) => status).length,
-      oldPrimary: oldStatus,
+    return reports;
+  }
+
+  /** The old primary holds everything; it may lead again when no replica can. */
+  private async oldPrimaryReport(
+    old: InstanceEntry | undefined,
+    stepDown: Promise<InstanceStatus | undefined> | undefined,
+  ): Promise<CandidateReport | undefined> {
+    const status = await stepDown;
+    if (!old || !status) return undefined;
+    const isEligible = old.state === InstanceState.READY && !this.entry.planned;
+    return { instance: old.id ?? '', status, isEligible };
+  }
+
+  private choose(
+    replicas: readonly CandidateReport[],
+    missing: number,
+    oldPrimary: CandidateReport | undefined,
+  ): Choice | undefined {
+    const isReplicaEligible = replicas.some((report) => report.isEligible);
+    const input = {
+      missing,
+      oldPrimary: oldPrimary?.status,
       revocation: this.revocation(),
       isHistoryWhole: this.isHistoryWhole(),
       term: this.entry.term ?? 0,
-    });
-    this.logChoice(reports, oldStatus, choice && `${choice.instance} by ${choice.evidence}`);
-    if (!choice) return undefined;
-    const target = choice.instance;
-    if (catalog.group(this.group)?.target !== target) {
-      await propose({ setTarget: { group: this.group, epoch: this.epoch, target } });
-    }
-    return target;
+    };
+    const choice = chooseCandidate({ ...input, reports: [...replicas] });
+    const again =
+      !choice && oldPrimary && !isReplicaEligible
+        ? chooseCandidate({ ...input, reports: [...replicas, oldPrimary] })
+        : undefined;
+    this.logChoice(replicas, oldPrimary?.status, choice ?? again);
+    return choice ?? again;
   }
 
   /** Stops a replica from receiving; one that is held already tells its state. */
@@ -208,7 +239,7 @@
   private logChoice(
     reports: readonly CandidateReport[],
     oldPrimary: InstanceStatus | undefined,
-    choice: string | undefined,
+    choice: Choice | undefined,
   ): void {
     const { acknowledged, isConfirmedByAll } = this.revocation();
     this.context.log(Events.primaryCandidates, {
@@ -220,7 +251,7 @@
       old_primary: oldPrimary ? formatPosition(oldPrimary.received) : 'silent',
       acknowledged: acknowledged ? formatPosition(acknowledged) : 'none',
       confirmed_by_all: isConfirmedByAll,
-      choice: choice ?? 'none',
+      choice: choice ? `${choice.instance} by ${choice.evidence}` : 'none',
     });
   }
 }
--- a/src/router/coordinator_client.ts
+++ b/src/router/coordinator_client.ts
@@ -26,7 +26,7 @@
 }
 
 const HOLD_MS = 500;
-const REQUEST_TIMEOUT_MS = 450;
+const REQUEST_TIMEOUT_MS = 300;
 const RELAYED_TIMEOUT_MS = 300;
 const RETRY_PAUSE_MS = 60;
 /** Failures in a row after which requests go through another proxy. */
--- a/src/router/instance_pool.ts
+++ b/src/router/instance_pool.ts
@@ -62,6 +62,8 @@
 
 const CLAMP_MS = 2000;
 const RECONNECT_DELAY_MS = 100;
+/** Another instance has the address; control will tell when this one is gone. */
+const WRONG_INSTANCE_DELAY_MS = 3000;
 
 /** Pool of one instance. */
 export class InstancePool {
@@ -245,8 +247,10 @@
       if (this.size > 0) return;
     }
     this.nextAttemptAt = now + RECONNECT_DELAY_MS;
-    if (error?.failure === 'wrongInstance') this.rejectAll('wrongInstance');
-    else if (this.size === 0) this.rejectAll('unreachable');
+    if (error?.failure === 'wrongInstance') {
+      this.nextAttemptAt = now + WRONG_INSTANCE_DELAY_MS;
+      this.rejectAll('wrongInstance');
+    } else if (this.size === 0) this.rejectAll('unreachable');
   }
 
   private rejectAll(failure: AcquireFailure): void {
--- a/src/router/request_deadline.ts
+++ b/src/router/request_deadline.ts
@@ -35,6 +35,14 @@
     return Math.min(limit, this.route.timeoutMs) - this.elapsed;
   }
 
+  /**
+   * Whether another attempt is worth while. A request that no instance was offered is refused early, so that
+   * its caller can go elsewhere.
+   */
+  allowsRetry(wasOffered: boolean): boolean {
+    return wasOffered ? this.retryRemaining > 0 : this.offerRemaining > 0;
+  }
+
   /** Milliseconds in which another attempt is worth while. */
   get retryRemaining(): number {
     return this.route.timeoutMs * GIVE_UP_SHARE - this.elapsed;
--- a/src/router/router_core.ts
+++ b/src/router/router_core.ts
@@ -41,9 +41,9 @@
 const IDLE_TIMEOUT_MS = 1500;
 const MAINTENANCE_MS = 100;
 /** Age of the newest answer of control beyond which new callers are sent elsewhere, in milliseconds. */
-const READY_SYNC_AGE_MS = 1600;
+const READY_SYNC_AGE_MS = 1200;
 /** Age beyond which idle callers are sent elsewhere too; new ones have stopped to come by then. */
-const ISOLATED_SYNC_AGE_MS = 3800;
+const ISOLATED_SYNC_AGE_MS = 3300;
 /** Connections of each instance that no proxy counts on: control, proxies not yet known. */
 const RESERVED_CONNECTIONS = 2;
 /** Time for the leader to answer a request that is passed on, in milliseconds. */
--- a/src/router/single_statement.ts
+++ b/src/router/single_statement.ts
@@ -40,6 +40,13 @@
   readonly committedAt?: Position;
 }
 
+/** A write that certainly did not run. */
+interface NotRunWrite {
+  readonly cause: string;
+  /** Whether an instance was asked at all. */
+  readonly wasOffered: boolean;
+}
+
 /** Runs single statements. */
 export class SingleStatements {
   constructor(
@@ -53,14 +60,16 @@
     const { route } = deadline;
     const plan = { route, firstByteAt: deadline.arrivedAt, ownPosition: request.ownPosition };
     const tried = new Set<string>();
+    let wasOffered = false;
     let cause = 'no instance may serve the read';
     while (deadline.remaining > MINIMUM_ATTEMPT_MS) {
       const targets = planRead(this.context, plan, tried);
-      const target = targets[0] ?? (await this.nextRound(deadline, tried));
+      const target = targets[0] ?? (await this.nextRound(deadline, tried, wasOffered));
       if (!target) break;
       tried.add(target.instance);
       const isLast = targets.length <= 1;
       const attempt = await this.attemptRead(request, target, isLast);
+      wasOffered ||= attempt.outcome !== 'notRun';
       if (attempt.outcome === 'answered') {
         const { answer } = attempt;
         if (!answer.error) return this.succeed(request, target, answer);
@@ -80,6 +89,7 @@
     const { deadline } = request;
     const { group } = deadline.route;
     const refusal = { id: request.id, deadline, state: 'idle' as const };
+    let wasOffered = false;
     let cause = 'no trusted primary';
     while (deadline.remaining > MINIMUM_ATTEMPT_MS) {
       const target = await awaitPrimary(this.context, deadline);
@@ -88,9 +98,10 @@
       const result = await this.attemptWrite(request, target).finally(() =>
         this.context.trust.commitEnded(group),
       );
-      if (typeof result !== 'string') return result;
-      cause = result;
-      if (deadline.retryRemaining <= 0) break;
+      if ('reply' in result) return result;
+      cause = result.cause;
+      wasOffered ||= result.wasOffered;
+      if (!deadline.allowsRetry(wasOffered)) break;
       this.context.counters.retried(deadline.route.name, 'notRun');
       await delay(this.context.clock, RETRY_PAUSE_MS);
     }
@@ -101,9 +112,10 @@
   private async nextRound(
     deadline: RequestDeadline,
     tried: Set<string>,
+    wasOffered: boolean,
   ): Promise<Target | undefined> {
     if (tried.size === 0) return awaitPrimary(this.context, deadline);
-    if (deadline.retryRemaining <= 0) return undefined;
+    if (!deadline.allowsRetry(wasOffered)) return undefined;
     tried.clear();
     await delay(this.context.clock, RETRY_PAUSE_MS);
     return awaitPrimary(this.context, deadline);
@@ -136,25 +148,25 @@
   private async attemptWrite(
     request: SingleRequest,
     target: Target,
-  ): Promise<SingleResult | string> {
+  ): Promise<SingleResult | NotRunWrite> {
     const { deadline, id, statement } = request;
     const refusal = { id, deadline, state: 'idle' as const };
     const held = await this.hold(request, target);
-    if (!('pooled' in held)) return held.cause;
+    if (!('pooled' in held)) return { cause: held.cause, wasOffered: false };
     if (!this.isTrusted(target)) {
       this.runner.release(held);
-      return 'the lease on the primary ended';
+      return { cause: 'the lease on the primary ended', wasOffered: false };
     }
     const command = { kind: 'data' as const, id, statement };
     const attempt = await this.runner.attempt(held, request.content, command, deadline.remaining);
     this.runner.release(held, attempt.outcome === 'answered' ? attempt.answer : undefined);
-    if (attempt.outcome === 'notRun') return attempt.cause;
+    if (attempt.outcome === 'notRun') return { cause: attempt.cause, wasOffered: false };
     if (attempt.outcome === 'lost') {
       return { reply: inDoubt(this.context, refusal, `${target.instance}: ${attempt.cause}`) };
     }
     const { answer } = attempt;
     if (answer.error && isNotRun(answer.error.kind)) {
-      return `${target.instance} answered ${answer.error.kind}`;
+      return { cause: `${target.instance} answered ${answer.error.kind}`, wasOffered: true };
     }
     if (answer.error) return { reply: fail(answer.error) };
     if (!this.isTrusted(target) || !answer.position) {
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -223,7 +223,7 @@
       if (target) return target;
     }
     if (tried.size > 0) {
-      if (deadline.retryRemaining <= 0) return undefined;
+      if (!deadline.allowsRetry(false)) return undefined;
       tried.clear();
       await delay(this.context.clock, BUSY_PAUSE_MS);
     }
--- a/test/unit/failover.test.ts
+++ b/test/unit/failover.test.ts
@@ -5,8 +5,10 @@
 import { nextMembership } from '../../src/consensus/elastic_membership.js';
 import { Membership } from '../../src/consensus/membership.js';
 import { type ChoiceInput, chooseCandidate } from '../../src/failover/candidate.js';
+import { FailoverController } from '../../src/failover/failover_controller.js';
 import { InstanceMonitor } from '../../src/failover/instance_monitor.js';
 import { LeaseLedger } from '../../src/failover/lease_ledger.js';
+import type { ChangerContext } from '../../src/failover/primary_changer.js';
 import { PrimaryHealthBoard } from '../../src/failover/primary_health_board.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import type { InstanceStatus } from '../../src/router/instance_connection.js';
@@ -255,3 +257,70 @@
   t.equal(next([A, B, C], ['b', 'c']), undefined, 'nobody to replace them');
   t.end();
 });
+
+/** A controller on a leader that knows one group, and the commands that it proposes. */
+function controllerOf(): {
+  controller: FailoverController;
+  board: PrimaryHealthBoard;
+  proposed: whinyoke.ICatalogCommand[];
+  setNow: (time: number) => void;
+} {
+  let now = 0;
+  const catalog = new Catalog();
+  const proposed: whinyoke.ICatalogCommand[] = [];
+  let index = 0;
+  const propose = (command: whinyoke.ICatalogCommand): Promise<whinyoke.CatalogResult> => {
+    index++;
+    const bytes = catalog.apply(index, whinyoke.CatalogCommand.encode(command).finish());
+    return Promise.resolve(whinyoke.CatalogResult.decode(bytes));
+  };
+  for (const id of ['i-1', 'i-2']) {
+    void propose({ putInstance: { id, group: 'g', state: InstanceState.READY, address: id } });
+  }
+  void propose({ putGroup: groupEntry(1) });
+  const context = {
+    clock: { now: () => now, setTimer: () => ({ cancel: () => undefined }) },
+    catalog,
+    ledger: new LeaseLedger(),
+    propose: (command: whinyoke.ICatalogCommand) => {
+      proposed.push(command);
+      return propose(command);
+    },
+    log: () => undefined,
+    isLeading: () => true,
+  } as unknown as ChangerContext;
+  const board = new PrimaryHealthBoard();
+  const controller = new FailoverController(context, new InstanceMonitor(), board);
+  return { controller, board, proposed, setNow: (time: number) => (now = time) };
+}
+
+void t.test('a primary that turns silent long after its epoch began is replaced at once', (t) => {
+  const { controller, board, proposed, setNow } = controllerOf();
+  controller.tick();
+  setNow(60_000);
+  const silent = { group: 'g', epoch: 1, health: PrimaryHealth.SILENT, sinceMs: 600 };
+  board.note('p1', [silent], 60_000);
+  board.note('p2', [silent], 60_000);
+  controller.tick();
+  t.match(proposed, [{ putGroup: { epoch: 2, phase: GroupPhase.CHANGING } }]);
+  t.end();
+});
+
+void t.test('a new leader takes the epoch that it finds for an old one', (t) => {
+  const { controller, board, proposed } = controllerOf();
+  const silent = { group: 'g', epoch: 1, health: PrimaryHealth.SILENT, sinceMs: 600 };
+  board.note('p1', [silent], 0);
+  board.note('p2', [silent], 0);
+  controller.tick();
+  t.equal(proposed.length, 1);
+  t.end();
+});
+
+void t.test('one proxy against another does not replace a primary', (t) => {
+  const { controller, board, proposed } = controllerOf();
+  board.note('p1', [{ group: 'g', epoch: 1, health: PrimaryHealth.REFUSING, sinceMs: 600 }], 0);
+  board.note('p2', [{ group: 'g', epoch: 1, health: PrimaryHealth.HEALTHY, sinceMs: 1 }], 0);
+  controller.tick();
+  t.equal(proposed.length, 0);
+  t.end();
+});
