--- a/src/failover/failover_controller.ts
+++ b/src/failover/failover_controller.ts
@@ -154,7 +154,9 @@
       return isConfirmed && isSettled ? { text, isPlanned: false } : undefined;
     }
     const isSilent = good === 0 && beatAge > SILENT_HEARTBEAT_MS;
-    return isSilent ? { text: `no heartbeat for ${Math.round(beatAge)} ms`, isPlanned: false } : undefined;
+    return isSilent
+      ? { text: `no heartbeat for ${Math.round(beatAge)} ms`, isPlanned: false }
+      : undefined;
   }
 
   /** An epoch that was there before this machine led began long ago, as far as it knows. */
