--- a/src/coordinator/coordinator.ts
+++ b/src/coordinator/coordinator.ts
@@ -39,6 +39,7 @@
 const RAFT_OPTIONS: RaftOptions = {
   ...DEFAULT_RAFT_OPTIONS,
   heartbeatMs: 100,
+  electionTimeoutMs: 300,
   firstElectionMs: 150,
 };
 const UPKEEP_MS = 500;
--- a/src/coordinator/sync_service.ts
+++ b/src/coordinator/sync_service.ts
@@ -9,8 +9,11 @@
 
 const { GroupPhase } = whinyoke;
 
-/** Life of a lease on a primary, in milliseconds. */
-export const LEASE_MS = 2000;
+/**
+ * Life of a lease on a primary, in milliseconds: longer than a restart of all control machines takes, so that
+ * one stops no writes. A change of primary waits that long for proxies that are cut off.
+ */
+export const LEASE_MS = 3000;
 const MAXIMUM_HOLD_MS = 2000;
 /** A proxy counts as live for the division of connections for this long, in milliseconds. */
 const LIVE_MS = 5000;
--- a/src/router/coordinator_client.ts
+++ b/src/router/coordinator_client.ts
@@ -25,7 +25,8 @@
   readonly relays: readonly string[];
 }
 
-const HOLD_MS = 500;
+/** A lease counts from the begin of the request, so requests are held for a small part of it only. */
+const HOLD_MS = 300;
 const REQUEST_TIMEOUT_MS = 300;
 const RELAYED_TIMEOUT_MS = 300;
 const RETRY_PAUSE_MS = 60;
--- a/src/router/instance_load.ts
+++ b/src/router/instance_load.ts
@@ -5,7 +5,9 @@
 const INITIAL_LATENCY_MS = 10;
 const FIRST_EJECTION_MS = 200;
 const LONGEST_EJECTION_MS = 1600;
+/** An instance that lacked a position is asked again after this time, doubled with each time that it lacked. */
 const LAGGING_RECHECK_MS = 60;
+const LONGEST_LAGGING_RECHECK_MS = 480;
 const MINIMUM_PATIENCE_MS = 80;
 const PATIENCE_DEVIATIONS = 6;
 
@@ -18,7 +20,8 @@
   private failures = 0;
   private ejectedUntil = -Infinity;
   private applied: Position | undefined;
-  private appliedAt = -Infinity;
+  private laggingAnswers = 0;
+  private laggingUntil = -Infinity;
 
   /** Smoothed time of a statement, in milliseconds. */
   get latency(): number {
@@ -37,6 +40,7 @@
     this.latencyMs += LATENCY_WEIGHT * difference;
     this.deviationMs += LATENCY_WEIGHT * (Math.abs(difference) - this.deviationMs);
     this.failures = 0;
+    this.laggingAnswers = 0;
     this.ejectedUntil = -Infinity;
   }
 
@@ -53,14 +57,20 @@
   }
 
   /** Notes the position that the instance told. */
-  notePosition(position: Position, now: number): void {
+  notePosition(position: Position): void {
     this.applied = position;
-    this.appliedAt = now;
   }
 
-  /** Whether the instance recently lacked a position. An old observation says nothing. */
+  /** Notes that the instance lacked a position that a read asked for. */
+  noteLagging(now: number): void {
+    const recheckMs = LAGGING_RECHECK_MS * 2 ** Math.min(this.laggingAnswers, 10);
+    this.laggingAnswers++;
+    this.laggingUntil = now + Math.min(recheckMs, LONGEST_LAGGING_RECHECK_MS);
+  }
+
+  /** Whether the instance lacked a position a short time ago, and is not known to have this one. */
   isBehind(wanted: Position, now: number): boolean {
-    if (!this.applied || now - this.appliedAt > LAGGING_RECHECK_MS) return false;
-    return !covers(this.applied, wanted);
+    if (this.applied && covers(this.applied, wanted)) return false;
+    return now < this.laggingUntil;
   }
 }
--- a/src/router/instance_pool.ts
+++ b/src/router/instance_pool.ts
@@ -214,7 +214,7 @@
     this.connector.connect(this.target, this.options.connectTimeoutMs).then(
       ({ connection, position }) => {
         this.opening--;
-        if (position) this.load.notePosition(position, this.clock.now());
+        if (position) this.load.notePosition(position);
         this.observer.onConnected(this.clock.now() - startedAt);
         this.adopt(connection);
       },
--- a/src/router/primary_trust.ts
+++ b/src/router/primary_trust.ts
@@ -39,6 +39,8 @@
   readonly position: Position | undefined;
 }
 
+/** Remaining life of a lease under which nothing new is sent, in milliseconds. */
+const SEND_MARGIN_MS = 60;
 /** Longest time that commits under way hold up a revocation, in milliseconds. */
 const COMMIT_PATIENCE_MS = 250;
 
@@ -85,10 +87,10 @@
     for (const waiter of waiters) waiter();
   }
 
-  /** Primary that may be used at `now`. */
+  /** Primary to which a statement may be sent at `now`: the lease will outlast a short answer. */
   primaryOf(group: string, now: number): TrustedPrimary | undefined {
     const trust = this.groups.get(group);
-    if (!trust || now >= trust.leaseUntil) return undefined;
+    if (!trust || now >= trust.leaseUntil - SEND_MARGIN_MS) return undefined;
     const { entry } = trust;
     return { epoch: entry.epoch ?? 0, instance: entry.primary ?? '', term: entry.term ?? 0 };
   }
--- a/src/router/router_core.ts
+++ b/src/router/router_core.ts
@@ -46,6 +46,12 @@
 const ISOLATED_SYNC_AGE_MS = 3300;
 /** Connections of each instance that no proxy counts on: control, proxies not yet known. */
 const RESERVED_CONNECTIONS = 2;
+/**
+ * Callers are spread unevenly, so a proxy may have more than its equal share for as long as it uses them.
+ * Where all want more at once the instance refuses, and each goes on with what it has.
+ */
+const BURST_FACTOR = 2.5;
+const LARGEST_SHARE = 0.4;
 /** Time for the leader to answer a request that is passed on, in milliseconds. */
 const RELAY_TIMEOUT_MS = 400;
 
@@ -309,7 +315,10 @@
   /** Connections that this proxy may have to one instance of a group. */
   private connectionShare(group: string): number {
     const limit = this.table?.limitsByGroup.get(group)?.connectionLimit ?? 0;
-    return Math.max(1, Math.floor((limit - RESERVED_CONNECTIONS) / this.liveProxies));
+    const usable = limit - RESERVED_CONNECTIONS;
+    const equalShare = Math.floor(usable / this.liveProxies);
+    const most = Math.floor(usable * LARGEST_SHARE);
+    return Math.max(1, equalShare, Math.min(Math.floor(equalShare * BURST_FACTOR), most));
   }
 
   // ---- opinions on primaries ----
--- a/src/router/statement_runner.ts
+++ b/src/router/statement_runner.ts
@@ -164,7 +164,8 @@
     const { clock, trust } = this.context;
     const { group, primaryEpoch: epoch, pool } = held.target;
     const now = clock.now();
-    if (answer.position) pool.load.notePosition(answer.position, now);
+    if (answer.position) pool.load.notePosition(answer.position);
+    if (answer.error?.kind === 'lagging') pool.load.noteLagging(now);
     if (isTimed && !answer.error) pool.load.noteAnswer(now - sentAt);
     if (epoch === undefined) return;
     if (answer.error?.kind === 'readOnly') {
