--- a/lab/cli/main.ts
+++ b/lab/cli/main.ts
@@ -16,8 +16,12 @@
 import { checkHistory } from '../history/checker.js';
 import { parseHistory } from '../history/history.js';
 import { runPlatform } from '../platform/daemon.js';
-import { FAULT_KINDS, type FaultKind } from '../simulation/faults.js';
-import { runSimulateCommand } from '../simulation/simulate_command.js';
+import { APPOINTED_DEPLOYMENTS } from '../appointed/appointed_deployment.js';
+import type { AppointedFaultKind } from '../appointed/appointed_faults.js';
+import { APPOINTED_PROTECTIONS } from '../appointed/disabled_protections.js';
+import { explainRequest } from '../explain/explain.js';
+import type { FaultKind } from '../simulation/faults.js';
+import { faultsOf, runSimulateCommand } from '../simulation/simulate_command.js';
 
 const labProgram = fileURLToPath(import.meta.url);
 const proxyProgram = fileURLToPath(new URL('../../src/cli/main.js', import.meta.url));
@@ -29,6 +33,12 @@
   describe: 'deployment of the brief',
 } as const;
 
+const simulatedDeploymentOption = {
+  choices: ['quetzal', 'toplina', ...APPOINTED_DEPLOYMENTS.keys()],
+  default: 'quetzal',
+  describe: 'deployment; appointed: primaries are appointed from outside',
+} as const;
+
 function readSeeds(text: string): { firstSeed: number; lastSeed: number } {
   const match = /^(\d+)(?:-(\d+))?$/.exec(text);
   if (!match) throw new WhinyokeError(`--seeds must be like 1-20, not '${text}'`);
@@ -38,13 +48,16 @@
   return { firstSeed, lastSeed };
 }
 
-function readFaults(text: string | undefined): readonly FaultKind[] {
-  if (text === undefined) return FAULT_KINDS;
-  const known: ReadonlySet<string> = new Set(FAULT_KINDS);
+function readFaults(
+  deployment: string,
+  text: string | undefined,
+): readonly (FaultKind | AppointedFaultKind)[] {
+  const known = faultsOf(deployment);
+  if (text === undefined) return known;
   const names = text === 'none' ? [] : text.split(',');
-  const unknown = names.find((name) => !known.has(name));
-  if (unknown === undefined) return names as FaultKind[];
-  throw new WhinyokeError(`--faults: unknown '${unknown}'; known are ${FAULT_KINDS.join(', ')}`);
+  const unknown = names.find((name) => !(known as readonly string[]).includes(name));
+  if (unknown === undefined) return names as (FaultKind | AppointedFaultKind)[];
+  throw new WhinyokeError(`--faults: unknown '${unknown}'; known are ${known.join(', ')}`);
 }
 
 function checkFile(file: string): void {
@@ -125,10 +138,13 @@
     'run whole deployments under faults on virtual time',
     (builder) =>
       builder
-        .option('deployment', deploymentOption)
+        .option('deployment', simulatedDeploymentOption)
         .option('seeds', { type: 'string', default: '1-20', describe: 'first and last seed' })
         .option('faults', { type: 'string', describe: 'kinds of faults, joined by commas' })
-        .option('disable', { choices: PROTECTIONS, describe: 'protection to switch off' })
+        .option('disable', {
+          choices: [...PROTECTIONS, ...APPOINTED_PROTECTIONS],
+          describe: 'protection to switch off',
+        })
         .option('jobs', { type: 'number', describe: 'worker threads' })
         .option('stop-at-failure', { type: 'boolean', default: false })
         .option('history', { type: 'string', describe: 'file for the last failed history' }),
@@ -136,7 +152,7 @@
       const held = await runSimulateCommand({
         deployment: parsed.deployment,
         ...readSeeds(parsed.seeds),
-        faults: readFaults(parsed.faults),
+        faults: readFaults(parsed.deployment, parsed.faults),
         disabled: parsed.disable,
         jobs: parsed.jobs,
         stopAtFailure: parsed.stopAtFailure,
@@ -164,6 +180,21 @@
       publish(report, parsed.out);
     },
   )
+  .command(
+    'explain <request> <logs..>',
+    'put the log lines of all processes around one request in order',
+    (builder) =>
+      builder
+        .positional('request', { type: 'string', demandOption: true })
+        .positional('logs', { type: 'string', array: true, demandOption: true })
+        .option('around', { type: 'number', default: 5000, describe: 'milliseconds before it' }),
+    (parsed) => {
+      const texts = parsed.logs.map((file) => readFileSync(file, 'utf8'));
+      const lines = explainRequest(parsed.request, texts, parsed.around);
+      for (const line of lines) console.log(line);
+      if (lines.length === 0) process.exitCode = 1;
+    },
+  )
   .command(
     'check <history>',
     'check a recorded history',
--- a/lab/simulation/simulate_command.ts
+++ b/lab/simulation/simulate_command.ts
@@ -3,6 +3,9 @@
 import { availableParallelism } from 'node:os';
 import { Worker } from 'node:worker_threads';
 import type { Protection } from '../../src/gateway/protections.js';
+import { APPOINTED_DEPLOYMENTS } from '../appointed/appointed_deployment.js';
+import { APPOINTED_FAULTS, type AppointedFaultKind } from '../appointed/appointed_faults.js';
+import type { AppointedProtection } from '../appointed/disabled_protections.js';
 import { type HistoryEvent, parseHistory } from '../history/history.js';
 import { FAULT_KINDS, type FaultKind } from './faults.js';
 import type { SimulationReport, SimulationTask } from './simulation_worker.js';
@@ -12,8 +15,8 @@
   readonly deployment: string;
   readonly firstSeed: number;
   readonly lastSeed: number;
-  readonly faults: readonly FaultKind[];
-  readonly disabled?: Protection;
+  readonly faults: readonly (FaultKind | AppointedFaultKind)[];
+  readonly disabled?: Protection | AppointedProtection;
   /** Worker threads; half of the processors when undefined. */
   readonly jobs?: number;
   /** Stop at the first seed with a violation. */
@@ -85,12 +88,17 @@
   });
 }
 
+/** Kinds of faults that a deployment knows. */
+export function faultsOf(deployment: string): readonly (FaultKind | AppointedFaultKind)[] {
+  return APPOINTED_DEPLOYMENTS.has(deployment) ? APPOINTED_FAULTS : FAULT_KINDS;
+}
+
 /** Command that runs one seed again. */
 export function replayCommand(options: SimulateOptions, seed: number): string {
   const parts = [
     `whinyoke-lab simulate --deployment ${options.deployment} --seeds ${seed}-${seed}`,
   ];
-  if (options.faults.length < FAULT_KINDS.length)
+  if (options.faults.length < faultsOf(options.deployment).length)
     parts.push(`--faults ${options.faults.join(',')}`);
   if (options.disabled !== undefined) parts.push(`--disable ${options.disabled}`);
   return parts.join(' ');
@@ -117,6 +125,8 @@
 
 /** What happened around the operations that a report's violations name. */
 export function timelineOf(report: SimulationReport): string[] {
+  const isPlainText = !report.history.startsWith('{');
+  if (isPlainText) return report.history.split('\n').slice(0, MAXIMUM_TIMELINE);
   const named = new Set(
     report.violations
       .slice(0, SHOWN_VIOLATIONS)
--- a/src/daemon/coordinator_daemon.ts
+++ b/src/daemon/coordinator_daemon.ts
@@ -6,8 +6,7 @@
 import { whinyoke } from '../protocol/generated/messages.js';
 import type { DecisionLog } from '../router/router_context.js';
 import type { InstanceConnector } from '../router/instance_connection.js';
-import { startMetricsServer } from './metrics_server.js';
-import { openProcess } from './managed_process.js';
+import { openMetrics, openProcess } from './managed_process.js';
 import { stopSignal } from './stop_signal.js';
 
 /** Settings of a control machine for groups with appointed primaries. */
@@ -93,13 +92,14 @@
   });
   const joinAt = performance.now();
   await core.start();
-  const server =
-    settings.metrics === undefined
-      ? undefined
-      : await startMetricsServer(settings.metrics, {
-          registry: createRegistry(core),
-          isReady: () => core.node.hasQuorum,
-        });
+  const server = await openMetrics(
+    settings.metrics,
+    {
+      registry: createRegistry(core),
+      isReady: () => core.node.hasQuorum,
+    },
+    logger,
+  );
   logger.event(Events.started, {
     boot_ms: Math.round(performance.now()),
     read_ms: Math.round(joinAt - readAt),
--- a/src/daemon/managed_process.ts
+++ b/src/daemon/managed_process.ts
@@ -1,4 +1,7 @@
 /** Logs and runtime of the daemons for groups with appointed primaries. */
+import type { Server } from 'node:http';
+import { messageOf } from '../errors/errors.js';
+import { Events } from '../observability/events.js';
 import { BoundedOutput } from '../observability/bounded_output.js';
 import { DecisionLogger } from '../observability/decision_logger.js';
 import { EventLogger } from '../observability/logger.js';
@@ -8,6 +11,7 @@
 import type { DataFolder, Runtime } from '../runtime/runtime.js';
 import { SeededRandom } from '../runtime/seeded_random.js';
 import { TcpMessenger } from '../runtime/tcp_messenger.js';
+import { type MetricsSource, startMetricsServer } from './metrics_server.js';
 
 /** What every process is told. */
 export interface ProcessSettings {
@@ -60,3 +64,18 @@
     decisions,
   };
 }
+
+/** Starts the metrics endpoint; a process serves on when that can't listen. */
+export async function openMetrics(
+  address: string | undefined,
+  source: MetricsSource,
+  logger: EventLogger,
+): Promise<Server | undefined> {
+  if (address === undefined) return undefined;
+  try {
+    return await startMetricsServer(address, source);
+  } catch (error) {
+    logger.event(Events.connectionError, { reason: `metrics: ${messageOf(error)}` });
+    return undefined;
+  }
+}
--- a/src/daemon/router_daemon.ts
+++ b/src/daemon/router_daemon.ts
@@ -5,8 +5,7 @@
 import { stopAsPlanned } from '../router/planned_stop.js';
 import { RouterCore } from '../router/router_core.js';
 import { type CallerCodec, SessionListener } from '../router/session_listener.js';
-import { startMetricsServer } from './metrics_server.js';
-import { openProcess } from './managed_process.js';
+import { openMetrics, openProcess } from './managed_process.js';
 import { RouterMetrics } from './router_metrics.js';
 import { stopSignal } from './stop_signal.js';
 
@@ -67,13 +66,14 @@
   }, EVACUATION_MS);
   evacuation.unref();
   await listener.listen(settings.listen);
-  const server =
-    settings.metrics === undefined
-      ? undefined
-      : await startMetricsServer(settings.metrics, {
-          registry: metrics.registry,
-          isReady: () => core.isReady,
-        });
+  const server = await openMetrics(
+    settings.metrics,
+    {
+      registry: metrics.registry,
+      isReady: () => core.isReady,
+    },
+    logger,
+  );
   logger.event(Events.started, {
     boot_ms: Math.round(performance.now()),
     listen: settings.listen,
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -123,6 +123,13 @@
     'the outcome of a request is unknown',
     'It was sent and no trusted answer came. Look for a change of primary of `group` at that time.',
   ),
+  requestRetried: define(
+    223,
+    'request_retried',
+    'info',
+    'a request is tried again',
+    'An attempt at `instance` brought nothing that counts; `cause` says why. Nothing ran twice.',
+  ),
   linesLeftOut: define(
     231,
     'lines_left_out',
--- a/src/router/refusal.ts
+++ b/src/router/refusal.ts
@@ -4,6 +4,8 @@
 import type { TransactionState } from './instance_connection.js';
 import type { RequestDeadline } from './request_deadline.js';
 import type { RouterContext } from './router_context.js';
+import type { Target } from './target_planner.js';
+import { formatPosition } from '../session/position.js';
 import { whinyoke } from '../protocol/generated/messages.js';
 
 /** A request that is answered with an error. */
@@ -66,6 +68,27 @@
   return refused(kind, `${cause}; retry after ${retryMs} ms`, request.state);
 }
 
+/** Notes an attempt after which the request may be tried again. */
+export function noteRetry(
+  context: RouterContext,
+  request: Pick<RefusedRequest, 'id' | 'deadline'>,
+  target: Target,
+  cause: string,
+): void {
+  const { route, elapsed } = request.deadline;
+  context.counters.retried(route.name, cause);
+  context.log(Events.requestRetried, {
+    request: request.id,
+    route: route.name,
+    group: route.group,
+    instance: target.instance,
+    as_primary: target.primaryEpoch !== undefined,
+    after: target.after ? formatPosition(target.after) : undefined,
+    cause,
+    elapsed_ms: Math.round(elapsed),
+  });
+}
+
 /** Answer to a request whose outcome is unknown. */
 export function inDoubt(
   context: RouterContext,
--- a/src/router/replica_selector.ts
+++ b/src/router/replica_selector.ts
@@ -11,9 +11,9 @@
 }
 
 /** Reads on a primary compete with writes. */
-const PRIMARY_FACTOR = 2;
+const PRIMARY_FACTOR = 3;
 /** Traffic to another zone costs latency and bytes. */
-const OTHER_ZONE_FACTOR = 1.8;
+const OTHER_ZONE_FACTOR = 2.2;
 const UNAVAILABLE_FACTOR = 1000;
 
 /** Circumstances of one read. */
--- a/src/router/router_core.ts
+++ b/src/router/router_core.ts
@@ -40,6 +40,8 @@
  */
 const IDLE_TIMEOUT_MS = 1500;
 const MAINTENANCE_MS = 100;
+/** Age of the newest answer of control beyond which it counts as lost, in milliseconds. */
+const CONTROL_LOST_MS = 800;
 /** Age of the newest answer of control beyond which new callers are sent elsewhere, in milliseconds. */
 const READY_SYNC_AGE_MS = 1200;
 /** Age beyond which idle callers are sent elsewhere too; new ones have stopped to come by then. */
@@ -80,6 +82,7 @@
   private readonly tableWaiters: (() => void)[] = [];
   private version = 0;
   private lastSyncAt = -Infinity;
+  private isControlLost = false;
   private maintenance: Timer | undefined;
   private readonly client: CoordinatorClient;
 
@@ -237,7 +240,7 @@
 
   onSync(reply: whinyoke.ISyncReply, content: SyncContent, sentAt: number): void {
     const now = this.clock.now();
-    this.lastSyncAt = now;
+    this.noteControl(now);
     for (const { group, epoch } of content.revocations)
       this.trust.confirmed(group ?? '', epoch ?? 0);
     this.liveProxies = Math.max(1, reply.liveProxies ?? 1);
@@ -352,11 +355,31 @@
   private maintain(): void {
     const now = this.clock.now();
     for (const pool of this.pools.values()) pool.maintain();
+    this.noteLostControl();
     this.reportChangedOpinions(now);
     if (this.trust.dueRevocations(now).length > 0) void this.client.syncNow();
     this.maintenance = this.clock.setTimer(MAINTENANCE_MS, () => this.maintain());
   }
 
+  private noteControl(now: number): void {
+    if (this.isControlLost) {
+      this.log(Events.controlRegained, { after_ms: Math.round(this.syncAge) });
+    }
+    this.isControlLost = false;
+    this.lastSyncAt = now;
+  }
+
+  private noteLostControl(): void {
+    const isLost = this.table !== undefined && this.syncAge > CONTROL_LOST_MS;
+    if (!isLost || this.isControlLost) return;
+    this.isControlLost = true;
+    this.log(Events.controlLost, {
+      leader: this.client.leaderAddress,
+      failed_requests: this.client.failedRequests,
+      sync_age_ms: Math.round(this.syncAge),
+    });
+  }
+
   // ---- requests of other processes ----
 
   /** Passes a request of a proxy that is cut off from control on to the leader. */
--- a/src/router/single_statement.ts
+++ b/src/router/single_statement.ts
@@ -4,7 +4,7 @@
 import { type CallerReply, refused } from './caller_reply.js';
 import type { InstanceAnswer, InstanceError } from './instance_connection.js';
 import { AcquireError } from './instance_pool.js';
-import { inDoubt, refuse } from './refusal.js';
+import { inDoubt, noteRetry, refuse } from './refusal.js';
 import type { RequestDeadline } from './request_deadline.js';
 import type { RouterContext } from './router_context.js';
 import type { SessionContent } from './session_loader.js';
@@ -78,7 +78,7 @@
       } else {
         cause = `${target.instance}: ${attempt.cause}`;
       }
-      this.context.counters.retried(route.name, attempt.outcome);
+      noteRetry(this.context, request, target, causeOf(attempt));
     }
     const refusal = { id: request.id, deadline, state: 'idle' as const };
     return refuse(this.context, refusal, 'busy', cause);
@@ -102,7 +102,7 @@
       cause = result.cause;
       wasOffered ||= result.wasOffered;
       if (!deadline.allowsRetry(wasOffered)) break;
-      this.context.counters.retried(deadline.route.name, 'notRun');
+      noteRetry(this.context, request, target, result.cause);
       await delay(this.context.clock, RETRY_PAUSE_MS);
     }
     return { reply: refuse(this.context, refusal, 'busy', cause) };
@@ -211,6 +211,12 @@
   }
 }
 
+/** Why an attempt brought nothing, in few words. */
+function causeOf(attempt: Attempt): string {
+  if (attempt.outcome !== 'answered') return attempt.outcome;
+  return attempt.answer.error?.kind ?? 'untrusted';
+}
+
 /** Passes on an error that promises nothing. */
 function fail(error: InstanceError): CallerReply {
   const kind = error.kind === 'malformed' || error.kind === 'timeout' ? error.kind : 'failed';
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -6,7 +6,7 @@
 import type { Position } from '../session/position.js';
 import { type CallerReply, refused } from './caller_reply.js';
 import type { InstanceAnswer, InstanceError } from './instance_connection.js';
-import { type RefusedRequest, inDoubt, refuse } from './refusal.js';
+import { type RefusedRequest, inDoubt, noteRetry, refuse } from './refusal.js';
 import { RequestDeadline } from './request_deadline.js';
 import type { Route } from './route_table.js';
 import type { RouterContext } from './router_context.js';
@@ -55,14 +55,14 @@
 
   /** Begins at an instance ahead of the first statement, which tries again when this fails. */
   prepare(content: SessionContent): void {
-    void this.bind(new RequestDeadline(this.context.clock, this.route), content);
+    void this.bind(OWN_REQUEST, new RequestDeadline(this.context.clock, this.route), content);
   }
 
   /** Runs a statement; after an error the transaction has failed and holds nothing any more. */
   async run(id: string, statement: DataStatement, content: SessionContent): Promise<CallerReply> {
     const deadline = new RequestDeadline(this.context.clock, this.route);
     const refusal = { id, deadline, state: 'failed' as const };
-    const problem = await this.bind(deadline, content);
+    const problem = await this.bind(id, deadline, content);
     if (problem !== undefined) return refuse(this.context, refusal, 'busy', problem);
     if (accessOf(statement) === 'write') this.hasWritten = true;
     const command = { kind: 'data' as const, id, statement };
@@ -93,7 +93,7 @@
   async commit(id: string, content: SessionContent): Promise<TransactionResult> {
     const deadline = new RequestDeadline(this.context.clock, this.route);
     const refusal = { id, deadline, state: 'idle' as const };
-    const problem = await this.bind(deadline, content);
+    const problem = await this.bind(id, deadline, content);
     if (problem !== undefined) {
       return { reply: refuse(this.context, refusal, 'aborted', problem) };
     }
@@ -183,18 +183,20 @@
 
   /** Begins at an instance, unless done; returns why it could not. Nothing ran then. */
   private async bind(
+    id: string,
     deadline: RequestDeadline,
     content: SessionContent,
   ): Promise<string | undefined> {
     await this.binding;
     if (this.held) return undefined;
-    this.binding = this.tryTargets(deadline, content);
+    this.binding = this.tryTargets(id, deadline, content);
     const problem = await this.binding;
     if (this.isEnded) this.rollback(OWN_REQUEST);
     return problem;
   }
 
   private async tryTargets(
+    id: string,
     deadline: RequestDeadline,
     content: SessionContent,
   ): Promise<string | undefined> {
@@ -207,7 +209,7 @@
       const result = await this.beginAt(target, deadline, content);
       if (result === undefined) return undefined;
       cause = `${target.instance}: ${result}`;
-      this.context.counters.retried(this.route.name, 'begin');
+      noteRetry(this.context, { id, deadline }, target, result);
     }
     return cause;
   }
--- a/test/simulation/simulation.test.ts
+++ b/test/simulation/simulation.test.ts
@@ -80,7 +80,7 @@
     });
     const found = summary.failed.flatMap((report) => report.violations.map((item) => item.check));
     t.ok(
-      found.some((check) => expected[protection].includes(check)),
+      found.some((check) => (expected[protection] as readonly string[]).includes(check)),
       `found ${[...new Set(found)].join(', ')}`,
     );
   });
--- /dev/null
+++ b/test/unit/explain.test.ts
@@ -0,0 +1,49 @@
+/** From the identifier of a failed request to its cause, from log lines alone. */
+import t from 'tap';
+import { APPOINTED_QUETZAL } from '../../lab/appointed/appointed_deployment.js';
+import type { AppointedFaultKind } from '../../lab/appointed/appointed_faults.js';
+import { runAppointed } from '../../lab/appointed/appointed_simulation.js';
+import type { SimulatedLogLine } from '../../lab/appointed/appointed_nodes.js';
+import { explainRequest } from '../../lab/explain/explain.js';
+
+/** Logs of a simulated run as the daemons write them, one text for each process. */
+function logsOf(lines: readonly SimulatedLogLine[]): string[] {
+  const texts = new Map<string, string[]>();
+  for (const { at, node, event, fields } of lines) {
+    const time = new Date(at).toISOString();
+    const line = JSON.stringify({ node, event_name: event, time, ...fields });
+    texts.set(node, [...(texts.get(node) ?? []), line]);
+  }
+  return [...texts.values()].map((text) => text.join('\n'));
+}
+
+/** Whether some failed request of a run with one kind of fault is explained by a line. */
+async function isExplained(fault: AppointedFaultKind, cause: RegExp): Promise<boolean> {
+  for (let seed = 1; seed <= 20; seed++) {
+    const deployment = APPOINTED_QUETZAL;
+    const { lines } = await runAppointed({ deployment, seed, faults: [fault], faultCount: 2 });
+    const logs = logsOf(lines);
+    const failed = lines.filter(
+      ({ event }) => event === 'request_refused' || event === 'request_in_doubt',
+    );
+    for (const { fields } of failed.slice(0, 200)) {
+      const explanation = explainRequest(String(fields['request']), logs, 8000).join('\n');
+      if (cause.test(explanation)) return true;
+    }
+  }
+  return false;
+}
+
+void t.test('the cause of a refusal is named by the lines around it', async (t) => {
+  t.ok(await isExplained('dark-primary', /primary_change_begun.*find it silent/));
+  t.ok(await isExplained('crash-primary', /primary_change_begun.*find it (refusing|silent)/));
+  t.ok(await isExplained('leave-primary', /primary_change_begun.*the primary leaves/));
+  t.ok(await isExplained('cut-proxy-from-control', /control_lost/));
+  t.ok(await isExplained('kill-all-controls', /control_lost/));
+  t.ok(await isExplained('cut-primary-from-proxies', /connect_failed.*failure=silent/));
+});
+
+void t.test('an unknown request has no explanation', (t) => {
+  t.same(explainRequest('nothing', ['not a log\n{"broken"'], 1000), []);
+  t.end();
+});
