--- a/lab/appointed/appointed_faults.ts
+++ b/lab/appointed/appointed_faults.ts
@@ -10,6 +10,7 @@
   'dark-primary',
   'cut-primary-from-replicas',
   'cut-primary-from-proxies',
+  'split-primary',
   'crash-replica',
   'lag-replicas',
   'deaf-replica',
@@ -107,6 +108,17 @@
     const cut = world.routers.filter(() => random.next() < 0.6);
     return cutBothWays(world, [primary.site.host], hostsOf(cut));
   },
+  'split-primary': (world, random) => {
+    const primary = primaryOf(pick(world.groups, random));
+    if (!primary) return undefined;
+    const withPrimary = world.routers.filter(() => random.next() < 0.6);
+    const others = [
+      ...hostsOf(world.coordinators),
+      ...hostsOf(world.routers.filter((router) => !withPrimary.includes(router))),
+      ...world.instanceMachines().map(({ machine }) => machine.site.host),
+    ].filter((host) => host !== primary.site.host);
+    return cutBothWays(world, [primary.site.host, ...hostsOf(withPrimary)], others);
+  },
   'crash-replica': (world, random) => {
     const group = pick(world.groups, random);
     const replicas = replicasOf(group);
