Proxies hear only of what changed; connections that are scarce are lent for a moment

Cause: every registration of a proxy woke all held requests, and each reply brought all instances and all proxies: at 66 proxies about 30 MB in the first seconds, over links of 2 Mbit/s. And 38 connections of an instance do not divide by 66 proxies: each kept one, so 30 found none.

Change: replies name instances and epochs since the known version, and two other proxies; registrations and the duty wake nobody; a lease extends all epochs of the version that the proxy has. Where an equal share is below two connections, proxies keep none, give them back after 100 ms and try again after 10 to 30 ms when the instance has none left; waiters are no longer turned away as by an instance that can't be reached.

--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -29,9 +29,10 @@
   private currentDuty: whinyoke.IDutyEntry = {};
   private currentVersion = 0;
   private proxyLossIndex = 0;
+  private forgottenIndex = 0;
   private readonly listeners = new Set<CatalogListener>();
 
-  /** Log index of the newest change. */
+  /** Log index of the newest change that proxies have to know of: documents, instances, groups. */
   get version(): number {
     return this.currentVersion;
   }
@@ -66,6 +67,20 @@
     return this.instances.filter((instance) => instance.state !== InstanceState.GONE);
   }
 
+  /**
+   * Instances that changed after a version, those that are gone included; undefined when some of them were
+   * forgotten meanwhile, so that only the whole list tells.
+   */
+  instancesSince(version: number): readonly InstanceEntry[] | undefined {
+    if (version === 0 || version < this.forgottenIndex) return undefined;
+    return this.instances.filter((instance) => (instance.version ?? 0) > version);
+  }
+
+  /** Groups whose epoch changed after a version. */
+  groupsSince(version: number): readonly GroupEntry[] {
+    return this.groups.filter((group) => (group.version ?? 0) > version);
+  }
+
   /** All groups. */
   get groups(): readonly GroupEntry[] {
     return [...this.groupByName.values()];
@@ -98,8 +113,9 @@
   }
 
   apply(index: number, command: Uint8Array): Uint8Array {
-    const isChanged = this.applyCommand(index, whinyoke.CatalogCommand.decode(command));
-    if (isChanged) {
+    const decoded = whinyoke.CatalogCommand.decode(command);
+    const isChanged = this.applyCommand(index, decoded);
+    if (isChanged && isForProxies(decoded)) {
       this.currentVersion = index;
       this.notify();
     }
@@ -116,6 +132,7 @@
       duty: this.currentDuty,
       version: this.currentVersion,
       proxyLossVersion: this.proxyLossIndex,
+      forgottenVersion: this.forgottenIndex,
     } as whinyoke.ICatalogSnapshot;
     return whinyoke.CatalogSnapshot.encode(snapshot).finish();
   }
@@ -126,6 +143,7 @@
     this.currentDuty = snapshot.duty ?? {};
     this.currentVersion = snapshot.version;
     this.proxyLossIndex = snapshot.proxyLossVersion;
+    this.forgottenIndex = snapshot.forgottenVersion;
     this.instanceById.clear();
     for (const item of snapshot.instances) this.instanceById.set(item.id ?? '', item);
     this.groupByName.clear();
@@ -141,7 +159,7 @@
       case 'putDocument':
         return this.putDocument(command.putDocument!);
       case 'putInstance':
-        return this.putInstance(command.putInstance!);
+        return this.putInstance(index, command.putInstance!);
       case 'putGroup':
         return this.putGroup(index, command.putGroup!);
       case 'setTarget':
@@ -171,11 +189,13 @@
     return true;
   }
 
-  private putInstance(instance: whinyoke.IInstanceEntry): boolean {
+  private putInstance(index: number, instance: whinyoke.IInstanceEntry): boolean {
     const known = this.instanceById.get(instance.id ?? '');
     const isLate = (instance.sequence ?? 0) < (known?.sequence ?? 0);
     if (isLate || known?.state === InstanceState.GONE) return false;
-    this.instanceById.set(instance.id ?? '', instance);
+    // Fields with default values are kept by the message's prototype only.
+    const entry = whinyoke.InstanceEntry.create({ ...instance, version: index });
+    this.instanceById.set(instance.id ?? '', entry);
     this.forgetOldest();
     return true;
   }
@@ -183,7 +203,10 @@
   private forgetOldest(): void {
     const gone = this.instances.filter((instance) => instance.state === InstanceState.GONE);
     const excess = gone.slice(0, Math.max(0, gone.length - MAXIMUM_REMEMBERED_GONE));
-    for (const instance of excess) this.instanceById.delete(instance.id ?? '');
+    for (const instance of excess) {
+      this.forgottenIndex = Math.max(this.forgottenIndex, instance.version ?? 0);
+      this.instanceById.delete(instance.id ?? '');
+    }
   }
 
   private putGroup(index: number, group: whinyoke.IGroupEntry): boolean {
@@ -212,3 +235,8 @@
     for (const listener of [...this.listeners]) listener();
   }
 }
+
+/** Whether proxies have to know of a command; registrations of proxies and the duty concern control only. */
+function isForProxies(command: whinyoke.CatalogCommand): boolean {
+  return ['putDocument', 'putInstance', 'putGroup'].includes(command.kind ?? '');
+}
--- a/src/coordinator/sync_service.ts
+++ b/src/coordinator/sync_service.ts
@@ -19,6 +19,8 @@
 const LIVE_MS = 5000;
 /** A proxy that is silent for this long is removed from the catalog, in milliseconds. */
 const REMOVE_AFTER_MS = 20_000;
+/** Other proxies that each reply names, for requests while control is out of reach. */
+const RELAY_COUNT = 2;
 
 interface Contact {
   at: number;
@@ -98,7 +100,8 @@
     for (const group of catalog.groups) {
       if (group.phase !== GroupPhase.CHANGING) this.ledger.grant(group.group ?? '', proxy, until);
     }
-    const hasCatalog = catalog.version > (request.knownVersion ?? 0);
+    const knownVersion = request.knownVersion ?? 0;
+    const changed = catalog.instancesSince(knownVersion);
     const hasDocument = catalog.documentVersion > (request.knownDocument ?? 0);
     return {
       accepted: true,
@@ -108,10 +111,10 @@
       version: catalog.version,
       documentVersion: catalog.documentVersion,
       document: hasDocument ? catalog.document : undefined,
-      hasCatalog,
-      instances: hasCatalog ? [...catalog.presentInstances] : [],
-      groups: [...catalog.groups],
-      proxies: hasCatalog ? [...catalog.proxies] : [],
+      isWhole: changed === undefined,
+      instances: [...(changed ?? catalog.presentInstances)],
+      groups: [...catalog.groupsSince(knownVersion)],
+      relays: this.relaysFor(proxy),
       liveProxies: this.countLive(),
     };
   }
@@ -120,6 +123,14 @@
     return this.node.membership.members.map((member) => member.address);
   }
 
+  /** Neighbours in the list, so that requests that are passed on spread over all proxies. */
+  private relaysFor(proxy: ProxyEntry): string[] {
+    const { proxies } = this.catalog;
+    const position = proxies.findIndex((other) => other.id === proxy.id);
+    const following = [...proxies.slice(position + 1), ...proxies.slice(0, Math.max(0, position))];
+    return following.slice(0, RELAY_COUNT).map((other) => other.address ?? '');
+  }
+
   private countLive(): number {
     const now = this.clock.now();
     const live = this.catalog.proxies.filter((proxy) => now - this.lastContact(proxy) < LIVE_MS);
--- a/src/router/instance_pool.ts
+++ b/src/router/instance_pool.ts
@@ -1,5 +1,6 @@
 /** Connections of one proxy to one instance, and what each of them has loaded. */
-import type { Clock, Timer } from '../runtime/runtime.js';
+import type { Clock, RandomSource, Timer } from '../runtime/runtime.js';
+import type { ConnectionShare } from './connection_share.js';
 import {
   ConnectError,
   type InstanceConnection,
@@ -46,12 +47,10 @@
 
 /** Settings of a pool. */
 export interface PoolOptions {
-  /** Most connections, in force now. */
-  readonly share: () => number;
+  /** Connections that this pool may hold, in force now. */
+  readonly share: () => ConnectionShare;
   readonly connectTimeoutMs: number;
-  /** Idle connections that are kept. */
-  readonly minimumIdle: number;
-  readonly idleTimeoutMs: number;
+  readonly random: RandomSource;
 }
 
 /** Hears of connection attempts. */
@@ -60,8 +59,10 @@
   onConnectFailed(error: ConnectError): void;
 }
 
-const CLAMP_MS = 2000;
 const RECONNECT_DELAY_MS = 100;
+/** Range of the pause after an instance had no connection left: others give theirs back all the time. */
+const SHORTEST_LIMIT_PAUSE_MS = 10;
+const LONGEST_LIMIT_PAUSE_MS = 30;
 /** Another instance has the address; control will tell when this one is gone. */
 const WRONG_INSTANCE_DELAY_MS = 3000;
 
@@ -74,7 +75,10 @@
   private isClosed = false;
   private clampedUntil = -Infinity;
   private clampedTo = Infinity;
-  private nextAttemptAt = -Infinity;
+  /** Nothing is tried before, since the instance could not be reached. */
+  private unreachableUntil = -Infinity;
+  /** Whether the instance had no connection left a moment ago; nothing is tried for a short time. */
+  private isLimited = false;
 
   constructor(
     readonly target: InstanceTarget,
@@ -112,7 +116,7 @@
     if (this.isClosed) return Promise.reject(new AcquireError('closed'));
     const free = this.takeClosest(values);
     if (free) return Promise.resolve(free);
-    if (!this.mayOpen() && this.size === 0) {
+    if (this.size === 0 && this.clock.now() < this.unreachableUntil) {
       return Promise.reject(new AcquireError('unreachable'));
     }
     return new Promise((resolve, reject) => {
@@ -152,12 +156,14 @@
     if (this.isClosed) return;
     const now = this.clock.now();
     const oldest = this.idle[0];
-    const isExcess = this.idle.length > this.options.minimumIdle;
-    if (oldest && isExcess && now - oldest.idleSince > this.options.idleTimeoutMs) {
+    const { minimumIdle, idleTimeoutMs } = this.options.share();
+    const isExcess = this.idle.length > minimumIdle;
+    if (oldest && isExcess && now - oldest.idleSince > idleTimeoutMs) {
       this.idle.shift();
       oldest.connection.close();
     }
-    if (this.size < this.options.minimumIdle) this.open();
+    if (this.size < minimumIdle) this.open();
+    else this.refill();
   }
 
   /** Ends the pool; connections in use end when they are given back. */
@@ -168,8 +174,8 @@
   }
 
   private get limit(): number {
-    const share = this.options.share();
-    return this.clock.now() < this.clampedUntil ? Math.min(share, this.clampedTo) : share;
+    const { most } = this.options.share();
+    return this.clock.now() < this.clampedUntil ? Math.min(most, this.clampedTo) : most;
   }
 
   private takeClosest(values: ReadonlyMap<string, string>): PooledConnection | undefined {
@@ -200,7 +206,8 @@
   }
 
   private mayOpen(): boolean {
-    return this.size < this.limit && this.clock.now() >= this.nextAttemptAt;
+    const isReachable = this.clock.now() >= this.unreachableUntil;
+    return isReachable && !this.isLimited && this.size < this.limit;
   }
 
   private refill(): void {
@@ -236,23 +243,38 @@
       if (position >= 0) this.idle.splice(position, 1);
     };
     this.offer(pooled);
+    this.refill();
   }
 
   private onConnectFailed(error: ConnectError | undefined): void {
     const now = this.clock.now();
     if (error) this.observer.onConnectFailed(error);
     if (error?.failure === 'connectionLimit') {
-      this.clampedTo = Math.max(1, this.size);
-      this.clampedUntil = now + CLAMP_MS;
-      if (this.size > 0) return;
+      this.onLimitReached(now);
+      return;
     }
-    this.nextAttemptAt = now + RECONNECT_DELAY_MS;
+    this.unreachableUntil = now + RECONNECT_DELAY_MS;
     if (error?.failure === 'wrongInstance') {
-      this.nextAttemptAt = now + WRONG_INSTANCE_DELAY_MS;
+      this.unreachableUntil = now + WRONG_INSTANCE_DELAY_MS;
       this.rejectAll('wrongInstance');
     } else if (this.size === 0) this.rejectAll('unreachable');
   }
 
+  /** Goes on with what there is; without any connection, tries again soon for those that wait. */
+  private onLimitReached(now: number): void {
+    if (this.size > 0) {
+      this.clampedTo = this.size;
+      this.clampedUntil = now + this.options.share().clampMs;
+      return;
+    }
+    const pauseMs = this.options.random.integer(SHORTEST_LIMIT_PAUSE_MS, LONGEST_LIMIT_PAUSE_MS);
+    this.isLimited = true;
+    this.clock.setTimer(pauseMs, () => {
+      this.isLimited = false;
+      this.refill();
+    });
+  }
+
   private rejectAll(failure: AcquireFailure): void {
     for (const waiter of this.waiters.splice(0)) {
       waiter.timer.cancel();
--- a/src/router/primary_trust.ts
+++ b/src/router/primary_trust.ts
@@ -76,12 +76,12 @@
     }
   }
 
-  /** Extends the lease of one epoch. */
-  extend(group: string, epoch: number, until: number): void {
-    const trust = this.groups.get(group);
-    if (!trust || trust.entry.epoch !== epoch) return;
-    if (trust.entry.phase === whinyoke.GroupPhase.CHANGING) return;
-    trust.leaseUntil = Math.max(trust.leaseUntil, until);
+  /** Extends the leases of all present epochs, but of those that are being revoked. */
+  extendAll(until: number): void {
+    for (const trust of this.groups.values()) {
+      if (trust.entry.phase === whinyoke.GroupPhase.CHANGING) continue;
+      trust.leaseUntil = Math.max(trust.leaseUntil, until);
+    }
     const { waiters } = this;
     this.waiters = [];
     for (const waiter of waiters) waiter();
--- a/src/router/router_core.ts
+++ b/src/router/router_core.ts
@@ -4,6 +4,7 @@
 import { inflateSource } from '../catalog/document_source.js';
 import { Events } from '../observability/events.js';
 import type { Clock, MessageBody, Runtime, Timer } from '../runtime/runtime.js';
+import { connectionShare } from './connection_share.js';
 import { CoordinatorClient, type SyncContent, type SyncParticipant } from './coordinator_client.js';
 import type { ConnectError, InstanceConnector } from './instance_connection.js';
 import { InstanceLoad } from './instance_load.js';
@@ -33,12 +34,6 @@
 }
 
 const CONNECT_TIMEOUT_MS = 600;
-const MINIMUM_IDLE_CONNECTIONS = 1;
-/**
- * Idle connections are closed soon: a connection of a machine that lost power counts against the limit of its
- * instance for seconds, and the proxy that takes its place needs connections then.
- */
-const IDLE_TIMEOUT_MS = 1500;
 const MAINTENANCE_MS = 100;
 /** Age of the newest answer of control beyond which it counts as lost, in milliseconds. */
 const CONTROL_LOST_MS = 800;
@@ -46,14 +41,6 @@
 const READY_SYNC_AGE_MS = 1200;
 /** Age beyond which idle callers are sent elsewhere too; new ones have stopped to come by then. */
 const ISOLATED_SYNC_AGE_MS = 3300;
-/** Connections of each instance that no proxy counts on: control, proxies not yet known. */
-const RESERVED_CONNECTIONS = 2;
-/**
- * Callers are spread unevenly, so a proxy may have more than its equal share for as long as it uses them.
- * Where all want more at once the instance refuses, and each goes on with what it has.
- */
-const BURST_FACTOR = 2.5;
-const LARGEST_SHARE = 0.4;
 /** Time for the leader to answer a request that is passed on, in milliseconds. */
 const RELAY_TIMEOUT_MS = 400;
 
@@ -76,8 +63,8 @@
   private readonly floors = new Map<string, PositionFloor>();
   private readonly observed = new Map<string, ObservedEpoch>();
   private readonly pools = new Map<string, InstancePool>();
-  private instances: readonly InstanceEntry[] = [];
-  private proxies: readonly whinyoke.IProxyEntry[] = [];
+  private readonly instances = new Map<string, InstanceEntry>();
+  relays: readonly string[] = [];
   private liveProxies = 1;
   private readonly tableWaiters: (() => void)[] = [];
   private version = 0;
@@ -200,7 +187,7 @@
   readCandidates(group: string): readonly ReadCandidate[] {
     const primary = this.trust.entryOf(group)?.primary;
     const candidates: ReadCandidate[] = [];
-    for (const instance of this.instances) {
+    for (const instance of this.instances.values()) {
       const pool = this.pools.get(instance.id ?? '');
       const isUsable = instance.group === group && instance.state === InstanceState.READY;
       if (!pool || !isUsable) continue;
@@ -217,11 +204,6 @@
 
   // ---- synchronisation ----
 
-  get relays(): readonly string[] {
-    const others = this.proxies.filter((proxy) => proxy.id !== this.self.id);
-    return others.map((proxy) => proxy.address ?? '');
-  }
-
   syncContent(): SyncContent {
     const now = this.clock.now();
     const revocations = this.trust.dueRevocations(now).map(({ group, epoch, position }) => ({
@@ -245,11 +227,12 @@
       this.trust.confirmed(group ?? '', epoch ?? 0);
     this.liveProxies = Math.max(1, reply.liveProxies ?? 1);
     if (reply.document) this.adoptDocument(reply.document);
+    this.relays = reply.relays ?? [];
     this.trust.update(reply.groups ?? [], now);
-    if (reply.hasCatalog && (reply.version ?? 0) > this.version) this.adoptCatalog(reply);
-    for (const group of reply.groups ?? []) {
-      this.trust.extend(group.group ?? '', group.epoch ?? 0, sentAt + (reply.leaseMs ?? 0));
-    }
+    const version = reply.version ?? 0;
+    if (version > this.version) this.adoptCatalog(version, reply);
+    // A reply that was overtaken grants leases on epochs that may be over.
+    if (version === this.version) this.trust.extendAll(sentAt + (reply.leaseMs ?? 0));
     if (this.trust.dueRevocations(now).length > 0) void this.client.syncNow();
   }
 
@@ -263,24 +246,27 @@
     });
   }
 
-  private adoptCatalog(reply: whinyoke.ISyncReply): void {
-    this.version = reply.version ?? 0;
-    this.instances = reply.instances ?? [];
-    this.proxies = reply.proxies ?? [];
-    const present = new Set(this.instances.map((instance) => instance.id ?? ''));
+  private adoptCatalog(version: number, reply: whinyoke.ISyncReply): void {
+    this.version = version;
+    const listed = reply.instances ?? [];
+    if (reply.isWhole) this.instances.clear();
+    for (const instance of listed) {
+      const id = instance.id ?? '';
+      if (instance.state === InstanceState.GONE) this.instances.delete(id);
+      else this.instances.set(id, instance);
+    }
     for (const [id, pool] of this.pools) {
-      if (present.has(id)) continue;
+      if (this.instances.has(id)) continue;
       pool.close();
       this.pools.delete(id);
     }
-    for (const instance of this.instances) {
-      const id = instance.id ?? '';
+    for (const [id, instance] of this.instances) {
       if (!this.pools.has(id)) this.pools.set(id, this.createPool(instance));
     }
     this.log(Events.catalogInForce, {
       version: this.version,
-      instances: this.instances.length,
-      proxies: this.proxies.length,
+      instances: this.instances.size,
+      proxies: this.liveProxies,
     });
   }
 
@@ -288,10 +274,12 @@
     const group = instance.group ?? '';
     const target = { id: instance.id ?? '', group, address: instance.address ?? '' };
     const options = {
-      share: () => this.connectionShare(group),
+      share: () => {
+        const limit = this.table?.limitsByGroup.get(group)?.connectionLimit ?? 0;
+        return connectionShare(limit, this.liveProxies);
+      },
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      minimumIdle: MINIMUM_IDLE_CONNECTIONS,
-      idleTimeoutMs: IDLE_TIMEOUT_MS,
+      random: this.runtime.random,
     };
     const observer = {
       onConnected: () => undefined,
@@ -315,15 +303,6 @@
     this.observerOf(group, entry.epoch ?? 0).failed(health, this.clock.now());
   }
 
-  /** Connections that this proxy may have to one instance of a group. */
-  private connectionShare(group: string): number {
-    const limit = this.table?.limitsByGroup.get(group)?.connectionLimit ?? 0;
-    const usable = limit - RESERVED_CONNECTIONS;
-    const equalShare = Math.floor(usable / this.liveProxies);
-    const most = Math.floor(usable * LARGEST_SHARE);
-    return Math.max(1, equalShare, Math.min(Math.floor(equalShare * BURST_FACTOR), most));
-  }
-
   // ---- opinions on primaries ----
 
   private reports(now: number): whinyoke.IPrimaryReport[] {
--- a/test/unit/failover.test.ts
+++ b/test/unit/failover.test.ts
@@ -125,7 +125,7 @@
   const trust = new PrimaryTrust();
   trust.update([groupEntry(1)], 0);
   t.equal(trust.primaryOf('g', 0), undefined, 'no lease yet');
-  trust.extend('g', 1, 3000);
+  trust.extendAll(3000);
   t.match(trust.primaryOf('g', 2900), { instance: 'i-1', epoch: 1 });
   t.equal(trust.primaryOf('g', 2950), undefined, 'an answer would come too late');
   t.ok(trust.accepts('g', 1, 2999));
@@ -137,7 +137,7 @@
   t.ok(trust.accepts('g', 1, 1100), 'an answer under way still counts');
   t.same(trust.dueRevocations(1100), [], 'the confirmation waits for it');
   trust.update([groupEntry(1)], 1100);
-  trust.extend('g', 1, 9000);
+  trust.extendAll(9000);
   t.equal(trust.entryOf('g')?.epoch, 2, 'an older reply changes nothing');
   trust.commitEnded('g');
   t.match(trust.dueRevocations(1200), [
@@ -146,7 +146,7 @@
   t.notOk(trust.accepts('g', 1, 1200), 'after the confirmation nothing counts');
   trust.confirmed('g', 2);
   t.same(trust.dueRevocations(1300), []);
-  trust.extend('g', 2, 9000);
+  trust.extendAll(9000);
   t.equal(trust.primaryOf('g', 1300), undefined, 'there is no lease on a changing epoch');
   t.end();
 });
@@ -154,7 +154,7 @@
 void t.test('a commit that hangs holds up a revocation only for a moment', (t) => {
   const trust = new PrimaryTrust();
   trust.update([groupEntry(1)], 0);
-  trust.extend('g', 1, 3000);
+  trust.extendAll(3000);
   trust.commitStarted('g');
   trust.update([groupEntry(2, GroupPhase.CHANGING)], 1000);
   t.equal(trust.dueRevocations(1200).length, 0);
@@ -227,6 +227,34 @@
   t.end();
 });
 
+void t.test('proxies hear of what changed since the version that they know', (t) => {
+  const catalog = new Catalog();
+  let index = 0;
+  const apply = (command: whinyoke.ICatalogCommand): void => {
+    catalog.apply(++index, whinyoke.CatalogCommand.encode(command).finish());
+  };
+  const instance = (id: string, state: whinyoke.InstanceState): whinyoke.ICatalogCommand => ({
+    putInstance: { id, group: 'g', state, sequence: 1 },
+  });
+  apply(instance('i-1', InstanceState.READY));
+  apply(instance('i-2', InstanceState.READY));
+  apply({ putGroup: groupEntry(1) });
+  const known = catalog.version;
+  apply({ putProxy: PROXIES[0]! });
+  apply({ takeDuty: { holder: 'c1' } });
+  t.equal(catalog.version, known, 'proxies and the duty concern control only');
+  apply(instance('i-2', InstanceState.GONE));
+  t.match(catalog.instancesSince(known), [{ id: 'i-2', state: InstanceState.GONE }]);
+  t.same(catalog.groupsSince(known), []);
+  t.equal(catalog.instancesSince(0), undefined, 'a proxy that knows nothing gets the whole list');
+  for (let number = 0; number < 600; number++) apply(instance(`x${number}`, InstanceState.GONE));
+  t.equal(catalog.instancesSince(known), undefined, 'the end of i-2 is forgotten by now');
+  const copy = new Catalog();
+  copy.restore(index, catalog.serialize());
+  t.equal(copy.instancesSince(known), undefined, 'after a snapshot, too');
+  t.end();
+});
+
 const A = { id: 'a', address: '1', isLearner: false };
 const B = { id: 'b', address: '2', isLearner: false };
 const C = { id: 'c', address: '3', isLearner: false };
--- a/test/unit/router.test.ts
+++ b/test/unit/router.test.ts
@@ -1,5 +1,7 @@
 /** Parts of the router: floors, order of instances, pool, logs that never block. */
 import t from 'tap';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
+import { connectionShare } from '../../src/router/connection_share.js';
 import { Events } from '../../src/observability/events.js';
 import { BoundedOutput } from '../../src/observability/bounded_output.js';
 import { DecisionLogger } from '../../src/observability/decision_logger.js';
@@ -95,10 +97,9 @@
 
 function poolOf(connector: InstanceConnector, share: number): InstancePool {
   const options = {
-    share: () => share,
+    share: () => ({ most: share, minimumIdle: 0, idleTimeoutMs: 1000, clampMs: 50 }),
     connectTimeoutMs: 100,
-    minimumIdle: 0,
-    idleTimeoutMs: 1000,
+    random: new SeededRandom(1),
   };
   const observer = { onConnected: () => undefined, onConnectFailed: () => undefined };
   const target = { id: 'i', group: 'g', address: '127.0.0.1:1' };
@@ -161,6 +162,42 @@
   t.equal(pool.size, 0);
 });
 
+void t.test('who finds no connection left at an instance tries again soon', async (t) => {
+  let attempts = 0;
+  const connector: InstanceConnector = {
+    connect: () => {
+      attempts++;
+      if (attempts < 4) return Promise.reject(new ConnectError('connectionLimit', 'full'));
+      return Promise.resolve({ connection: new FakeConnection() });
+    },
+  };
+  const pool = poolOf(connector, 2);
+  const first = pool.acquire(NO_VALUES, 1, 1000);
+  await new Promise((resolve) => setImmediate(resolve));
+  t.ok(await pool.acquire(NO_VALUES, 0, 1000), 'a second one is not turned away meanwhile');
+  t.ok(await first);
+  t.ok(attempts >= 4);
+  const full: InstanceConnector = {
+    connect: () => Promise.reject(new ConnectError('connectionLimit', 'full')),
+  };
+  await t.rejects(poolOf(full, 2).acquire(NO_VALUES, 1, 80), new AcquireError('timeout'));
+});
+
+void t.test(
+  'connections are kept where each proxy can have its own, else given back at once',
+  (t) => {
+    const ample = connectionShare(34, 6);
+    t.match(ample, { most: 12, minimumIdle: 1 });
+    t.ok(ample.idleTimeoutMs >= 1000);
+    const scarce = connectionShare(38, 66);
+    t.match(scarce, { most: 7, minimumIdle: 0 });
+    t.ok(scarce.idleTimeoutMs <= 200);
+    t.match(connectionShare(225, 68), { most: 7, minimumIdle: 1 });
+    t.ok(connectionShare(0, 1).most >= 1, 'before the first document');
+    t.end();
+  },
+);
+
 void t.test('a reader that stops reading loses lines, and holds up nothing', (t) => {
   const held: ((error: null, written: number) => void)[] = [];
   const written: Buffer[] = [];
