--- a/src/daemon/control_daemon.ts
+++ b/src/daemon/control_daemon.ts
@@ -1,7 +1,8 @@
 /** The control daemon: logs and metrics around {@link ControlCore}. */
-import { Gauge, Registry } from 'prom-client';
+import { Registry } from 'prom-client';
 import { ControlCore } from '../control/control_core.js';
 import type { PlatformMachine, PlatformSource } from '../control/platform_watcher.js';
+import { addGauge } from '../observability/gauges.js';
 import { Events } from '../observability/events.js';
 import { EventLogger } from '../observability/logger.js';
 import { controlSettingsSchema, readSettings } from '../settings/settings.js';
@@ -23,16 +24,8 @@
 
 function createRegistry(core: ControlCore): Registry {
   const registry = new Registry();
-  const gauge = (name: string, help: string, value: () => number): void => {
-    new Gauge({
-      name,
-      help,
-      registers: [registry],
-      collect() {
-        this.set(value());
-      },
-    });
-  };
+  const gauge = (name: string, help: string, value: () => number): void =>
+    addGauge(registry, name, help, value);
   gauge('whinyoke_accepted_revision', 'Newest accepted revision', () => core.store.revision);
   gauge('whinyoke_consensus_term', 'Current consensus term', () => core.node.currentTerm);
   gauge('whinyoke_consensus_leader', '1 on the leader', () =>
--- a/src/daemon/coordinator_daemon.ts
+++ b/src/daemon/coordinator_daemon.ts
@@ -2,11 +2,12 @@
 import { Gauge, Registry } from 'prom-client';
 import { Coordinator } from '../coordinator/coordinator.js';
 import type { PrimaryAppointer } from '../failover/primary_appointer.js';
+import { addGauge } from '../observability/gauges.js';
 import { Events } from '../observability/events.js';
 import { whinyoke } from '../protocol/generated/messages.js';
 import type { DecisionLog } from '../router/router_context.js';
 import type { InstanceConnector } from '../router/instance_connection.js';
-import { openMetrics, openProcess } from './managed_process.js';
+import { addDroppedLines, openMetrics, openProcess } from './managed_process.js';
 import { stopSignal } from './stop_signal.js';
 
 /** Settings of a control machine for groups with appointed primaries. */
@@ -33,14 +34,8 @@
 
 function createRegistry(core: Coordinator): Registry {
   const registry = new Registry();
-  const gauge = (name: string, help: string, value: () => number): void => {
-    const item: Gauge = new Gauge({
-      name,
-      help,
-      registers: [registry],
-      collect: () => item.set(value()),
-    });
-  };
+  const gauge = (name: string, help: string, value: () => number): void =>
+    addGauge(registry, name, help, value);
   const { node, catalog } = core;
   gauge('whinyoke_consensus_term', 'Current consensus term', () => node.currentTerm);
   gauge('whinyoke_consensus_leader', '1 on the leader', () => (node.role === 'leader' ? 1 : 0));
@@ -78,7 +73,10 @@
   connector: InstanceConnector,
   appointer: PrimaryAppointer,
 ): Promise<RunningCoordinator> {
-  const { runtime, logger, decisions } = await openProcess('whinyoke-control', settings);
+  const { runtime, logger, decisions, droppedLines } = await openProcess(
+    'whinyoke-control',
+    settings,
+  );
   const readAt = performance.now();
   const core = await Coordinator.open(runtime, {
     name: settings.id,
@@ -92,10 +90,12 @@
   });
   const joinAt = performance.now();
   await core.start();
+  const registry = createRegistry(core);
+  addDroppedLines(registry, droppedLines);
   const server = await openMetrics(
     settings.metrics,
     {
-      registry: createRegistry(core),
+      registry,
       isReady: () => core.node.hasQuorum,
     },
     logger,
--- a/src/daemon/managed_process.ts
+++ b/src/daemon/managed_process.ts
@@ -1,9 +1,11 @@
 /** Logs and runtime of the daemons for groups with appointed primaries. */
 import type { Server } from 'node:http';
+import type { Registry } from 'prom-client';
 import { messageOf } from '../errors/errors.js';
 import { Events } from '../observability/events.js';
 import { BoundedOutput } from '../observability/bounded_output.js';
 import { DecisionLogger } from '../observability/decision_logger.js';
+import { addGauge } from '../observability/gauges.js';
 import { EventLogger } from '../observability/logger.js';
 import { splitAddress } from '../runtime/address.js';
 import { RealClock } from '../runtime/real_clock.js';
@@ -26,6 +28,8 @@
   readonly runtime: Runtime;
   readonly logger: EventLogger;
   readonly decisions: DecisionLogger;
+  /** Lines that were dropped since the start, since nobody read them in time. */
+  readonly droppedLines: () => number;
 }
 
 const NO_FOLDER_TEXT = 'this process has no data folder';
@@ -48,7 +52,8 @@
   program: string,
   settings: ProcessSettings,
 ): Promise<ManagedProcess> {
-  const logger = new EventLogger(program, { node: settings.id }, 'info', new BoundedOutput());
+  const output = new BoundedOutput();
+  const logger = new EventLogger(program, { node: settings.id }, 'info', output);
   const clock = new RealClock();
   const decisions = new DecisionLogger(logger, clock);
   const messenger = new TcpMessenger({
@@ -62,9 +67,16 @@
     runtime: { clock, random: SeededRandom.fromSystem(), folder, messenger },
     logger,
     decisions,
+    droppedLines: () => output.droppedLines,
   };
 }
 
+/** Adds the number of log lines that were dropped to the metrics of a process. */
+export function addDroppedLines(registry: Registry, droppedLines: () => number): void {
+  const help = 'Log lines that were dropped because nobody read them in time';
+  addGauge(registry, 'whinyoke_log_lines_dropped', help, droppedLines);
+}
+
 /** Starts the metrics endpoint; a process serves on when that can't listen. */
 export async function openMetrics(
   address: string | undefined,
--- a/src/daemon/router_daemon.ts
+++ b/src/daemon/router_daemon.ts
@@ -5,7 +5,7 @@
 import { stopAsPlanned } from '../router/planned_stop.js';
 import { RouterCore } from '../router/router_core.js';
 import { type CallerCodec, SessionListener } from '../router/session_listener.js';
-import { openMetrics, openProcess } from './managed_process.js';
+import { addDroppedLines, openMetrics, openProcess } from './managed_process.js';
 import { SocketAcceptor } from '../runtime/socket_acceptor.js';
 import { RouterMetrics } from './router_metrics.js';
 import { stopSignal } from './stop_signal.js';
@@ -49,7 +49,10 @@
   openAcceptor?: SocketAcceptor,
 ): Promise<RunningRouter> {
   const acceptor = openAcceptor ?? (await SocketAcceptor.open(settings.listen));
-  const { runtime, logger, decisions } = await openProcess('whinyoke-proxy', settings);
+  const { runtime, logger, decisions, droppedLines } = await openProcess(
+    'whinyoke-proxy',
+    settings,
+  );
   const metrics = new RouterMetrics();
   const core = new RouterCore(runtime, {
     id: settings.id,
@@ -62,6 +65,7 @@
     counters: metrics,
   });
   metrics.watch(core);
+  addDroppedLines(metrics.registry, droppedLines);
   const listener = new SessionListener(protocols.callers, core, acceptor);
   core.start();
   const evacuation = setInterval(() => {
--- a/src/daemon/router_metrics.ts
+++ b/src/daemon/router_metrics.ts
@@ -1,5 +1,6 @@
 /** Counters and latency histograms of a proxy for groups with appointed primaries. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { addGauge } from '../observability/gauges.js';
 import type { RequestCounters } from '../router/router_context.js';
 import type { RouterCore } from '../router/router_core.js';
 
@@ -43,17 +44,24 @@
 
   /** Adds gauges that are read from a core. */
   watch(core: RouterCore): void {
-    this.gauge(
+    addGauge(
+      this.registry,
       'whinyoke_sync_age_seconds',
       'Age of the newest answer of control',
       () => Math.min(core.syncAge, Number.MAX_SAFE_INTEGER) / 1000,
     );
-    this.gauge(
+    addGauge(
+      this.registry,
       'whinyoke_document_version',
       'Routing document in force',
       () => core.table?.version ?? 0,
     );
-    this.gauge('whinyoke_catalog_version', 'Catalog in force', () => core.knownVersion);
+    addGauge(
+      this.registry,
+      'whinyoke_catalog_version',
+      'Catalog in force',
+      () => core.knownVersion,
+    );
     const pool = new Gauge({
       name: 'whinyoke_pool_connections',
       help: 'Connections to instances, by state',
@@ -85,13 +93,4 @@
       },
     });
   }
-
-  private gauge(name: string, help: string, value: () => number): void {
-    const gauge: Gauge = new Gauge({
-      name,
-      help,
-      registers: [this.registry],
-      collect: () => gauge.set(value()),
-    });
-  }
 }
--- a/src/router/caller_reply.ts
+++ b/src/router/caller_reply.ts
@@ -34,6 +34,13 @@
   readonly position?: Position;
 }
 
+/** Answer to the caller of a write or commit. */
+export interface CommittedReply {
+  readonly reply: CallerReply;
+  /** Position of the commit, when there was one. */
+  readonly committedAt?: Position;
+}
+
 /** Signature of answers that no instance gave. */
 export const OWN_SIGNATURE = '-';
 
--- a/src/router/primary_trust.ts
+++ b/src/router/primary_trust.ts
@@ -52,6 +52,13 @@
   return { epoch, until: known.leaseUntil };
 }
 
+/** Whether the commits under way are over, or have had their time, and control has not heard of it yet. */
+function isRevocationDue(trust: GroupTrust, now: number): boolean {
+  const isChanging = trust.entry.phase === whinyoke.GroupPhase.CHANGING;
+  if (!isChanging || trust.confirmedEpoch >= (trust.entry.epoch ?? 0)) return false;
+  return trust.commitsUnderWay === 0 || now - trust.knownSince > COMMIT_PATIENCE_MS;
+}
+
 /** Trust of one proxy. */
 export class PrimaryTrust {
   private readonly groups = new Map<string, GroupTrust>();
@@ -132,19 +139,20 @@
     if (trust) trust.commitsUnderWay--;
   }
 
-  /** Revocations that are due and not yet confirmed. Answers of their old epochs no longer count. */
-  dueRevocations(now: number): readonly DueRevocation[] {
-    const due: DueRevocation[] = [];
+  /** Whether a revocation is due and not yet confirmed. */
+  hasDueRevocation(now: number): boolean {
+    return [...this.groups.values()].some((trust) => isRevocationDue(trust, now));
+  }
+
+  /** Ends all trust in the old epochs whose revocation is due, and returns what control must hear of that. */
+  endRevokedEpochs(now: number): readonly DueRevocation[] {
+    const ended: DueRevocation[] = [];
     for (const [group, trust] of this.groups) {
-      const epoch = trust.entry.epoch ?? 0;
-      const isChanging = trust.entry.phase === whinyoke.GroupPhase.CHANGING;
-      if (!isChanging || trust.confirmedEpoch >= epoch) continue;
-      const isSettled = trust.commitsUnderWay === 0 || now - trust.knownSince > COMMIT_PATIENCE_MS;
-      if (!isSettled) continue;
+      if (!isRevocationDue(trust, now)) continue;
       trust.ending = undefined;
-      due.push({ group, epoch, position: trust.acknowledged });
+      ended.push({ group, epoch: trust.entry.epoch ?? 0, position: trust.acknowledged });
     }
-    return due;
+    return ended;
   }
 
   /** Notes that control has taken a revocation. */
--- a/src/router/router_core.ts
+++ b/src/router/router_core.ts
@@ -130,11 +130,6 @@
     return this.clock.now() - this.lastSyncAt;
   }
 
-  /** Failed requests to control in a row. */
-  get failedSyncs(): number {
-    return this.client.failedRequests;
-  }
-
   /** Log index of the newest catalog in force. */
   get knownVersion(): number {
     return this.version;
@@ -206,7 +201,7 @@
 
   syncContent(): SyncContent {
     const now = this.clock.now();
-    const revocations = this.trust.dueRevocations(now).map(({ group, epoch, position }) => ({
+    const revocations = this.trust.endRevokedEpochs(now).map(({ group, epoch, position }) => ({
       group,
       epoch,
       hasPosition: position !== undefined,
@@ -232,7 +227,7 @@
     if (version > this.version) this.adoptCatalog(version, reply);
     // A reply that was overtaken grants leases on epochs that may be over.
     if (version === this.version) this.trust.extendAll(sentAt + (reply.leaseMs ?? 0));
-    if (this.trust.dueRevocations(now).length > 0) void this.client.syncNow();
+    if (this.trust.hasDueRevocation(now)) void this.client.syncNow();
   }
 
   private adoptDocument(document: whinyoke.IRoutingDocument): void {
@@ -335,7 +330,7 @@
     for (const pool of this.pools.values()) pool.maintain();
     this.noteLostControl();
     this.reportChangedOpinions(now);
-    if (this.trust.dueRevocations(now).length > 0) void this.client.syncNow();
+    if (this.trust.hasDueRevocation(now)) void this.client.syncNow();
     this.maintenance = this.clock.setTimer(MAINTENANCE_MS, () => this.maintain());
   }
 
--- a/src/router/single_statement.ts
+++ b/src/router/single_statement.ts
@@ -1,7 +1,7 @@
 /** Runs one statement outside a transaction. */
 import { delay } from '../runtime/runtime.js';
 import { type Position } from '../session/position.js';
-import { type CallerReply, refused } from './caller_reply.js';
+import { type CallerReply, type CommittedReply, refused } from './caller_reply.js';
 import type { InstanceAnswer, InstanceError } from './instance_connection.js';
 import { AcquireError } from './instance_pool.js';
 import { inDoubt, noteRetry, refuse } from './refusal.js';
@@ -16,7 +16,7 @@
   type StatementRunner,
   isNotRun,
 } from './statement_runner.js';
-import { type Target, planRead } from './target_planner.js';
+import { type Target, isTargetTrusted, planRead } from './target_planner.js';
 import { awaitPrimary } from './trust_waiter.js';
 
 const RETRY_PAUSE_MS = 10;
@@ -34,12 +34,6 @@
   readonly ownPosition: Position | undefined;
 }
 
-/** Answer to the caller, and the position of the commit when there was one. */
-export interface SingleResult {
-  readonly reply: CallerReply;
-  readonly committedAt?: Position;
-}
-
 /** A write that certainly did not run. */
 interface NotRunWrite {
   readonly cause: string;
@@ -85,7 +79,7 @@
   }
 
   /** Runs a write on the trusted primary; never a second time when it may have run. */
-  async write(request: SingleRequest): Promise<SingleResult> {
+  async write(request: SingleRequest): Promise<CommittedReply> {
     const { deadline } = request;
     const { group } = deadline.route;
     const refusal = { id: request.id, deadline, state: 'idle' as const };
@@ -138,7 +132,7 @@
     const command = { kind: 'data' as const, id, statement, after: target.after };
     const attempt = await this.runner.attempt(held, request.content, command, timeoutMs);
     this.runner.release(held, attempt.outcome === 'answered' ? attempt.answer : undefined);
-    if (attempt.outcome === 'answered' && !this.isTrusted(target)) {
+    if (attempt.outcome === 'answered' && !isTargetTrusted(this.context, target)) {
       return { outcome: 'lost', cause: 'the lease on the primary ended' };
     }
     return attempt;
@@ -148,12 +142,12 @@
   private async attemptWrite(
     request: SingleRequest,
     target: Target,
-  ): Promise<SingleResult | NotRunWrite> {
+  ): Promise<CommittedReply | NotRunWrite> {
     const { deadline, id, statement } = request;
     const refusal = { id, deadline, state: 'idle' as const };
     const held = await this.hold(request, target);
     if (!('pooled' in held)) return { cause: held.cause, wasOffered: false };
-    if (!this.isTrusted(target)) {
+    if (!isTargetTrusted(this.context, target)) {
       this.runner.release(held);
       return { cause: 'the lease on the primary ended', wasOffered: false };
     }
@@ -169,7 +163,7 @@
       return { cause: `${target.instance} answered ${answer.error.kind}`, wasOffered: true };
     }
     if (answer.error) return { reply: fail(answer.error) };
-    if (!this.isTrusted(target) || !answer.position) {
+    if (!isTargetTrusted(this.context, target) || !answer.position) {
       return { reply: inDoubt(this.context, refusal, 'the lease on the primary ended') };
     }
     this.context.trust.noteAcknowledged(target.group, answer.position);
@@ -191,12 +185,6 @@
     }
   }
 
-  private isTrusted(target: Target): boolean {
-    if (target.primaryEpoch === undefined) return true;
-    const now = this.context.clock.now();
-    return this.context.trust.accepts(target.group, target.primaryEpoch, now);
-  }
-
   private succeed(request: SingleRequest, target: Target, answer: InstanceAnswer): CallerReply {
     const { route } = request.deadline;
     const isPrimary = target.primaryEpoch !== undefined;
--- a/src/router/target_planner.ts
+++ b/src/router/target_planner.ts
@@ -36,6 +36,13 @@
   return { instance: primary.instance, pool, group, primaryEpoch: primary.epoch };
 }
 
+/** Whether answers of a target count now: those of replicas always, those of a primary under its lease. */
+export function isTargetTrusted(context: RouterContext, target: Target): boolean {
+  const { primaryEpoch, group } = target;
+  if (primaryEpoch === undefined) return true;
+  return context.trust.accepts(group, primaryEpoch, context.clock.now());
+}
+
 /** Position that a replica must have applied for a read; undefined when only the primary may serve it. */
 export function readFloor(context: RouterContext, request: ReadPlanRequest): Position | undefined {
   const { policy, group } = request.route;
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -4,7 +4,7 @@
  */
 import { delay } from '../runtime/runtime.js';
 import type { Position } from '../session/position.js';
-import { type CallerReply, refused } from './caller_reply.js';
+import { type CallerReply, type CommittedReply, refused } from './caller_reply.js';
 import type { InstanceAnswer, InstanceError } from './instance_connection.js';
 import { type RefusedRequest, inDoubt, noteRetry, refuse } from './refusal.js';
 import { RequestDeadline } from './request_deadline.js';
@@ -18,7 +18,7 @@
   type StatementRunner,
   isNotRun,
 } from './statement_runner.js';
-import { type Target, planRead } from './target_planner.js';
+import { type Target, isTargetTrusted, planRead } from './target_planner.js';
 import { awaitPrimary } from './trust_waiter.js';
 
 /** Identifier of statements that no caller asked for. */
@@ -29,12 +29,6 @@
 const STATEMENT_SHARE = 0.6;
 const ROLLBACK_TIMEOUT_MS = 1000;
 
-/** Answer to the caller, and the position of the commit when there was one. */
-export interface TransactionResult {
-  readonly reply: CallerReply;
-  readonly committedAt?: Position;
-}
-
 /** One transaction, from BEGIN to COMMIT, ROLLBACK or its failure. */
 export class Transaction {
   private held: HeldConnection | undefined;
@@ -90,7 +84,7 @@
   }
 
   /** Commits. */
-  async commit(id: string, content: SessionContent): Promise<TransactionResult> {
+  async commit(id: string, content: SessionContent): Promise<CommittedReply> {
     const deadline = new RequestDeadline(this.context.clock, this.route);
     const refusal = { id, deadline, state: 'idle' as const };
     const problem = await this.bind(id, deadline, content);
@@ -130,7 +124,7 @@
   }
 
   /** Verdict on a commit: kept, certainly not kept, or unknown. */
-  private judgeCommit(attempt: Attempt, refusal: RefusedRequest): TransactionResult {
+  private judgeCommit(attempt: Attempt, refusal: RefusedRequest): CommittedReply {
     const held = this.held!;
     this.held = undefined;
     const answer = attempt.outcome === 'answered' ? attempt.answer : undefined;
@@ -140,7 +134,7 @@
       return { reply: refuse(this.context, refusal, 'aborted', cause) };
     }
     if (!answer || answer.error) return { reply: this.commitFailed(refusal, cause) };
-    if (this.hasWritten && !this.trusts(held.target)) {
+    if (this.hasWritten && !isTargetTrusted(this.context, held.target)) {
       return { reply: this.commitFailed(refusal, 'the lease on the primary ended') };
     }
     const { rows, signature, position } = answer;
@@ -259,13 +253,7 @@
   }
 
   private isTrusted(): boolean {
-    return this.held !== undefined && this.trusts(this.held.target);
-  }
-
-  private trusts(target: Target): boolean {
-    const { primaryEpoch, group } = target;
-    if (primaryEpoch === undefined) return true;
-    return this.context.trust.accepts(group, primaryEpoch, this.context.clock.now());
+    return this.held !== undefined && isTargetTrusted(this.context, this.held.target);
   }
 
   private countServed(): void {
--- a/test/unit/failover.test.ts
+++ b/test/unit/failover.test.ts
@@ -135,17 +135,19 @@
   trust.update([groupEntry(2, GroupPhase.CHANGING)], 1000);
   t.equal(trust.primaryOf('g', 1000), undefined, 'nothing new is sent');
   t.ok(trust.accepts('g', 1, 1100), 'an answer under way still counts');
-  t.same(trust.dueRevocations(1100), [], 'the confirmation waits for it');
+  t.same(trust.endRevokedEpochs(1100), [], 'the confirmation waits for it');
+  t.notOk(trust.hasDueRevocation(1100));
   trust.update([groupEntry(1)], 1100);
   trust.extendAll(9000);
   t.equal(trust.entryOf('g')?.epoch, 2, 'an older reply changes nothing');
   trust.commitEnded('g');
-  t.match(trust.dueRevocations(1200), [
+  t.ok(trust.hasDueRevocation(1200));
+  t.match(trust.endRevokedEpochs(1200), [
     { group: 'g', epoch: 2, position: { term: 1, sequence: 4 } },
   ]);
   t.notOk(trust.accepts('g', 1, 1200), 'after the confirmation nothing counts');
   trust.confirmed('g', 2);
-  t.same(trust.dueRevocations(1300), []);
+  t.same(trust.endRevokedEpochs(1300), []);
   trust.extendAll(9000);
   t.equal(trust.primaryOf('g', 1300), undefined, 'there is no lease on a changing epoch');
   t.end();
@@ -157,8 +159,8 @@
   trust.extendAll(3000);
   trust.commitStarted('g');
   trust.update([groupEntry(2, GroupPhase.CHANGING)], 1000);
-  t.equal(trust.dueRevocations(1200).length, 0);
-  t.equal(trust.dueRevocations(1300).length, 1);
+  t.equal(trust.endRevokedEpochs(1200).length, 0);
+  t.equal(trust.endRevokedEpochs(1300).length, 1);
   t.notOk(trust.accepts('g', 1, 1300));
   t.end();
 });
