Programs: the command-line library is loaded only to explain a command line

Cause: of 215 ms to load the programs 65 ms were string-width and cliui, which yargs needs to draw its help (profile of the import, by module).

Ruled out: zod (24 ms) and bunyan (36 ms, mostly optional parts looked up and the system's assert module), which are needed at once.

Change: proxy|control [--metrics-port N] is read by the system's parser; yargs explains everything else.

--- a/test/unit/platform_codec.test.ts
+++ b/test/unit/platform_codec.test.ts
@@ -1,6 +1,7 @@
 /** The platform's wire, settings and configuration: translation only. */
 import t from 'tap';
 import { LineCallerCodec } from '../../platform/caller_codec.js';
+import { readPlainCommand } from '../../platform/command_line.js';
 import {
   AnswerReader,
   encodeCommand,
@@ -194,3 +195,27 @@
   for (const [text, problem] of invalid) t.throws(() => reader.read(text), problem);
   t.end();
 });
+
+void t.test(
+  'a plain command line is read without the library, anything else is left to it',
+  (t) => {
+    t.same(readPlainCommand(['proxy', '--metrics-port', '9100']), {
+      program: 'proxy',
+      metricsPort: 9100,
+    });
+    t.same(readPlainCommand(['control', '--metrics-port=1']), {
+      program: 'control',
+      metricsPort: 1,
+    });
+    t.same(readPlainCommand(['control']), { program: 'control', metricsPort: undefined });
+    const others = [
+      [],
+      ['prox'],
+      ['proxy', '--help'],
+      ['proxy', 'x'],
+      ['proxy', '--metrics-port', 'x'],
+    ];
+    for (const words of others) t.equal(readPlainCommand(words), undefined, words.join(' '));
+    t.end();
+  },
+);
