Reads: stay in their zone more, spare primaries, ask failing instances less

An instance that refuses a part of its requests though it is reachable kept its share of them.

Change also: refusals and failures are weighed (share of the latest answers, half-life 2 s) into the cost of an instance.

--- a/src/router/instance_load.ts
+++ b/src/router/instance_load.ts
@@ -8,6 +8,10 @@
 /** An instance that lacked a position is asked again after this time, doubled with each time that it lacked. */
 const LAGGING_RECHECK_MS = 60;
 const LONGEST_LAGGING_RECHECK_MS = 480;
+/** Weight of one answer in the share of answers that failed. */
+const FAILING_WEIGHT = 0.1;
+/** An instance that is avoided for failing is tried more often again with time; in milliseconds. */
+const FAILING_HALF_LIFE_MS = 2000;
 const MINIMUM_PATIENCE_MS = 80;
 const PATIENCE_DEVIATIONS = 6;
 
@@ -18,6 +22,8 @@
   private latencyMs = INITIAL_LATENCY_MS;
   private deviationMs = INITIAL_LATENCY_MS;
   private failures = 0;
+  private failing = 0;
+  private failingAt = -Infinity;
   private ejectedUntil = -Infinity;
   private applied: Position | undefined;
   private laggingAnswers = 0;
@@ -35,7 +41,8 @@
   }
 
   /** Notes an answer that took `durationMs`. */
-  noteAnswer(durationMs: number): void {
+  noteAnswer(durationMs: number, now: number): void {
+    this.weighFailing(0, now);
     const difference = durationMs - this.latencyMs;
     this.latencyMs += LATENCY_WEIGHT * difference;
     this.deviationMs += LATENCY_WEIGHT * (Math.abs(difference) - this.deviationMs);
@@ -51,11 +58,28 @@
     this.ejectedUntil = now + Math.min(ejection, LONGEST_EJECTION_MS);
   }
 
+  /** Notes that the instance turned a request away, or failed it, although it could be reached. */
+  noteRefusal(now: number): void {
+    this.weighFailing(1, now);
+  }
+
+  /** Share of the latest answers that were refusals or failures, from 0 to 1; it fades with time. */
+  failingShare(now: number): number {
+    if (this.failing === 0) return 0;
+    return this.failing * 2 ** (-Math.max(0, now - this.failingAt) / FAILING_HALF_LIFE_MS);
+  }
+
   /** Whether the instance is avoided. */
   isEjected(now: number): boolean {
     return now < this.ejectedUntil;
   }
 
+  private weighFailing(outcome: 0 | 1, now: number): void {
+    const present = this.failingShare(now);
+    this.failing = present + FAILING_WEIGHT * (outcome - present);
+    this.failingAt = now;
+  }
+
   /** Notes the position that the instance told. */
   notePosition(position: Position): void {
     this.applied = position;
--- a/src/router/replica_selector.ts
+++ b/src/router/replica_selector.ts
@@ -10,11 +10,13 @@
   readonly isPrimary: boolean;
 }
 
-/** Reads on a primary compete with writes. */
-const PRIMARY_FACTOR = 3;
+/** Reads on a primary compete with writes, so that a replica of another zone is preferred. */
+const PRIMARY_FACTOR = 6;
 /** Traffic to another zone costs latency and bytes. */
-const OTHER_ZONE_FACTOR = 2.2;
+const OTHER_ZONE_FACTOR = 4;
 const UNAVAILABLE_FACTOR = 1000;
+/** An instance that fails all requests costs this many times as much; one that fails a part, a part of it. */
+const FAILING_FACTOR = 30;
 
 /** Circumstances of one read. */
 export interface ReadContext {
@@ -27,6 +29,7 @@
 function cost(candidate: ReadCandidate, context: ReadContext): number {
   const { load } = candidate;
   let result = load.latency * (load.outstanding + 1);
+  result *= 1 + FAILING_FACTOR * load.failingShare(context.now);
   if (candidate.isPrimary) result *= PRIMARY_FACTOR;
   if (candidate.zone !== context.zone) result *= OTHER_ZONE_FACTOR;
   const isBehind =
--- a/src/router/statement_runner.ts
+++ b/src/router/statement_runner.ts
@@ -20,6 +20,14 @@
   'connectionLimit',
 ]);
 
+/** Errors that tell of trouble of the instance, not of the request or of a replica's lag. */
+const REFUSAL_KINDS: ReadonlySet<InstanceErrorKind> = new Set<InstanceErrorKind>([
+  'busy',
+  'failed',
+  'timeout',
+  'other',
+]);
+
 /** Whether an error promises that the statement did not run. */
 export function isNotRun(kind: InstanceErrorKind): boolean {
   return NOT_RUN_KINDS.has(kind);
@@ -166,7 +174,8 @@
     const now = clock.now();
     if (answer.position) pool.load.notePosition(answer.position);
     if (answer.error?.kind === 'lagging') pool.load.noteLagging(now);
-    if (isTimed && !answer.error) pool.load.noteAnswer(now - sentAt);
+    if (isTimed && !answer.error) pool.load.noteAnswer(now - sentAt, now);
+    if (answer.error && REFUSAL_KINDS.has(answer.error.kind)) pool.load.noteRefusal(now);
     if (epoch === undefined) return;
     if (answer.error?.kind === 'readOnly') {
       this.context.observerOf(group, epoch).failed(PrimaryHealth.NOT_PRIMARY, now);
