Change of primary: a position that no replica received no longer blocks it for good

Cause: the proxies named 2-205 as acknowledged, all replicas had received 2-204, the old primary held 2-207. The answer to a commit tells the end of the primary's log, in which other commits may still wait for their replica, so the named position can lie beyond everything that was acknowledged. No replica covered it, and the old primary was only considered where no replica was eligible: nobody was ever appointed.

Ruled out: a replica that lost its log (both replicas ran through), a lost confirmation (all proxies confirmed).

Change: where all replicas answered, none has left since the epoch began, and the named position is of this term, the newest replica holds what was acknowledged, whatever the name says. Otherwise the old primary, which holds everything, may lead again also beside eligible replicas.

--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -76,6 +76,16 @@
     return this.instances.filter((instance) => (instance.version ?? 0) > version);
   }
 
+  /** Whether an instance of a group left after a version; also true when that can't be told any more. */
+  hasLostInstanceSince(group: string, version: number): boolean {
+    if (version < this.forgottenIndex) return true;
+    return this.instances.some((instance) => {
+      const isOfGroup = instance.group === group || instance.group === '';
+      const isLater = (instance.version ?? 0) > version;
+      return isOfGroup && isLater && instance.state === InstanceState.GONE;
+    });
+  }
+
   /** Groups whose epoch changed after a version. */
   groupsSince(version: number): readonly GroupEntry[] {
     return this.groups.filter((group) => (group.version ?? 0) > version);
--- a/src/failover/candidate.ts
+++ b/src/failover/candidate.ts
@@ -21,6 +21,8 @@
   readonly revocation: RevocationState;
   /** Whether the confirmations cover everything acknowledged in the epoch: no proxy was lost in it. */
   readonly isHistoryWhole: boolean;
+  /** Whether no instance of the group left since the epoch of the old primary began, with its log. */
+  readonly isMembershipWhole: boolean;
   /** Term of the old primary. */
   readonly term: number;
 }
@@ -34,14 +36,26 @@
   readonly evidence: ChoiceEvidence;
 }
 
+/**
+ * Whether the newest of all replicas must hold what was acknowledged, whatever position the proxies name: a
+ * commit of this term was acknowledged only after a replica had received it and all before it, and none has
+ * left since. The named position may lie beyond, since the answer to one commit tells the end of a log in
+ * which others are still waiting for their replica.
+ */
+function holdsAcknowledgedOfTerm({ revocation, isMembershipWhole, term }: ChoiceInput): boolean {
+  return isMembershipWhole && revocation.acknowledged?.term === term;
+}
+
 /** The evidence that a position holds every acknowledged commit; undefined when there is none. */
 function evidenceFor(status: InstanceStatus, input: ChoiceInput): ChoiceEvidence | undefined {
   const { received } = status;
   const { revocation } = input;
-  // Whatever else is known, what the proxies name must be there: a replica that left may alone have held it.
-  if (revocation.acknowledged && !covers(received, revocation.acknowledged)) return undefined;
   const isNewest = input.reports.every((report) => covers(received, report.status.received));
-  if (input.missing === 0 && isNewest) return 'allReplicas';
+  const isNewestOfAll = input.missing === 0 && isNewest;
+  if (isNewestOfAll && holdsAcknowledgedOfTerm(input)) return 'allReplicas';
+  // A replica that left may alone have held what the proxies name, so it must be there.
+  if (revocation.acknowledged && !covers(received, revocation.acknowledged)) return undefined;
+  if (isNewestOfAll) return 'allReplicas';
   if (input.oldPrimary && covers(received, input.oldPrimary.received)) return 'oldPrimary';
   if (!revocation.isConfirmedByAll || !input.isHistoryWhole) return undefined;
   const isCovered = revocation.acknowledged !== undefined || received.term >= input.term;
--- a/src/failover/primary_changer.ts
+++ b/src/failover/primary_changer.ts
@@ -169,17 +169,18 @@
     missing: number,
     oldPrimary: CandidateReport | undefined,
   ): Choice | undefined {
-    const isReplicaEligible = replicas.some((report) => report.isEligible);
     const input = {
       missing,
       oldPrimary: oldPrimary?.status,
       revocation: this.revocation(),
       isHistoryWhole: this.isHistoryWhole(),
+      isMembershipWhole: this.isMembershipWhole(),
       term: this.entry.term ?? 0,
     };
     const choice = chooseCandidate({ ...input, reports: [...replicas] });
+    // Where no replica provably holds everything, the old primary does, and may lead again.
     const again =
-      !choice && oldPrimary && !isReplicaEligible
+      !choice && oldPrimary
         ? chooseCandidate({ ...input, reports: [...replicas, oldPrimary] })
         : undefined;
     this.logChoice(replicas, oldPrimary?.status, choice ?? again);
@@ -198,6 +199,11 @@
     return this.context.catalog.proxyLossVersion < (this.entry.steadySince ?? 0);
   }
 
+  /** Whether no instance of the group left since the old primary's epoch began. */
+  private isMembershipWhole(): boolean {
+    return !this.context.catalog.hasLostInstanceSince(this.group, this.entry.steadySince ?? 0);
+  }
+
   private async awaitPrimary(instance: string): Promise<InstanceStatus | undefined> {
     const { clock, administrator } = this.context;
     const begunAt = clock.now();
--- a/test/simulation/appointed.test.ts
+++ b/test/simulation/appointed.test.ts
@@ -26,6 +26,16 @@
   }
 });
 
+/** Seeds that failed once, and what was wrong then. */
+const FORMER_FAILURES = [
+  // The named position lay beyond what any replica had received, so nobody was ever appointed.
+  { deployment: APPOINTED_QUETZAL, seed: 320 },
+];
+
+void t.test('seeds that failed once', async (t) => {
+  for (const options of FORMER_FAILURES) await expectClean(t, options);
+});
+
 void t.test('each kind of fault alone', async (t) => {
   for (const [index, kind] of APPOINTED_FAULTS.entries()) {
     const deployment = index % 2 === 0 ? APPOINTED_QUETZAL : APPOINTED_TOPLINA;
--- a/test/unit/failover.test.ts
+++ b/test/unit/failover.test.ts
@@ -30,6 +30,7 @@
     oldPrimary: undefined,
     revocation: { isComplete: true, isConfirmedByAll: false, acknowledged: undefined },
     isHistoryWhole: false,
+    isMembershipWhole: false,
     term: 3,
     ...change,
   };
@@ -75,6 +76,14 @@
     undefined,
     'a replica that left alone held an acknowledged commit',
   );
+  const named = { revocation: confirmed(13), isMembershipWhole: true };
+  t.equal(
+    choiceOf(named),
+    'b allReplicas',
+    'the answer to a commit told of later ones that no replica had received',
+  );
+  t.equal(choiceOf({ ...named, term: 4 }), undefined, 'acknowledged by a primary of an older term');
+  t.equal(choiceOf({ ...named, reports: onlyA, missing: 1 }), undefined, 'one is silent');
   const leaving = [
     { instance: 'a', status: statusAt(10), isEligible: true },
     { instance: 'b', status: statusAt(12), isEligible: false },
@@ -254,6 +263,9 @@
   const copy = new Catalog();
   copy.restore(index, catalog.serialize());
   t.equal(copy.instancesSince(known), undefined, 'after a snapshot, too');
+  t.ok(copy.hasLostInstanceSince('g', known), 'an instance left since');
+  t.notOk(copy.hasLostInstanceSince('g', index));
+  t.notOk(copy.hasLostInstanceSince('h', index - 1), 'of another group');
   t.end();
 });
 
