Pools: idle connections are kept as long as the instance has some left

Change: where connections are scarce an idle one is kept for up to 600 ms in place of 100; each refusal for the limit halves that time, each connection that could be opened adds 10 ms (additive increase, multiplicative decrease). Not measured yet.

--- a/src/router/connection_share.ts
+++ b/src/router/connection_share.ts
@@ -3,7 +3,8 @@
  *
  * Every instance takes a limited number of connections from all proxies together. Where each proxy can have a
  * few of its own, it keeps them. Where there are more proxies than connections, nobody keeps any: a connection
- * is opened for a statement or transaction and given back soon after, and who finds none left tries again.
+ * is opened for a statement or transaction and given back after a while (see `IdlePatience`), and who finds
+ * none left tries again.
  */
 
 /** Connections that one proxy may hold to one instance. */
@@ -12,7 +13,7 @@
   readonly most: number;
   /** Idle connections that are kept. */
   readonly minimumIdle: number;
-  /** Idle connections beyond those are closed after this time, in milliseconds. */
+  /** Idle connections beyond those are closed after this time at the latest, in milliseconds. */
   readonly idleTimeoutMs: number;
   /** After the instance refused one more, the proxy makes do with what it has for this time, in milliseconds. */
   readonly clampMs: number;
@@ -39,7 +40,7 @@
   idleTimeoutMs: 1500,
   clampMs: 2000,
 };
-const SCARCE: Omit<ConnectionShare, 'most'> = { minimumIdle: 0, idleTimeoutMs: 100, clampMs: 100 };
+const SCARCE: Omit<ConnectionShare, 'most'> = { minimumIdle: 0, idleTimeoutMs: 600, clampMs: 100 };
 
 /** Share of one of `liveProxies` proxies in an instance that takes `connectionLimit` connections. */
 export function connectionShare(connectionLimit: number, liveProxies: number): ConnectionShare {
--- a/src/router/instance_pool.ts
+++ b/src/router/instance_pool.ts
@@ -7,6 +7,7 @@
   type InstanceConnector,
   type InstanceTarget,
 } from './instance_connection.js';
+import { IdlePatience } from './idle_patience.js';
 import type { InstanceLoad } from './instance_load.js';
 
 /** A connection with the session values and prepared shapes that it holds. */
@@ -73,6 +74,7 @@
   private inUse = 0;
   private opening = 0;
   private isClosed = false;
+  private readonly patience = new IdlePatience();
   private clampedUntil = -Infinity;
   private clampedTo = Infinity;
   /** Nothing is tried before, since the instance could not be reached. */
@@ -158,7 +160,7 @@
     const oldest = this.idle[0];
     const { minimumIdle, idleTimeoutMs } = this.options.share();
     const isExcess = this.idle.length > minimumIdle;
-    if (oldest && isExcess && now - oldest.idleSince > idleTimeoutMs) {
+    if (oldest && isExcess && now - oldest.idleSince > this.patience.current(idleTimeoutMs)) {
       this.idle.shift();
       oldest.connection.close();
     }
@@ -221,6 +223,7 @@
     this.connector.connect(this.target, this.options.connectTimeoutMs).then(
       ({ connection, position }) => {
         this.opening--;
+        this.patience.noteOpened();
         if (position) this.load.notePosition(position);
         this.observer.onConnected(this.clock.now() - startedAt);
         this.adopt(connection);
@@ -262,9 +265,11 @@
 
   /** Goes on with what there is; without any connection, tries again soon for those that wait. */
   private onLimitReached(now: number): void {
+    const { clampMs, idleTimeoutMs } = this.options.share();
+    this.patience.noteLimit(idleTimeoutMs);
     if (this.size > 0) {
       this.clampedTo = this.size;
-      this.clampedUntil = now + this.options.share().clampMs;
+      this.clampedUntil = now + clampMs;
       return;
     }
     const pauseMs = this.options.random.integer(SHORTEST_LIMIT_PAUSE_MS, LONGEST_LIMIT_PAUSE_MS);
