--- a/test/unit/election.test.ts
+++ b/test/unit/election.test.ts
@@ -1,12 +1,9 @@
 /** Elections of the replicated log in which several members want to lead at the same time. */
 import t from 'tap';
-import { RaftLog } from '../../src/consensus/raft_log.js';
-import { RaftNode } from '../../src/consensus/raft_node.js';
-import { DEFAULT_RAFT_OPTIONS } from '../../src/consensus/raft_options.js';
+import type { RaftNode } from '../../src/consensus/raft_node.js';
 import type { whinyoke } from '../../src/protocol/generated/messages.js';
-import { RealClock } from '../../src/runtime/real_clock.js';
 import type { DataFolder, MessageBody } from '../../src/runtime/runtime.js';
-import { SeededRandom } from '../../src/runtime/seeded_random.js';
+import { NOBODY, openSingleMember } from '../tools/single_member.js';
 
 const ELECTION_MS = 20;
 
@@ -23,30 +20,11 @@
 
 type Answerer = (request: whinyoke.IVoteRequest) => Promise<MessageBody>;
 
-/** Member `b` of `a`, `b` and `c`, whose requests for votes are answered by a function. */
-async function memberB(answer: Answerer): Promise<RaftNode> {
-  const messenger = {
-    request: (_address: string, body: MessageBody) =>
-      body.voteRequest ? answer(body.voteRequest) : Promise.reject(new Error('not answered')),
-    serve: () => undefined,
-  };
-  const runtime = {
-    clock: new RealClock(),
-    random: new SeededRandom(1),
-    messenger,
-    folder: FOLDER,
-  };
-  const machine = {
-    apply: () => new Uint8Array(0),
-    serialize: () => new Uint8Array(0),
-    restore: () => undefined,
-  };
-  const options = { ...DEFAULT_RAFT_OPTIONS, electionTimeoutMs: ELECTION_MS };
-  const log = await RaftLog.open(FOLDER);
-  const node = new RaftNode('b', '127.0.0.1:b', runtime, log, machine, options);
-  const ids = ['a', 'b', 'c'];
-  await node.bootstrap(ids.map((id) => ({ id, address: `127.0.0.1:${id}`, isLearner: false })));
-  return node;
+/** Member `b`, whose requests for votes are answered by a function. */
+function memberB(answer: Answerer): Promise<RaftNode> {
+  const answerVotes = (body: MessageBody): Promise<MessageBody> =>
+    body.voteRequest ? answer(body.voteRequest) : NOBODY(body);
+  return openSingleMember(FOLDER, answerVotes, { electionTimeoutMs: ELECTION_MS });
 }
 
 const FROM_A = { term: 1, candidate: 'a', receiver: 'b', lastIndex: 1, lastTerm: 1 };
--- a/test/unit/full_disk.test.ts
+++ b/test/unit/full_disk.test.ts
@@ -1,13 +1,10 @@
 /** The log of a consensus member whose disk refuses writes for a while. */
 import t from 'tap';
 import { RaftLog, type LogEntry } from '../../src/consensus/raft_log.js';
-import { RaftNode } from '../../src/consensus/raft_node.js';
-import { DEFAULT_RAFT_OPTIONS } from '../../src/consensus/raft_options.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
-import { RealClock } from '../../src/runtime/real_clock.js';
 import type { DataFolder } from '../../src/runtime/runtime.js';
-import { SeededRandom } from '../../src/runtime/seeded_random.js';
 import { ControlCluster } from '../tools/control_cluster.js';
+import { NOBODY, openSingleMember } from '../tools/single_member.js';
 
 /** A folder in memory that can refuse writes. */
 class RefusingFolder implements DataFolder {
@@ -110,27 +107,6 @@
   t.equal(reopened.lastIndex, 10);
 });
 
-/** A follower alone with its disk. */
-async function followerOn(folder: DataFolder): Promise<RaftNode> {
-  const clock = new RealClock();
-  const messenger = {
-    request: () => Promise.reject(new Error('nobody is there')),
-    serve: () => undefined,
-  };
-  const runtime = { clock, random: new SeededRandom(1), messenger, folder };
-  const machine = { apply: () => new Uint8Array(0), serialize: () => new Uint8Array(0), restore };
-  const log = await RaftLog.open(folder);
-  const node = new RaftNode('b', '127.0.0.2:1', runtime, log, machine, DEFAULT_RAFT_OPTIONS);
-  await node.bootstrap(
-    ['a', 'b', 'c'].map((id) => ({ id, address: `127.0.0.1:${id}`, isLearner: false })),
-  );
-  return node;
-}
-
-function restore(): void {
-  // The state is not looked at.
-}
-
 function appendRequest(term: number, index: number): whinyoke.IAppendRequest {
   return {
     term,
@@ -145,7 +121,7 @@
 
 void t.test('a follower confirms nothing that its disk refused', async (t) => {
   const folder = new RefusingFolder();
-  const node = await followerOn(folder);
+  const node = await openSingleMember(folder, NOBODY);
   t.teardown(() => node.stop());
   await node.handle({ appendRequest: appendRequest(2, 2) });
   folder.isFull = true;
@@ -159,7 +135,7 @@
 
 void t.test('a snapshot of the leader is confirmed once it is on disk', async (t) => {
   const folder = new RefusingFolder();
-  const node = await followerOn(folder);
+  const node = await openSingleMember(folder, NOBODY);
   t.teardown(() => node.stop());
   const snapshotRequest = {
     term: 2,
@@ -182,7 +158,7 @@
 
 void t.test('a vote that is being written is kept when its winner already leads', async (t) => {
   const folder = new RefusingFolder();
-  const node = await followerOn(folder);
+  const node = await openSingleMember(folder, NOBODY);
   t.teardown(() => node.stop());
   const voteRequest = { term: 5, candidate: 'a', receiver: 'b', lastIndex: 9, lastTerm: 4 };
   const vote = node.handle({ voteRequest });
