--- a/src/router/instance_pool.ts
+++ b/src/router/instance_pool.ts
@@ -160,7 +160,7 @@
   release(pooled: PooledConnection): void {
     this.inUse--;
     this.deactivate(pooled);
-    if (pooled.connection.closed) this.refill();
+    if (pooled.connection.closed) this.serveWaiters();
     else if (this.isClosed || this.size >= this.limit) pooled.connection.close();
     else this.offer(pooled);
   }
@@ -170,7 +170,7 @@
     this.inUse--;
     this.deactivate(pooled);
     pooled.connection.close();
-    this.refill();
+    this.serveWaiters();
   }
 
   /** Opens connections until the minimum is there, and closes those that are idle for long. */
--- a/test/unit/router.test.ts
+++ b/test/unit/router.test.ts
@@ -10,6 +10,7 @@
   type InstanceConnection,
   type InstanceConnector,
 } from '../../src/router/instance_connection.js';
+import { BusyWindow } from '../../src/router/busy_window.js';
 import { IdlePatience } from '../../src/router/idle_patience.js';
 import { InstanceLoad } from '../../src/router/instance_load.js';
 import { AcquireError, InstancePool } from '../../src/router/instance_pool.js';
@@ -274,3 +275,70 @@
   t.ok(lines.includes(Events.linesLeftOut.number));
   t.end();
 });
+
+void t.test(
+  'a pool sends a busy instance less, by priority, and turns away whom it would serve too late',
+  async (t) => {
+    const connector: InstanceConnector = {
+      connect: () => Promise.resolve({ connection: new FakeConnection() }),
+    };
+    const pool = poolOf(connector, 4);
+    const held = await Promise.all(
+      Array.from({ length: 4 }, () => pool.acquire(NO_VALUES, 1, 100)),
+    );
+    pool.noteBusy();
+    pool.release(held[0]!);
+    pool.release(held[1]!);
+    const order: string[] = [];
+    const low = pool.acquire(NO_VALUES, 2, 1000).then((pooled) => {
+      order.push('low');
+      return pooled;
+    });
+    const high = pool.acquire(NO_VALUES, 0, 1000).then((pooled) => {
+      order.push('high');
+      return pooled;
+    });
+    await t.rejects(pool.acquire(NO_VALUES, 3, 0.1), new AcquireError('full'), 'at once');
+    t.same(order, [], 'two statements at a time, although connections are idle');
+    pool.rest(held[2]!);
+    await high;
+    t.same(order, ['high'], 'a transaction that rests makes room');
+    pool.wake(held[2]!);
+    pool.release(held[2]!);
+    pool.release(held[3]!);
+    await low;
+    t.same(order, ['high', 'low']);
+  },
+);
+
+void t.test(
+  'the window of an instance halves when it is busy, pauses at one, and grows again',
+  (t) => {
+    const window = new BusyWindow(new SeededRandom(1));
+    t.ok(window.allows(1000, 0), 'no limit at first');
+    window.noteBusy(8, 0);
+    t.ok(window.allows(3, 0));
+    t.notOk(window.allows(4, 0));
+    window.noteBusy(8, 5);
+    t.equal(window.size, 4, 'refusals that come together count once');
+    window.noteBusy(4, 100);
+    window.noteBusy(2, 200);
+    t.equal(window.size, 1);
+    t.ok(window.remainingPause(200) > 0);
+    t.notOk(window.allows(0, 200), 'not even one');
+    const first = window.remainingPause(200);
+    let longest = 0;
+    for (let time = 300; time < 5000; time += 100) {
+      window.noteBusy(1, time);
+      longest = Math.max(longest, window.remainingPause(time));
+    }
+    t.ok(longest > first * 4, 'pauses double');
+    t.ok(longest < 1000, 'up to a bound');
+    const later = 10_000;
+    for (let count = 0; count < 10; count++) window.noteServed();
+    t.ok(window.allows(3, later), 'each served statement makes room');
+    for (let count = 0; count < 3000; count++) window.noteServed();
+    t.equal(window.size, Infinity, 'and the limit is gone in the end');
+    t.end();
+  },
+);
