Pools: a connection is opened when that is sooner than a turn on those there are; a line when an instance is busy

Ruled out: late leases (configuration and leases are there 100 ms after a majority of control), full queues. Change: a further connection is opened only if the last request that waits would get its turn later than 1.5 times the (smoothed) time to open one, or after that time when no turn came; resting transactions don't count. Event 214 tells when an instance is sent fewer statements; the window is among the metrics of a pool.

--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -109,6 +109,13 @@
     'a connection to an instance could not be opened',
     '`failure` says how: refused, silent, connectionLimit, wrongInstance or busy. The instance is avoided.',
   ),
+  instanceBusy: define(
+    214,
+    'instance_busy',
+    'warn',
+    'an instance was busy; it is sent fewer statements',
+    '`window` is how many at a time from now on, `pause_ms` how long none, `waiting` who waits for a turn.',
+  ),
   requestRefused: define(
     221,
     'request_refused',
--- a/src/router/busy_window.ts
+++ b/src/router/busy_window.ts
@@ -40,15 +40,19 @@
     return now >= this.pausedUntil && underWay < Math.max(1, Math.floor(this.limit));
   }
 
-  /** Notes that the instance was busy while `underWay` statements were under way, this one included. */
-  noteBusy(underWay: number, now: number): void {
-    if (now - this.refusedAt < REFUSAL_SPACING_MS) return;
+  /**
+   * Notes that the instance was busy while `underWay` statements were under way, this one included. Returns
+   * whether that changed anything.
+   */
+  noteBusy(underWay: number, now: number): boolean {
+    if (now - this.refusedAt < REFUSAL_SPACING_MS) return false;
     this.refusedAt = now;
     const present = Math.min(this.limit, Math.max(1, underWay));
     this.limit = Math.max(1, present * DECREASE_FACTOR);
-    if (this.limit > 1) return;
+    if (this.limit > 1) return true;
     this.pauseMs = Math.min(LONGEST_PAUSE_MS, Math.max(SHORTEST_PAUSE_MS, this.pauseMs * 2));
     this.pausedUntil = now + this.pauseMs * (0.5 + this.random.next());
+    return true;
   }
 
   /** Notes a statement that the instance served. */
--- a/src/router/instance_pool.ts
+++ b/src/router/instance_pool.ts
@@ -50,12 +50,31 @@
   readonly random: RandomSource;
 }
 
-/** Hears of connection attempts that failed. */
+/** What a pool does after the instance was busy. */
+export interface BusyReaction {
+  /** Statements that are sent at a time from now on. */
+  readonly window: number;
+  /** How long none is sent, in milliseconds. */
+  readonly pauseMs: number;
+  /** Requests that wait for their turn. */
+  readonly waiting: number;
+}
+
+/** Hears of trouble with the instance. */
 export interface PoolObserver {
   onConnectFailed(error: ConnectError): void;
+  onBusy(reaction: BusyReaction): void;
 }
 
 const RECONNECT_DELAY_MS = 100;
+/** Assumed time to open a connection before the first was opened, in milliseconds. */
+const INITIAL_CONNECT_MS = 15;
+const CONNECT_TIME_WEIGHT = 0.2;
+/**
+ * Opening a connection takes a slot of the instance too, so it must save this many times the time that it takes
+ * to one that waits.
+ */
+const OPENING_FACTOR = 1.5;
 /** Range of the pause after an instance had no connection left: others give theirs back all the time. */
 const SHORTEST_LIMIT_PAUSE_MS = 10;
 const LONGEST_LIMIT_PAUSE_MS = 30;
@@ -68,9 +87,12 @@
   private readonly waiters: WaiterQueue<PooledConnection>;
   private readonly window: BusyWindow;
   private pauseTimer: Timer | undefined;
+  private openTimer: Timer | undefined;
   private inUse = 0;
   private active = 0;
   private opening = 0;
+  /** Smoothed time to open a connection, in milliseconds. */
+  private connectMs = INITIAL_CONNECT_MS;
   private isClosed = false;
   private readonly patience = new IdlePatience();
   private clampedUntil = -Infinity;
@@ -102,6 +124,11 @@
     return this.waiters.length;
   }
 
+  /** Statements that may be sent at a time; infinite while the instance turns none away. */
+  get windowSize(): number {
+    return this.window.size;
+  }
+
   /** Connections that are in use. */
   get used(): number {
     return this.inUse;
@@ -135,7 +162,11 @@
 
   /** The instance turned a statement away since it was busy. */
   noteBusy(): void {
-    this.window.noteBusy(this.active, this.clock.now());
+    const now = this.clock.now();
+    if (!this.window.noteBusy(this.active, now)) return;
+    const { size: window } = this.window;
+    const pauseMs = this.window.remainingPause(now);
+    this.observer.onBusy({ window, pauseMs, waiting: this.waiting });
   }
 
   /** The instance served a statement. */
@@ -192,6 +223,7 @@
   close(): void {
     this.isClosed = true;
     this.pauseTimer?.cancel();
+    this.openTimer?.cancel();
     for (const pooled of this.idle.splice(0)) pooled.connection.close();
     this.waiters.rejectAll(() => new AcquireError('closed'));
   }
@@ -254,9 +286,8 @@
 
   /** Goes on with those that wait when the pause of the window is over. */
   private resumeAfterPause(now: number): void {
-    const pauseMs = this.window.remainingPause(now);
-    if (pauseMs === 0 || this.pauseTimer) return;
-    this.pauseTimer = this.clock.setTimer(pauseMs, () => {
+    if (this.pauseTimer) return;
+    this.pauseTimer = this.clock.setTimer(this.window.remainingPause(now), () => {
       this.pauseTimer = undefined;
       this.serveWaiters();
     });
@@ -270,18 +301,44 @@
   private refill(): void {
     if (this.waiters.length === 0) return;
     const now = this.clock.now();
-    const isIdleLeft = this.idle.length > 0;
-    const isAllowed = this.window.allows(this.active + this.opening, now);
-    if (isAllowed && !isIdleLeft && this.waiters.length > this.opening) this.open();
-    else this.resumeAfterPause(now);
+    if (this.window.remainingPause(now) > 0) this.resumeAfterPause(now);
+    else if (this.isOpeningWorthwhile) this.openForWaiters();
+    else this.openIfNoTurnComes();
+  }
+
+  private openForWaiters(): void {
+    const isAllowed = this.window.allows(this.active + this.opening, this.clock.now());
+    const isWanted = this.idle.length === 0 && this.waiters.length > this.opening;
+    if (isAllowed && isWanted) this.open();
+  }
+
+  /** A statement that takes unusually long must not hold up those that wait for its connection. */
+  private openIfNoTurnComes(): void {
+    if (this.openTimer) return;
+    this.openTimer = this.clock.setTimer(this.connectMs * OPENING_FACTOR, () => {
+      this.openTimer = undefined;
+      this.openForWaiters();
+      this.refill();
+    });
+  }
+
+  /** Whether a new connection comes sooner than the last one that waits would get one of those there are. */
+  private get isOpeningWorthwhile(): boolean {
+    const inTurn = this.active + this.opening;
+    if (inTurn === 0) return true;
+    const turnMs = (this.waiters.length / inTurn) * this.load.latency;
+    return turnMs > this.connectMs * OPENING_FACTOR;
   }
 
   private open(): void {
     if (this.isClosed || !this.mayOpen()) return;
     this.opening++;
+    const startedAt = this.clock.now();
     this.connector.connect(this.target, this.options.connectTimeoutMs).then(
       ({ connection, position }) => {
         this.opening--;
+        const durationMs = this.clock.now() - startedAt;
+        this.connectMs += CONNECT_TIME_WEIGHT * (durationMs - this.connectMs);
         this.patience.noteOpened();
         if (position) this.load.notePosition(position);
         this.adopt(connection);
--- a/src/router/router_core.ts
+++ b/src/router/router_core.ts
@@ -8,7 +8,7 @@
 import { CoordinatorClient, type SyncContent, type SyncParticipant } from './coordinator_client.js';
 import type { ConnectError, InstanceConnector } from './instance_connection.js';
 import { InstanceLoad } from './instance_load.js';
-import { InstancePool } from './instance_pool.js';
+import { type BusyReaction, InstancePool } from './instance_pool.js';
 import { PositionFloor } from './position_floor.js';
 import { PrimaryObserver } from './primary_observer.js';
 import { PrimaryTrust } from './primary_trust.js';
@@ -277,6 +277,14 @@
     };
     const observer = {
       onConnectFailed: (error: ConnectError) => this.onConnectFailed(target.id, group, error),
+      onBusy: ({ window, pauseMs, waiting }: BusyReaction) =>
+        this.log(Events.instanceBusy, {
+          instance: target.id,
+          group,
+          window: Math.floor(window),
+          pause_ms: Math.round(pauseMs),
+          waiting,
+        }),
     };
     const load = new InstanceLoad();
     return new InstancePool(target, this.options.connector, this.clock, load, options, observer);
--- a/test/unit/router.test.ts
+++ b/test/unit/router.test.ts
@@ -129,7 +129,7 @@
     connectTimeoutMs: 100,
     random: new SeededRandom(1),
   };
-  const observer = { onConnectFailed: () => undefined };
+  const observer = { onConnectFailed: () => undefined, onBusy: () => undefined };
   const target = { id: 'i', group: 'g', address: '127.0.0.1:1' };
   return new InstancePool(
     target,
@@ -342,3 +342,33 @@
     t.end();
   },
 );
+
+void t.test(
+  'a connection is opened when that is sooner than a turn on those there are',
+  async (t) => {
+    const CONNECT_MS = 10;
+    let opened = 0;
+    const connector: InstanceConnector = {
+      connect: async () => {
+        opened++;
+        await new Promise((resolve) => setTimeout(resolve, CONNECT_MS));
+        return { connection: new FakeConnection() };
+      },
+    };
+    const pool = poolOf(connector, 10);
+    for (let count = 0; count < 50; count++) pool.load.noteAnswer(10, 0);
+    const wait = (): Promise<void> =>
+      pool.acquire(NO_VALUES, 1, 1000).then((pooled) => pool.release(pooled));
+    await Promise.all([wait(), wait()]);
+    t.equal(opened, 1, 'two statements of 10 ms take turns on one connection');
+    const transaction = await pool.acquire(NO_VALUES, 1, 1000);
+    pool.rest(transaction);
+    await wait();
+    t.equal(opened, 2, 'nobody waits for a transaction that rests');
+    await pool.acquire(NO_VALUES, 1, 1000);
+    await wait();
+    t.equal(opened, 3, 'nor for long for a statement that does not end');
+    await Promise.all(Array.from({ length: 20 }, wait));
+    t.ok(opened > 3, 'many at once are worth another one');
+  },
+);
