--- a/lab/cli/main.ts
+++ b/lab/cli/main.ts
@@ -26,6 +26,8 @@
 const labProgram = fileURLToPath(import.meta.url);
 const proxyProgram = fileURLToPath(new URL('../../src/cli/main.js', import.meta.url));
 
+const MS_PER_MINUTE = 60_000;
+
 const settingsOption = { type: 'string', demandOption: true } as const;
 const deploymentOption = {
   choices: ['quetzal', 'toplina'] as const,
@@ -133,6 +135,31 @@
       process.exitCode = held ? 0 : 1;
     },
   )
+  .command(
+    'soak',
+    'run a deployment for long under faults of processes, instances and links, and check what callers saw',
+    (builder) =>
+      builder
+        .option('deployment', deploymentOption)
+        .option('minutes', { type: 'number', default: 5 })
+        .option('sessions', { type: 'number', default: 12 })
+        .option('seed', { type: 'number', demandOption: true, describe: 'chooses the faults' }),
+    async (parsed) => {
+      const held = await runLoad({
+        deployment: parsed.deployment,
+        durationMs: parsed.minutes * MS_PER_MINUTE,
+        sessions: parsed.sessions,
+        withFaults: true,
+        withLinks: true,
+        keepsFailures: true,
+        seed: parsed.seed,
+        labProgram,
+        proxyProgram,
+      });
+      console.log(`seed ${parsed.seed}: ${held ? 'passed' : 'FAILED'}`);
+      process.exitCode = held ? 0 : 1;
+    },
+  )
   .command(
     'simulate',
     'run whole deployments under faults on virtual time',
--- a/lab/fleet/fleet.ts
+++ b/lab/fleet/fleet.ts
@@ -10,6 +10,7 @@
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { RealClock } from '../../src/runtime/real_clock.js';
 import { TcpMessenger } from '../../src/runtime/tcp_messenger.js';
+import { FaultLink } from './fault_link.js';
 import {
   BACKEND_ACCOUNT,
   CALLER_ACCOUNT,
@@ -30,6 +31,8 @@
   /** Delay between receiving and executing on secondaries, in milliseconds. */
   readonly lagMs: number;
   readonly electionTimeoutMs: number;
+  /** Whether proxies reach the instances through links that can misbehave. */
+  readonly withLinks?: boolean;
 }
 
 /** State that an instance shows on its fault port. */
@@ -56,6 +59,7 @@
 /** A running deployment. */
 export class Fleet {
   private readonly children = new Map<string, ChildProcess>();
+  private readonly links = new Map<string, FaultLink>();
   private readonly messenger = new TcpMessenger({
     host: '127.0.0.1',
     port: 0,
@@ -83,6 +87,19 @@
     for (const proxy of this.layout.proxies) this.startProxy(proxy);
   }
 
+  /** Opens the links to all instances, where the options ask for them. */
+  async openLinks(): Promise<void> {
+    if (!this.options.withLinks) return;
+    for (const { mysql, hidden } of this.layout.instances) {
+      this.links.set(mysql, await FaultLink.open(mysql, hidden));
+    }
+  }
+
+  /** Link to an instance; undefined where there is none. */
+  linkTo(instance: InstancePlace): FaultLink | undefined {
+    return this.links.get(instance.mysql);
+  }
+
   /** Starts the platform. */
   startPlatform(): void {
     const settings = {
@@ -108,7 +125,7 @@
     this.spawnLab(instance.mysql, 'database', {
       data_folder: dataFolderOf(instance),
       lost_disk: lostDisk,
-      listen: instance.mysql,
+      listen: this.options.withLinks ? instance.hidden : instance.mysql,
       group_address: instance.member,
       members: members.map((member) => member.member),
       admin: instance.admin,
@@ -268,6 +285,8 @@
     this.children.clear();
     for (const child of children) child.kill('SIGCONT');
     await Promise.all(children.map((child) => endChild(child, 'SIGTERM')));
+    await Promise.all([...this.links.values()].map((link) => link.close()));
+    this.links.clear();
     await this.messenger.close();
   }
 
--- a/lab/fleet/fleet_workload.ts
+++ b/lab/fleet/fleet_workload.ts
@@ -27,6 +27,8 @@
   readonly deployment: string;
   readonly labProgram: string;
   readonly proxyProgram: string;
+  /** Whether proxies reach the instances through links that can misbehave. */
+  readonly withLinks?: boolean;
 }
 
 /** Runs the statements that create the workload's tables in a group; resolves with the token. */
@@ -80,8 +82,9 @@
     lagMs: LAG_MS,
     electionTimeoutMs: ELECTION_TIMEOUT_MS,
   });
-  fleet.start();
   try {
+    await fleet.openLinks();
+    fleet.start();
     await fleet.waitUntil('a control leader', async () => {
       const status = await fleet.status();
       return status.controls.some((control) => control.leader !== '');
--- a/lab/fleet/layout.ts
+++ b/lab/fleet/layout.ts
@@ -10,6 +10,8 @@
 export const SHARED_KEY = 'lab-shared-key';
 
 const MYSQL_PORT = 3306;
+/** Where an instance listens when a fault link has its usual port. */
+const HIDDEN_MYSQL_PORT = 3316;
 const GROUP_PORT = 3307;
 const ADMIN_PORT = 3308;
 const INTERNAL_PORT = 7000;
@@ -20,7 +22,10 @@
 export interface InstancePlace {
   readonly group: string;
   readonly zone: string;
+  /** Address that proxies are told. */
   readonly mysql: string;
+  /** Address that the instance listens at when a fault link stands before it. */
+  readonly hidden: string;
   readonly member: string;
   readonly admin: string;
 }
@@ -70,6 +75,7 @@
         group,
         zone: zoneOf(deployment, index),
         mysql: `${address}:${MYSQL_PORT}`,
+        hidden: `${address}:${HIDDEN_MYSQL_PORT}`,
         member: `${address}:${GROUP_PORT}`,
         admin: `${address}:${ADMIN_PORT}`,
       };
--- a/lab/fleet/load.ts
+++ b/lab/fleet/load.ts
@@ -1,5 +1,6 @@
 /** A deployment of real processes under the workload and random faults, with its history checked. */
 import { rmSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 import { checkHistory } from '../history/checker.js';
@@ -17,8 +18,11 @@
   /** Chooses the faults. */
   readonly seed: number;
   readonly historyFile?: string;
+  /** Whether logs and history are kept when an invariant was broken. */
+  readonly keepsFailures?: boolean;
 }
 
+const HISTORY_FILE = 'history.jsonl';
 const CALM_MS = 5000;
 
 async function recordUsage(fleet: Fleet, history: HistoryRecorder): Promise<void> {
@@ -42,6 +46,7 @@
 export async function runLoad(options: LoadOptions): Promise<boolean> {
   const { fleet, folder } = await startFleet(options, 1);
   const history = new HistoryRecorder();
+  let isKept = false;
   try {
     const workload = await startWorkload(fleet, options.sessions, history);
     const random = new SeededRandom(options.seed);
@@ -59,10 +64,13 @@
     if (options.historyFile !== undefined) {
       writeFileSync(options.historyFile, formatHistory(history.events));
     }
+    isKept = violations.length > 0 && options.keepsFailures === true;
+    if (isKept) writeFileSync(join(folder, HISTORY_FILE), formatHistory(history.events));
     return violations.length === 0;
   } finally {
     await fleet.stop();
-    rmSync(folder, { recursive: true, force: true });
+    if (isKept) console.log(`logs and history are kept in ${folder}`);
+    else rmSync(folder, { recursive: true, force: true });
   }
 }
 
--- a/lab/fleet/process_faults.ts
+++ b/lab/fleet/process_faults.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { RandomSource } from '../../src/runtime/runtime.js';
 import type { HistoryRecorder } from '../history/history.js';
+import type { FaultLink } from './fault_link.js';
 import type { Fleet } from './fleet.js';
 
 type Restore = () => Promise<void>;
@@ -22,6 +23,30 @@
   return states.every((state) => state.online);
 }
 
+const LINK_DELAY_MS = 150;
+
+/** Faults of the link to an instance; none where there is no link. */
+function linkFaults(link: FaultLink | undefined, name: string): (() => ProcessFault)[] {
+  if (!link) return [];
+  const restorable = (what: string, begin: () => () => void) => (): ProcessFault => ({
+    description: `${what} the link to ${name}`,
+    start: () => {
+      const end = begin();
+      return Promise.resolve(() => Promise.resolve(end()));
+    },
+  });
+  return [
+    restorable('silence', () => link.silence(['toServer', 'toClient'])),
+    restorable('silence the answers on', () => link.silence(['toClient'])),
+    restorable('silence the requests on', () => link.silence(['toServer'])),
+    restorable('slow down', () => link.slowDown(LINK_DELAY_MS)),
+    restorable('reset', () => {
+      link.resetAll();
+      return () => undefined;
+    }),
+  ];
+}
+
 /** A random fault of a fleet. */
 function chooseFault(fleet: Fleet, random: RandomSource, history: HistoryRecorder): ProcessFault {
   const { layout } = fleet;
@@ -84,6 +109,7 @@
     () => setFault({ lag_ms: 1000 }, { lag_ms: 50 }),
     () => setFault({ slowness: 300 }, { slowness: 1 }),
     () => setFault({ leaving: true }, { leaving: false }),
+    ...linkFaults(fleet.linkTo(instance), instance.mysql),
   ];
   return pick(faults, random)();
 }
