Build: the platform's bundle replaces only files that differ, each at once

Ruled out: a fault of the programs (each ended before its first line of code was loaded). Files are written beside and renamed now; the bundle itself is the same to the byte.

--- a/scripts/bundle_platform.js
+++ b/scripts/bundle_platform.js
@@ -1,8 +1,11 @@
 /**
  * Bundles the platform's programs into two files: a small one that starts to listen, and one with the rest. A
  * process that loads few files starts in less than half the time of one that loads all modules by themselves.
+ *
+ * Only files that differ are replaced, each at once: programs that are started meanwhile find theirs.
  */
-import { rmSync } from 'node:fs';
+import { mkdirSync, readFileSync, readdirSync, renameSync, rmSync, writeFileSync } from 'node:fs';
+import { basename, join } from 'node:path';
 import { build } from 'esbuild';
 
 const TARGET = 'target';
@@ -13,13 +16,25 @@
   'const require = createRequireOfBundle(import.meta.url);',
 ].join('\n');
 
-rmSync(TARGET, { recursive: true, force: true });
-await build({
+/** Replaces a file unless it holds the same already. */
+function replaceFile(path, contents) {
+  try {
+    if (readFileSync(path).equals(contents)) return;
+  } catch {
+    // There is no such file yet.
+  }
+  const written = `${path}.${process.pid}.new`;
+  writeFileSync(written, contents);
+  renameSync(written, path);
+}
+
+const { outputFiles } = await build({
   entryPoints: { whinyoke: 'platform/main.ts' },
   outdir: TARGET,
   outExtension: { '.js': '.mjs' },
   chunkNames: '[name]-[hash]',
   bundle: true,
+  write: false,
   splitting: true,
   platform: 'node',
   format: 'esm',
@@ -31,3 +46,10 @@
   external: ['dtrace-provider', 'mv', 'source-map-support'],
   logLevel: 'warning',
 });
+
+mkdirSync(TARGET, { recursive: true });
+for (const { path, contents } of outputFiles) replaceFile(path, Buffer.from(contents));
+const present = new Set(outputFiles.map(({ path }) => basename(path)));
+for (const name of readdirSync(TARGET)) {
+  if (!present.has(name)) rmSync(join(TARGET, name), { recursive: true, force: true });
+}
