--- a/scripts/bundle_platform.js
+++ b/scripts/bundle_platform.js
@@ -51,5 +51,5 @@
 for (const { path, contents } of outputFiles) replaceFile(path, Buffer.from(contents));
 const present = new Set(outputFiles.map(({ path }) => basename(path)));
 for (const name of readdirSync(TARGET)) {
-  if (!present.has(name)) rmSync(join(TARGET, name), { recursive: true, force: true });
+  if (name.includes('.mjs') && !present.has(name)) rmSync(join(TARGET, name), { force: true });
 }
