--- a/lab/fleet/fleet.ts
+++ b/lab/fleet/fleet.ts
@@ -54,6 +54,7 @@
 
 const START_TIMEOUT_MS = 20_000;
 const POLL_MS = 50;
+const ADMIN_TIMEOUT_MS = 1000;
 const STOP_TIMEOUT_MS = 8000;
 
 /** A running deployment. */
@@ -238,22 +239,34 @@
 
   /** State of an instance, from its fault port. */
   async instanceState(instance: InstancePlace): Promise<InstanceState> {
-    const response = await fetch(`http://${instance.admin}/`, {
-      signal: AbortSignal.timeout(1000),
-    });
+    const response = await this.askInstance(instance, { method: 'GET' });
     return (await response.json()) as InstanceState;
   }
 
   /** Sets faults of an instance. */
   async fault(instance: InstancePlace, fault: object): Promise<void> {
-    const response = await fetch(`http://${instance.admin}/`, {
+    const response = await this.askInstance(instance, {
       method: 'POST',
       body: JSON.stringify(fault),
-      signal: AbortSignal.timeout(1000),
     });
     if (!response.ok) throw new WhinyokeError(`fault refused: ${await response.text()}`);
   }
 
+  /** Asks the fault port; a process that has just been started may not listen yet. */
+  private async askInstance(instance: InstancePlace, request: RequestInit): Promise<Response> {
+    let answer: Response | undefined;
+    await this.waitUntil(`the fault port of ${instance.mysql}`, async () => {
+      try {
+        const signal = AbortSignal.timeout(ADMIN_TIMEOUT_MS);
+        answer = await fetch(`http://${instance.admin}/`, { ...request, signal });
+        return true;
+      } catch {
+        return false;
+      }
+    });
+    return answer!;
+  }
+
   /** The instance of a group that says it is the writable primary, at the highest term. */
   async primaryOf(group: string): Promise<InstancePlace | undefined> {
     let best: { place: InstancePlace; term: number } | undefined;
--- a/lab/fleet/load.ts
+++ b/lab/fleet/load.ts
@@ -46,7 +46,7 @@
 export async function runLoad(options: LoadOptions): Promise<boolean> {
   const { fleet, folder } = await startFleet(options, 1);
   const history = new HistoryRecorder();
-  let isKept = false;
+  let isKept = options.keepsFailures === true;
   try {
     const workload = await startWorkload(fleet, options.sessions, history);
     const random = new SeededRandom(options.seed);
@@ -64,7 +64,7 @@
     if (options.historyFile !== undefined) {
       writeFileSync(options.historyFile, formatHistory(history.events));
     }
-    isKept = violations.length > 0 && options.keepsFailures === true;
+    isKept &&= violations.length > 0;
     if (isKept) writeFileSync(join(folder, HISTORY_FILE), formatHistory(history.events));
     return violations.length === 0;
   } finally {
