--- a/lab/fleet/fleet_workload.ts
+++ b/lab/fleet/fleet_workload.ts
@@ -2,6 +2,8 @@
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { messageOf } from '../../src/errors/errors.js';
 import { RealClock } from '../../src/runtime/real_clock.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 import type { HistoryRecorder } from '../history/history.js';
@@ -10,13 +12,20 @@
   registerStatement,
   schemaStatements,
 } from '../workload/booking_session.js';
-import { type CallerConnection, tokenOf } from '../workload/caller.js';
+import {
+  type CallerAnswer,
+  type CallerConnection,
+  CallerError,
+  tokenOf,
+} from '../workload/caller.js';
 import { MysqlCallerConnector } from '../workload/mysql_caller.js';
 import { deploymentOf } from './deployment.js';
 import { Fleet } from './fleet.js';
 import { CALLER_ACCOUNT, configurationFor, layoutOf } from './layout.js';
 
 const REGISTERS = 6;
+/** For how long the final state is asked for, in milliseconds. */
+const FINAL_READ_MS = 15_000;
 const LAG_MS = 50;
 const ELECTION_TIMEOUT_MS = 300;
 const FIRST_NETWORK = 20;
@@ -38,6 +47,23 @@
   return tokenOf(answer);
 }
 
+/** Reads as a caller does that is told when to come back; says how often it had to. */
+async function readPatiently(connection: CallerConnection, sql: string): Promise<CallerAnswer> {
+  const deadline = performance.now() + FINAL_READ_MS;
+  for (let attempt = 1; ; attempt++) {
+    try {
+      const answer = await connection.execute(sql);
+      if (attempt > 1) console.log(`final read: answered at attempt ${attempt}`);
+      return answer;
+    } catch (error) {
+      const retryMs = error instanceof CallerError ? error.retryAfterMs : undefined;
+      if (retryMs === undefined || performance.now() > deadline) throw error;
+      console.log(`final read: ${messageOf(error)}`);
+      await sleep(retryMs);
+    }
+  }
+}
+
 async function recordFinalState(
   connector: MysqlCallerConnector,
   groups: readonly string[],
@@ -45,8 +71,11 @@
 ): Promise<void> {
   for (const group of groups) {
     const connection = await connector.connect(connector.proxies[0]!, group);
-    const journal = await connection.execute('SELECT operation, register, version FROM journal');
-    const payments = await connection.execute('SELECT attempt, once_key FROM payments');
+    const journal = await readPatiently(
+      connection,
+      'SELECT operation, register, version FROM journal',
+    );
+    const payments = await readPatiently(connection, 'SELECT attempt, once_key FROM payments');
     history.add({
       type: 'final',
       at: performance.now(),
