Lab: only the fault injector waits for fault ports; one set-up for both restart tests

The wait for processes that were just started stands where faults are chosen now (waitForInstances).

--- a/lab/fleet/fleet.ts
+++ b/lab/fleet/fleet.ts
@@ -252,19 +252,21 @@
     if (!response.ok) throw new WhinyokeError(`fault refused: ${await response.text()}`);
   }
 
-  /** Asks the fault port; a process that has just been started may not listen yet. */
-  private async askInstance(instance: InstancePlace, request: RequestInit): Promise<Response> {
-    let answer: Response | undefined;
-    await this.waitUntil(`the fault port of ${instance.mysql}`, async () => {
+  /** Waits until the fault ports of all instances answer: a process that was just started may not listen yet. */
+  async waitForInstances(): Promise<void> {
+    await this.waitUntil('the fault ports of all instances', async () => {
       try {
-        const signal = AbortSignal.timeout(ADMIN_TIMEOUT_MS);
-        answer = await fetch(`http://${instance.admin}/`, { ...request, signal });
+        await Promise.all(this.layout.instances.map((instance) => this.instanceState(instance)));
         return true;
       } catch {
         return false;
       }
     });
-    return answer!;
+  }
+
+  private askInstance(instance: InstancePlace, request: RequestInit): Promise<Response> {
+    const signal = AbortSignal.timeout(ADMIN_TIMEOUT_MS);
+    return fetch(`http://${instance.admin}/`, { ...request, signal });
   }
 
   /** The instance of a group that says it is the writable primary, at the highest term. */
--- a/lab/fleet/process_faults.ts
+++ b/lab/fleet/process_faults.ts
@@ -128,6 +128,7 @@
   let count = 0;
   while (performance.now() < deadline) {
     await sleep(random.next() * LONGEST_PAUSE_MS);
+    await fleet.waitForInstances();
     const fault = chooseFault(fleet, random, history);
     const note = (prefix: string): void =>
       history.add({
--- a/test/simulation/restart.test.ts
+++ b/test/simulation/restart.test.ts
@@ -1,6 +1,7 @@
 /** How long a deployment is without a leader, and its proxies without leases, after everything ended at once. */
 import t from 'tap';
 import { APPOINTED_QUETZAL, APPOINTED_TOPLINA } from '../../lab/appointed/appointed_deployment.js';
+import type { SimulatedCoordinator, SimulatedRouter } from '../../lab/appointed/appointed_nodes.js';
 import { AppointedWorld } from '../../lab/appointed/appointed_world.js';
 
 const SEEDS = 40;
@@ -39,18 +40,29 @@
   });
 }
 
+type Machine = SimulatedCoordinator | SimulatedRouter;
+
+/** Ends all machines of a calm deployment at once, and lets them start again up to `skewMs` apart. */
+async function restartAll(
+  world: AppointedWorld,
+  end: (machine: Machine) => void,
+  skewMs: number,
+): Promise<void> {
+  await world.start();
+  await world.run(2000);
+  const machines: readonly Machine[] = [...world.coordinators, ...world.routers];
+  for (const machine of machines) end(machine);
+  await world.run(500);
+  for (const machine of machines) {
+    world.scheduler.schedule(world.random.next() * skewMs, () => machine.start());
+  }
+}
+
 for (const deployment of [APPOINTED_QUETZAL, APPOINTED_TOPLINA]) {
   void t.test(`${deployment.name}: a restart of everything is short`, async (t) => {
     for (let seed = 1; seed <= SEEDS; seed++) {
       const world = new AppointedWorld(deployment, seed, new Set());
-      await world.start();
-      await world.run(2000);
-      const machines = [...world.coordinators, ...world.routers];
-      for (const machine of machines) machine.kill();
-      await world.run(500);
-      for (const machine of machines) {
-        world.scheduler.schedule(world.random.next() * START_SKEW_MS, () => machine.start());
-      }
+      await restartAll(world, (machine) => machine.kill(), START_SKEW_MS);
       const leader = await timeUntil(world, () => hasLeader(world));
       const leases = await timeUntil(world, () => haveLeases(world));
       t.ok(leader <= LONGEST_WITHOUT_LEADER_MS, `seed ${seed}: a leader after ${leader} ms`);
@@ -67,14 +79,7 @@
     let total = 0;
     for (let seed = 1; seed <= SEEDS; seed++) {
       const world = new AppointedWorld(deployment, seed, new Set());
-      await world.start();
-      await world.run(2000);
-      const machines = [...world.coordinators, ...world.routers];
-      for (const machine of machines) machine.losePower();
-      await world.run(500);
-      for (const machine of machines) {
-        world.scheduler.schedule(world.random.next() * POWER_SKEW_MS, () => machine.start());
-      }
+      await restartAll(world, (machine) => machine.losePower(), POWER_SKEW_MS);
       await world.run(POWER_SKEW_MS);
       const leases = await timeUntil(world, () => haveLeases(world));
       total += leases;
