Pools: openings bounded by the instance's slots; floors from the start of a connection; waits divided among targets

Hypothesis: after a restart of everything reads have no floor and wait at the primary for 80 ms, and 6 proxies open up to 5 connections each at an instance with 2 slots, where each opening takes a slot for 12 ms. Change: no connection is opened while as many as the slots and one are active or being opened; the position told at the start of a connection to a trusted primary counts as a floor; a read waits for a connection at each of several targets for its part of the time, and plans anew after that.

--- a/src/router/instance_pool.ts
+++ b/src/router/instance_pool.ts
@@ -1,5 +1,6 @@
 /** Connections of one proxy to one instance, and what each of them has loaded. */
 import type { Clock, RandomSource, Timer } from '../runtime/runtime.js';
+import type { Position } from '../session/position.js';
 import { BusyWindow } from './busy_window.js';
 import type { ConnectionShare } from './connection_share.js';
 import {
@@ -46,6 +47,8 @@
 export interface PoolOptions {
   /** Connections that this pool may hold, in force now. */
   readonly share: () => ConnectionShare;
+  /** Statements that the instance runs at a time. */
+  readonly slots: () => number;
   readonly connectTimeoutMs: number;
   readonly random: RandomSource;
 }
@@ -63,6 +66,8 @@
 /** Hears of trouble with the instance. */
 export interface PoolObserver {
   onConnectFailed(error: ConnectError): void;
+  /** A connection was opened; the instance told its position after `startedAt`. */
+  onOpened(position: Position, startedAt: number): void;
   onBusy(reaction: BusyReaction): void;
 }
 
@@ -75,6 +80,8 @@
  * to one that waits.
  */
 const OPENING_FACTOR = 1.5;
+/** Statements on their way to the instance or back, beyond those in its slots. */
+const EXTRA_ACTIVE = 1;
 /** Range of the pause after an instance had no connection left: others give theirs back all the time. */
 const SHORTEST_LIMIT_PAUSE_MS = 10;
 const LONGEST_LIMIT_PAUSE_MS = 30;
@@ -307,9 +314,18 @@
   }
 
   private openForWaiters(): void {
-    const isAllowed = this.window.allows(this.active + this.opening, this.clock.now());
+    const inTurn = this.active + this.opening;
+    const isAllowed = this.window.allows(inTurn, this.clock.now());
     const isWanted = this.idle.length === 0 && this.waiters.length > this.opening;
-    if (isAllowed && isWanted) this.open();
+    if (isAllowed && isWanted && inTurn < this.mostActive) this.open();
+  }
+
+  /**
+   * Connections on which statements may be under way before another one is opened. Statements beyond the
+   * instance's slots would only wait there, beside those of other proxies, and each opening takes a slot too.
+   */
+  private get mostActive(): number {
+    return this.options.slots() + EXTRA_ACTIVE;
   }
 
   /** A statement that takes unusually long must not hold up those that wait for its connection. */
@@ -340,7 +356,7 @@
         const durationMs = this.clock.now() - startedAt;
         this.connectMs += CONNECT_TIME_WEIGHT * (durationMs - this.connectMs);
         this.patience.noteOpened();
-        if (position) this.load.notePosition(position);
+        if (position) this.noteOpenedAt(position, startedAt);
         this.adopt(connection);
       },
       (error: unknown) => {
@@ -350,6 +366,11 @@
     );
   }
 
+  private noteOpenedAt(position: Position, startedAt: number): void {
+    this.load.notePosition(position);
+    this.observer.onOpened(position, startedAt);
+  }
+
   private adopt(connection: InstanceConnection): void {
     const pooled = new PooledConnection(connection);
     if (this.isClosed) {
--- a/src/router/router_core.ts
+++ b/src/router/router_core.ts
@@ -9,6 +9,7 @@
 import type { ConnectError, InstanceConnector } from './instance_connection.js';
 import { InstanceLoad } from './instance_load.js';
 import { type BusyReaction, InstancePool } from './instance_pool.js';
+import type { Position } from '../session/position.js';
 import { PositionFloor } from './position_floor.js';
 import { PrimaryObserver } from './primary_observer.js';
 import { PrimaryTrust } from './primary_trust.js';
@@ -34,6 +35,8 @@
 }
 
 const CONNECT_TIMEOUT_MS = 600;
+/** Slots of an instance that does not tell how many it has. */
+const UNKNOWN_SLOTS = 8;
 const MAINTENANCE_MS = 100;
 /** Age of the newest answer of control beyond which it counts as lost, in milliseconds. */
 const CONTROL_LOST_MS = 800;
@@ -272,11 +275,14 @@
         const limit = this.table?.limitsByGroup.get(group)?.connectionLimit ?? 0;
         return connectionShare(limit, this.liveProxies);
       },
+      slots: () => this.instances.get(target.id)?.slots || UNKNOWN_SLOTS,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       random: this.runtime.random,
     };
     const observer = {
       onConnectFailed: (error: ConnectError) => this.onConnectFailed(target.id, group, error),
+      onOpened: (position: Position, startedAt: number) =>
+        this.notePosition(target.id, group, position, startedAt),
       onBusy: ({ window, pauseMs, waiting }: BusyReaction) =>
         this.log(Events.instanceBusy, {
           instance: target.id,
@@ -290,6 +296,19 @@
     return new InstancePool(target, this.options.connector, this.clock, load, options, observer);
   }
 
+  /** The position that a trusted primary tells at the start of a connection is as good as that of an answer. */
+  private notePosition(
+    instance: string,
+    group: string,
+    position: Position,
+    startedAt: number,
+  ): void {
+    const { epoch, primary } = this.trust.entryOf(group) ?? {};
+    if (primary !== instance || epoch === undefined || epoch === null) return;
+    if (!this.trust.accepts(group, epoch, this.clock.now())) return;
+    this.floorOf(group).note(epoch, startedAt, position);
+  }
+
   private onConnectFailed(instance: string, group: string, error: ConnectError): void {
     this.log(Events.connectFailed, {
       instance,
--- a/src/router/single_statement.ts
+++ b/src/router/single_statement.ts
@@ -58,11 +58,13 @@
     let cause = 'no instance may serve the read';
     while (deadline.remaining > MINIMUM_ATTEMPT_MS) {
       const targets = planRead(this.context, plan, tried);
-      const target = targets[0] ?? (await this.nextRound(deadline, tried, wasOffered, pause));
-      if (!target) break;
+      const target = targets[0];
+      if (!target) {
+        if (await this.mayTryAgain(deadline, tried, wasOffered, pause)) continue;
+        break;
+      }
       tried.add(target.instance);
-      const isLast = targets.length <= 1;
-      const attempt = await this.attemptRead(request, target, isLast);
+      const attempt = await this.attemptRead(request, target, targets.length);
       wasOffered ||= attempt.outcome !== 'notRun';
       if (attempt.outcome === 'answered') {
         const { answer } = attempt;
@@ -103,27 +105,31 @@
     return { reply: refuse(this.context, refusal, 'busy', cause) };
   }
 
-  /** All instances were tried: another round while there is time, or a wait for a primary. */
-  private async nextRound(
+  /**
+   * Nothing is left to try: waits for a primary, or before another round. Returns whether there is something to try
+   * then; a read that waited may have replicas too, since a floor has become known.
+   */
+  private async mayTryAgain(
     deadline: RequestDeadline,
     tried: Set<string>,
     wasOffered: boolean,
     pause: RetryPause,
-  ): Promise<Target | undefined> {
-    if (tried.size === 0) return awaitPrimary(this.context, deadline);
-    if (!deadline.allowsRetry(wasOffered)) return undefined;
+  ): Promise<boolean> {
+    if (tried.size === 0) return (await awaitPrimary(this.context, deadline)) !== undefined;
+    if (!deadline.allowsRetry(wasOffered)) return false;
     tried.clear();
     await pause.wait();
-    return awaitPrimary(this.context, deadline);
+    return true;
   }
 
   private async attemptRead(
     request: SingleRequest,
     target: Target,
-    isLast: boolean,
+    targetsLeft: number,
   ): Promise<Attempt> {
     const { deadline } = request;
-    const held = await this.hold(request, target);
+    const isLast = targetsLeft <= 1;
+    const held = await this.hold(request, target, deadline.offerRemaining / targetsLeft);
     if (!('pooled' in held)) return held;
     const usual = Math.max(
       target.pool.load.patience,
@@ -147,7 +153,7 @@
   ): Promise<CommittedReply | NotRunWrite> {
     const { deadline, id, statement } = request;
     const refusal = { id, deadline, state: 'idle' as const };
-    const held = await this.hold(request, target);
+    const held = await this.hold(request, target, deadline.offerRemaining);
     if (!('pooled' in held)) return { cause: held.cause, wasOffered: false };
     if (!isTargetTrusted(this.context, target)) {
       this.runner.release(held);
@@ -172,15 +178,17 @@
     return { reply: this.succeed(request, target, answer), committedAt: answer.position };
   }
 
+  /** Takes a connection, waiting for it for `patienceMs` at most. */
   private async hold(
     request: SingleRequest,
     target: Target,
+    patienceMs: number,
   ): Promise<HeldConnection | NotRunAttempt> {
-    const { deadline } = request;
-    const waitMs = Math.max(MINIMUM_ATTEMPT_MS, deadline.offerRemaining);
+    const { priority } = request.deadline.route;
+    const waitMs = Math.max(MINIMUM_ATTEMPT_MS, patienceMs);
     try {
       const { values } = request.content;
-      return await this.runner.hold(target, values, deadline.route.priority, waitMs);
+      return await this.runner.hold(target, values, priority, waitMs);
     } catch (error) {
       const cause = error instanceof AcquireError ? error.failure : 'no connection';
       return { outcome: 'notRun', cause: `no connection: ${cause}` };
--- a/test/unit/router.test.ts
+++ b/test/unit/router.test.ts
@@ -13,7 +13,7 @@
 import { BusyWindow } from '../../src/router/busy_window.js';
 import { IdlePatience } from '../../src/router/idle_patience.js';
 import { InstanceLoad } from '../../src/router/instance_load.js';
-import { AcquireError, InstancePool } from '../../src/router/instance_pool.js';
+import { AcquireError, InstancePool, type PoolObserver } from '../../src/router/instance_pool.js';
 import { PositionFloor } from '../../src/router/position_floor.js';
 import { PrimaryObserver } from '../../src/router/primary_observer.js';
 import { orderCandidates } from '../../src/router/replica_selector.js';
@@ -123,13 +123,21 @@
   }
 }
 
-function poolOf(connector: InstanceConnector, share: number): InstancePool {
+const MANY_SLOTS = 100;
+
+function poolOf(
+  connector: InstanceConnector,
+  share: number,
+  slots = MANY_SLOTS,
+  onOpened: PoolObserver['onOpened'] = () => undefined,
+): InstancePool {
   const options = {
     share: () => ({ most: share, minimumIdle: 0, idleTimeoutMs: 1000, clampMs: 50 }),
+    slots: () => slots,
     connectTimeoutMs: 100,
     random: new SeededRandom(1),
   };
-  const observer = { onConnectFailed: () => undefined, onBusy: () => undefined };
+  const observer = { onConnectFailed: () => undefined, onOpened, onBusy: () => undefined };
   const target = { id: 'i', group: 'g', address: '127.0.0.1:1' };
   return new InstancePool(
     target,
@@ -176,6 +184,46 @@
   t.equal(await third.acquire(NO_VALUES, 1, 50), right);
 });
 
+void t.test(
+  'no connection is opened for statements that would only wait in the instance',
+  async (t) => {
+    let opened = 0;
+    const connector: InstanceConnector = {
+      connect: () => {
+        opened++;
+        return Promise.resolve({ connection: new FakeConnection() });
+      },
+    };
+    const slots = 2;
+    const pool = poolOf(connector, 10, slots);
+    const waiting = Array.from({ length: 10 }, () => pool.acquire(NO_VALUES, 1, 1000));
+    await new Promise((resolve) => setTimeout(resolve, 60));
+    t.equal(opened, slots + 1, 'one more than the slots, for what is on its way');
+    const resting = await waiting[0]!;
+    pool.rest(resting);
+    await new Promise((resolve) => setTimeout(resolve, 60));
+    t.equal(opened, slots + 2, 'a transaction that rests takes no slot');
+    pool.close();
+    await Promise.allSettled(waiting);
+  },
+);
+
+void t.test('the position told at the start of a connection is passed on', async (t) => {
+  const position = { term: 1, sequence: 7 };
+  const connector: InstanceConnector = {
+    connect: () => Promise.resolve({ connection: new FakeConnection(), position }),
+  };
+  const told: { position: unknown; startedAt: number }[] = [];
+  const before = new RealClock().now();
+  const pool = poolOf(connector, 2, MANY_SLOTS, (opened, startedAt) =>
+    told.push({ position: opened, startedAt }),
+  );
+  pool.release(await pool.acquire(NO_VALUES, 1, 100));
+  t.match(told, [{ position }]);
+  t.ok(told[0]!.startedAt >= before, 'with the moment before it was asked for');
+  pool.close();
+});
+
 void t.test('an instance that can not be reached is told at once', async (t) => {
   const connector: InstanceConnector = {
     connect: () => Promise.reject(new ConnectError('refused', 'down')),
