--- a/src/router/connection_share.ts
+++ b/src/router/connection_share.ts
@@ -37,7 +37,7 @@
  */
 const AMPLE: Omit<ConnectionShare, 'most'> = {
   minimumIdle: 1,
-  idleTimeoutMs: 1500,
+  idleTimeoutMs: 400,
   clampMs: 2000,
 };
 const SCARCE: Omit<ConnectionShare, 'most'> = { minimumIdle: 0, idleTimeoutMs: 600, clampMs: 100 };
--- a/src/router/instance_pool.ts
+++ b/src/router/instance_pool.ts
@@ -215,12 +215,10 @@
   maintain(): void {
     if (this.isClosed) return;
     const now = this.clock.now();
-    const oldest = this.idle[0];
     const { minimumIdle, idleTimeoutMs } = this.options.share();
-    const isExcess = this.idle.length > minimumIdle;
-    if (oldest && isExcess && now - oldest.idleSince > this.patience.current(idleTimeoutMs)) {
-      this.idle.shift();
-      oldest.connection.close();
+    const patienceMs = this.patience.current(idleTimeoutMs);
+    while (this.idle.length > minimumIdle && now - this.idle[0]!.idleSince > patienceMs) {
+      this.idle.shift()!.connection.close();
     }
     if (this.size < minimumIdle) this.open();
     else this.refill();
