--- a/src/router/connection_share.ts
+++ b/src/router/connection_share.ts
@@ -32,8 +32,9 @@
 /** From this equal share on, proxies keep connections of their own. */
 const AMPLE_EQUAL_SHARE = 2;
 /**
- * Idle connections are closed soon: a connection of a machine that lost power counts against the limit of its
- * instance for seconds, and the proxy that takes its place needs connections then.
+ * Idle connections beyond the first are closed soon: a connection of a machine that lost power counts against the
+ * limit of its instance for seconds, and the proxy that takes its place needs connections then. Measured against
+ * 1,500 ms: docs/measurements/pieraksts.md.
  */
 const AMPLE: Omit<ConnectionShare, 'most'> = {
   minimumIdle: 1,
