Leases are confirmed by replicas while control is out of reach

Ruled out: the search for the leader and relays (no control machine and no proxy reaches it); leases of 10 s, which each change of primary beside a dark proxy would wait for. Change: a change of primary holds the replica that it appoints, and the replica tells so. A proxy that hears nothing of control for 1.2 s asks all replicas of a group each 200 ms; while none is held or follows a newer term, its lease holds for 700 ms from the question. Control appoints beside proxies that did not confirm only a replica that those proxies know and that was held for 800 ms without a break; it holds replicas beside the wait for leases, so that no change takes longer.

--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -14,6 +14,7 @@
   type AppointedProtection,
   WeakenedConnector,
   disableLease,
+  disableWitness,
 } from './disabled_protections.js';
 import type { VirtualProcess } from '../simulation/virtual_process.js';
 
@@ -86,6 +87,7 @@
       counters: NO_COUNTERS,
     });
     if (surroundings.disabled.has('lease')) disableLease(core);
+    if (surroundings.disabled.has('replica-witness')) disableWitness(core);
     this.core = core;
     core.start();
     process.onEnd(() => core.stop());
--- a/lab/appointed/disabled_protections.ts
+++ b/lab/appointed/disabled_protections.ts
@@ -5,11 +5,20 @@
   InstanceTarget,
   OpenedConnection,
 } from '../../src/router/instance_connection.js';
+import {
+  LONGEST_WITNESSED_SILENCE_MS,
+  WITNESSED_LEASE_MS,
+} from '../../src/router/replica_witness.js';
 import type { RouterCore } from '../../src/router/router_core.js';
 import type { InstanceCommand } from '../../src/router/statement.js';
 
 /** Protections that can be taken away. */
-export const APPOINTED_PROTECTIONS = ['read-position', 'session-values', 'lease'] as const;
+export const APPOINTED_PROTECTIONS = [
+  'read-position',
+  'session-values',
+  'lease',
+  'replica-witness',
+] as const;
 
 /** One protection. */
 export type AppointedProtection = (typeof APPOINTED_PROTECTIONS)[number];
@@ -66,3 +75,14 @@
     return { epoch: entry.epoch ?? 0, instance: entry.primary ?? '', term: entry.term ?? 0 };
   };
 }
+
+/** Makes a proxy extend its leases while control is out of reach without asking the replicas. */
+export function disableWitness(core: RouterCore): void {
+  const { trust, clock } = core;
+  core.witness.maintain = (silenceMs) => {
+    if (silenceMs > LONGEST_WITNESSED_SILENCE_MS) return;
+    for (const group of trust.leasedGroups()) {
+      trust.extend(group, trust.entryOf(group)?.epoch ?? 0, clock.now() + WITNESSED_LEASE_MS);
+    }
+  };
+}
--- a/src/coordinator/coordinator.ts
+++ b/src/coordinator/coordinator.ts
@@ -175,7 +175,7 @@
 
   private beginLeadership(): void {
     const now = this.runtime.clock.now();
-    this.ledger.begin(now + LEASE_MS + STALE_LEADER_MS);
+    this.ledger.begin(now + LEASE_MS + STALE_LEADER_MS, now);
     this.monitor.begin(now);
     this.board.clear();
     this.syncService.begin();
--- a/src/coordinator/sync_service.ts
+++ b/src/coordinator/sync_service.ts
@@ -64,6 +64,7 @@
     if (!(await this.register(proxy))) return this.refusal();
     const now = this.clock.now();
     this.contacts.set(proxy.id ?? '', { at: now, isLeaving: request.leaving ?? false });
+    this.ledger.noteContact(proxy, request.knownVersion ?? 0, now);
     for (const revocation of request.revocations ?? []) this.ledger.confirm(proxy, revocation);
     this.board.note(proxy.id ?? '', request.reports ?? [], now);
     const isNews = this.catalog.version > (request.knownVersion ?? 0);
--- /dev/null
+++ b/src/failover/appointment_fence.ts
@@ -0,0 +1,43 @@
+/**
+ * When a replica may be appointed beside proxies that did not confirm the end of their leases. Such a proxy may trust the
+ * old primary for as long as no replica that it knows is held (`src/router/replica_witness.ts`), so the chosen replica
+ * must have been held for longer than a lease that replicas confirm. Pure.
+ */
+import { LONGEST_WITNESSED_SILENCE_MS, WITNESSED_LEASE_MS } from '../router/replica_witness.js';
+
+/** Allowance for steady clocks that run differently, in milliseconds. */
+const CLOCK_MARGIN_MS = 100;
+
+/** From its last contact on, a proxy may have its leases confirmed by replicas for that long, in milliseconds. */
+export const LONGEST_WITNESSED_TRUST_MS =
+  LONGEST_WITNESSED_SILENCE_MS + WITNESSED_LEASE_MS + CLOCK_MARGIN_MS;
+
+/** What is known of the proxies that did not confirm. */
+export interface UnconfirmedProxies {
+  /** Version of the catalog that all of them know at least. */
+  readonly knownVersion: number;
+  /** When the last of them stops to ask replicas. */
+  readonly trustUntil: number;
+}
+
+/** What is known of the chosen replica. */
+export interface FencedReplica {
+  /** Version of its newest change in the catalog. */
+  readonly version: number;
+  /** Since when it has been held without a break; undefined when it is not. */
+  readonly heldSince: number | undefined;
+}
+
+/** Why the replica may not be appointed yet; undefined when it may. */
+export function appointmentObjection(
+  replica: FencedReplica,
+  proxies: UnconfirmedProxies,
+  now: number,
+): string | undefined {
+  if (now > proxies.trustUntil) return undefined;
+  if (replica.heldSince === undefined) return 'it is not held';
+  if (replica.version > proxies.knownVersion) return 'a proxy out of reach may not know it';
+  const heldMs = now - replica.heldSince;
+  const isLongEnough = heldMs > WITNESSED_LEASE_MS + CLOCK_MARGIN_MS;
+  return isLongEnough ? undefined : `it has been held for ${Math.round(heldMs)} ms only`;
+}
--- a/src/failover/candidate.ts
+++ b/src/failover/candidate.ts
@@ -18,7 +18,7 @@
   readonly missing: number;
   /** Position that the old primary told after all leases had ended, when it did. */
   readonly oldPrimary: InstanceStatus | undefined;
-  readonly revocation: RevocationState;
+  readonly revocation: Pick<RevocationState, 'isConfirmedByAll' | 'acknowledged'>;
   /** Whether the confirmations cover everything acknowledged in the epoch: no proxy was lost in it. */
   readonly isHistoryWhole: boolean;
   /** Whether no instance of the group left since the epoch of the old primary began, with its log. */
--- a/src/failover/lease_ledger.ts
+++ b/src/failover/lease_ledger.ts
@@ -6,6 +6,7 @@
 import type { ProxyEntry } from '../catalog/catalog.js';
 import { type Position, latest } from '../session/position.js';
 import type { whinyoke } from '../protocol/generated/messages.js';
+import { LONGEST_WITNESSED_TRUST_MS, type UnconfirmedProxies } from './appointment_fence.js';
 
 /** What is known of the end of an epoch's leases. */
 export interface RevocationState {
@@ -15,6 +16,14 @@
   readonly isConfirmedByAll: boolean;
   /** Highest position that a proxy named. */
   readonly acknowledged: Position | undefined;
+  /** The registered proxies that did not say so. */
+  readonly unconfirmed: UnconfirmedProxies;
+}
+
+/** The newest request of a run of a proxy. */
+interface Contact {
+  readonly at: number;
+  readonly knownVersion: number;
 }
 
 interface Confirmation {
@@ -27,13 +36,22 @@
 export class LeaseLedger {
   private readonly heldUntil = new Map<string, number>();
   private readonly confirmations = new Map<string, Confirmation>();
+  private readonly contacts = new Map<string, Contact>();
   private unknownUntil = -Infinity;
+  private begunAt = -Infinity;
 
-  /** Begins a leadership: earlier leaders may have granted leases until `until`. */
-  begin(until: number): void {
+  /** Begins a leadership at `now`: earlier leaders may have granted leases until `until`. */
+  begin(until: number, now: number): void {
     this.heldUntil.clear();
     this.confirmations.clear();
+    this.contacts.clear();
     this.unknownUntil = until;
+    this.begunAt = now;
+  }
+
+  /** Notes a request of a proxy that knows the catalog up to a version. */
+  noteContact(proxy: ProxyEntry, knownVersion: number, now: number): void {
+    this.contacts.set(runOf(proxy), { at: now, knownVersion });
   }
 
   /** Notes a lease on the present epoch of a group. */
@@ -61,6 +79,8 @@
     let isComplete = true;
     let isConfirmedByAll = true;
     let acknowledged: Position | undefined;
+    let knownVersion = Infinity;
+    let trustUntil = -Infinity;
     for (const proxy of proxies) {
       const confirmation = this.confirmations.get(`${group}\n${proxy.id}`);
       const isConfirmed =
@@ -71,9 +91,13 @@
         continue;
       }
       isConfirmedByAll = false;
+      const contact = this.contacts.get(runOf(proxy)) ?? { at: this.begunAt, knownVersion: 0 };
+      knownVersion = Math.min(knownVersion, contact.knownVersion);
+      trustUntil = Math.max(trustUntil, contact.at + LONGEST_WITNESSED_TRUST_MS);
       if (this.mayHold(group, proxy, now)) isComplete = false;
     }
-    return { isComplete, isConfirmedByAll, acknowledged };
+    const unconfirmed = { knownVersion, trustUntil };
+    return { isComplete, isConfirmedByAll, acknowledged, unconfirmed };
   }
 
   private mayHold(group: string, proxy: ProxyEntry, now: number): boolean {
@@ -82,8 +106,12 @@
   }
 }
 
+function runOf(proxy: ProxyEntry): string {
+  return `${proxy.id}\n${proxy.incarnation}`;
+}
+
 function key(group: string, proxy: ProxyEntry): string {
-  return `${group}\n${proxy.id}\n${proxy.incarnation}`;
+  return `${group}\n${runOf(proxy)}`;
 }
 
 function toPosition(message: whinyoke.IPosition | null | undefined): Position {
--- a/src/failover/primary_changer.ts
+++ b/src/failover/primary_changer.ts
@@ -2,7 +2,8 @@
  * Changes the primary of one group, step by step. Each step can be repeated, and what was decided is in the
  * replicated log, so that the next leader goes on where this one stopped:
  * 1. the epoch is raised and its phase is CHANGING (done by the controller);
- * 2. all leases on the old primary have ended;
+ * 2. all leases on the old primary have ended; where proxies did not say so, replicas are held meanwhile, for longer
+ *    than such a proxy trusts the old primary without control;
  * 3. the replicas receive nothing more from the old primary, the old primary steps down if it can be reached;
  * 4. the replica that provably holds every acknowledged commit is chosen and named in the log;
  * 5. it is appointed, and says itself that it is primary of a new term;
@@ -16,6 +17,7 @@
 import { type Clock, delay } from '../runtime/runtime.js';
 import { formatPosition } from '../session/position.js';
 import type { AppointmentDuty, Proposer } from './appointment_duty.js';
+import { appointmentObjection } from './appointment_fence.js';
 import { type CandidateReport, type Choice, chooseCandidate } from './candidate.js';
 import type { InstanceAdministrator } from './instance_administrator.js';
 import type { LeaseLedger, RevocationState } from './lease_ledger.js';
@@ -26,6 +28,11 @@
 const STATUS_POLL_MS = 40;
 const APPOINTED_TIMEOUT_MS = 2000;
 const RETRY_PAUSE_MS = 150;
+/**
+ * Time for proxies to confirm, in milliseconds, before the replicas are held beside the wait for the leases of those
+ * that did not: longer than commits under way hold up a confirmation (250 ms).
+ */
+const CONFIRMATION_PATIENCE_MS = 400;
 
 /** What a change needs of its process. */
 export interface ChangerContext {
@@ -53,6 +60,8 @@
 export class PrimaryChanger {
   private readonly group: string;
   private readonly epoch: number;
+  /** Since when each replica has been held without a break. */
+  private readonly heldSince = new Map<string, number>();
 
   constructor(
     private readonly context: ChangerContext,
@@ -66,7 +75,7 @@
   async run(): Promise<void> {
     const { clock } = this.context;
     const begunAt = clock.now();
-    const revocation = await this.awaitRevocation();
+    const revocation = await this.awaitRevocation(begunAt);
     if (!revocation) return;
     this.logStep(
       'leases_ended',
@@ -84,10 +93,15 @@
     return this.context.isLeading() && this.context.catalog.group(this.group)?.epoch === this.epoch;
   }
 
-  private async awaitRevocation(): Promise<RevocationState | undefined> {
+  private async awaitRevocation(begunAt: number): Promise<RevocationState | undefined> {
+    let isHolding = false;
     while (this.isCurrent()) {
       const state = this.revocation();
       if (state.isComplete) return state;
+      if (!isHolding && this.context.clock.now() - begunAt > CONFIRMATION_PATIENCE_MS) {
+        isHolding = true;
+        void this.holdAll(this.replicas, this.newTerm);
+      }
       await delay(this.context.clock, REVOCATION_POLL_MS);
     }
     return undefined;
@@ -100,7 +114,7 @@
 
   private async tryOnce(begunAt: number): Promise<boolean> {
     const { clock } = this.context;
-    const instance = await this.chooseAndRecord();
+    const instance = await this.chooseAndRecord(begunAt);
     if (!instance || !this.isCurrent()) return false;
     this.logStep('target_chosen', clock.now() - begunAt, instance);
     const outcome = await this.context.duty.appoint(this.group, instance);
@@ -118,10 +132,9 @@
     return presentInstances.filter((instance) => instance.group === this.group);
   }
 
-  private async chooseAndRecord(): Promise<string | undefined> {
-    const { catalog, administrator, propose } = this.context;
-    const term = (this.entry.term ?? 0) + 1;
-    const replicas = this.members.filter((instance) => instance.id !== this.entry.primary);
+  private async chooseAndRecord(begunAt: number): Promise<string | undefined> {
+    const { catalog, administrator, propose, clock } = this.context;
+    const { newTerm: term, replicas } = this;
     const old = this.members.find((instance) => instance.id === this.entry.primary);
     const stepDown = old && administrator.stepDown(targetOf(old), term);
     const reports = await this.holdAll(replicas, term);
@@ -132,12 +145,41 @@
       this.choose(reports, missing, await this.oldPrimaryReport(old, stepDown));
     if (!choice) return undefined;
     const target = choice.instance;
+    const objection = this.appointmentObjection(target);
+    if (objection !== undefined) {
+      this.logStep('fence_not_passed', clock.now() - begunAt, `${target}: ${objection}`);
+      return undefined;
+    }
     if (catalog.group(this.group)?.target !== target) {
       await propose({ setTarget: { group: this.group, epoch: this.epoch, target } });
     }
     return target;
   }
 
+  private get replicas(): readonly InstanceEntry[] {
+    return this.members.filter((instance) => instance.id !== this.entry.primary);
+  }
+
+  /** Term that the new primary will lead at least. */
+  private get newTerm(): number {
+    return (this.entry.term ?? 0) + 1;
+  }
+
+  /** Why the chosen instance may not be appointed yet, beside proxies that did not confirm. */
+  private appointmentObjection(instance: string): string | undefined {
+    const { isConfirmedByAll, unconfirmed } = this.revocation();
+    // The old primary that leads again is the one that such a proxy trusts.
+    if (isConfirmedByAll || instance === this.entry.primary) return undefined;
+    const { catalog, clock } = this.context;
+    const replica = {
+      version: catalog.instance(instance)?.version ?? Infinity,
+      heldSince: this.heldSince.get(instance),
+    };
+    // Who trusts the old primary knows at least the catalog in which its epoch began.
+    const knownVersion = Math.max(unconfirmed.knownVersion, this.entry.steadySince ?? 0);
+    return appointmentObjection(replica, { ...unconfirmed, knownVersion }, clock.now());
+  }
+
   /** Stops all replicas from receiving; those that answer are candidates. */
   private async holdAll(
     replicas: readonly InstanceEntry[],
@@ -187,11 +229,21 @@
     return choice ?? again;
   }
 
-  /** Stops a replica from receiving; one that is held already tells its state. */
+  /** Stops a replica from receiving; one that was held before tells whether it still is. */
   private async hold(instance: InstanceEntry, term: number): Promise<InstanceStatus | undefined> {
-    const { administrator } = this.context;
+    const { administrator, clock } = this.context;
     const target = targetOf(instance);
-    return (await administrator.pause(target, term)) ?? (await administrator.status(target));
+    const id = target.id;
+    if (this.heldSince.has(id)) {
+      const status = await administrator.status(target);
+      if (status && status.heldTerm >= term) return status;
+      // A restart ends it.
+      this.heldSince.delete(id);
+    }
+    const status =
+      (await administrator.pause(target, term)) ?? (await administrator.status(target));
+    if (status && status.heldTerm >= term) this.heldSince.set(id, clock.now());
+    return status;
   }
 
   /** Whether no run of a proxy ended since the old primary's epoch began. */
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -158,6 +158,13 @@
     'a leading control machine answers again',
     'Nothing to do.',
   ),
+  leaseWitnessed: define(
+    235,
+    'lease_witnessed',
+    'info',
+    'the replicas of a group were asked whether its primary still leads, while control is out of reach',
+    '`confirmed`: the primary is used on. Anything else is the reason why its lease ends.',
+  ),
   settingsReloaded: define(
     234,
     'settings_reloaded',
--- a/src/router/primary_trust.ts
+++ b/src/router/primary_trust.ts
@@ -59,6 +59,11 @@
   return trust.commitsUnderWay === 0 || now - trust.knownSince > COMMIT_PATIENCE_MS;
 }
 
+/** Whether the present epoch has or had a lease, and is not being revoked. */
+function isLeased({ entry, leaseUntil }: GroupTrust): boolean {
+  return leaseUntil !== -Infinity && entry.phase !== whinyoke.GroupPhase.CHANGING;
+}
+
 /** Trust of one proxy. */
 export class PrimaryTrust {
   private readonly groups = new Map<string, GroupTrust>();
@@ -89,9 +94,20 @@
       if (trust.entry.phase === whinyoke.GroupPhase.CHANGING) continue;
       trust.leaseUntil = Math.max(trust.leaseUntil, until);
     }
-    const { waiters } = this;
-    this.waiters = [];
-    for (const waiter of waiters) waiter();
+    this.wakeWaiters();
+  }
+
+  /** Extends the lease of one epoch, if it is the present one and ever had a lease. */
+  extend(group: string, epoch: number, until: number): void {
+    const trust = this.groups.get(group);
+    if (!trust || trust.entry.epoch !== epoch || !isLeased(trust)) return;
+    trust.leaseUntil = Math.max(trust.leaseUntil, until);
+    this.wakeWaiters();
+  }
+
+  /** Groups whose present epoch has or had a lease here. */
+  leasedGroups(): readonly string[] {
+    return [...this.groups].filter(([, trust]) => isLeased(trust)).map(([group]) => group);
   }
 
   /** Primary to which a statement may be sent at `now`: the lease will outlast a short answer. */
@@ -102,6 +118,11 @@
     return { epoch: entry.epoch ?? 0, instance: entry.primary ?? '', term: entry.term ?? 0 };
   }
 
+  /** Whether the primary of any group may be used at `now`. */
+  hasLease(now: number): boolean {
+    return [...this.groups.values()].some((trust) => now < trust.leaseUntil - SEND_MARGIN_MS);
+  }
+
   /** Whether answers of the primary of `epoch` still count at `now`. */
   accepts(group: string, epoch: number, now: number): boolean {
     const trust = this.groups.get(group);
@@ -161,6 +182,12 @@
     if (trust) trust.confirmedEpoch = Math.max(trust.confirmedEpoch, epoch);
   }
 
+  private wakeWaiters(): void {
+    const { waiters } = this;
+    this.waiters = [];
+    for (const waiter of waiters) waiter();
+  }
+
   /** Resolves when a lease is extended. */
   nextExtension(): Promise<void> {
     return new Promise((resolve) => this.waiters.push(resolve));
--- /dev/null
+++ b/src/router/replica_witness.ts
@@ -0,0 +1,146 @@
+/**
+ * Leases while control is out of reach. A change of primary holds the replica that it appoints: the replica receives
+ * nothing from the old primary any more, and tells so. As long as no replica of a group is held, no change has come
+ * that far, so the primary may be trusted for a moment longer. Control appoints a replica beside proxies that it can't
+ * reach only after it was held for longer than that moment (`src/failover/appointment_fence.ts`).
+ *
+ * See docs/design/appointed-primaries.md.
+ */
+import { Events } from '../observability/events.js';
+import type { Clock } from '../runtime/runtime.js';
+import type { InstanceStatus } from './instance_connection.js';
+import type { InstancePool, PooledConnection } from './instance_pool.js';
+import type { PrimaryTrust } from './primary_trust.js';
+import type { DecisionLog } from './router_context.js';
+
+/**
+ * Life of a lease that replicas confirm, from the moment when they were asked, in milliseconds: three rounds, so that
+ * one or two may fail. A change of primary waits that long for proxies that are out of reach.
+ */
+export const WITNESSED_LEASE_MS = 700;
+/**
+ * Longest silence of control in which replicas are asked, in milliseconds: a proxy that is cut off for longer knows too
+ * little of the group's members. Less than the time after which control forgets a silent proxy (20 s).
+ */
+export const LONGEST_WITNESSED_SILENCE_MS = 12_000;
+/** Silence of control after which replicas are asked, in milliseconds: well before a lease of control ends. */
+const FIRST_SILENCE_MS = 1200;
+/** Time between two rounds of a group, in milliseconds. */
+const ROUND_MS = 200;
+/** Time for a connection, and for an answer on it, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 250;
+/** Before all requests of callers, which depend on the answer. */
+const PRIORITY = 0;
+const NO_VALUES: ReadonlyMap<string, string> = new Map();
+
+/** A replica of a group as the proxy knows it. */
+export interface WitnessReplica {
+  readonly instance: string;
+  /** Undefined when the proxy has no connections to it. */
+  readonly pool: InstancePool | undefined;
+}
+
+/** What the witness needs of its proxy. */
+export interface WitnessSurroundings {
+  readonly clock: Clock;
+  readonly trust: PrimaryTrust;
+  readonly log: DecisionLog;
+  /** All instances of a group but its primary, whatever their state. */
+  replicasOf(group: string): readonly WitnessReplica[];
+}
+
+/** Outcome of asking one replica. */
+type WitnessAnswer =
+  | { readonly instance: string; readonly status: InstanceStatus }
+  | { readonly instance: string; readonly problem: string };
+
+interface GroupRounds {
+  startedAt: number;
+  isUnderWay: boolean;
+  /** Outcome of the newest round, as told to the log. */
+  outcome: string | undefined;
+}
+
+/** Why an answer does not confirm a primary of `term`; undefined when it does. */
+export function objectionOf(answer: WitnessAnswer, term: number): string | undefined {
+  const { instance } = answer;
+  if ('problem' in answer) return `${instance}: ${answer.problem}`;
+  const { role, term: ownTerm, heldTerm } = answer.status;
+  if (role !== 'replica') return `${instance} is primary of term ${ownTerm}`;
+  if (ownTerm > term) return `${instance} follows term ${ownTerm}`;
+  if (heldTerm > term) return `${instance} is held for term ${heldTerm}`;
+  return undefined;
+}
+
+/** Asks the replicas of all groups of one proxy. */
+export class ReplicaWitness {
+  private readonly rounds = new Map<string, GroupRounds>();
+
+  constructor(private readonly surroundings: WitnessSurroundings) {}
+
+  /**
+   * Asks the replicas of the groups whose turn it is; called often, with the age of the newest request that control
+   * answered.
+   */
+  maintain(controlSilenceMs: number): void {
+    const isAsking =
+      controlSilenceMs > FIRST_SILENCE_MS && controlSilenceMs < LONGEST_WITNESSED_SILENCE_MS;
+    if (!isAsking) {
+      this.rounds.clear();
+      return;
+    }
+    const now = this.surroundings.clock.now();
+    for (const group of this.surroundings.trust.leasedGroups()) {
+      const rounds = this.roundsOf(group);
+      if (rounds.isUnderWay || now - rounds.startedAt < ROUND_MS) continue;
+      rounds.startedAt = now;
+      rounds.isUnderWay = true;
+      void this.ask(group, rounds);
+    }
+  }
+
+  private roundsOf(group: string): GroupRounds {
+    let rounds = this.rounds.get(group);
+    if (!rounds) {
+      rounds = { startedAt: -Infinity, isUnderWay: false, outcome: undefined };
+      this.rounds.set(group, rounds);
+    }
+    return rounds;
+  }
+
+  private async ask(group: string, rounds: GroupRounds): Promise<void> {
+    const { trust } = this.surroundings;
+    const { epoch = 0, term = 0 } = trust.entryOf(group) ?? {};
+    const replicas = this.surroundings.replicasOf(group);
+    const answers = await Promise.all(replicas.map((replica) => this.statusOf(replica)));
+    rounds.isUnderWay = false;
+    const objections = answers.map((answer) => objectionOf(answer, term ?? 0));
+    const objection =
+      replicas.length === 0 ? 'no replica is known' : objections.find((text) => text !== undefined);
+    const until = rounds.startedAt + WITNESSED_LEASE_MS;
+    if (objection === undefined) trust.extend(group, epoch ?? 0, until);
+    this.note(group, rounds, objection ?? 'confirmed');
+  }
+
+  private async statusOf({ instance, pool }: WitnessReplica): Promise<WitnessAnswer> {
+    if (!pool) return { instance, problem: 'not connected' };
+    let pooled: PooledConnection | undefined;
+    try {
+      pooled = await pool.acquire(NO_VALUES, PRIORITY, ANSWER_TIMEOUT_MS);
+      const { status, error } = await pooled.connection.run({ kind: 'status' }, ANSWER_TIMEOUT_MS);
+      pool.release(pooled);
+      return status ? { instance, status } : { instance, problem: error?.kind ?? 'no state' };
+    } catch (error) {
+      if (pooled) pool.discard(pooled);
+      return { instance, problem: error instanceof Error ? error.message : 'no answer' };
+    }
+  }
+
+  /** Tells the log when the outcome differs from that of the round before. */
+  private note(group: string, rounds: GroupRounds, outcome: string): void {
+    if (rounds.outcome === outcome) return;
+    rounds.outcome = outcome;
+    const epoch = this.surroundings.trust.entryOf(group)?.epoch ?? 0;
+    this.surroundings.log(Events.leaseWitnessed, { group, epoch, outcome });
+  }
+}
--- a/src/router/router_core.ts
+++ b/src/router/router_core.ts
@@ -14,6 +14,7 @@
 import { PrimaryObserver } from './primary_observer.js';
 import { PrimaryTrust } from './primary_trust.js';
 import type { ReadCandidate } from './replica_selector.js';
+import { ReplicaWitness, type WitnessReplica } from './replica_witness.js';
 import type { RouteTable, RoutingDocumentReader } from './route_table.js';
 import { RoutedSession } from './routed_session.js';
 import type { DecisionLog, RequestCounters, RouterContext } from './router_context.js';
@@ -72,9 +73,13 @@
   private readonly tableWaiters: (() => void)[] = [];
   private version = 0;
   private lastSyncAt = -Infinity;
+  /** When the newest request was sent that control answered: what is known of the catalog is that old. */
+  private answeredRequestAt = -Infinity;
   private isControlLost = false;
   private maintenance: Timer | undefined;
   private readonly client: CoordinatorClient;
+  /** Keeps leases while control is out of reach. */
+  readonly witness: ReplicaWitness;
 
   constructor(
     private readonly runtime: Runtime,
@@ -91,6 +96,12 @@
       zone: options.zone,
     };
     this.client = new CoordinatorClient(runtime, this, options.seeds);
+    this.witness = new ReplicaWitness({
+      clock: this.clock,
+      trust: this.trust,
+      log: this.log,
+      replicasOf: (group) => this.replicasOf(group),
+    });
   }
 
   /** Starts to synchronise with the control machines. */
@@ -125,7 +136,8 @@
 
   /** Whether control has been out of reach for so long that callers are better served by another proxy. */
   get isIsolated(): boolean {
-    return this.table !== undefined && this.syncAge > ISOLATED_SYNC_AGE_MS;
+    const isCutOff = this.table !== undefined && this.syncAge > ISOLATED_SYNC_AGE_MS;
+    return isCutOff && !this.trust.hasLease(this.clock.now());
   }
 
   /** Milliseconds since the newest accepted reply of control. */
@@ -200,6 +212,13 @@
     return candidates;
   }
 
+  private replicasOf(group: string): readonly WitnessReplica[] {
+    const primary = this.trust.entryOf(group)?.primary;
+    return [...this.instances.values()]
+      .filter((instance) => instance.group === group && instance.id !== primary)
+      .map(({ id }) => ({ instance: id ?? '', pool: this.pools.get(id ?? '') }));
+  }
+
   // ---- synchronisation ----
 
   syncContent(): SyncContent {
@@ -220,6 +239,7 @@
   onSync(reply: whinyoke.ISyncReply, content: SyncContent, sentAt: number): void {
     const now = this.clock.now();
     this.noteControl(now);
+    this.answeredRequestAt = Math.max(this.answeredRequestAt, sentAt);
     for (const { group, epoch } of content.revocations)
       this.trust.confirmed(group ?? '', epoch ?? 0);
     this.liveProxies = Math.max(1, reply.liveProxies ?? 1);
@@ -355,6 +375,7 @@
     const now = this.clock.now();
     for (const pool of this.pools.values()) pool.maintain();
     this.noteLostControl();
+    this.witness.maintain(now - this.answeredRequestAt);
     this.reportChangedOpinions(now);
     if (this.trust.hasDueRevocation(now)) void this.client.syncNow();
     this.maintenance = this.clock.setTimer(MAINTENANCE_MS, () => this.maintain());
--- /dev/null
+++ b/test/simulation/control_silence.test.ts
@@ -0,0 +1,86 @@
+/** Proxies that are cut off from all control machines: what they serve, and how a primary is changed beside them. */
+import t from 'tap';
+import { APPOINTED_QUETZAL } from '../../lab/appointed/appointed_deployment.js';
+import { startFault } from '../../lab/appointed/appointed_faults.js';
+import { runAppointed } from '../../lab/appointed/appointed_simulation.js';
+import { AppointedWorld } from '../../lab/appointed/appointed_world.js';
+import type { AppointedProtection } from '../../lab/appointed/disabled_protections.js';
+
+const SEEDS = 10;
+const SETTLED_MS = 2000;
+/** Twice the life of a lease of control. */
+const SILENCE_MS = 6000;
+const CHANGE_LIMIT_MS = 4500;
+const POLL_MS = 10;
+
+type World = AppointedWorld;
+
+async function settledWorld(seed: number): Promise<World> {
+  const world = new AppointedWorld(APPOINTED_QUETZAL, seed, new Set());
+  await world.start();
+  await world.run(SETTLED_MS);
+  return world;
+}
+
+function cutOffProxies(world: World): () => void {
+  const proxies = world.routers.map((router) => router.host);
+  const controls = world.coordinators.map((control) => control.host);
+  const heals = [world.network.cut(proxies, controls), world.network.cut(controls, proxies)];
+  return () => heals.forEach((heal) => heal());
+}
+
+function hasLeases(world: World): boolean {
+  return world.routers.every((router) => {
+    const core = router.running!.core;
+    return world.groups.every(
+      (group) => core.trust.primaryOf(group.name, core.clock.now()) !== undefined,
+    );
+  });
+}
+
+void t.test('primaries are used on while their replicas confirm them', async (t) => {
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const world = await settledWorld(seed);
+    const heal = cutOffProxies(world);
+    for (let silence = 0; silence < SILENCE_MS; silence += 500) {
+      await world.run(500);
+      t.ok(hasLeases(world), `seed ${seed}: leases after ${silence + 500} ms`);
+    }
+    heal();
+    await world.run(1000);
+    t.same(world.judge.violations, []);
+  }
+});
+
+void t.test('a primary is changed beside a proxy that is out of reach', async (t) => {
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const world = await settledWorld(seed);
+    const heal = startFault('cut-proxy-from-control', world, world.random)!;
+    await world.run(1000);
+    const group = world.groups[0]!;
+    const { leader } = group;
+    const machine = group.machines.find((item) => item.current === leader)!;
+    machine.running!.process.kill();
+    const begunAt = world.scheduler.now;
+    while (group.leader === leader && world.scheduler.now - begunAt < CHANGE_LIMIT_MS) {
+      await world.run(POLL_MS);
+    }
+    t.not(group.leader, leader, `seed ${seed}: changed within ${CHANGE_LIMIT_MS} ms`);
+    heal();
+    await world.run(1000);
+    t.same(world.judge.violations, []);
+  }
+});
+
+void t.test('without the answers of replicas the checks report what goes wrong', async (t) => {
+  const disabled: AppointedProtection[] = ['replica-witness'];
+  const faults = ['split-primary'] as const;
+  for (let seed = 1; seed <= 50; seed++) {
+    const options = { deployment: APPOINTED_QUETZAL, seed, faults, faultCount: 2, disabled };
+    const [violation] = (await runAppointed(options)).violations;
+    if (!violation) continue;
+    t.match(violation.kind, /stale|lost|replaced-primary/);
+    return;
+  }
+  t.fail('nothing was found');
+});
--- a/test/unit/failover.test.ts
+++ b/test/unit/failover.test.ts
@@ -7,11 +7,17 @@
 import { type ChoiceInput, chooseCandidate } from '../../src/failover/candidate.js';
 import { FailoverController } from '../../src/failover/failover_controller.js';
 import { InstanceMonitor } from '../../src/failover/instance_monitor.js';
-import { LeaseLedger } from '../../src/failover/lease_ledger.js';
+import { type FencedReplica, appointmentObjection } from '../../src/failover/appointment_fence.js';
+import { LeaseLedger, type RevocationState } from '../../src/failover/lease_ledger.js';
 import type { ChangerContext } from '../../src/failover/primary_changer.js';
 import { PrimaryHealthBoard } from '../../src/failover/primary_health_board.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import type { InstanceStatus } from '../../src/router/instance_connection.js';
+import {
+  LONGEST_WITNESSED_SILENCE_MS,
+  WITNESSED_LEASE_MS,
+  objectionOf,
+} from '../../src/router/replica_witness.js';
 import { PrimaryTrust } from '../../src/router/primary_trust.js';
 
 const { GroupPhase, InstanceRole, InstanceState, PrimaryHealth } = whinyoke;
@@ -28,7 +34,7 @@
     ],
     missing: 0,
     oldPrimary: undefined,
-    revocation: { isComplete: true, isConfirmedByAll: false, acknowledged: undefined },
+    revocation: { isConfirmedByAll: false, acknowledged: undefined },
     isHistoryWhole: false,
     isMembershipWhole: false,
     term: 3,
@@ -99,7 +105,7 @@
 
 void t.test('leases end by confirmation of the same run, or by time', (t) => {
   const ledger = new LeaseLedger();
-  ledger.begin(-Infinity);
+  ledger.begin(-Infinity, 0);
   for (const proxy of PROXIES) ledger.grant('g', proxy, 3000);
   t.notOk(ledger.revocation('g', 2, PROXIES, 1000).isComplete);
   ledger.confirm(PROXIES[0]!, {
@@ -118,7 +124,7 @@
   t.ok(ledger.revocation('g', 2, restarted, 1000).isComplete, 'a new run holds no lease');
   ledger.confirm(restarted[1]!, { group: 'g', epoch: 1 });
   t.notOk(ledger.revocation('g', 2, restarted, 1000).isConfirmedByAll, 'an older epoch');
-  ledger.begin(9000);
+  ledger.begin(9000, 5000);
   t.notOk(
     ledger.revocation('g', 2, restarted, 8999).isComplete,
     'an earlier leader may have granted',
@@ -126,6 +132,64 @@
   t.end();
 });
 
+void t.test('a replica is appointed beside proxies out of reach only when they can tell', (t) => {
+  const proxies = { knownVersion: 20, trustUntil: 50_000 };
+  const objection = (replica: Partial<FencedReplica>, now: number): string | undefined =>
+    appointmentObjection({ version: 20, heldSince: 1000, ...replica }, proxies, now);
+  const longEnough = 1000 + WITNESSED_LEASE_MS + 200;
+  t.equal(objection({}, longEnough), undefined);
+  t.match(objection({}, 1000 + WITNESSED_LEASE_MS), /only/, 'a lease that it confirmed may hold');
+  t.match(objection({ heldSince: undefined }, longEnough), /not held/);
+  t.match(objection({ version: 21 }, longEnough), /not know/, 'nobody would ask it');
+  t.equal(objection({ version: 21 }, 50_001), undefined, 'they have stopped to ask');
+  t.end();
+});
+
+void t.test('the ledger tells what proxies know that did not confirm', (t) => {
+  const ledger = new LeaseLedger();
+  ledger.begin(-Infinity, 100);
+  const state = (): RevocationState => ledger.revocation('g', 2, PROXIES, 3000);
+  t.match(state().unconfirmed, { knownVersion: 0 }, 'nothing is known of them');
+  ledger.noteContact(PROXIES[0]!, 7, 1000);
+  ledger.noteContact(PROXIES[1]!, 9, 2000);
+  t.equal(state().unconfirmed.knownVersion, 7);
+  ledger.confirm(PROXIES[0]!, { group: 'g', epoch: 2 });
+  t.equal(state().unconfirmed.knownVersion, 9);
+  t.ok(state().unconfirmed.trustUntil > 2000 + LONGEST_WITNESSED_SILENCE_MS);
+  t.end();
+});
+
+void t.test('replicas confirm a primary as long as none is held or follows another', (t) => {
+  const answer = (change: Partial<InstanceStatus>): string | undefined =>
+    objectionOf({ instance: 'a', status: { ...statusAt(5), heldTerm: 0, ...change } }, 3);
+  t.equal(answer({}), undefined);
+  t.equal(answer({ heldTerm: 3 }), undefined, 'held by an earlier change, which is over');
+  t.match(answer({ heldTerm: 4 }), /held/);
+  t.match(answer({ term: 4 }), /follows/);
+  t.match(answer({ role: 'primary' }), /primary/);
+  t.match(objectionOf({ instance: 'a', problem: 'timeout' }, 3), /timeout/);
+  t.end();
+});
+
+void t.test('only the present epoch that had a lease is extended', (t) => {
+  const trust = new PrimaryTrust();
+  trust.update([groupEntry(1)], 0);
+  trust.extend('g', 1, 5000);
+  t.notOk(trust.hasLease(100), 'it never had a lease of control');
+  t.same(trust.leasedGroups(), []);
+  trust.extendAll(1000);
+  t.same(trust.leasedGroups(), ['g']);
+  trust.extend('g', 1, 5000);
+  t.ok(trust.accepts('g', 1, 4999));
+  trust.update([groupEntry(2, GroupPhase.CHANGING)], 2000);
+  trust.extend('g', 2, 9000);
+  trust.extend('g', 1, 9000);
+  t.same(trust.leasedGroups(), []);
+  t.notOk(trust.accepts('g', 2, 2001));
+  t.notOk(trust.accepts('g', 1, 5001), 'an answer under way counts as long as it would have');
+  t.end();
+});
+
 function groupEntry(epoch: number, phase = GroupPhase.STEADY): whinyoke.IGroupEntry {
   return { group: 'g', epoch, phase, primary: 'i-1', term: 1 };
 }
