Start: unused libraries left out of the bundle; callers are read once the configuration is there

Cause: of 75 ms that the bundle takes to load on this machine, 15 go to the library of HTTPS and 16 to a search for two optional modules that are absent; reading waiting callers competes with the first answer of control for the processor. Change: the bundle answers for the absent modules at once and has no HTTPS; callers are handed to the listener when a configuration is in force, after 600 ms at the latest.

--- a/scripts/bundle_platform.js
+++ b/scripts/bundle_platform.js
@@ -23,11 +23,34 @@
   target: 'node20',
   minify: true,
   sourcemap: false,
-  // Optional parts of the log library that are not used.
-  external: ['dtrace-provider', 'mv', 'source-map-support'],
   logLevel: 'warning',
 };
 
+/**
+ * Optional parts of the log library that are not used. It looks for them at each start and does without; told at once
+ * that they are absent, it saves the search through all folders of modules.
+ */
+const ABSENT_MODULES = ['dtrace-provider', 'mv', 'source-map-support'];
+
+/** Stands for the library of HTTPS, which the metrics library loads for a part of it that is not used. */
+const EMPTY_HTTPS = {
+  name: 'empty-https',
+  setup({ onResolve, onLoad }) {
+    onResolve({ filter: /^https$/ }, ({ path }) => ({ path, namespace: 'empty' }));
+    onLoad({ filter: /.*/, namespace: 'empty' }, () => ({ contents: 'module.exports = {};' }));
+  },
+};
+
+/** Begin of the function that a bundle is; `load` is the platform's own `require`. */
+const FUNCTION_BANNER = [
+  '(function (exports, load, module) {',
+  `const absent = new Set(${JSON.stringify(ABSENT_MODULES)});`,
+  'function require(name) {',
+  "  if (absent.has(name)) throw new Error(name + ' is not part of this bundle');",
+  '  return load(name);',
+  '}',
+].join('\n');
+
 /** CommonJS libraries in an ES module need `require`. */
 const REQUIRE_BANNER = [
   "import { createRequire as createRequireOfBundle } from 'node:module';",
@@ -57,7 +80,9 @@
     entryPoints: ['platform/programs.ts'],
     outdir: TARGET,
     format: 'cjs',
-    banner: { js: '(function (exports, require, module) {' },
+    external: ABSENT_MODULES,
+    plugins: [EMPTY_HTTPS],
+    banner: { js: FUNCTION_BANNER },
     footer: { js: '})' },
   });
   const [{ contents }] = outputFiles;
--- a/src/daemon/router_daemon.ts
+++ b/src/daemon/router_daemon.ts
@@ -41,6 +41,11 @@
 }
 
 const EVACUATION_MS = 250;
+/**
+ * Longest time for which callers are left unread while a process that starts has no configuration, in milliseconds:
+ * with the patience of the listener after it, less than the 2 s after which callers leave.
+ */
+const CALLERS_HELD_MS = 600;
 
 /** Starts a proxy. Callers may wait at a listener that is open already. */
 export async function startRouter(
@@ -72,7 +77,8 @@
     if (core.isIsolated) listener.closeIdle();
   }, EVACUATION_MS);
   evacuation.unref();
-  listener.start();
+  // Reading callers would only delay the first answer of control, on which all of them wait.
+  void core.awaitTable(CALLERS_HELD_MS).then(() => listener.start());
   const server = await openMetrics(
     settings.metrics,
     {
