--- a/src/router/request_deadline.ts
+++ b/src/router/request_deadline.ts
@@ -3,7 +3,7 @@
 import type { Route } from './route_table.js';
 
 /** Share of the target latency that a request may wait without being offered to an instance. */
-const OFFER_SHARE = 0.7;
+const OFFER_SHARE = 0.4;
 const MINIMUM_OFFER_MS = 20;
 /** Share of the timeout after which a request that could come back later is refused. */
 const GIVE_UP_SHARE = 0.6;
