--- a/src/router/instance_pool.ts
+++ b/src/router/instance_pool.ts
@@ -315,16 +315,7 @@
     const inTurn = this.active + this.opening;
     const isAllowed = this.window.allows(inTurn, this.clock.now());
     const isWanted = this.idle.length === 0 && this.waiters.length > this.opening;
-    if (isAllowed && isWanted && inTurn < this.mostActive && this.mayOpenBeside) this.open();
-  }
-
-  /**
-   * Whether another connection may be opened beside those that are being opened: not more at a time than there are,
-   * so that many proxies that start together don't fill the slots with openings.
-   */
-  private get mayOpenBeside(): boolean {
-    const open = this.size - this.opening;
-    return this.opening < Math.max(1, open);
+    if (isAllowed && isWanted && inTurn < this.mostActive) this.open();
   }
 
   /**
