--- a/src/failover/primary_health_board.ts
+++ b/src/failover/primary_health_board.ts
@@ -6,7 +6,7 @@
 /** An opinion older than this does not count, in milliseconds. */
 const OPINION_LIFETIME_MS = 1300;
 /** A silent primary must have been silent for this long, in milliseconds. */
-const SILENCE_MS = 500;
+const SILENCE_MS = 400;
 /** A refusal must have lasted this long, so that a restart of a proxy's connections is none. */
 const REFUSAL_MS = 60;
 
--- a/src/router/primary_observer.ts
+++ b/src/router/primary_observer.ts
@@ -4,7 +4,7 @@
 const { PrimaryHealth } = whinyoke;
 
 /** Statements without an answer for longer than this make a primary silent, in milliseconds. */
-const SILENCE_MS = 450;
+const SILENCE_MS = 350;
 /** Answers older than this say nothing, in milliseconds. */
 const OPINION_LIFETIME_MS = 1500;
 
--- a/src/router/primary_trust.ts
+++ b/src/router/primary_trust.ts
@@ -41,8 +41,13 @@
 
 /** Remaining life of a lease under which nothing new is sent, in milliseconds. */
 const SEND_MARGIN_MS = 60;
-/** Longest time that commits under way hold up a revocation, in milliseconds. */
-const COMMIT_PATIENCE_MS = 250;
+/** Longest time that commits under way hold up a planned revocation, in milliseconds. */
+const PLANNED_COMMIT_PATIENCE_MS = 250;
+/**
+ * The same where the primary is in trouble, in milliseconds: a few statements' time, for the proxies that can still use
+ * it. Commits on a primary that answers nothing only lengthen the change.
+ */
+const COMMIT_PATIENCE_MS = 80;
 
 function endingLease(known: GroupTrust | undefined): EndingLease | undefined {
   if (!known) return undefined;
@@ -56,7 +61,8 @@
 function isRevocationDue(trust: GroupTrust, now: number): boolean {
   const isChanging = trust.entry.phase === whinyoke.GroupPhase.CHANGING;
   if (!isChanging || trust.confirmedEpoch >= (trust.entry.epoch ?? 0)) return false;
-  return trust.commitsUnderWay === 0 || now - trust.knownSince > COMMIT_PATIENCE_MS;
+  const patienceMs = trust.entry.planned ? PLANNED_COMMIT_PATIENCE_MS : COMMIT_PATIENCE_MS;
+  return trust.commitsUnderWay === 0 || now - trust.knownSince > patienceMs;
 }
 
 /** Whether the present epoch has or had a lease, and is not being revoked. */
--- a/src/router/request_deadline.ts
+++ b/src/router/request_deadline.ts
@@ -4,6 +4,11 @@
 
 /** Share of the target latency that a request may wait without being offered to an instance. */
 const OFFER_SHARE = 0.4;
+/**
+ * Share of the target latency that a request waits for a lease: a proxy without one has been cut off from control for
+ * seconds, and hardly regains it just then. Refused before a quarter of it, callers lose no time for another try.
+ */
+const TRUST_SHARE = 0.2;
 const MINIMUM_OFFER_MS = 20;
 /** Share of the timeout after which a request that could come back later is refused. */
 const GIVE_UP_SHARE = 0.6;
@@ -31,8 +36,12 @@
 
   /** Milliseconds that the request may still wait for a first instance. */
   get offerRemaining(): number {
-    const limit = Math.max(MINIMUM_OFFER_MS, this.route.targetLatencyMs * OFFER_SHARE);
-    return Math.min(limit, this.route.timeoutMs) - this.elapsed;
+    return this.remainingOf(OFFER_SHARE);
+  }
+
+  /** Milliseconds that the request may still wait for a lease on a primary. */
+  get trustRemaining(): number {
+    return this.remainingOf(TRUST_SHARE);
   }
 
   /**
@@ -43,6 +52,11 @@
     return wasOffered ? this.retryRemaining > 0 : this.offerRemaining > 0;
   }
 
+  private remainingOf(share: number): number {
+    const limit = Math.max(MINIMUM_OFFER_MS, this.route.targetLatencyMs * share);
+    return Math.min(limit, this.route.timeoutMs) - this.elapsed;
+  }
+
   /** Milliseconds in which another attempt is worth while. */
   get retryRemaining(): number {
     return this.route.timeoutMs * GIVE_UP_SHARE - this.elapsed;
--- a/src/router/trust_waiter.ts
+++ b/src/router/trust_waiter.ts
@@ -10,7 +10,7 @@
 function patience(context: RouterContext, deadline: RequestDeadline): number {
   const { group } = deadline.route;
   const entry = context.trust.entryOf(group);
-  if (entry?.phase !== whinyoke.GroupPhase.CHANGING) return deadline.offerRemaining;
+  if (entry?.phase !== whinyoke.GroupPhase.CHANGING) return deadline.trustRemaining;
   const age = context.trust.phaseAge(group, context.clock.now());
   const isSoonOver = USUAL_CHANGE_MS - age < deadline.retryRemaining;
   return isSoonOver ? deadline.retryRemaining : deadline.offerRemaining;
--- a/test/unit/failover.test.ts
+++ b/test/unit/failover.test.ts
@@ -205,7 +205,7 @@
   t.notOk(trust.accepts('g', 1, 3000));
   trust.commitStarted('g');
   trust.noteAcknowledged('g', { term: 1, sequence: 4 });
-  trust.update([groupEntry(2, GroupPhase.CHANGING)], 1000);
+  trust.update([{ ...groupEntry(2, GroupPhase.CHANGING), planned: true }], 1000);
   t.equal(trust.primaryOf('g', 1000), undefined, 'nothing new is sent');
   t.ok(trust.accepts('g', 1, 1100), 'an answer under way still counts');
   t.same(trust.endRevokedEpochs(1100), [], 'the confirmation waits for it');
@@ -227,14 +227,22 @@
 });
 
 void t.test('a commit that hangs holds up a revocation only for a moment', (t) => {
-  const trust = new PrimaryTrust();
-  trust.update([groupEntry(1)], 0);
-  trust.extendAll(3000);
-  trust.commitStarted('g');
-  trust.update([groupEntry(2, GroupPhase.CHANGING)], 1000);
-  t.equal(trust.endRevokedEpochs(1200).length, 0);
-  t.equal(trust.endRevokedEpochs(1300).length, 1);
-  t.notOk(trust.accepts('g', 1, 1300));
+  const revoking = (planned: boolean): PrimaryTrust => {
+    const trust = new PrimaryTrust();
+    trust.update([groupEntry(1)], 0);
+    trust.extendAll(3000);
+    trust.commitStarted('g');
+    trust.update([{ ...groupEntry(2, GroupPhase.CHANGING), planned }], 1000);
+    return trust;
+  };
+  const planned = revoking(true);
+  t.equal(planned.endRevokedEpochs(1200).length, 0);
+  t.equal(planned.endRevokedEpochs(1300).length, 1);
+  t.notOk(planned.accepts('g', 1, 1300));
+  const troubled = revoking(false);
+  t.equal(troubled.endRevokedEpochs(1050).length, 0);
+  t.equal(troubled.endRevokedEpochs(1100).length, 1, 'a primary in trouble answers hardly any');
+  t.notOk(troubled.accepts('g', 1, 1100));
   t.end();
 });
 
