--- a/src/router/instance_pool.ts
+++ b/src/router/instance_pool.ts
@@ -87,6 +87,11 @@
  */
 const SLOW_OPENING_FACTOR = 5;
 const SHORTEST_SLOW_OPENING_MS = 150;
+/**
+ * Time without a turn, in milliseconds, after which statements under way count as stuck: several statements' time, and
+ * less than a caller waits (0.4 of 150 to 250 ms).
+ */
+const LONGEST_TURN_MS = 45;
 /** Statements on their way to the instance or back, beyond those in its slots. */
 const EXTRA_ACTIVE = 1;
 /** Range of the pause after an instance had no connection left: others give theirs back all the time. */
@@ -107,6 +112,8 @@
   private opening = 0;
   /** Smoothed time to open a connection, in milliseconds. */
   private connectMs = INITIAL_CONNECT_MS;
+  /** When a connection was last given to a request. */
+  private lastTurnAt = -Infinity;
   private isClosed = false;
   /** Whether an opening that is under way takes unusually long. */
   private isOpeningSlow = false;
@@ -259,6 +266,7 @@
     if (!best) return undefined;
     this.idle.splice(this.idle.indexOf(best), 1);
     this.inUse++;
+    this.lastTurnAt = this.clock.now();
     this.wake(best);
     return best;
   }
@@ -345,11 +353,17 @@
     if (this.openTimer || this.waiters.length === 0) return;
     this.openTimer = this.clock.setTimer(this.connectMs * OPENING_FACTOR, () => {
       this.openTimer = undefined;
-      this.openForWaiters(Infinity);
+      this.openForWaiters(this.isStuck ? Infinity : this.mostActive);
       this.refill();
     });
   }
 
+  /** Whether the statements under way hold all turns for long, as commits do that wait for a replica. */
+  private get isStuck(): boolean {
+    const sinceTurnMs = this.clock.now() - this.lastTurnAt;
+    return this.active >= this.mostActive && sinceTurnMs > LONGEST_TURN_MS;
+  }
+
   /** Whether a new connection comes sooner than the last one that waits would get one of those there are. */
   private get isOpeningWorthwhile(): boolean {
     const inTurn = this.active + this.opening;
