--- a/src/router/instance_pool.ts
+++ b/src/router/instance_pool.ts
@@ -80,18 +80,6 @@
  * to one that waits.
  */
 const OPENING_FACTOR = 1.5;
-/**
- * An opening that takes this many times the usual time, and that long at least, is one to an instance that answers
- * nothing: more than the queue of openings of all proxies after a restart (18 openings of 12 ms in 2 slots take
- * 108 ms).
- */
-const SLOW_OPENING_FACTOR = 5;
-const SHORTEST_SLOW_OPENING_MS = 150;
-/**
- * Time without a turn, in milliseconds, after which statements under way count as stuck: several statements' time, and
- * less than a caller waits (0.4 of 150 to 250 ms).
- */
-const LONGEST_TURN_MS = 45;
 /** Statements on their way to the instance or back, beyond those in its slots. */
 const EXTRA_ACTIVE = 1;
 /** Range of the pause after an instance had no connection left: others give theirs back all the time. */
@@ -112,11 +100,7 @@
   private opening = 0;
   /** Smoothed time to open a connection, in milliseconds. */
   private connectMs = INITIAL_CONNECT_MS;
-  /** When a connection was last given to a request. */
-  private lastTurnAt = -Infinity;
   private isClosed = false;
-  /** Whether an opening that is under way takes unusually long. */
-  private isOpeningSlow = false;
   private readonly patience = new IdlePatience();
   private clampedUntil = -Infinity;
   private clampedTo = Infinity;
@@ -170,7 +154,7 @@
     const now = this.clock.now();
     const free = this.mayServe(now) ? this.takeClosest(values) : undefined;
     if (free) return Promise.resolve(free);
-    if (!this.hasConnections && (this.isOpeningSlow || now < this.unreachableUntil)) {
+    if (this.size === 0 && now < this.unreachableUntil) {
       return Promise.reject(new AcquireError('unreachable'));
     }
     if (this.expectedWait(priority, now) > timeoutMs) {
@@ -266,7 +250,6 @@
     if (!best) return undefined;
     this.idle.splice(this.idle.indexOf(best), 1);
     this.inUse++;
-    this.lastTurnAt = this.clock.now();
     this.wake(best);
     return best;
   }
@@ -324,17 +307,15 @@
     if (this.waiters.length === 0) return;
     const now = this.clock.now();
     if (this.window.remainingPause(now) > 0) this.resumeAfterPause(now);
-    else {
-      if (this.isOpeningWorthwhile) this.openForWaiters(this.mostActive);
-      this.openIfNoTurnComes();
-    }
+    else if (this.isOpeningWorthwhile) this.openForWaiters();
+    else this.openIfNoTurnComes();
   }
 
-  private openForWaiters(mostActive: number): void {
+  private openForWaiters(): void {
     const inTurn = this.active + this.opening;
     const isAllowed = this.window.allows(inTurn, this.clock.now());
     const isWanted = this.idle.length === 0 && this.waiters.length > this.opening;
-    if (isAllowed && isWanted && inTurn < mostActive) this.open();
+    if (isAllowed && isWanted && inTurn < this.mostActive) this.open();
   }
 
   /**
@@ -345,25 +326,16 @@
     return this.options.slots() + EXTRA_ACTIVE;
   }
 
-  /**
-   * A statement that takes unusually long, or a commit that waits for a replica, must not hold up those that wait for
-   * its connection.
-   */
+  /** A statement that takes unusually long must not hold up those that wait for its connection. */
   private openIfNoTurnComes(): void {
-    if (this.openTimer || this.waiters.length === 0) return;
+    if (this.openTimer) return;
     this.openTimer = this.clock.setTimer(this.connectMs * OPENING_FACTOR, () => {
       this.openTimer = undefined;
-      this.openForWaiters(this.isStuck ? Infinity : this.mostActive);
+      this.openForWaiters();
       this.refill();
     });
   }
 
-  /** Whether the statements under way hold all turns for long, as commits do that wait for a replica. */
-  private get isStuck(): boolean {
-    const sinceTurnMs = this.clock.now() - this.lastTurnAt;
-    return this.active >= this.mostActive && sinceTurnMs > LONGEST_TURN_MS;
-  }
-
   /** Whether a new connection comes sooner than the last one that waits would get one of those there are. */
   private get isOpeningWorthwhile(): boolean {
     const inTurn = this.active + this.opening;
@@ -376,12 +348,9 @@
     if (this.isClosed || !this.mayOpen()) return;
     this.opening++;
     const startedAt = this.clock.now();
-    const slow = this.clock.setTimer(this.slowOpeningMs, () => this.noteSlowOpening());
     this.connector.connect(this.target, this.options.connectTimeoutMs).then(
       ({ connection, position }) => {
         this.opening--;
-        this.isOpeningSlow = false;
-        slow.cancel();
         const durationMs = this.clock.now() - startedAt;
         this.connectMs += CONNECT_TIME_WEIGHT * (durationMs - this.connectMs);
         this.patience.noteOpened();
@@ -390,31 +359,11 @@
       },
       (error: unknown) => {
         this.opening--;
-        this.isOpeningSlow = false;
-        slow.cancel();
         this.onConnectFailed(error instanceof ConnectError ? error : undefined);
       },
     );
   }
 
-  /** Time after which an opening is unusually slow, in milliseconds. */
-  private get slowOpeningMs(): number {
-    return Math.max(SHORTEST_SLOW_OPENING_MS, this.connectMs * SLOW_OPENING_FACTOR);
-  }
-
-  /** An instance without power answers nothing: those that wait for a first connection to it go elsewhere. */
-  private noteSlowOpening(): void {
-    this.isOpeningSlow = true;
-    if (this.hasConnections) return;
-    this.load.noteFailure(this.clock.now());
-    this.waiters.rejectAll(() => new AcquireError('unreachable'));
-  }
-
-  /** Whether any connection is open. */
-  private get hasConnections(): boolean {
-    return this.size > this.opening;
-  }
-
   private noteOpenedAt(position: Position, startedAt: number): void {
     this.load.notePosition(position);
     this.observer.onOpened(position, startedAt);
