Statements on a primary without power: answered when they are given up, not at their deadline

Ruled out: connections being opened, full queues (lines of frontend-rix-purv-1 from 6.3 to 7.4 s). Change: a BEGIN has the patience of any statement of a transaction; the last instance has what is left of 0.6 of the timeout; when a proxy confirms the end of an epoch it closes the connections in use to its primary, so that writes are told that they are in doubt. Test: silent_primary.test.ts, 120 + 60 of 180 answers after 800 ms before; now 130, 440 and 570 ms.

--- a/src/router/instance_pool.ts
+++ b/src/router/instance_pool.ts
@@ -95,7 +95,7 @@
   private readonly window: BusyWindow;
   private pauseTimer: Timer | undefined;
   private openTimer: Timer | undefined;
-  private inUse = 0;
+  private readonly inUse = new Set<PooledConnection>();
   private active = 0;
   private opening = 0;
   /** Smoothed time to open a connection, in milliseconds. */
@@ -123,7 +123,7 @@
 
   /** Open connections, those being opened included. */
   get size(): number {
-    return this.idle.length + this.inUse + this.opening;
+    return this.idle.length + this.inUse.size + this.opening;
   }
 
   /** Requests that wait for a connection. */
@@ -138,7 +138,7 @@
 
   /** Connections that are in use. */
   get used(): number {
-    return this.inUse;
+    return this.inUse.size;
   }
 
   /**
@@ -196,7 +196,7 @@
 
   /** Gives a connection back; it has no transaction and no answer outstanding. */
   release(pooled: PooledConnection): void {
-    this.inUse--;
+    this.inUse.delete(pooled);
     this.deactivate(pooled);
     if (pooled.connection.closed) this.serveWaiters();
     else if (this.isClosed || this.size >= this.limit) pooled.connection.close();
@@ -205,12 +205,17 @@
 
   /** Closes a connection whose state is unknown. */
   discard(pooled: PooledConnection): void {
-    this.inUse--;
+    this.inUse.delete(pooled);
     this.deactivate(pooled);
     pooled.connection.close();
     this.serveWaiters();
   }
 
+  /** Closes the connections in use: no answer on them counts any more, and nobody should wait for one. */
+  abandonInUse(): void {
+    for (const { connection } of this.inUse) connection.close();
+  }
+
   /** Opens connections until the minimum is there, and closes those that are idle for long. */
   maintain(): void {
     if (this.isClosed) return;
@@ -249,7 +254,7 @@
     }
     if (!best) return undefined;
     this.idle.splice(this.idle.indexOf(best), 1);
-    this.inUse++;
+    this.inUse.add(best);
     this.wake(best);
     return best;
   }
--- a/src/router/router_core.ts
+++ b/src/router/router_core.ts
@@ -223,7 +223,9 @@
 
   syncContent(): SyncContent {
     const now = this.clock.now();
-    const revocations = this.trust.endRevokedEpochs(now).map(({ group, epoch, position }) => ({
+    const ended = this.trust.endRevokedEpochs(now);
+    for (const { group } of ended) this.abandonPrimary(group);
+    const revocations = ended.map(({ group, epoch, position }) => ({
       group,
       epoch,
       hasPosition: position !== undefined,
@@ -236,6 +238,11 @@
     };
   }
 
+  /** Whoever still waits for an answer of the old primary of a changing group is told at once. */
+  private abandonPrimary(group: string): void {
+    this.pools.get(this.trust.entryOf(group)?.primary ?? '')?.abandonInUse();
+  }
+
   onSync(reply: whinyoke.ISyncReply, content: SyncContent, sentAt: number): void {
     const now = this.clock.now();
     this.noteControl(now);
--- a/src/router/single_statement.ts
+++ b/src/router/single_statement.ts
@@ -135,7 +135,9 @@
       target.pool.load.patience,
       deadline.route.targetLatencyMs * ATTEMPT_SHARE,
     );
-    const timeoutMs = isLast ? deadline.remaining : Math.min(deadline.remaining, usual);
+    // Where there is no other instance, its answer is waited for as long as the caller could still come again.
+    const patienceMs = isLast ? Math.max(usual, deadline.retryRemaining) : usual;
+    const timeoutMs = Math.min(deadline.remaining, patienceMs);
     const { id, statement } = request;
     const command = { kind: 'data' as const, id, statement, after: target.after };
     const attempt = await this.runner.attempt(held, request.content, command, timeoutMs);
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -59,10 +59,8 @@
     if (problem !== undefined) return refuse(this.context, refusal, 'busy', problem);
     if (accessOf(statement) === 'write') this.hasWritten = true;
     const command = { kind: 'data' as const, id, statement };
-    // A late answer is most likely lost; nothing is kept, so the caller may begin again at once.
-    const usual = this.held!.target.pool.load.patience;
-    const patience = Math.max(usual, this.route.targetLatencyMs * STATEMENT_SHARE);
-    const attempt = await this.attempt(command, content, deadline, patience);
+    const patienceMs = this.patienceOf(this.held!.target);
+    const attempt = await this.attempt(command, content, deadline, patienceMs);
     if (attempt.outcome !== 'answered') {
       this.drop();
       return refuse(this.context, refusal, 'aborted', attempt.cause);
@@ -245,8 +243,8 @@
       return 'no connection';
     }
     const command = { kind: 'begin' as const, readOnly: this.readOnly, after: target.after };
-    const { remaining } = deadline;
-    const attempt = await this.runner.attempt(held, { values: content.values }, command, remaining);
+    const timeoutMs = Math.min(deadline.remaining, this.patienceOf(target));
+    const attempt = await this.runner.attempt(held, { values: content.values }, command, timeoutMs);
     if (attempt.outcome === 'answered' && !attempt.answer.error) {
       this.held = held;
       target.pool.rest(held.pooled);
@@ -258,6 +256,14 @@
       : attempt.cause;
   }
 
+  /**
+   * Time for an answer of an instance, in milliseconds. One that is later is most likely lost; nothing is kept then,
+   * so the caller may begin again at once.
+   */
+  private patienceOf({ pool }: Target): number {
+    return Math.max(pool.load.patience, this.route.targetLatencyMs * STATEMENT_SHARE);
+  }
+
   private isTrusted(): boolean {
     return this.held !== undefined && isTargetTrusted(this.context, this.held.target);
   }
