Changes of primary: a new leader ends what the one before had nearly ended

Change: proxies repeat their confirmations in each request while a group changes; a replica counts as fenced when its answer would end the trust of a cut-off proxy (held, or follows a newer term); an instance that leads a newer term already is the one to end the change with; replicas are held above the newest term that anybody told.

--- a/lab/appointed/emulated_instance.ts
+++ b/lab/appointed/emulated_instance.ts
@@ -208,7 +208,10 @@
 
   private administer(session: EmulatedSession, command: InstanceCommand): InstanceAnswer {
     const { storage } = this;
-    if (command.kind === 'pause') this.heldTerm = Math.max(this.heldTerm, command.term);
+    if (command.kind === 'pause') {
+      if (command.term <= storage.term) return this.fail(session, 'malformed');
+      this.heldTerm = Math.max(this.heldTerm, command.term);
+    }
     if (command.kind === 'resume') this.heldTerm = 0;
     if (command.kind === 'stepDown' && storage.term < command.term) storage.role = 'replica';
     const status: InstanceStatus = {
--- a/src/failover/appointment_fence.ts
+++ b/src/failover/appointment_fence.ts
@@ -24,7 +24,7 @@
 export interface FencedReplica {
   /** Version of its newest change in the catalog. */
   readonly version: number;
-  /** Since when it has been held without a break; undefined when it is not. */
+  /** Since when it has been held, or has followed a newer term, without a break; undefined when it has not. */
   readonly heldSince: number | undefined;
 }
 
--- a/src/failover/primary_changer.ts
+++ b/src/failover/primary_changer.ts
@@ -14,6 +14,7 @@
 import { whinyoke } from '../protocol/generated/messages.js';
 import type { DecisionLog } from '../router/router_context.js';
 import type { InstanceStatus, InstanceTarget } from '../router/instance_connection.js';
+import { objectionOf } from '../router/replica_witness.js';
 import { type Clock, delay } from '../runtime/runtime.js';
 import { formatPosition } from '../session/position.js';
 import type { AppointmentDuty, Proposer } from './appointment_duty.js';
@@ -60,8 +61,10 @@
 export class PrimaryChanger {
   private readonly group: string;
   private readonly epoch: number;
-  /** Since when each replica has been held without a break. */
-  private readonly heldSince = new Map<string, number>();
+  /** Since when each replica has told without a break that the old primary is not to be trusted. */
+  private readonly objectingSince = new Map<string, number>();
+  /** Newest term that an instance of the group told. */
+  private newestTerm: number;
 
   constructor(
     private readonly context: ChangerContext,
@@ -69,6 +72,7 @@
   ) {
     this.group = entry.group ?? '';
     this.epoch = entry.epoch ?? 0;
+    this.newestTerm = entry.term ?? 0;
   }
 
   /** Runs until the group has a primary again, or this process leads no longer. */
@@ -138,6 +142,8 @@
     const old = this.members.find((instance) => instance.id === this.entry.primary);
     const stepDown = old && administrator.stepDown(targetOf(old), term);
     const reports = await this.holdAll(replicas, term);
+    const appointed = this.appointedAlready(reports);
+    if (appointed !== undefined) return appointed;
     const missing = replicas.length - reports.length;
     // An old primary that is dark holds the change up only when its answer is needed.
     const choice =
@@ -156,13 +162,23 @@
     return target;
   }
 
+  /** The instance that a former leader appointed in this change before it could tell so. */
+  private appointedAlready(reports: readonly CandidateReport[]): string | undefined {
+    const oldTerm = this.entry.term ?? 0;
+    const leading = reports.filter(
+      ({ status }) => status.role === 'primary' && status.term > oldTerm,
+    );
+    leading.sort((left, right) => right.status.term - left.status.term);
+    return leading[0]?.instance;
+  }
+
   private get replicas(): readonly InstanceEntry[] {
     return this.members.filter((instance) => instance.id !== this.entry.primary);
   }
 
   /** Term that the new primary will lead at least. */
   private get newTerm(): number {
-    return (this.entry.term ?? 0) + 1;
+    return this.newestTerm + 1;
   }
 
   /** Why the chosen instance may not be appointed yet, beside proxies that did not confirm. */
@@ -173,7 +189,7 @@
     const { catalog, clock } = this.context;
     const replica = {
       version: catalog.instance(instance)?.version ?? Infinity,
-      heldSince: this.heldSince.get(instance),
+      heldSince: this.objectingSince.get(instance),
     };
     // Who trusts the old primary knows at least the catalog in which its epoch began.
     const knownVersion = Math.max(unconfirmed.knownVersion, this.entry.steadySince ?? 0);
@@ -229,23 +245,32 @@
     return choice ?? again;
   }
 
-  /** Stops a replica from receiving; one that was held before tells whether it still is. */
+  /** Stops a replica from receiving; one that does so already, or that follows a newer term, is left as it is. */
   private async hold(instance: InstanceEntry, term: number): Promise<InstanceStatus | undefined> {
-    const { administrator, clock } = this.context;
+    const { administrator } = this.context;
     const target = targetOf(instance);
-    const id = target.id;
-    if (this.heldSince.has(id)) {
-      const status = await administrator.status(target);
-      if (status && status.heldTerm >= term) return status;
-      // A restart ends it.
-      this.heldSince.delete(id);
-    }
+    // A restart ends it, so one that was held before is asked whether it still is.
+    const known = this.objectingSince.has(target.id)
+      ? await administrator.status(target)
+      : undefined;
+    this.noteStatus(target.id, known);
+    if (known && this.objectingSince.has(target.id)) return known;
     const status =
       (await administrator.pause(target, term)) ?? (await administrator.status(target));
-    if (status && status.heldTerm >= term) this.heldSince.set(id, clock.now());
+    this.noteStatus(target.id, status);
     return status;
   }
 
+  private noteStatus(instance: string, status: InstanceStatus | undefined): void {
+    if (!status) return;
+    this.newestTerm = Math.max(this.newestTerm, status.term);
+    const isObjecting = objectionOf({ instance, status }, this.entry.term ?? 0) !== undefined;
+    if (!isObjecting) this.objectingSince.delete(instance);
+    else if (!this.objectingSince.has(instance)) {
+      this.objectingSince.set(instance, this.context.clock.now());
+    }
+  }
+
   /** Whether no run of a proxy ended since the old primary's epoch began. */
   private isHistoryWhole(): boolean {
     return this.context.catalog.proxyLossVersion < (this.entry.steadySince ?? 0);
--- a/src/router/primary_trust.ts
+++ b/src/router/primary_trust.ts
@@ -29,13 +29,16 @@
   acknowledged: Position | undefined;
   /** Statements under way whose outcome a revocation should wait for. */
   commitsUnderWay: number;
+  /** CHANGING epoch for which all trust in earlier ones has ended. */
+  endedEpoch: number;
   confirmedEpoch: number;
 }
 
-/** A revocation that control must hear of. */
-export interface DueRevocation {
+/** This proxy trusts no epoch of a group before `epoch`. */
+export interface Confirmation {
   readonly group: string;
   readonly epoch: number;
+  /** Highest position acknowledged to a caller. */
   readonly position: Position | undefined;
 }
 
@@ -65,6 +68,21 @@
   return trust.commitsUnderWay === 0 || now - trust.knownSince > patienceMs;
 }
 
+/** Trust after an entry of the same or a later epoch was heard of. */
+function successorOf(known: GroupTrust | undefined, entry: GroupEntry, now: number): GroupTrust {
+  if (known?.entry.epoch === entry.epoch && known) return { ...known, entry };
+  return {
+    entry,
+    ending: endingLease(known),
+    leaseUntil: -Infinity,
+    knownSince: now,
+    acknowledged: known?.acknowledged,
+    commitsUnderWay: known?.commitsUnderWay ?? 0,
+    endedEpoch: known?.endedEpoch ?? 0,
+    confirmedEpoch: known?.confirmedEpoch ?? 0,
+  };
+}
+
 /** Whether the present epoch has or had a lease, and is not being revoked. */
 function isLeased({ entry, leaseUntil }: GroupTrust): boolean {
   return leaseUntil !== -Infinity && entry.phase !== whinyoke.GroupPhase.CHANGING;
@@ -81,16 +99,7 @@
       const name = entry.group ?? '';
       const known = this.groups.get(name);
       if (known && (entry.epoch ?? 0) < (known.entry.epoch ?? 0)) continue;
-      const isNew = known === undefined || known.entry.epoch !== entry.epoch;
-      this.groups.set(name, {
-        entry,
-        ending: isNew ? endingLease(known) : known.ending,
-        leaseUntil: isNew ? -Infinity : known.leaseUntil,
-        knownSince: isNew ? now : known.knownSince,
-        acknowledged: known?.acknowledged,
-        commitsUnderWay: known?.commitsUnderWay ?? 0,
-        confirmedEpoch: known?.confirmedEpoch ?? 0,
-      });
+      this.groups.set(name, successorOf(known, entry, now));
     }
   }
 
@@ -171,17 +180,34 @@
     return [...this.groups.values()].some((trust) => isRevocationDue(trust, now));
   }
 
-  /** Ends all trust in the old epochs whose revocation is due, and returns what control must hear of that. */
-  endRevokedEpochs(now: number): readonly DueRevocation[] {
-    const ended: DueRevocation[] = [];
+  /** Ends all trust in the old epochs whose revocation is due, and returns their groups. */
+  endRevokedEpochs(now: number): readonly string[] {
+    const ended: string[] = [];
     for (const [group, trust] of this.groups) {
       if (!isRevocationDue(trust, now)) continue;
       trust.ending = undefined;
-      ended.push({ group, epoch: trust.entry.epoch ?? 0, position: trust.acknowledged });
+      trust.endedEpoch = trust.entry.epoch ?? 0;
+      ended.push(group);
     }
     return ended;
   }
 
+  /**
+   * Confirmations of all revocations that go on, those included that control has taken already: a new leader knows
+   * nothing of them.
+   */
+  confirmations(): readonly Confirmation[] {
+    const confirmations: Confirmation[] = [];
+    for (const [group, { entry, endedEpoch, acknowledged }] of this.groups) {
+      const epoch = entry.epoch ?? 0;
+      const isChanging = entry.phase === whinyoke.GroupPhase.CHANGING;
+      if (isChanging && endedEpoch === epoch) {
+        confirmations.push({ group, epoch, position: acknowledged });
+      }
+    }
+    return confirmations;
+  }
+
   /** Notes that control has taken a revocation. */
   confirmed(group: string, epoch: number): void {
     const trust = this.groups.get(group);
--- a/src/router/router_core.ts
+++ b/src/router/router_core.ts
@@ -223,9 +223,8 @@
 
   syncContent(): SyncContent {
     const now = this.clock.now();
-    const ended = this.trust.endRevokedEpochs(now);
-    for (const { group } of ended) this.abandonPrimary(group);
-    const revocations = ended.map(({ group, epoch, position }) => ({
+    for (const group of this.trust.endRevokedEpochs(now)) this.abandonPrimary(group);
+    const revocations = this.trust.confirmations().map(({ group, epoch, position }) => ({
       group,
       epoch,
       hasPosition: position !== undefined,
--- a/test/simulation/control_silence.test.ts
+++ b/test/simulation/control_silence.test.ts
@@ -11,6 +11,8 @@
 /** Twice the life of a lease of control. */
 const SILENCE_MS = 6000;
 const CHANGE_LIMIT_MS = 4500;
+/** An election and a round of confirmations; far less than the life of a lease (3 s). */
+const NEW_LEADER_LIMIT_MS = 1800;
 const POLL_MS = 10;
 
 type World = AppointedWorld;
@@ -72,6 +74,26 @@
   }
 });
 
+void t.test('a new leader ends a change that the one before had nearly ended', async (t) => {
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const world = await settledWorld(seed);
+    const group = world.groups[0]!;
+    const { leader } = group;
+    const machine = group.machines.find((item) => item.current === leader)!;
+    machine.running!.process.kill();
+    const isAppointed = (): boolean => group.leader !== undefined && group.leader !== leader;
+    while (!isAppointed()) await world.run(1);
+    world.coordinators.find((control) => control.running?.node.leadsWithState)!.kill();
+    const begunAt = world.scheduler.now;
+    while (!hasLeases(world) && world.scheduler.now - begunAt < CHANGE_LIMIT_MS) {
+      await world.run(POLL_MS);
+    }
+    const elapsed = world.scheduler.now - begunAt;
+    t.ok(elapsed < NEW_LEADER_LIMIT_MS, `seed ${seed}: leases after ${Math.round(elapsed)} ms`);
+    t.same(world.judge.violations, []);
+  }
+});
+
 void t.test('without the answers of replicas the checks report what goes wrong', async (t) => {
   const disabled: AppointedProtection[] = ['replica-witness'];
   const faults = ['split-primary'] as const;
--- a/test/unit/failover.test.ts
+++ b/test/unit/failover.test.ts
@@ -215,12 +215,13 @@
   t.equal(trust.entryOf('g')?.epoch, 2, 'an older reply changes nothing');
   trust.commitEnded('g');
   t.ok(trust.hasDueRevocation(1200));
-  t.match(trust.endRevokedEpochs(1200), [
-    { group: 'g', epoch: 2, position: { term: 1, sequence: 4 } },
-  ]);
+  t.same(trust.endRevokedEpochs(1200), ['g']);
+  const confirmation = { group: 'g', epoch: 2, position: { term: 1, sequence: 4 } };
+  t.match(trust.confirmations(), [confirmation]);
   t.notOk(trust.accepts('g', 1, 1200), 'after the confirmation nothing counts');
   trust.confirmed('g', 2);
   t.same(trust.endRevokedEpochs(1300), []);
+  t.match(trust.confirmations(), [confirmation], 'a new leader has not heard of it');
   trust.extendAll(9000);
   t.equal(trust.primaryOf('g', 1300), undefined, 'there is no lease on a changing epoch');
   t.end();
