--- a/test/simulation/explain.test.ts
+++ b/test/simulation/explain.test.ts
@@ -19,13 +19,18 @@
 
 const SEEDS = [1, 2, 3, 4, 5];
 
-/** Failed requests of the first seed whose run has any with one kind of fault, and its lines. */
+/** Failed requests of the first seed whose run has any with some kinds of faults, and its lines. */
 async function findFailures(
-  fault: AppointedFaultKind,
+  faults: readonly AppointedFaultKind[],
 ): Promise<{ failed: readonly SimulatedLogLine[]; lines: readonly SimulatedLogLine[] }> {
   const deployment = APPOINTED_QUETZAL;
   for (const seed of SEEDS) {
-    const { lines } = await runAppointed({ deployment, seed, faults: [fault], faultCount: 2 });
+    const { lines } = await runAppointed({
+      deployment,
+      seed,
+      faults,
+      faultCount: 2 * faults.length,
+    });
     const failed = lines.filter(
       ({ event }) => event === 'request_refused' || event === 'request_in_doubt',
     );
@@ -34,9 +39,9 @@
   return { failed: [], lines: [] };
 }
 
-/** Whether some failed request of a run with one kind of fault is explained by a line. */
-async function isExplained(fault: AppointedFaultKind, cause: RegExp): Promise<boolean> {
-  const { failed, lines } = await findFailures(fault);
+/** Whether some failed request of a run with some kinds of faults is explained by a line. */
+async function isExplained(faults: readonly AppointedFaultKind[], cause: RegExp): Promise<boolean> {
+  const { failed, lines } = await findFailures(faults);
   const logs = logsOf(lines);
   return failed.some(({ fields }) =>
     cause.test(explainRequest(String(fields['request']), logs, 8000).join('\n')),
@@ -44,11 +49,16 @@
 }
 
 void t.test('the cause of a refusal is named by the lines around it', async (t) => {
-  t.ok(await isExplained('dark-primary', /primary_change_begun.*find it silent/));
-  t.ok(await isExplained('crash-primary', /primary_change_begun.*find it (refusing|silent)/));
-  t.ok(await isExplained('leave-primary', /primary_change_begun.*the primary leaves/));
-  t.ok(await isExplained('kill-all-controls', /control_lost/));
-  t.ok(await isExplained('cut-primary-from-proxies', /connect_failed.*failure=silent/));
+  t.ok(await isExplained(['dark-primary'], /primary_change_begun.*find it silent/));
+  t.ok(await isExplained(['crash-primary'], /primary_change_begun.*find it (refusing|silent)/));
+  t.ok(await isExplained(['leave-primary'], /primary_change_begun.*the primary leaves/));
+  t.ok(await isExplained(['kill-all-controls', 'crash-replica'], /control_lost/));
+  t.ok(await isExplained(['cut-primary-from-proxies'], /connect_failed.*failure=silent/));
+});
+
+void t.test('without any control machine callers are served on', async (t) => {
+  const { failed } = await findFailures(['kill-all-controls']);
+  t.same(failed, []);
 });
 
 void t.test('a proxy that is cut off from control is served through another one', async (t) => {
