Control: failed requests and changes leave a line with their reason

Cause: which control machine a proxy asked, and how it failed, a failed change of primary and a refused change of the catalog (a full disk, for instance) vanished in empty catches.

--- a/src/coordinator/catalog_service.ts
+++ b/src/coordinator/catalog_service.ts
@@ -5,9 +5,12 @@
  */
 import type { Catalog } from '../catalog/catalog.js';
 import type { RaftNode } from '../consensus/raft_node.js';
+import { messageOf } from '../errors/errors.js';
 import type { Proposer } from '../failover/appointment_duty.js';
 import type { InstanceMonitor } from '../failover/instance_monitor.js';
+import { Events } from '../observability/events.js';
 import { whinyoke } from '../protocol/generated/messages.js';
+import type { DecisionLog } from '../router/router_context.js';
 import type { Clock, Messenger } from '../runtime/runtime.js';
 
 const { CatalogOutcome, InstanceState } = whinyoke;
@@ -24,6 +27,7 @@
     private readonly catalog: Catalog,
     private readonly monitor: InstanceMonitor,
     private readonly propose: Proposer,
+    private readonly log: DecisionLog,
   ) {}
 
   /** Takes a request here or at the leader. */
@@ -35,7 +39,8 @@
       const body = { catalogRequest: request };
       const answer = await this.messenger.request(leaderAddress, body, FORWARD_TIMEOUT_MS);
       return answer.catalogReply ?? UNAVAILABLE;
-    } catch {
+    } catch (error) {
+      this.logFailure(request, `passed on to ${leaderAddress}: ${messageOf(error)}`);
       return UNAVAILABLE;
     }
   }
@@ -47,11 +52,21 @@
       if (request.putDocument) return await this.putDocument(request.putDocument);
       if (request.beat) return await this.noteBeat(request.beat);
       return await this.readDocument();
-    } catch {
+    } catch (error) {
+      this.logFailure(request, messageOf(error));
       return UNAVAILABLE;
     }
   }
 
+  private logFailure(request: whinyoke.ICatalogRequest, reason: string): void {
+    this.log(Events.catalogChangeFailed, {
+      request: Object.keys(request)[0] ?? '',
+      instance: request.beat?.instance?.id ?? '',
+      version: request.putDocument?.version ?? 0,
+      reason,
+    });
+  }
+
   private async putDocument(document: whinyoke.IRoutingDocument): Promise<whinyoke.ICatalogReply> {
     if ((document.version ?? 0) <= this.catalog.documentVersion) await this.confirmLeadership();
     else await this.propose({ putDocument: document });
--- a/src/coordinator/coordinator.ts
+++ b/src/coordinator/coordinator.ts
@@ -100,6 +100,7 @@
       catalog,
       this.monitor,
       propose,
+      options.log,
     );
     const { name, address, appointer, log, connector } = options;
     this.duty = new AppointmentDuty(
--- a/src/failover/failover_controller.ts
+++ b/src/failover/failover_controller.ts
@@ -1,5 +1,6 @@
 /** Watches the primaries of all groups on the leader, and begins and resumes changes of primary. */
 import type { GroupEntry, InstanceEntry } from '../catalog/catalog.js';
+import { messageOf } from '../errors/errors.js';
 import { Events } from '../observability/events.js';
 import { whinyoke } from '../protocol/generated/messages.js';
 import type { Timer } from '../runtime/runtime.js';
@@ -92,8 +93,9 @@
       const { STEADY: phase } = GroupPhase;
       const primary = best.instance.id;
       await propose({ putGroup: { group, epoch: 1, phase, primary, term: best.term } });
-    } catch {
+    } catch (error) {
       // Tried again at the next tick, by whoever leads then.
+      this.logFailure(group, 'adopt', error);
     } finally {
       this.isAdopting = false;
     }
@@ -105,7 +107,7 @@
     this.changing.add(group);
     new PrimaryChanger(this.context, entry)
       .run()
-      .catch(() => undefined)
+      .catch((error: unknown) => this.logFailure(group, 'change', error))
       .finally(() => this.changing.delete(group));
   }
 
@@ -129,14 +131,19 @@
     try {
       const next = { ...entry, epoch: (entry.epoch ?? 0) + 1, phase: GroupPhase.CHANGING };
       await this.context.propose({ putGroup: { ...next, planned: isPlanned, target: '' } });
-    } catch {
+    } catch (error) {
       // The next leader sees the same and begins.
+      this.logFailure(group, 'begin', error);
     } finally {
       this.changing.delete(group);
     }
     this.tick();
   }
 
+  private logFailure(group: string, step: string, error: unknown): void {
+    this.context.log(Events.primaryChangeFailed, { group, step, reason: messageOf(error) });
+  }
+
   private causeOfChange(entry: GroupEntry): ChangeCause | undefined {
     if (!this.hasReplacement(entry)) return undefined;
     const primary = this.context.catalog.instance(entry.primary ?? '');
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -151,6 +151,13 @@
     'the leading control machine does not answer',
     'Leases end and primaries are not used until it is back; the proxy asks other machines and proxies.',
   ),
+  controlRequestFailed: define(
+    236,
+    'control_request_failed',
+    'info',
+    'a request to a control machine or through another proxy failed',
+    '`address` was asked; `reason` tells how it failed, or that the machine named no leader. One alone is harmless.',
+  ),
   controlRegained: define(
     233,
     'control_regained',
@@ -193,6 +200,20 @@
     'candidates for a primary were compared',
     '`choice` is none while no replica provably holds every acknowledged commit.',
   ),
+  primaryChangeFailed: define(
+    314,
+    'primary_change_failed',
+    'warn',
+    'a step of a change of primary failed',
+    '`reason` tells why. The step is tried again, by whoever leads then; look further when it repeats.',
+  ),
+  catalogChangeFailed: define(
+    323,
+    'catalog_change_failed',
+    'warn',
+    'a change or a read of the catalog failed',
+    'The sender was told that it is unavailable and comes again. `reason` names the cause, a full disk for instance.',
+  ),
   documentAccepted: define(
     321,
     'document_accepted',
--- a/src/router/coordinator_client.ts
+++ b/src/router/coordinator_client.ts
@@ -2,6 +2,7 @@
  * Keeps a proxy in step with the leading control machine: configuration, instances, epochs and leases come
  * with the answer to one held request; opinions on primaries and confirmed revocations go with the next.
  */
+import { messageOf } from '../errors/errors.js';
 import type { whinyoke } from '../protocol/generated/messages.js';
 import { type MessageBody, type Runtime, delay } from '../runtime/runtime.js';
 
@@ -28,6 +29,8 @@
   syncContent(): SyncContent;
   /** Takes over a reply to a request that was sent at `sentAt`. */
   onSync(reply: whinyoke.ISyncReply, content: SyncContent, sentAt: number): void;
+  /** A request to a control machine, or through another proxy, failed. */
+  onControlFailure(address: string, reason: string): void;
   /** Addresses of other proxies that may pass a request on. */
   readonly relays: readonly string[];
 }
@@ -226,44 +229,59 @@
     return all[this.nextControl++ % all.length] ?? '';
   }
 
+  private requestOf(content: SyncContent, holdMs: number): whinyoke.ISyncRequest {
+    const { self, isLeaving, knownVersion } = this.participant;
+    return {
+      proxy: self,
+      leaving: isLeaving,
+      waitMs: holdMs,
+      knownVersion,
+      knownDocument: content.knownDocument,
+      knownDirectory: content.knownDirectory,
+      revocations: [...content.revocations],
+      reports: [...content.reports],
+      wantsPositions: content.wantsPositions,
+      clockTerm: content.clockTerm,
+      positions: [...content.positions],
+    };
+  }
+
   /** One request and its reply. */
   private async exchange(address: string, options: ExchangeOptions): Promise<ExchangeOutcome> {
     const content = this.participant.syncContent();
     const sentAt = this.runtime.clock.now();
-    const body: MessageBody = {
-      syncRequest: {
-        proxy: this.participant.self,
-        leaving: this.participant.isLeaving,
-        waitMs: options.holdMs,
-        knownVersion: this.participant.knownVersion,
-        knownDocument: content.knownDocument,
-        knownDirectory: content.knownDirectory,
-        revocations: [...content.revocations],
-        reports: [...content.reports],
-        wantsPositions: content.wantsPositions,
-        clockTerm: content.clockTerm,
-        positions: [...content.positions],
-      },
-    };
+    const body = { syncRequest: this.requestOf(content, options.holdMs) };
     const reply = await this.send(address, body, options.timeoutMs);
-    const controls = reply?.directory?.controlAddresses ?? reply?.controlAddresses ?? [];
-    if (controls.length > 0) this.controls = controls;
-    if (reply?.accepted) {
-      if (!options.isRelayed) {
-        this.failures = 0;
-        this.leader = address;
-      }
-      this.participant.onSync(reply, content, sentAt);
-      return 'accepted';
+    if (!reply) return this.onFailed(address);
+    this.noteControls(reply);
+    if (!reply.accepted) return this.onRefused(address, reply.leaderAddress ?? '');
+    if (!options.isRelayed) {
+      this.failures = 0;
+      this.leader = address;
     }
+    this.participant.onSync(reply, content, sentAt);
+    return 'accepted';
+  }
+
+  private noteControls(reply: whinyoke.ISyncReply): void {
+    const controls = reply.directory?.controlAddresses ?? reply.controlAddresses ?? [];
+    if (controls.length > 0) this.controls = controls;
+  }
+
+  private onFailed(address: string): ExchangeOutcome {
     if (this.leader === address) this.leader = '';
-    const named = reply?.leaderAddress ?? '';
+    this.failures++;
+    return 'failed';
+  }
+
+  /** The machine does not lead; it may name the one that does. */
+  private onRefused(address: string, named: string): ExchangeOutcome {
     if (named === '' || named === address) {
-      this.failures++;
-      return 'failed';
+      this.participant.onControlFailure(address, 'it knows no leader');
+      return this.onFailed(address);
     }
     // An answer that comes late may name a leader of the past.
-    if (this.leader === '') this.leader = named;
+    if (this.leader === '' || this.leader === address) this.leader = named;
     return 'redirected';
   }
 
@@ -274,8 +292,13 @@
   ): Promise<whinyoke.ISyncReply | undefined> {
     try {
       const answer = await this.runtime.messenger.request(address, body, timeoutMs);
+      if (!answer.syncReply) {
+        const reason = answer.refusal?.reason ?? 'an answer of another kind';
+        this.participant.onControlFailure(address, reason);
+      }
       return answer.syncReply ?? undefined;
-    } catch {
+    } catch (error) {
+      this.participant.onControlFailure(address, messageOf(error));
       return undefined;
     }
   }
--- a/src/router/router_core.ts
+++ b/src/router/router_core.ts
@@ -424,6 +424,10 @@
     this.maintenance = this.clock.setTimer(MAINTENANCE_MS, () => this.maintain());
   }
 
+  onControlFailure(address: string, reason: string): void {
+    this.log(Events.controlRequestFailed, { address, reason });
+  }
+
   private noteControl(now: number): void {
     if (this.isControlLost) {
       this.log(Events.controlRegained, { after_ms: Math.round(this.syncAge) });
