--- a/test/simulation/large_fleet.test.ts
+++ b/test/simulation/large_fleet.test.ts
@@ -2,6 +2,7 @@
 import t from 'tap';
 import type { AppointedDeployment } from '../../lab/appointed/appointed_deployment.js';
 import { AppointedWorld, POLICIES, databaseOf } from '../../lab/appointed/appointed_world.js';
+import type { RouterCore } from '../../src/router/router_core.js';
 import { hostOf } from '../../src/runtime/address.js';
 
 const SEED = 1;
@@ -38,6 +39,11 @@
  */
 const MOST_QUESTIONS_A_SECOND = 5;
 
+/** More than a search takes, so that requests of an earlier one find the leader. */
+const CONTROL_DELAY_MS = 900;
+/** From the first proxy that knows positions to the last one, in milliseconds. */
+const LONGEST_AFTER_FIRST_MS = 150;
+
 const REPLICA_POLICIES = POLICIES.filter((policy) => policy.kind !== 'primary');
 const READ = { kind: 'read', argument: 'x' } as const;
 const PRIMARY_POLICY = POLICIES.find((policy) => policy.kind === 'primary')!;
@@ -144,6 +150,24 @@
   t.ok(share <= LARGEST_PRIMARY_SHARE, `primaries served ${share} of the reads`);
 });
 
+void t.test('proxies that started long before control are told all at once', async (t) => {
+  const world = new AppointedWorld(LARGE, SEED);
+  await world.start();
+  const machines = [...world.coordinators, ...world.routers];
+  for (const machine of machines) machine.losePower();
+  await world.run(WARM_UP_MS);
+  for (const router of world.routers) router.start();
+  await world.run(CONTROL_DELAY_MS);
+  for (const control of world.coordinators) control.start();
+  const cores = world.routers.map((router) => router.running!.core);
+  const knows = (core: RouterCore): boolean =>
+    core.trust.groupNames.length > 0 &&
+    core.trust.groupNames.every((group) => core.floorOf(group).newestSentAt !== undefined);
+  while (!cores.some(knows)) await world.run(1);
+  await world.run(LONGEST_AFTER_FIRST_MS);
+  t.equal(cores.filter(knows).length, LARGE.proxies, 'all proxies know positions of all primaries');
+});
+
 void t.test('a calm proxy costs the leader few bytes', async (t) => {
   const world = new AppointedWorld(LARGE, SEED);
   await world.start();
