Elections between regions: a winner keeps its leadership, votes on their way are waited for; no relayed statement without time

Each retry made the pre-vote before it worthless, so a member whose trips take longer than its retries never won. 2. A retry while the votes were on their way began a second pre-vote. The first one won; the second was granted, its term was the next one, and nothing looked at the role: the new leader made itself a candidate of the term after. 3. It won that too, but kept its replicators of the term before. They take each answer of the new term for one of a higher term, so no contact was noted and check-quorum ended the leadership after 400 to 600 ms. Ruled out: proof of leadership (500 ms cover the trips), the quorum check itself, replicators of a former leadership (stepping down clears them; this one never stepped down).

Change: several pre-votes may be under way, the first granted one counts unless this member leads or is in another term; a candidate whose votes can still be on their way (twice its pre-vote's time) begins nothing; a candidate tells voters how long it needs, from its own measured trip and sync, and they neither try themselves nor welcome others for that time; lost votes spread the next tries; a vote that can't be won any more ends at once. The simulated network knows distances and lost packets.

Relayed statements: a wait that had run out was sent as 4,294,967,288 ms, and the home's timer took it for 1 ms. What has no time left is refused where it is, not run; durations of messages are checked where they are read.

Not done: voters chosen by region, timing kept on disk, leader's place.

--- a/lab/simulation/simulated_machine.ts
+++ b/lab/simulation/simulated_machine.ts
@@ -16,6 +16,8 @@
   readonly random: SeededRandom;
   /** After which a connection between processes is given up, in milliseconds; that of the messenger by default. */
   readonly connectTimeoutMs?: number;
+  /** Mean time of a sync of a disk, in milliseconds; {@link SYNC_MS} by default. */
+  readonly syncMs?: number;
 }
 
 const SYNC_MS = 0.5;
@@ -34,7 +36,7 @@
     protected readonly surroundings: Shared,
   ) {
     this.host = hostOf(messageAddress);
-    this.disk = new VirtualDisk(this.newRandom(), SYNC_MS);
+    this.disk = new VirtualDisk(this.newRandom(), surroundings.syncMs ?? SYNC_MS);
   }
 
   /** Whether a process runs on this machine, frozen or not. */
--- a/lab/simulation/virtual_network.ts
+++ b/lab/simulation/virtual_network.ts
@@ -10,6 +10,10 @@
   readonly callerMs: number;
   /** Mean of the random part of each delay. */
   readonly jitterMs: number;
+  /** What the way between two hosts takes beyond that, one way; 0 by default. */
+  readonly distanceMs?: (from: string, to: string) => number;
+  /** Part of the messages whose first transmission is lost; none by default. */
+  readonly lossShare?: number;
 }
 
 /** Messages sent and received by one host. */
@@ -46,7 +50,15 @@
     if (from === to) return LOOPBACK_MS;
     const isCaller = from === CALLERS_HOST || to === CALLERS_HOST;
     const base = isCaller ? this.options.callerMs : this.options.hostMs;
-    return base - Math.log(1 - this.random.next()) * this.options.jitterMs;
+    const distance = this.options.distanceMs?.(from, to) ?? 0;
+    const jitter = -Math.log(1 - this.random.next()) * this.options.jitterMs;
+    return base + distance + jitter + this.retransmissionMs();
+  }
+
+  /** A lost message is sent again by the transport, so it only comes later. */
+  private retransmissionMs(): number {
+    const { lossShare = 0 } = this.options;
+    return lossShare > 0 && this.random.next() < lossShare ? RETRANSMIT_MS : 0;
   }
 
   /** Whether nothing gets from one host to another. */
--- a/src/consensus/election.ts
+++ b/src/consensus/election.ts
@@ -22,21 +22,32 @@
   }
 }
 
-/** Resolves with whether a majority of the voters, the node included, grants its vote. */
+/** Resolves with whether a majority of the voters, the node included, grants its vote; as soon as that is certain. */
 export function collectVotes(node: RaftNode, request: whinyoke.IVoteRequest): Promise<boolean> {
   const { membership } = node;
   const granted = new Set([node.id]);
   const others = membership.voters.filter((voter) => voter.id !== node.id);
   return new Promise((resolve) => {
     if (membership.isQuorum(granted)) resolve(true);
-    let answers = 0;
+    const possible = new Set([node.id, ...others.map(({ id }) => id)]);
     for (const voter of others) {
       void requestVote(node, voter, request).then((isGranted) => {
-        answers++;
         if (isGranted) granted.add(voter.id);
+        else possible.delete(voter.id);
         if (membership.isQuorum(granted)) resolve(true);
-        else if (answers === others.length) resolve(false);
+        else if (!membership.isQuorum(possible)) resolve(false);
       });
     }
   });
 }
+
+/** Votes of a node for itself; without a durable vote it can't take part, and its next election timeout tries again. */
+export async function saveOwnVote(node: RaftNode, term: number): Promise<boolean> {
+  try {
+    await node.log.saveVote({ term, votedFor: node.id });
+    return true;
+  } catch {
+    // Nobody was told of this vote, so nothing is lost.
+    return false;
+  }
+}
--- a/src/consensus/raft_log.ts
+++ b/src/consensus/raft_log.ts
@@ -192,6 +192,13 @@
     });
   }
 
+  /** Whether a candidate's log holds at least as much as this one (Raft, section 5.4.1). */
+  isCoveredBy({ lastTerm, lastIndex }: whinyoke.IVoteRequest): boolean {
+    const term = lastTerm ?? 0;
+    if (term !== this.lastTerm) return term > this.lastTerm;
+    return (lastIndex ?? 0) >= this.lastIndex;
+  }
+
   /** Resolves once all writes that were asked for so far are done, or have failed. */
   settled(): Promise<void> {
     return this.writing;
--- a/src/consensus/raft_node.ts
+++ b/src/consensus/raft_node.ts
@@ -5,7 +5,7 @@
  */
 import { whinyoke } from '../protocol/generated/messages.js';
 import type { Clock, MessageBody, Messenger, RandomSource } from '../runtime/runtime.js';
-import { collectVotes } from './election.js';
+import { collectVotes, saveOwnVote } from './election.js';
 import { ElectionTimer } from './election_timer.js';
 import { LogApplier, type StateMachine } from './log_applier.js';
 import { type Member, Membership } from './membership.js';
@@ -15,15 +15,6 @@
 import { LeadershipLostError, NotDurableError, NotLeaderError } from './raft_errors.js';
 import { type LogEntry, type RaftLog, type Snapshot, entryFromMessage } from './raft_log.js';
 
-async function succeeds(work: Promise<void>): Promise<boolean> {
-  try {
-    await work;
-    return true;
-  } catch {
-    return false;
-  }
-}
-
 /** Role of a member. */
 export type RaftRole = 'follower' | 'candidate' | 'leader';
 
@@ -61,9 +52,12 @@
   private readonly leaders = new LeaderMemory();
   /** See {@link LeaderMemory.leadershipBefore}; of the term in which this member led last. */
   formerLeadershipMs = 0;
+  /** Until when a member that this one voted for may take to send its first message as a leader. */
+  private leaderDueAt = -Infinity;
+  /** Until when the votes of this candidate may be on their way: twice the time that its pre-vote took. */
+  private votesDueAt = -Infinity;
   /** Index of the entry that began this member's newest leadership. */
   private leadershipIndex = Infinity;
-  private campaignNumber = 0;
   private stopped = false;
 
   constructor(
@@ -129,9 +123,8 @@
   /** Whether a majority of voters was in contact within an election timeout. */
   get hasQuorum(): boolean {
     const oldest = this.runtime.clock.now() - this.options.electionTimeoutMs;
-    const recent = this.peersThat(({ lastContact }) => lastContact >= oldest);
-    if (this.role === 'leader') return this.membershipState.isQuorum(recent);
-    return this.leader !== '' && this.heardLeaderRecently();
+    if (this.role !== 'leader') return this.leader !== '' && this.heardLeaderRecently();
+    return this.membershipState.isQuorum(this.peersThat((peer) => peer.lastContact >= oldest));
   }
 
   /**
@@ -154,18 +147,21 @@
 
   /** Begins a new cluster with the given members. Only for a member without any state. */
   async bootstrap(members: readonly Member[]): Promise<void> {
-    const membership = new Membership(members).toMessage();
-    const state = this.applier.serialize();
-    await this.log.compact({ lastIndex: 1, lastTerm: 1, membership, state });
+    await this.beginCluster(members, 1, 1);
     this.applier.skipTo(1);
-    this.adoptMembership();
   }
 
   /** Begins a new cluster from the state on this disk, accepted or not, with the given members. */
   async bootstrapFromState(members: readonly Member[]): Promise<void> {
     this.applier.commitTo(this.log.lastIndex);
-    const lastIndex = this.applier.appliedIndex;
-    const lastTerm = this.log.lastTerm;
+    await this.beginCluster(members, this.appliedIndex, this.log.lastTerm);
+  }
+
+  private async beginCluster(
+    members: readonly Member[],
+    lastIndex: number,
+    lastTerm: number,
+  ): Promise<void> {
     const membership = new Membership(members).toMessage();
     const state = this.applier.serialize();
     await this.log.compact({ lastIndex, lastTerm, membership, state });
@@ -278,8 +274,7 @@
   /** Whether a majority answered messages that were sent a short time ago. */
   private get isConfirmed(): boolean {
     const oldest = this.runtime.clock.now() - LEADERSHIP_PROOF_MS;
-    const { membershipState } = this;
-    return membershipState.isQuorum(this.peersThat(({ confirmedAt }) => confirmedAt >= oldest));
+    return this.membershipState.isQuorum(this.peersThat((peer) => peer.confirmedAt >= oldest));
   }
 
   /** This member and the peers whose replicators fit. */
@@ -326,38 +321,48 @@
       if (!this.hasQuorum) this.stepDown(this.term);
       return;
     }
+    // The votes of a candidate are still on their way: another term would only make them worthless.
+    if (this.role === 'candidate' && this.runtime.clock.now() < this.votesDueAt) return;
     if (this.membershipState.isVoter(this.id)) void this.campaign();
   }
 
   private async campaign(): Promise<void> {
-    const campaign = ++this.campaignNumber;
     const term = this.term + 1;
+    const { clock } = this.runtime;
+    const begunAt = clock.now();
     this.leader = '';
-    // Pre-vote: a member that can't win must not disturb the cluster with a higher term.
-    const mayWin = await this.collectVotes(term, true);
-    // In a term that began meanwhile another member is about to win.
-    const isOutdated = campaign !== this.campaignNumber || this.term !== term - 1;
-    if (!mayWin || isOutdated || this.stopped || this.heardLeaderRecently()) return;
-    this.setRole('candidate');
+    // Pre-vote: a member that can't win must not disturb the cluster with a higher term. Several may be under way, where
+    // a trip takes longer than the time between two tries; the first that is granted counts.
+    const mayWin = await this.collectVotes(term, true, 0);
+    const votedAt = clock.now();
+    // In a term that began meanwhile another member is about to win, or this one is, or has won.
+    if (!mayWin || this.role === 'leader' || this.term !== term - 1) return;
+    if (this.stopped || this.expectsLeader) return;
     this.term = term;
-    const isSaved = await succeeds(this.log.saveVote({ term, votedFor: this.id }));
-    if (!isSaved) {
-      // The next election timeout tries again; without a durable vote this member can't take part.
-      if (this.term === term) this.setRole('follower');
+    this.votesDueAt = votedAt + 2 * (votedAt - begunAt);
+    this.setRole('candidate');
+    const isSaved = await saveOwnVote(this, term);
+    // A round trip and a sync at the voter, as the pre-vote and the own vote took, then the way of the first message.
+    const winningMs = 2 * (votedAt - begunAt) + (clock.now() - votedAt);
+    const hasWon = isSaved && (await this.collectVotes(term, false, winningMs));
+    // A member that stepped down meanwhile, or is in another term, is a candidate no more.
+    if (this.term !== term || this.role !== 'candidate') return;
+    if (hasWon) {
+      this.becomeLeader();
       return;
     }
-    if (this.term !== term || this.stopped) return;
-    const won = await this.collectVotes(term, false);
-    if (won && this.term === term && this.role === 'candidate') this.becomeLeader();
+    this.setRole('follower');
+    this.electionTimer.noteLostVote();
   }
 
-  private collectVotes(term: number, preVote: boolean): Promise<boolean> {
+  private collectVotes(term: number, preVote: boolean, winningMs: number): Promise<boolean> {
     const voteRequest: whinyoke.IVoteRequest = {
       term,
       candidate: this.id,
       lastIndex: this.log.lastIndex,
       lastTerm: this.log.lastTerm,
       preVote,
+      winningMs: Math.ceil(winningMs),
     };
     return collectVotes(this, voteRequest);
   }
@@ -371,11 +376,13 @@
     const candidate = request.candidate ?? '';
     const { vote } = this.log;
     const isFree = vote.term < term || vote.votedFor === '' || vote.votedFor === candidate;
-    if (!isFree || !this.isUpToDate(request)) {
+    if (!isFree || !this.log.isCoveredBy(request)) {
       await this.log.saveVote({ term: this.term, votedFor: this.votedFor() });
       return this.voteReply(false);
     }
-    this.electionTimer.restart();
+    const winningMs = Math.min(request.winningMs ?? 0, this.options.electionTimeoutMs);
+    this.leaderDueAt = this.runtime.clock.now() + winningMs;
+    this.electionTimer.restart(winningMs);
     await this.log.saveVote({ term, votedFor: candidate });
     return this.voteReply(this.term === term);
   }
@@ -384,8 +391,13 @@
   private wouldVoteFor(request: whinyoke.IVoteRequest): boolean {
     const term = request.term ?? 0;
     const isFree = term > this.term || (term === this.term && this.votedFor() === '');
-    const leads = this.role === 'leader' && this.hasQuorum;
-    return isFree && !leads && !this.heardLeaderRecently() && this.isUpToDate(request);
+    if (this.role === 'leader' && this.hasQuorum) return false;
+    return isFree && !this.expectsLeader && this.log.isCoveredBy(request);
+  }
+
+  /** Whether a leader was heard of lately, or is about to be: this member has just voted for somebody. */
+  private get expectsLeader(): boolean {
+    return this.heardLeaderRecently() || this.runtime.clock.now() < this.leaderDueAt;
   }
 
   /** Vote of the current term. */
@@ -394,12 +406,6 @@
     return vote.term === this.term ? vote.votedFor : '';
   }
 
-  private isUpToDate(request: whinyoke.IVoteRequest): boolean {
-    const lastTerm = request.lastTerm ?? 0;
-    if (lastTerm !== this.log.lastTerm) return lastTerm > this.log.lastTerm;
-    return (request.lastIndex ?? 0) >= this.log.lastIndex;
-  }
-
   private voteReply(granted: boolean): MessageBody {
     return { voteReply: { term: this.term, granted, voter: this.id } };
   }
--- a/src/relay/relay_server.ts
+++ b/src/relay/relay_server.ts
@@ -7,6 +7,7 @@
 import type { SessionContent } from '../router/session_loader.js';
 import { type Attempt, type HeldConnection, StatementRunner } from '../router/statement_runner.js';
 import { type Target } from '../router/target_planner.js';
+import { durationOf } from '../runtime/duration.js';
 import { type RelayedCommand, decodeRelayCommand, encodeRelayAnswer } from './relay_codec.js';
 
 const { RelayOutcome } = whinyoke;
@@ -82,12 +83,15 @@
     const connection = request.connection ?? '';
     if (request.closes) return this.closeKept(connection);
     const command = decodeRelayCommand(request.command);
-    if (!command) return { outcome: RelayOutcome.NOT_RUN_HERE, cause: 'no command that is known' };
-    if (connection !== '') return this.runKept(connection, request, command);
+    const waitMs = durationOf(request.waitMs);
+    const timeoutMs = durationOf(request.timeoutMs);
+    if (!command) return notRun('no command that is known');
+    if (waitMs === undefined || timeoutMs === undefined) return notRun('no time is left');
+    if (connection !== '') return this.runKept(connection, request, command, timeoutMs);
     const target = isLeaving ? undefined : this.targetOf(request.instance ?? '');
     if (!target)
       return { outcome: RelayOutcome.NOT_HOME, cause: 'the instance is not served here' };
-    return this.runNew(target, request, command);
+    return this.runNew(target, request, command, waitMs, timeoutMs);
   }
 
   private closeKept(connection: string): whinyoke.IRelayReply {
@@ -110,6 +114,8 @@
     target: Target,
     request: whinyoke.IRelayRequest,
     command: RelayedCommand,
+    waitMs: number,
+    timeoutMs: number,
   ): Promise<whinyoke.IRelayReply> {
     const content = contentOf(request, command);
     const needed = {
@@ -119,27 +125,28 @@
     };
     let held: HeldConnection;
     try {
-      held = await this.runner.hold(target, needed, request.waitMs ?? 0);
+      held = await this.runner.hold(target, needed, waitMs);
     } catch (error) {
-      return { outcome: RelayOutcome.NOT_RUN_HERE, cause: `no connection: ${messageOf(error)}` };
+      return notRun(`no connection: ${messageOf(error)}`);
     }
-    return this.run(held, '', content, command, request.timeoutMs ?? 0);
+    return this.run(held, '', content, command, timeoutMs);
   }
 
   private async runKept(
     connection: string,
     request: whinyoke.IRelayRequest,
     command: RelayedCommand,
+    timeoutMs: number,
   ): Promise<whinyoke.IRelayReply> {
     const kept = this.kept.get(connection);
     if (!kept || kept.held.pooled.connection.closed) {
       this.closeKept(connection);
-      return { outcome: RelayOutcome.NOT_RUN_HERE, cause: 'the connection has ended' };
+      return notRun('the connection has ended');
     }
     kept.usedAt = this.context.clock.now();
     const { held } = kept;
     held.target.pool.wake(held.pooled);
-    return this.run(held, connection, contentOf(request, command), command, request.timeoutMs ?? 0);
+    return this.run(held, connection, contentOf(request, command), command, timeoutMs);
   }
 
   private async run(
@@ -169,6 +176,11 @@
   }
 }
 
+/** Nothing ran, here or elsewhere. */
+function notRun(cause: string): whinyoke.IRelayReply {
+  return { outcome: RelayOutcome.NOT_RUN_HERE, cause };
+}
+
 function contentOf(request: whinyoke.IRelayRequest, command: RelayedCommand): SessionContent {
   const values = new Map(
     (request.values ?? []).map(({ name, value }): [string, string] => [name ?? '', value ?? '']),
@@ -186,7 +198,7 @@
         answer: encodeRelayAnswer(attempt.answer),
       };
     case 'notRun':
-      return { outcome: RelayOutcome.NOT_RUN_HERE, cause: attempt.cause };
+      return notRun(attempt.cause);
     case 'lost':
       return { outcome: RelayOutcome.LOST, cause: attempt.cause };
   }
--- a/src/relay/relayed_connection.ts
+++ b/src/relay/relayed_connection.ts
@@ -87,7 +87,7 @@
       case 'rollback':
       case 'data':
       case 'status':
-        return this.send(command, timeoutMs);
+        return this.hasTime(timeoutMs) ? this.send(command, timeoutMs) : this.refuseLate();
       default:
         return Promise.reject(new RangeError(`${command.kind} can't be relayed`));
     }
@@ -106,6 +106,15 @@
     this.surroundings.messenger.request(home, { relayRequest }, TRAVEL_MS).catch(() => undefined);
   }
 
+  private hasTime(timeoutMs: number): boolean {
+    return timeoutMs > 0 && this.route.waitMs >= 0;
+  }
+
+  /** A command without time left is not sent: whoever asked has given it up when a home would answer. */
+  private refuseLate(): Promise<never> {
+    return this.fail(new BackendConnectionLostError('no time is left', { sent: false }));
+  }
+
   private acknowledge(): Promise<InstanceAnswer> {
     return Promise.resolve({ ...ACKNOWLEDGED, state: this.state });
   }
--- /dev/null
+++ b/test/tools/consensus_group.ts
@@ -0,0 +1,144 @@
+/** Members of one replicated log in two regions, on the simulated runtime; nothing else runs on their machines. */
+import { RaftLog } from '../../src/consensus/raft_log.js';
+import { RaftNode, type RaftRole } from '../../src/consensus/raft_node.js';
+import { DEFAULT_RAFT_OPTIONS } from '../../src/consensus/raft_options.js';
+import type { Member } from '../../src/consensus/membership.js';
+import { hostOf } from '../../src/runtime/address.js';
+import type { Runtime } from '../../src/runtime/runtime.js';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
+import { Scheduler } from '../../lab/simulation/scheduler.js';
+import {
+  type MachineSurroundings,
+  SimulatedMachine,
+} from '../../lab/simulation/simulated_machine.js';
+import { AddressBook } from '../../lab/simulation/virtual_messenger.js';
+import { VirtualNetwork } from '../../lab/simulation/virtual_network.js';
+import type { VirtualProcess } from '../../lab/simulation/virtual_process.js';
+
+/** Timing of control machines that appoint primaries, in milliseconds. */
+const RAFT_OPTIONS = {
+  ...DEFAULT_RAFT_OPTIONS,
+  heartbeatMs: 100,
+  electionTimeoutMs: 300,
+  earlyElectionMs: 120,
+};
+/** One way between the two regions, in milliseconds. */
+const REGION_MS = 30;
+const ZONE_MS = 1.4;
+const JITTER_MS = 0.3;
+const SYNC_MS = 5;
+const CONNECT_TIMEOUT_MS = 120;
+
+/** A change of role of one member. */
+export interface RoleChange {
+  readonly at: number;
+  readonly member: string;
+  readonly role: RaftRole;
+  readonly term: number;
+}
+
+/** One machine with one member. */
+class MemberMachine extends SimulatedMachine {
+  node: RaftNode | undefined;
+
+  constructor(
+    readonly member: Member,
+    private readonly founders: readonly Member[],
+    surroundings: MachineSurroundings,
+    private readonly note: (change: RoleChange) => void,
+  ) {
+    super(member.id, member.address, surroundings);
+  }
+
+  protected override launch(_process: VirtualProcess, runtime: Runtime): void {
+    void this.open(runtime);
+  }
+
+  private async open(runtime: Runtime): Promise<void> {
+    const log = await RaftLog.open(runtime.folder);
+    const machine = {
+      apply: () => new Uint8Array(0),
+      serialize: () => new Uint8Array(0),
+      restore: () => undefined,
+    };
+    const { id, address } = this.member;
+    const onRole = (role: RaftRole, term: number): void =>
+      this.note({ at: this.surroundings.scheduler.now, member: id, role, term });
+    const node = new RaftNode(id, address, runtime, log, machine, RAFT_OPTIONS, { onRole });
+    runtime.messenger.serve((body) => node.handle(body));
+    if (!log.snapshot) await node.bootstrap(this.founders);
+    this.node = node;
+    node.start();
+  }
+}
+
+/** Members of one log. */
+export class ConsensusGroup {
+  readonly scheduler = new Scheduler();
+  readonly changes: RoleChange[] = [];
+  readonly machines: readonly MemberMachine[];
+  readonly random: SeededRandom;
+
+  /**
+   * @param regionOf - region of each member, in the order of their names; all vote
+   * @param lossShare - part of the messages whose first transmission is lost
+   */
+  constructor(seed: number, regionOf: readonly string[], lossShare = 0) {
+    this.random = new SeededRandom(seed);
+    const members = regionOf.map((_region, index) => ({
+      id: `m${index}`,
+      address: `10.0.0.${index + 1}:7000`,
+      isLearner: false,
+    }));
+    const regionByHost = new Map(
+      members.map(({ address }, index) => [hostOf(address), regionOf[index]!]),
+    );
+    const network = new VirtualNetwork(this.scheduler, this.random, {
+      hostMs: ZONE_MS,
+      callerMs: ZONE_MS,
+      jitterMs: JITTER_MS,
+      lossShare,
+      distanceMs: (from, to) => (regionByHost.get(from) === regionByHost.get(to) ? 0 : REGION_MS),
+    });
+    const surroundings = {
+      scheduler: this.scheduler,
+      network,
+      addresses: new AddressBook(),
+      random: this.random,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      syncMs: SYNC_MS,
+    };
+    const note = (change: RoleChange): void => void this.changes.push(change);
+    this.machines = members.map((member) => new MemberMachine(member, members, surroundings, note));
+  }
+
+  /** The member that leads with all that was committed before. */
+  get leader(): RaftNode | undefined {
+    return this.machines.find(({ isUp, node }) => isUp && node?.leadsWithState)?.node;
+  }
+
+  /** Runs for some virtual milliseconds. */
+  run(milliseconds: number): Promise<void> {
+    return this.scheduler.runUntil(this.scheduler.now + milliseconds);
+  }
+
+  /** Takes the power of all machines away and gives it back, to each at another moment within `spreadMs`. */
+  async losePower(downMs: number, spreadMs: number): Promise<void> {
+    for (const machine of this.machines) machine.losePower();
+    await this.run(downMs);
+    for (const machine of this.machines) {
+      this.scheduler.schedule(this.random.next() * spreadMs, () => machine.start());
+    }
+  }
+
+  /** Milliseconds until the last change of leadership within `withinMs` from now; infinite when nobody leads then. */
+  async settlesWithin(withinMs: number): Promise<number> {
+    const since = this.scheduler.now;
+    const before = this.changes.length;
+    await this.run(withinMs);
+    if (!this.leader) return Infinity;
+    const isAboutLeading = ({ role }: RoleChange): boolean => role === 'leader';
+    const last = this.changes.slice(before).findLast(isAboutLeading);
+    return last ? last.at - since : 0;
+  }
+}
--- a/test/unit/connection_homes.test.ts
+++ b/test/unit/connection_homes.test.ts
@@ -5,6 +5,7 @@
 import { ConnectionHomes } from '../../src/relay/connection_homes.js';
 import { HomeHealth } from '../../src/relay/home_health.js';
 import { RelayedConnection } from '../../src/relay/relayed_connection.js';
+import { durationOf } from '../../src/runtime/duration.js';
 import { connectionShare } from '../../src/router/connection_share.js';
 import type { Clock, Messenger } from '../../src/runtime/runtime.js';
 
@@ -119,6 +120,20 @@
   }
 }
 
+void t.test('a statement without time left is refused where it is', async (t) => {
+  const { connection, asked } = connectionVia({ h1: SERVED });
+  await t.rejects(connection.run(WRITE, -8), BackendConnectionLostError);
+  t.same(asked, [], 'nothing is sent');
+  t.ok(connection.closed);
+});
+
+void t.test('durations of messages: what no timer can wait is none', (t) => {
+  t.equal(durationOf(undefined), 0);
+  t.equal(durationOf(800), 800);
+  t.equal(durationOf(4_294_967_288), undefined, 'a negative wait as an unsigned number');
+  t.end();
+});
+
 void t.test('a write may have run only where a home may have sent it', async (t) => {
   const unsent = { unreachable: new PeerUnreachableError('refused', { sent: false }) };
   const silent = { unreachable: new PeerUnreachableError('no answer') };
--- a/test/unit/election.test.ts
+++ b/test/unit/election.test.ts
@@ -3,9 +3,11 @@
 import type { RaftNode } from '../../src/consensus/raft_node.js';
 import type { whinyoke } from '../../src/protocol/generated/messages.js';
 import type { DataFolder, MessageBody } from '../../src/runtime/runtime.js';
-import { NOBODY, openSingleMember } from '../tools/single_member.js';
+import { NOBODY, type PeerAnswerer, openSingleMember } from '../tools/single_member.js';
 
 const ELECTION_MS = 20;
+/** A trip to another region and back, in milliseconds. */
+const TRIP_MS = 60;
 
 /** A folder that keeps nothing but takes everything. */
 const FOLDER: DataFolder = {
@@ -61,3 +63,33 @@
   );
   t.equal(node.currentTerm, 1);
 });
+
+void t.test(
+  'a member that has won keeps its leadership when a later pre-vote is granted',
+  async (t) => {
+    // Answers take longer than the time between two tries, as between regions.
+    const answerLate: PeerAnswerer = async (body) => {
+      const { voteRequest, appendRequest } = body;
+      await new Promise((resolve) => setTimeout(resolve, TRIP_MS));
+      if (voteRequest) {
+        const term = voteRequest.preVote ? 0 : (voteRequest.term ?? 0);
+        return { voteReply: { term, granted: true, voter: voteRequest.receiver ?? '' } };
+      }
+      const { term = 0, previousIndex, entries, receiver } = appendRequest ?? {};
+      const matchIndex = (previousIndex ?? 0) + (entries?.length ?? 0);
+      return { appendReply: { term, success: true, matchIndex, follower: receiver ?? '' } };
+    };
+    const node = await openSingleMember(FOLDER, answerLate, {
+      heartbeatMs: ELECTION_MS,
+      electionTimeoutMs: TRIP_MS * 5,
+      earlyElectionMs: TRIP_MS / 2,
+    });
+    node.start();
+    while (node.role !== 'leader') await new Promise((resolve) => setTimeout(resolve, 1));
+    const term = node.currentTerm;
+    await new Promise((resolve) => setTimeout(resolve, TRIP_MS * 8));
+    t.equal(node.role, 'leader');
+    t.equal(node.currentTerm, term, 'no later term');
+    node.stop();
+  },
+);
