Waiting at full instances: useful first, fair between tenants, an eighth for all; who lost a place is told at once

Cause: a home's queue knew priority and arrival only.

Change: src/scheduling decides, without input or output: requests that can still meet their objective come first, by priority, then the tenant that had least of the instance in the last second by its configured rate, then who has to start soonest; one start in eight goes to who has waited longest; a request whose place was taken is refused at once (displaced, event 244). Statements tell homes by when they are useful. Metric whinyoke_pool_refused by cause.

Not done: a setting that switches it, time to come back from the queue, service time by class.

--- a/src/daemon/router_metrics.ts
+++ b/src/daemon/router_metrics.ts
@@ -106,6 +106,18 @@
         }
       },
     });
+    const refused = new Gauge({
+      name: 'whinyoke_pool_refused',
+      help: 'Requests that got no connection of this process to an instance since the start, by cause',
+      labelNames: ['group', 'instance', 'cause'],
+      registers: [this.registry],
+      collect: () => {
+        for (const { target, refused: counts } of core.allPools) {
+          const labels = { group: target.group, instance: target.id };
+          for (const [cause, count] of counts) refused.set({ ...labels, cause }, count);
+        }
+      },
+    });
     const trust = new Gauge({
       name: 'whinyoke_primary_epoch',
       help: 'Epoch of each group; `leased` tells whether its primary is trusted now',
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -193,6 +193,13 @@
     'a statement of another proxy could not be run for an unexpected reason',
     '`reason` names the error. The other proxy was told that the outcome is unknown.',
   ),
+  waitingDisplaced: define(
+    244,
+    'waiting_displaced',
+    'info',
+    'a request that waited for a full instance will not be served in time, since more urgent ones came',
+    'It did not run, and its caller is told at once. `waiting` requests wait on; look for a burst or a missing replica.',
+  ),
   settingsReloaded: define(
     234,
     'settings_reloaded',
--- a/src/relay/instance_access.ts
+++ b/src/relay/instance_access.ts
@@ -43,6 +43,7 @@
       instance: this.local.target.id,
       tenant: request.tenant,
       priority: request.priority,
+      usefulMs: request.usefulMs,
       waitMs: timeoutMs,
       homes: others.slice(0, MOST_TRIED),
     };
--- a/src/relay/relay_server.ts
+++ b/src/relay/relay_server.ts
@@ -122,6 +122,7 @@
       tenant: request.anyTenant ? undefined : (request.tenant ?? ''),
       values: content.values,
       priority: request.priority ?? 0,
+      usefulMs: request.usefulMs ?? 0,
     };
     let held: HeldConnection;
     try {
--- a/src/relay/relayed_connection.ts
+++ b/src/relay/relayed_connection.ts
@@ -23,6 +23,8 @@
   /** Undefined for statements of the system itself. */
   readonly tenant: string | undefined;
   readonly priority: number;
+  /** Time within which an answer meets the caller's objective, in milliseconds; no limit when left out. */
+  readonly usefulMs: number | undefined;
   /** Longest wait for a connection at a home, in milliseconds. */
   readonly waitMs: number;
   /** Homes in the order in which they are tried. */
@@ -41,6 +43,8 @@
 
 /** Time for a request and its reply on the way, in milliseconds. */
 const TRAVEL_MS = 40;
+/** Told where a statement has no objective, in milliseconds. */
+const LONGEST_USEFUL_MS = 600_000;
 const ACKNOWLEDGED: InstanceAnswer = { rows: [], signature: '-', state: 'idle' };
 
 /** One connection. */
@@ -167,7 +171,7 @@
   }
 
   private requestFor(command: RelayedCommand, timeoutMs: number): whinyoke.IRelayRequest {
-    const { instance, tenant, priority, waitMs } = this.route;
+    const { instance, tenant, priority, waitMs, usefulMs = LONGEST_USEFUL_MS } = this.route;
     return {
       instance,
       tenant,
@@ -175,6 +179,7 @@
       priority,
       waitMs: Math.ceil(waitMs),
       timeoutMs: Math.ceil(timeoutMs),
+      usefulMs: Math.ceil(Math.min(LONGEST_USEFUL_MS, Math.max(0, usefulMs))),
       connection: this.kept?.connection,
       values: [...this.values].map(([name, value]) => ({ name, value })),
       command: encodeRelayCommand(command),
--- a/src/router/acquire_error.ts
+++ b/src/router/acquire_error.ts
@@ -1,7 +1,8 @@
 /** Why a pool had no connection to give. */
 
-/** Why no connection could be had. Nothing ran. */
-export type AcquireFailure = 'timeout' | 'full' | 'unreachable' | 'wrongInstance' | 'closed';
+/** Why no connection could be had. Nothing ran. Displaced: more urgent requests came while it waited. */
+export type AcquireFailure =
+  'timeout' | 'full' | 'displaced' | 'unreachable' | 'wrongInstance' | 'closed';
 
 /** Nothing could be had in time. */
 export class AcquireError extends Error {
--- a/src/router/instance_directory.ts
+++ b/src/router/instance_directory.ts
@@ -11,7 +11,7 @@
 import { NO_TENANT } from '../tenancy/tenant.js';
 import type { ConnectError, InstanceConnector, InstanceTarget } from './instance_connection.js';
 import { InstanceLoad } from './instance_load.js';
-import { type BusyReaction, InstancePool } from './instance_pool.js';
+import { type BusyReaction, type Displacement, InstancePool } from './instance_pool.js';
 import type { ReadCandidate } from './replica_selector.js';
 import type { WitnessReplica } from './replica_witness.js';
 import type { DecisionLog } from './router_context.js';
@@ -33,6 +33,8 @@
   connectionLimitOf(group: string): number;
   /** Whether a connection serves the tenant only for whom it was opened. */
   hasTenants(): boolean;
+  /** Operations a second that a tenant may run; undefined where it has no limit. */
+  tenantRate(tenant: string): number | undefined;
   readonly liveProxies: () => number;
   onConnectFailed(target: InstanceTarget, error: ConnectError): void;
   /** A connection was opened; the instance told its position after `startedAt`. */
@@ -141,6 +143,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       proxies: liveProxies,
       opensSpares: () => this.opensSpares(instance),
+      weightOf: (tenant: string) => this.surroundings.tenantRate(tenant) ?? 1,
       random: runtime.random,
     };
     const observer = {
@@ -155,6 +158,15 @@
           pause_ms: Math.round(pauseMs),
           waiting,
         }),
+      onDisplaced: ({ tenant, priority, waitedMs, waiting }: Displacement) =>
+        log(Events.waitingDisplaced, {
+          instance: target.id,
+          group: target.group,
+          tenant,
+          priority,
+          waited_ms: Math.round(waitedMs),
+          waiting,
+        }),
     };
     const load = new InstanceLoad();
     return new InstancePool(target, connector, runtime.clock, load, options, observer);
--- a/src/router/instance_pool.ts
+++ b/src/router/instance_pool.ts
@@ -5,7 +5,7 @@
 import type { Clock, RandomSource, Timer } from '../runtime/runtime.js';
 import type { Position } from '../session/position.js';
 import { NO_TENANT } from '../tenancy/tenant.js';
-import { AcquireError } from './acquire_error.js';
+import { AcquireError, type AcquireFailure } from './acquire_error.js';
 import { BusyWindow } from './busy_window.js';
 import type { ConnectionShare } from './connection_share.js';
 import {
@@ -19,7 +19,8 @@
 import type { InstanceLoad } from './instance_load.js';
 import { OpeningGate } from './opening_gate.js';
 import { type ConnectionRequest, PooledConnection } from './pooled_connection.js';
-import { WaiterQueue } from './waiter_queue.js';
+import { ServiceOrder } from '../scheduling/service_order.js';
+import { type WaitingRequest, WaiterQueue } from './waiter_queue.js';
 
 /** Settings of a pool. */
 export interface PoolOptions {
@@ -32,9 +33,21 @@
   readonly proxies: () => number;
   /** Whether connections are opened before anybody wants one; not where nobody knows for which tenant. */
   readonly opensSpares: () => boolean;
+  /** Part of the instance that a tenant may claim where it is full, relative to that of others. */
+  readonly weightOf?: (tenant: string) => number;
   readonly random: RandomSource;
 }
 
+/** A request that others took the place of. */
+export interface Displacement {
+  readonly tenant: string | undefined;
+  readonly priority: number;
+  /** How long it has waited, in milliseconds. */
+  readonly waitedMs: number;
+  /** Requests that wait on. */
+  readonly waiting: number;
+}
+
 /** What a pool does after the instance was busy. */
 export interface BusyReaction {
   /** Statements that are sent at a time from now on. */
@@ -51,6 +64,7 @@
   /** A connection was opened; the instance told its position after `startedAt`. */
   onOpened(position: Position, startedAt: number): void;
   onBusy(reaction: BusyReaction): void;
+  onDisplaced(displacement: Displacement): void;
 }
 
 /** Assumed time to open a connection before the first was opened, in milliseconds. */
@@ -73,7 +87,10 @@
 /** Pool of one instance. */
 export class InstancePool {
   private readonly idle = new IdleConnections();
+  private readonly order: ServiceOrder;
   private readonly waiters: WaiterQueue;
+  /** Requests that got no connection since the start, by cause. */
+  readonly refused = new Map<AcquireFailure, number>();
   private readonly window: BusyWindow;
   private readonly gate: OpeningGate;
   private pauseTimer: Timer | undefined;
@@ -97,7 +114,8 @@
     private readonly options: PoolOptions,
     private readonly observer: PoolObserver,
   ) {
-    this.waiters = new WaiterQueue(clock);
+    this.order = new ServiceOrder(options.weightOf);
+    this.waiters = new WaiterQueue(clock, this.order);
     this.window = new BusyWindow(options.random);
     this.gate = new OpeningGate(clock, options.random, options.share);
   }
@@ -132,23 +150,52 @@
    * @throws AcquireError when none could be had within `timeoutMs`
    */
   acquire(request: ConnectionRequest, timeoutMs: number): Promise<PooledConnection> {
-    if (this.isClosed) return Promise.reject(new AcquireError('closed'));
+    if (this.isClosed) return Promise.reject(this.refusal('closed'));
     const now = this.clock.now();
     const free = this.mayServe(now) ? this.take(request) : undefined;
     if (free) return Promise.resolve(free);
     if (this.size === 0 && this.gate.isUnreachable) {
-      return Promise.reject(new AcquireError('unreachable'));
-    }
-    if (this.expectedWait(request.priority, now) > timeoutMs) {
-      return Promise.reject(new AcquireError('full'));
+      return Promise.reject(this.refusal('unreachable'));
     }
     return new Promise((resolve, reject) => {
-      const waiting = { ...request, resolve, reject };
-      this.waiters.add(waiting, timeoutMs, () => new AcquireError('timeout'));
+      const waiting = this.waitingFor(request, timeoutMs, { resolve, reject });
+      if (this.expectedWait(waiting, now) > timeoutMs) {
+        reject(this.refusal('full'));
+        return;
+      }
+      this.waiters.add(waiting, () => this.refusal('timeout'));
+      this.refuseDisplaced(now);
       this.refill();
     });
   }
 
+  private waitingFor(
+    request: ConnectionRequest,
+    timeoutMs: number,
+    outcome: Pick<WaitingRequest, 'resolve' | 'reject'>,
+  ): WaitingRequest {
+    const arrivedAt = this.clock.now();
+    const { usefulMs = Infinity } = request;
+    const startBy = arrivedAt + usefulMs - this.load.latency;
+    return { ...request, ...outcome, arrivedAt, startBy, giveUpAt: arrivedAt + timeoutMs };
+  }
+
+  private refusal(failure: AcquireFailure): AcquireError {
+    this.refused.set(failure, (this.refused.get(failure) ?? 0) + 1);
+    return new AcquireError(failure);
+  }
+
+  /** Who will not get a connection in time, since more urgent ones came, is told at once. */
+  private refuseDisplaced(now: number): void {
+    const spacingMs = this.load.latency / this.atATime;
+    if (spacingMs === 0 || this.waiters.length < 2) return;
+    const displaced = this.waiters.rejectDisplaced(spacingMs, () => this.refusal('displaced'));
+    for (const { tenant, priority, arrivedAt } of displaced) {
+      const waitedMs = now - arrivedAt;
+      this.observer.onDisplaced({ tenant, priority, waitedMs, waiting: this.waiting });
+    }
+  }
+
   /** The instance turned a statement away since it was busy. */
   noteBusy(): void {
     const now = this.clock.now();
@@ -232,7 +279,7 @@
     this.pauseTimer?.cancel();
     this.openTimer?.cancel();
     this.idle.closeAll();
-    this.waiters.rejectAll(() => new AcquireError('closed'));
+    this.waiters.rejectAll(() => this.refusal('closed'));
   }
 
   private get opening(): number {
@@ -244,6 +291,7 @@
     if (!pooled) return undefined;
     this.inUse.add(pooled);
     this.wake(pooled);
+    this.order.noteStart(request, this.load.latency, this.clock.now());
     return pooled;
   }
 
@@ -264,10 +312,15 @@
     return hasSlot && this.window.allows(this.active, now);
   }
 
-  /** Time until a request of this priority would be served, as far as the instance's refusals tell. */
-  private expectedWait(priority: number, now: number): number {
-    const atATime = this.isHomed ? Math.min(this.mostActive, this.window.size) : this.window.size;
-    const queueing = atATime === Infinity ? 0 : this.waiters.countAhead(priority) / atATime;
+  /** Statements that the instance is sent at a time; infinite where nothing limits them. */
+  private get atATime(): number {
+    return this.isHomed ? Math.min(this.mostActive, this.window.size) : this.window.size;
+  }
+
+  /** Time until a request would be served, as far as the instance's refusals tell. */
+  private expectedWait(request: WaitingRequest, now: number): number {
+    const { atATime } = this;
+    const queueing = atATime === Infinity ? 0 : this.waiters.countAhead(request) / atATime;
     return this.window.remainingPause(now) + queueing * this.load.latency;
   }
 
@@ -298,8 +351,7 @@
       this.resumeAfterPause(now);
       return;
     }
-    const tenants = new Set(this.waiters.requests.map(({ tenant }) => tenant));
-    for (const tenant of tenants) {
+    for (const tenant of this.waiters.tenants) {
       if (this.isOpeningWorthwhile(tenant)) this.openForWaiters(tenant);
       else this.openIfNoTurnComes();
     }
@@ -327,9 +379,7 @@
     if (this.openTimer) return;
     this.openTimer = this.clock.setTimer(this.connectMs * OPENING_FACTOR, () => {
       this.openTimer = undefined;
-      for (const tenant of new Set(this.waiters.requests.map((request) => request.tenant))) {
-        this.openForWaiters(tenant);
-      }
+      for (const tenant of this.waiters.tenants) this.openForWaiters(tenant);
       this.refill();
     });
   }
@@ -412,7 +462,7 @@
     }
     const isOtherInstance = error?.failure === 'wrongInstance';
     this.gate.noteUnreachable(isOtherInstance);
-    if (isOtherInstance) this.waiters.rejectAll(() => new AcquireError('wrongInstance'));
-    else if (this.size === 0) this.waiters.rejectAll(() => new AcquireError('unreachable'));
+    if (isOtherInstance) this.waiters.rejectAll(() => this.refusal('wrongInstance'));
+    else if (this.size === 0) this.waiters.rejectAll(() => this.refusal('unreachable'));
   }
 }
--- a/src/router/pooled_connection.ts
+++ b/src/router/pooled_connection.ts
@@ -37,6 +37,8 @@
   readonly values: ReadonlyMap<string, string>;
   /** 0 is the highest. */
   readonly priority: number;
+  /** Time within which an answer meets the caller's objective, in milliseconds; no limit when left out. */
+  readonly usefulMs?: number;
 }
 
 /** Whether a connection may carry statements of a request. */
--- a/src/router/request_deadline.ts
+++ b/src/router/request_deadline.ts
@@ -52,6 +52,11 @@
     return wasOffered ? this.retryRemaining > 0 : this.offerRemaining > 0;
   }
 
+  /** Milliseconds within which an answer meets the objective; negative when it is missed. */
+  get usefulRemaining(): number {
+    return this.route.targetLatencyMs - this.elapsed;
+  }
+
   private remainingOf(share: number): number {
     const limit = Math.max(MINIMUM_OFFER_MS, this.route.targetLatencyMs * share);
     return Math.min(limit, this.route.timeoutMs) - this.elapsed;
--- a/src/router/router_core.ts
+++ b/src/router/router_core.ts
@@ -124,6 +124,7 @@
       log: this.log,
       connectionLimitOf: (group) => this.table?.limitsByGroup.get(group)?.connectionLimit ?? 0,
       hasTenants: () => this.table === undefined || this.table.tenants.size > 0,
+      tenantRate: (tenant) => this.table?.tenants.named(tenant)?.limit?.ratePerSecond,
       liveProxies: () => this.liveProxies,
       onConnectFailed: (target, error) => this.onConnectFailed(target, error),
       onOpened: (target, position, startedAt) => this.notePosition(target, position, startedAt),
--- a/src/router/single_statement.ts
+++ b/src/router/single_statement.ts
@@ -202,10 +202,11 @@
     patienceMs: number,
   ): Promise<HeldConnection | NotRunAttempt> {
     const { priority } = request.deadline.route;
+    const usefulMs = request.deadline.usefulRemaining;
     const waitMs = Math.max(MINIMUM_ATTEMPT_MS, patienceMs);
     try {
       const { values } = request.content;
-      const needed = { tenant: request.operation.tenant.name, values, priority };
+      const needed = { tenant: request.operation.tenant.name, values, priority, usefulMs };
       return await this.runner.hold(target, needed, waitMs);
     } catch (error) {
       const cause = error instanceof AcquireError ? error.failure : 'no connection';
--- a/src/router/statement_runner.ts
+++ b/src/router/statement_runner.ts
@@ -30,7 +30,11 @@
 ]);
 
 /** Failures to get a connection that tell of the load, not of trouble of the instance. */
-const PATIENCE_FAILURES: ReadonlySet<AcquireFailure> = new Set<AcquireFailure>(['timeout', 'full']);
+const PATIENCE_FAILURES: ReadonlySet<AcquireFailure> = new Set<AcquireFailure>([
+  'timeout',
+  'full',
+  'displaced',
+]);
 
 /** Whether an error promises that the statement did not run. */
 export function isNotRun(kind: InstanceErrorKind): boolean {
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -243,7 +243,9 @@
     const { priority } = this.route;
     let held: HeldConnection;
     try {
-      const needed = { tenant: this.operation.tenant.name, values: content.values, priority };
+      const { name: tenant } = this.operation.tenant;
+      const usefulMs = deadline.usefulRemaining;
+      const needed = { tenant, values: content.values, priority, usefulMs };
       held = await this.runner.hold(target, needed, waitMs);
     } catch {
       return 'no connection';
--- a/test/unit/connection_homes.test.ts
+++ b/test/unit/connection_homes.test.ts
@@ -103,7 +103,14 @@
   };
   const health = new HomeHealth(STILL_CLOCK, messenger);
   const homes = Object.keys(said);
-  const route = { instance: 'i', tenant: 'ana', priority: 1, waitMs: 50, homes };
+  const route = {
+    instance: 'i',
+    tenant: 'ana',
+    priority: 1,
+    usefulMs: undefined,
+    waitMs: 50,
+    homes,
+  };
   return { connection: new RelayedConnection(route, { messenger, health }), asked, health };
 }
 
@@ -172,7 +179,14 @@
     serve: () => undefined,
   };
   const health = new HomeHealth(STILL_CLOCK, messenger);
-  const route = { instance: 'i', tenant: 'ana', priority: 1, waitMs: 50, homes: ['h1', 'h2'] };
+  const route = {
+    instance: 'i',
+    tenant: 'ana',
+    priority: 1,
+    usefulMs: undefined,
+    waitMs: 50,
+    homes: ['h1', 'h2'],
+  };
   const connection = new RelayedConnection(route, { messenger, health });
   let closings = 0;
   connection.onClosed = () => closings++;
--- a/test/unit/router.test.ts
+++ b/test/unit/router.test.ts
@@ -128,7 +128,12 @@
     opensSpares: () => true,
     random: new SeededRandom(1),
   };
-  const observer = { onConnectFailed: () => undefined, onOpened, onBusy: () => undefined };
+  const observer = {
+    onConnectFailed: () => undefined,
+    onOpened,
+    onBusy: () => undefined,
+    onDisplaced: () => undefined,
+  };
   const target = { id: 'i', group: 'g', address: '127.0.0.1:1' };
   return new InstancePool(
     target,
@@ -288,6 +293,7 @@
     onConnectFailed: () => undefined,
     onOpened: () => undefined,
     onBusy: () => undefined,
+    onDisplaced: () => undefined,
   };
   const target = { id: 'i', group: 'g', address: '127.0.0.1:1' };
   const pools = Array.from(
--- /dev/null
+++ b/test/unit/scheduling.test.ts
@@ -0,0 +1,197 @@
+/** Whose turn it is at a full instance: replays of load, without a network, against the order by priority and arrival. */
+import t from 'tap';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
+import { type QueuedRequest, ServiceOrder } from '../../src/scheduling/service_order.js';
+
+/** One kind of request: how often it comes, how long it takes, by when it is useful. */
+interface Kind {
+  readonly name: string;
+  readonly priority: number;
+  readonly perSecond: (second: number) => number;
+  readonly workMs: number;
+  readonly objectiveMs: number;
+  /** Waiting beyond this is in vain. */
+  readonly patienceMs: number;
+  readonly tenant: (drawn: number) => string;
+}
+
+interface Job extends QueuedRequest {
+  readonly kind: Kind;
+  refusedAt?: number;
+  answeredAt?: number;
+}
+
+/** How a queue decides; the former order is the one to compare with. */
+interface Policy {
+  rank(jobs: readonly Job[], now: number): Job[];
+  noteStart(job: Job, expectedMs: number, now: number): void;
+  displaced(ranked: readonly Job[], spacingMs: number, now: number): readonly Job[];
+}
+
+const FORMER: Policy = {
+  rank: (jobs) =>
+    jobs.toSorted(
+      (left, right) => left.priority - right.priority || left.arrivedAt - right.arrivedAt,
+    ),
+  noteStart: () => undefined,
+  displaced: () => [],
+};
+
+const AT_A_TIME = 5;
+const STEP_MS = 1;
+const MILLISECONDS = 1000;
+
+function jobOf(kind: Kind, now: number, random: SeededRandom): Job {
+  return {
+    kind,
+    priority: kind.priority,
+    tenant: kind.tenant(random.next()),
+    arrivedAt: now,
+    startBy: now + kind.objectiveMs - kind.workMs,
+    giveUpAt: now + kind.patienceMs,
+  };
+}
+
+/** Plays the queue of one home, which sends five statements at a time; returns all requests. */
+function play(policy: Policy, kinds: readonly Kind[], seconds: number): Job[] {
+  const random = new SeededRandom(5);
+  const all: Job[] = [];
+  let waiting: Job[] = [];
+  let running: Job[] = [];
+  let meanMs = 10;
+  for (let now = 0; now < seconds * MILLISECONDS; now += STEP_MS) {
+    running = running.filter(({ answeredAt }) => answeredAt! > now);
+    for (const kind of kinds) {
+      const perStep = (kind.perSecond(now / MILLISECONDS) * STEP_MS) / MILLISECONDS;
+      if (random.next() >= perStep) continue;
+      const job = jobOf(kind, now, random);
+      all.push(job);
+      const place = policy.rank([...waiting, job], now).indexOf(job);
+      // As it always was: who would wait for too long is refused on arrival.
+      if ((place / AT_A_TIME) * meanMs > kind.patienceMs) job.refusedAt = now;
+      else waiting.push(job);
+    }
+    const ranked = policy.rank(waiting, now);
+    for (const job of policy.displaced(ranked, meanMs / AT_A_TIME, now)) job.refusedAt = now;
+    for (const job of waiting) if (now >= job.giveUpAt) job.refusedAt ??= now;
+    waiting = waiting.filter(({ refusedAt }) => refusedAt === undefined);
+    while (running.length < AT_A_TIME && waiting.length > 0) {
+      const [job] = policy.rank(waiting, now);
+      waiting.splice(waiting.indexOf(job!), 1);
+      job!.answeredAt = now + job!.kind.workMs * (0.5 + random.next());
+      meanMs += 0.1 * (job!.kind.workMs - meanMs);
+      policy.noteStart(job!, meanMs, now);
+      running.push(job!);
+    }
+  }
+  return all;
+}
+
+/** Share of the requests that were answered within their objective. */
+function inTime(jobs: readonly Job[], matches: (job: Job) => boolean = () => true): number {
+  const asked = jobs.filter(matches);
+  const served = asked.filter(
+    ({ answeredAt = Infinity, arrivedAt, kind }) => answeredAt - arrivedAt <= kind.objectiveMs,
+  );
+  return served.length / asked.length;
+}
+
+/** Mean time until those were refused that were not served, in milliseconds. */
+function meanUntilRefused(jobs: readonly Job[]): number {
+  const refused = jobs.filter(({ refusedAt }) => refusedAt !== undefined);
+  const total = refused.reduce((sum, { refusedAt, arrivedAt }) => sum + refusedAt! - arrivedAt, 0);
+  return total / Math.max(1, refused.length);
+}
+
+const ONE_OF_MANY = (drawn: number): string => `t${Math.floor(drawn * 40)}`;
+const isOf =
+  (name: string) =>
+  (job: Job): boolean =>
+    job.kind.name === name;
+
+/** A group whose replicas can't be used: its primary serves all; statements a second of one of six groups. */
+const KINDS: readonly Kind[] = [
+  {
+    name: 'urgent',
+    priority: 0,
+    perSecond: () => 45,
+    workMs: 5,
+    objectiveMs: 150,
+    patienceMs: 480,
+    tenant: ONE_OF_MANY,
+  },
+  {
+    name: 'usual',
+    priority: 1,
+    perSecond: () => 200,
+    workMs: 14,
+    objectiveMs: 250,
+    patienceMs: 480,
+    tenant: ONE_OF_MANY,
+  },
+  {
+    name: 'patient',
+    priority: 2,
+    // A burst of 2.2 times the usual from the second to the sixth second.
+    perSecond: (second) => (second > 2 && second < 6 ? 132 : 60),
+    workMs: 22,
+    objectiveMs: 800,
+    patienceMs: 900,
+    tenant: ONE_OF_MANY,
+  },
+];
+
+void t.test('a burst at a full instance: more are answered in time, the urgent all', (t) => {
+  const before = play(FORMER, KINDS, 8);
+  const now = play(new ServiceOrder(), KINDS, 8);
+  const text = (jobs: readonly Job[]): string =>
+    KINDS.map(({ name }) => `${name} ${inTime(jobs, isOf(name)).toFixed(3)}`).join(', ');
+  t.comment(`before: ${text(before)}; refused after ${meanUntilRefused(before).toFixed(0)} ms`);
+  t.comment(`now: ${text(now)}; refused after ${meanUntilRefused(now).toFixed(0)} ms`);
+  t.ok(inTime(now) >= inTime(before));
+  t.ok(inTime(now, isOf('urgent')) >= 0.98);
+  t.ok(meanUntilRefused(now) < meanUntilRefused(before), 'callers hear sooner');
+  t.end();
+});
+
+void t.test('a tenant at seven times its usual costs the others no more than a tenth', (t) => {
+  const rushing = (drawn: number): string =>
+    drawn < 0.6 ? 'rush' : ONE_OF_MANY((drawn - 0.6) / 0.4);
+  const kinds = KINDS.map((kind) => ({
+    ...kind,
+    perSecond: (second: number) =>
+      kind.name === 'usual' ? (second > 1 && second < 6 ? 520 : 180) : 20,
+    tenant: kind.name === 'usual' ? rushing : kind.tenant,
+  }));
+  const isOther = ({ tenant }: Job): boolean => tenant !== 'rush';
+  const before = inTime(play(FORMER, kinds, 7), isOther);
+  const now = inTime(play(new ServiceOrder(), kinds, 7), isOther);
+  t.comment(`others in time: before ${before.toFixed(3)}, now ${now.toFixed(3)}`);
+  t.ok(before < 0.9, 'by priority and arrival the others lose more than a tenth');
+  t.ok(now >= 0.9);
+  t.end();
+});
+
+void t.test('an urgent kind that fills the instance leaves the others an eighth', (t) => {
+  const kinds = KINDS.map((kind) => ({
+    ...kind,
+    perSecond: () => (kind.name === 'urgent' ? 900 : 15),
+    workMs: kind.name === 'urgent' ? 8 : kind.workMs,
+  }));
+  const before = play(FORMER, kinds, 6);
+  const now = play(new ServiceOrder(), kinds, 6);
+  t.comment(`patient: ${inTime(before, isOf('patient'))} ${inTime(now, isOf('patient'))}`);
+  t.ok(inTime(now, isOf('patient')) > inTime(before, isOf('patient')) + 0.2);
+  t.end();
+});
+
+void t.test('who can still be answered in time comes before who can not', (t) => {
+  const order = new ServiceOrder();
+  const waiting = (priority: number, startBy: number): QueuedRequest => {
+    return { priority, tenant: 'ana', arrivedAt: 0, startBy, giveUpAt: 1000 };
+  };
+  const [late, later, soon] = [waiting(0, 90), waiting(1, 400), waiting(1, 200)];
+  t.same(order.rank([late, later, soon], 100), [soon, later, late]);
+  t.same(order.displaced([soon, later, late], 800, 300), [later, late], 'and they are told');
+  t.end();
+});
--- a/test/unit/tenancy.test.ts
+++ b/test/unit/tenancy.test.ts
@@ -304,6 +304,7 @@
     onConnectFailed: () => undefined,
     onOpened: () => undefined,
     onBusy: () => undefined,
+    onDisplaced: () => undefined,
   };
   const target = { id: 'i', group: 'g', address: '127.0.0.1:1' };
   const pool = new InstancePool(
