Operations of a tenant that the leader does not know yet are asked for at a pace; unexpected relay failures are counted

The same file tests the second way of a late answer and a proxy that hears of two leaders. Looked at and left: a transaction whose credential nobody holds any more is told BUSY, not UNAUTHED: only BUSY promises that nothing of it is kept.

--- a/src/relay/relay_server.ts
+++ b/src/relay/relay_server.ts
@@ -51,21 +51,24 @@
   async handle(request: whinyoke.IRelayRequest, isLeaving: boolean): Promise<whinyoke.IRelayReply> {
     this.running++;
     try {
-      const reply = await this.serve(request, isLeaving);
-      const outcome = RelayOutcome[reply.outcome ?? RelayOutcome.ANSWERED];
-      this.counts.set(outcome, (this.counts.get(outcome) ?? 0) + 1);
-      return reply;
+      return this.counted(await this.serve(request, isLeaving));
     } catch (error) {
       this.context.log(Events.relayFailed, {
         instance: request.instance ?? '',
         reason: messageOf(error),
       });
-      return { outcome: RelayOutcome.LOST, cause: messageOf(error) };
+      return this.counted({ outcome: RelayOutcome.LOST, cause: messageOf(error) });
     } finally {
       this.running--;
     }
   }
 
+  private counted(reply: whinyoke.IRelayReply): whinyoke.IRelayReply {
+    const outcome = RelayOutcome[reply.outcome ?? RelayOutcome.ANSWERED];
+    this.counts.set(outcome, (this.counts.get(outcome) ?? 0) + 1);
+    return reply;
+  }
+
   /** Ends connections that were kept for nobody; called now and then. */
   maintain(): void {
     const oldest = this.context.clock.now() - ABANDONED_MS;
--- a/src/tenancy/allowance_client.ts
+++ b/src/tenancy/allowance_client.ts
@@ -21,7 +21,7 @@
 
 /** What the client needs of its proxy. */
 export interface AllowanceSurroundings {
-  readonly runtime: Runtime;
+  readonly runtime: Pick<Runtime, 'clock' | 'random' | 'messenger'>;
   readonly log: DecisionLog;
   readonly rules: QuotaRules;
   readonly proxy: string;
@@ -254,7 +254,8 @@
       this.term = reply.term ?? 0;
       this.tellsAll = reply.needsAll ?? false;
       this.adopt(reply, askedAt, content.waitingOnly ?? false);
-      return true;
+      // A leader that does not know a tenant yet says nothing of it, and is asked again after a pause.
+      return (reply.allowances ?? []).length === (content.demands ?? []).length;
     } catch (error) {
       log(Events.controlRequestFailed, { address, reason: messageOf(error) });
       return false;
--- /dev/null
+++ b/test/unit/allowance_client.test.ts
@@ -0,0 +1,115 @@
+/** A proxy asks for operations of tenants: answers that are late, leaders that change or know no such tenant. */
+import t from 'tap';
+import { Scheduler } from '../../lab/simulation/scheduler.js';
+import { VirtualProcess } from '../../lab/simulation/virtual_process.js';
+import type { whinyoke } from '../../src/protocol/generated/messages.js';
+import type { Messenger } from '../../src/runtime/runtime.js';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
+import { AllowanceClient } from '../../src/tenancy/allowance_client.js';
+import type { OperationVerdict } from '../../src/tenancy/tenant_allowance.js';
+
+const RULES = { windowMs: 5000, overage: 0.1, tolerance: 20 };
+const TENANT = { name: 'ana', limit: { ratePerSecond: 100, burst: 100 } };
+const PATIENCE_MS = 60;
+
+/** A request as a leader saw it. */
+interface Asked extends whinyoke.IAllowanceRequest {
+  readonly address: string;
+  readonly lane: number;
+}
+
+/** What a leader answers, and after how many milliseconds; undefined for never. */
+type Leader = (
+  asked: Asked,
+) => { readonly afterMs: number; readonly reply: whinyoke.IAllowanceReply } | undefined;
+
+class PlayedProxy {
+  readonly scheduler = new Scheduler();
+  readonly asked: Asked[] = [];
+  readonly client: AllowanceClient;
+  address = 'control-1';
+  private readonly clock = new VirtualProcess('p', this.scheduler, new SeededRandom(1), 0).clock;
+
+  constructor(leader: Leader) {
+    const messenger: Messenger = {
+      request: (address, { allowanceRequest }, timeoutMs, lane = 0) =>
+        new Promise((resolve, reject) => {
+          const asked = { ...allowanceRequest, address, lane };
+          this.asked.push(asked);
+          const answer = leader(asked);
+          this.clock.setTimer(timeoutMs, () => reject(new Error('no answer')));
+          if (!answer) return;
+          this.clock.setTimer(answer.afterMs, () => resolve({ allowanceReply: answer.reply }));
+        }),
+      serve: () => undefined,
+    };
+    const runtime = { clock: this.clock, random: new SeededRandom(2), messenger };
+    this.client = new AllowanceClient({
+      runtime,
+      log: () => undefined,
+      rules: RULES,
+      proxy: 'p',
+      incarnation: 'run-1',
+      leaderAddress: () => this.address,
+    });
+  }
+
+  /** Asks for one operation, and runs for a while. */
+  async take(forMs: number): Promise<OperationVerdict | undefined> {
+    let verdict: OperationVerdict | undefined;
+    void Promise.resolve(this.client.take(TENANT, PATIENCE_MS)).then((told) => (verdict = told));
+    await this.scheduler.runUntil(this.scheduler.now + forMs);
+    return verdict;
+  }
+}
+
+function granting(granted: number, added = 0, term = 1): whinyoke.IAllowanceReply {
+  return { accepted: true, term, allowances: [{ tenant: 'ana', granted, added }] };
+}
+
+void t.test('a request whose answer is late goes a second way', async (t) => {
+  const proxy = new PlayedProxy(({ lane }) => ({
+    afterMs: lane === 0 ? 180 : 3,
+    reply: granting(1),
+  }));
+  t.match(await proxy.take(PATIENCE_MS), { isGranted: true });
+  t.same(
+    proxy.asked.map(({ lane, waitingOnly = false }) => [lane, waitingOnly]),
+    [
+      [0, false],
+      [1, true],
+    ],
+  );
+  t.equal(proxy.client.counts.secondWay, 1);
+  proxy.client.stop();
+});
+
+void t.test('a leader that does not know the tenant yet is asked at a pace', async (t) => {
+  const reply = { accepted: true, term: 1, allowances: [] };
+  const proxy = new PlayedProxy(() => ({ afterMs: 1, reply }));
+  t.match(await proxy.take(PATIENCE_MS + 5), { isGranted: false });
+  t.ok(proxy.asked.length <= 4, `${proxy.asked.length} requests in ${PATIENCE_MS} ms`);
+  proxy.client.stop();
+});
+
+void t.test('a new leader is told all that is held; a former one adds nothing more', async (t) => {
+  let isSilent = false;
+  const proxy = new PlayedProxy(({ address }) => {
+    if (address === 'control-2')
+      return isSilent ? undefined : { afterMs: 1, reply: granting(1, 0, 2) };
+    return { afterMs: 1, reply: granting(1, 5) };
+  });
+  await proxy.take(20);
+  proxy.address = 'control-2';
+  isSilent = true;
+  await proxy.take(250);
+  const [told] = proxy.asked.filter(({ address }) => address === 'control-2');
+  t.match(told, { complete: true, demands: [{ tenant: 'ana' }] });
+  // The proxy hears of the former leader again; the other one may count on what it was told.
+  proxy.address = 'control-1';
+  const before = proxy.asked.length;
+  for (let count = 0; count < 8; count++) await proxy.take(20);
+  const direct = proxy.asked.slice(before).filter(({ address }) => address === 'control-1');
+  t.ok(direct.length >= 4, 'no reserve was added, so operations are asked for one by one');
+  proxy.client.stop();
+});
