Operations of tenants: a proxy that waits for a former leader's answer asks the new one at once

Found by reading: a request to a leader that died held up those that wait for up to 200 ms after the new leader was known.

--- a/src/tenancy/allowance_client.ts
+++ b/src/tenancy/allowance_client.ts
@@ -61,6 +61,8 @@
   readonly counts = { fromReserve: 0, granted: 0, refused: 0, ungranted: 0, secondWay: 0 };
   private readonly allowances = new Map<string, TenantAllowance>();
   private isRunning = false;
+  /** Ends the wait for an answer, since another machine leads now. */
+  private noteChange: () => void = () => undefined;
   /** Leader that was asked last, and the newest term of a reply. */
   private leader = '';
   private term = 0;
@@ -169,7 +171,12 @@
     if (this.isRunning) return;
     this.isRunning = true;
     do {
-      const isAnswered = await this.askOnce();
+      this.noteLeader();
+      const changed = new Promise<boolean>((resolve) => {
+        this.noteChange = () => resolve(true);
+      });
+      // An answer of a former leader is not waited for; what it grants still counts when it comes.
+      const isAnswered = await Promise.race([this.askOnce(), changed]);
       if (!isAnswered) await delay(this.surroundings.runtime.clock, RETRY_PAUSE_MS);
     } while (!this.isStopped && this.isAnyWaiting());
     this.isRunning = false;
@@ -185,6 +192,7 @@
     if (leader === '' || leader === this.leader) return;
     this.leader = leader;
     this.tellsAll = true;
+    this.noteChange();
     void this.run();
   }
 
@@ -192,8 +200,7 @@
   private async askOnce(): Promise<boolean> {
     const { clock } = this.surroundings.runtime;
     this.forgetUnused();
-    this.noteLeader();
-    if (this.leader === '') return !this.isAnyWaiting();
+    if (this.surroundings.leaderAddress() === '') return !this.isAnyWaiting();
     const askedAt = clock.now();
     const complete = this.tellsAll;
     const asked = [...this.allowances.values()].filter(
--- a/test/unit/allowance_client.test.ts
+++ b/test/unit/allowance_client.test.ts
@@ -113,3 +113,14 @@
   t.ok(direct.length >= 4, 'no reserve was added, so operations are asked for one by one');
   proxy.client.stop();
 });
+
+void t.test('who waits for an answer of a former leader is served by the new one', async (t) => {
+  const proxy = new PlayedProxy(({ address }) =>
+    address === 'control-2' ? { afterMs: 2, reply: granting(2, 0, 2) } : undefined,
+  );
+  const first = proxy.take(20);
+  await first;
+  proxy.address = 'control-2';
+  t.match(await proxy.take(10), { isGranted: true }, 'within 10 ms, not after 200');
+  proxy.client.stop();
+});
