--- a/src/tenancy/tenant_allowance.ts
+++ b/src/tenancy/tenant_allowance.ts
@@ -83,8 +83,9 @@
 
   /** Whether the leader should be asked, also when nothing waits. */
   wantsReserve(now: number): boolean {
-    if (this.unused > 0) return true;
     const wanted = this.wantedReserve(now);
+    // What nobody expects to use here would be missing elsewhere, and would be lost when it ends.
+    if (this.unused > 0 || this.heldReserve(now) > wanted) return true;
     if (wanted === 0 || this.dryFor(now) > 0) return false;
     const isLow = this.heldReserve(now) <= wanted / 2;
     return isLow || this.reserveUntil - now < RESERVE_LIFE_MS * RENEWAL_PART;
--- a/test/unit/tenancy.test.ts
+++ b/test/unit/tenancy.test.ts
@@ -22,6 +22,7 @@
   type AllowanceDemand,
   OperationLedger,
 } from '../../src/tenancy/operation_ledger.js';
+import { TenantAllowance } from '../../src/tenancy/tenant_allowance.js';
 import { type OperationLimit, TenantDirectory } from '../../src/tenancy/tenant.js';
 
 const SECRET = 'k3y-that-nobody-may-see';
@@ -265,6 +266,49 @@
   t.end();
 });
 
+/** Operations of one tenant come through all proxies by chance; returns the shares that were refused and asked one by one. */
+function playProxies(limit: OperationLimit, perSecond: number, proxies: number): [number, number] {
+  const random = new SeededRandom(3);
+  const leader = new PlayedLeader(new Map(), 0);
+  leader.ledger.noteAllKnown();
+  const allowances = Array.from({ length: proxies }, () => new TenantAllowance('ana', 0));
+  let [asked, refused, direct] = [0, 0, 0];
+  const ask = (proxy: number, waiting: number, now: number): number => {
+    const allowance = allowances[proxy]!;
+    const demand = { ...allowance.ask(now), waiting };
+    const answer = leader.answer(proxy, limit, demand, now, true);
+    allowance.addReserve(answer.added, now, now);
+    return answer.granted;
+  };
+  for (let now = 0; now < 60_000; now += 5) {
+    if (random.next() < (perSecond * 5) / 1000) {
+      const proxy = random.integer(0, proxies - 1);
+      const allowance = allowances[proxy]!;
+      asked++;
+      allowance.note(limit, RULES, now);
+      if (!allowance.takeReserve(now)) {
+        direct++;
+        refused += 1 - ask(proxy, 1, now);
+      }
+    }
+    // Every proxy has operations of other tenants, so it asks now and then whatever this tenant does.
+    if (now % 150 !== 0) continue;
+    for (let proxy = 0; proxy < proxies; proxy++) {
+      if (allowances[proxy]!.wantsReserve(now)) ask(proxy, 0, now);
+    }
+  }
+  return [refused / asked, direct / asked];
+}
+
+void t.test('reserves of proxies that a tenant rarely uses cost it no operations', (t) => {
+  const [small] = playProxies({ ratePerSecond: 2.56, burst: 2.56 }, 1.9, 63);
+  t.equal(small, 0, 'three quarters of a small limit');
+  const [large, direct] = playProxies({ ratePerSecond: 350, burst: 350 }, 220, 63);
+  t.equal(large, 0, 'a large one');
+  t.ok(direct < 0.2, `${direct} of its operations wait for an answer of the leader`);
+  t.end();
+});
+
 function forTenant(tenant: string | undefined): ConnectionRequest {
   return { tenant, values: new Map(), priority: 1 };
 }
