--- a/src/coordinator/coordinator.ts
+++ b/src/coordinator/coordinator.ts
@@ -46,7 +46,8 @@
   readonly raft?: Partial<RaftOptions>;
 }
 
-const RAFT_OPTIONS: RaftOptions = {
+/** Timing of control machines that appoint primaries, in milliseconds. */
+export const COORDINATOR_RAFT_OPTIONS: RaftOptions = {
   ...DEFAULT_RAFT_OPTIONS,
   heartbeatMs: 100,
   electionTimeoutMs: 300,
@@ -157,7 +158,7 @@
     const identity = await loadIdentity(runtime);
     const log = await RaftLog.open(runtime.folder);
     const catalog = new Catalog();
-    const raftOptions = { ...RAFT_OPTIONS, ...options.raft };
+    const raftOptions = { ...COORDINATOR_RAFT_OPTIONS, ...options.raft };
     const node: RaftNode = new RaftNode(
       identity,
       options.address,
--- a/test/tools/consensus_group.ts
+++ b/test/tools/consensus_group.ts
@@ -1,8 +1,8 @@
 /** Members of one replicated log in two regions, on the simulated runtime; nothing else runs on their machines. */
 import { RaftLog } from '../../src/consensus/raft_log.js';
 import { RaftNode, type RaftRole } from '../../src/consensus/raft_node.js';
-import { DEFAULT_RAFT_OPTIONS } from '../../src/consensus/raft_options.js';
 import type { Member } from '../../src/consensus/membership.js';
+import { COORDINATOR_RAFT_OPTIONS } from '../../src/coordinator/coordinator.js';
 import { hostOf } from '../../src/runtime/address.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
@@ -15,13 +15,6 @@
 import { VirtualNetwork } from '../../lab/simulation/virtual_network.js';
 import type { VirtualProcess } from '../../lab/simulation/virtual_process.js';
 
-/** Timing of control machines that appoint primaries, in milliseconds. */
-const RAFT_OPTIONS = {
-  ...DEFAULT_RAFT_OPTIONS,
-  heartbeatMs: 100,
-  electionTimeoutMs: 300,
-  earlyElectionMs: 120,
-};
 /** One way between the two regions, in milliseconds. */
 const REGION_MS = 30;
 const ZONE_MS = 1.4;
@@ -64,7 +57,9 @@
     const { id, address } = this.member;
     const onRole = (role: RaftRole, term: number): void =>
       this.note({ at: this.surroundings.scheduler.now, member: id, role, term });
-    const node = new RaftNode(id, address, runtime, log, machine, RAFT_OPTIONS, { onRole });
+    const node = new RaftNode(id, address, runtime, log, machine, COORDINATOR_RAFT_OPTIONS, {
+      onRole,
+    });
     runtime.messenger.serve((body) => node.handle(body));
     if (!log.snapshot) await node.bootstrap(this.founders);
     this.node = node;
