--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -10,6 +10,7 @@
 import { RoutedSession } from '../../src/appointed/sessions/routed_session.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { freshnessWithin } from '../../src/appointed/tenancy/admission.js';
+import type { PlacementRules } from '../../src/appointed/placement/placement_rules.js';
 import type { QuotaRules } from '../../src/appointed/tenancy/operation_budget.js';
 import { TenantDirectory, type TenantGrant } from '../../src/appointed/tenancy/tenant.js';
 import type { TenancyOfDeployment } from './appointed_deployment.js';
@@ -38,6 +39,7 @@
   readonly lines: SimulatedLogLine[];
   readonly disabled: ReadonlySet<AppointedProtection>;
   readonly tenancy: TenancyOfDeployment | undefined;
+  readonly placementRules: PlacementRules;
   readonly connectorFor: (process: VirtualProcess) => InstanceConnector;
   readonly appointerFor: (process: VirtualProcess) => PrimaryAppointer;
 }
@@ -100,6 +102,7 @@
       counters: NO_COUNTERS,
       credentialFreshnessMs: freshnessOf(surroundings),
       quotaRules: surroundings.tenancy?.quotaRules ?? NO_QUOTA_RULES,
+      placementRules: surroundings.placementRules,
     });
     if (surroundings.disabled.has('lease')) disableLease(core);
     if (surroundings.disabled.has('replica-witness')) disableReplicaLeases(core);
@@ -142,6 +145,7 @@
       log: logInto(surroundings, this.name),
       documents: surroundings.reader,
       quotaRules: surroundings.tenancy?.quotaRules ?? NO_QUOTA_RULES,
+      placementRules: surroundings.placementRules,
     };
     this.isFirstStart = false;
     this.core = undefined;
--- a/lab/appointed/appointed_world.ts
+++ b/lab/appointed/appointed_world.ts
@@ -25,6 +25,7 @@
 } from './appointed_nodes.js';
 import type { AppointedProtection } from './disabled_protections.js';
 import { EmulatedGroup, type InstanceMachine } from './emulated_group.js';
+import { DEFAULT_PLACEMENT_RULES } from '../../src/appointed/placement/placement_rules.js';
 import { SimulatedTenancy } from './simulated_tenancy.js';
 import { VirtualInstanceConnector } from './virtual_instances.js';
 
@@ -108,6 +109,7 @@
       lines: this.lines,
       disabled,
       tenancy: deployment.tenancy,
+      placementRules: DEFAULT_PLACEMENT_RULES,
       connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
       connectorFor: (process) =>
         new VirtualInstanceConnector(
--- a/src/appointed/catalog/route_table.ts
+++ b/src/appointed/catalog/route_table.ts
@@ -31,6 +31,16 @@
   readonly priority: number;
   /** Whether callers need no credential. */
   readonly isPublic: boolean;
+  /** Regions to which its requests are bound; undefined where they may be served anywhere. */
+  readonly homes?: ReadonlySet<string> | undefined;
+}
+
+/** How many requests a cold instance may be given. */
+export interface SlowStart {
+  /** Usual time from its start until an instance is warm, in milliseconds. */
+  readonly warmupMs: number;
+  /** Requests a second that a cold instance may get from all proxies together, before the allowances of the settings. */
+  readonly requestsPerSecond: number;
 }
 
 /** Limits of the instances of a group. */
@@ -39,6 +49,8 @@
   readonly group: string;
   /** Connections of all callers to one instance. */
   readonly connectionLimit: number;
+  /** Undefined where instances may be fully used from their start. */
+  readonly slowStart?: SlowStart | undefined;
 }
 
 /** A whole routing document in force. Immutable. */
--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -31,6 +31,7 @@
 import type { DecisionLog } from '../../observability/decision_logger.js';
 import type { InstanceConnector } from '../instance/instance_connection.js';
 import type { RoutingDocumentReader } from '../catalog/route_table.js';
+import type { PlacementRules } from '../placement/placement_rules.js';
 import type { QuotaRules } from '../tenancy/operation_budget.js';
 import type { Clock, MessageBody, Runtime, Timer } from '../../runtime/runtime.js';
 import { AddressClaims } from './address_claim.js';
@@ -62,6 +63,8 @@
   readonly documents: RoutingDocumentReader;
   /** How limits on operations of tenants are judged. */
   readonly quotaRules: QuotaRules;
+  /** Bounds on where requests go. */
+  readonly placementRules: PlacementRules;
 }
 
 /**
--- a/src/appointed/daemon/control_daemon.ts
+++ b/src/appointed/daemon/control_daemon.ts
@@ -11,6 +11,7 @@
 import type { DecisionLog } from '../../observability/decision_logger.js';
 import type { InstanceConnector } from '../instance/instance_connection.js';
 import type { RoutingDocumentReader } from '../catalog/route_table.js';
+import type { PlacementRules } from '../placement/placement_rules.js';
 import type { QuotaRules } from '../tenancy/operation_budget.js';
 import { addConsensusGauges, addLogBytes } from '../../daemon/consensus_metrics.js';
 import {
@@ -34,6 +35,8 @@
   readonly metrics: string | undefined;
   /** How limits on operations of tenants are judged. */
   readonly quotaRules: QuotaRules;
+  /** Bounds on where requests go. */
+  readonly placementRules: PlacementRules;
 }
 
 /** The protocols that the control machine speaks. */
@@ -104,6 +107,7 @@
     log: decisions.log,
     documents: protocols.documents,
     quotaRules: settings.quotaRules,
+    placementRules: settings.placementRules,
   });
 }
 
--- a/src/appointed/daemon/proxy_daemon.ts
+++ b/src/appointed/daemon/proxy_daemon.ts
@@ -7,6 +7,7 @@
 import { Events } from '../../observability/events.js';
 import type { InstanceConnector } from '../instance/instance_connection.js';
 import { stopAsPlanned } from '../proxy/planned_stop.js';
+import type { PlacementRules } from '../placement/placement_rules.js';
 import type { QuotaRules } from '../tenancy/operation_budget.js';
 import { AppointedProxy } from '../proxy/appointed_proxy.js';
 import { type CallerCodec, SessionListener } from '../sessions/session_listener.js';
@@ -35,6 +36,8 @@
   /** How long a document counts that control confirmed, in milliseconds, where callers need credentials. */
   readonly credentialFreshnessMs: number;
   readonly quotaRules: QuotaRules;
+  /** Bounds on where requests go. */
+  readonly placementRules: PlacementRules;
   readonly metrics: string | undefined;
 }
 
@@ -118,6 +121,7 @@
     counters,
     credentialFreshnessMs: settings.credentialFreshnessMs,
     quotaRules: settings.quotaRules,
+    placementRules: settings.placementRules,
   });
 }
 
--- a/src/appointed/proxy/appointed_proxy.ts
+++ b/src/appointed/proxy/appointed_proxy.ts
@@ -18,6 +18,7 @@
 import { RoutedSession } from '../sessions/routed_session.js';
 import { Admission } from '../tenancy/admission.js';
 import { AllowanceClient } from '../tenancy/allowance_client.js';
+import type { PlacementRules } from '../placement/placement_rules.js';
 import type { QuotaRules } from '../tenancy/operation_budget.js';
 import { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
 import { PrimaryLeases } from '../trust/primary_leases.js';
@@ -46,6 +47,8 @@
   /** How long a document counts that control confirmed, in milliseconds, where callers need credentials. */
   readonly credentialFreshnessMs: number;
   readonly quotaRules: QuotaRules;
+  /** Bounds on where requests go. */
+  readonly placementRules: PlacementRules;
 }
 
 /**
--- a/src/appointed/tenancy/tenant.ts
+++ b/src/appointed/tenancy/tenant.ts
@@ -18,6 +18,8 @@
   readonly name: string;
   /** Undefined where the tenant may run any number. */
   readonly limit: OperationLimit | undefined;
+  /** Regions to which its requests are bound; undefined where they may be served anywhere. */
+  readonly homes?: ReadonlySet<string> | undefined;
 }
 
 /** A tenant with the credentials that it holds. */
--- a/test/unit/kept_data.test.ts
+++ b/test/unit/kept_data.test.ts
@@ -8,6 +8,7 @@
 import t, { type Test } from 'tap';
 import { ControlCore } from '../../src/mysql/control/control_core.js';
 import { AppointedControl } from '../../src/appointed/control/appointed_control.js';
+import { DEFAULT_PLACEMENT_RULES } from '../../src/appointed/placement/placement_rules.js';
 import { ProtectionSet } from '../../src/mysql/gateway/protections.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import {
@@ -96,6 +97,7 @@
         },
       },
       quotaRules: { windowMs: 5000, overage: 0.1, tolerance: 20 },
+      placementRules: DEFAULT_PLACEMENT_RULES,
     });
     t.teardown(() => core.stop());
     const { catalog, node } = core;
--- a/test/unit/kept_frames.test.ts
+++ b/test/unit/kept_frames.test.ts
@@ -21,6 +21,15 @@
   encode(message: unknown): { finish(): Uint8Array };
 }
 
+/**
+ * Lists that messages got after some of their frames were kept. A decoded message always has its lists, so such a frame
+ * decodes to an empty one; everything else must be as it was.
+ */
+const LISTS_ADDED_LATER: Readonly<Record<string, Readonly<Record<string, readonly []>>>> = {
+  CatalogSnapshot: { evacuations: [] },
+  CatalogUpdate: { evacuations: [] },
+};
+
 const FRAMES_FILE = 'test/fixtures/internal_protocol_frames.json';
 
 /** Content of a decoded message that can be compared with a kept one. */
@@ -43,7 +52,8 @@
       continue;
     }
     const decoded = codec.decode(Buffer.from(bytes, 'hex'));
-    t.same(plain(decoded), fields, `${message} decodes`);
+    const expected = { ...LISTS_ADDED_LATER[message], ...(fields as object) };
+    t.same(plain(decoded), expected, `${message} decodes`);
     t.equal(
       Buffer.from(codec.encode(decoded).finish()).toString('hex'),
       bytes,
