A lost primary is told from lost connection owners, a full queue and silent connections

Cause: where connections are scarce, only owners have an opinion on a primary, and they stand in its zone: a zone cut with primary and owners was noticed by the age of heartbeats, 2.1 to 3.3 s after it. After the cut, primaries that were well were replaced: old connections stayed silent, and the one try to hold or release a replica failed while it was busy. Change: proxies tell that no owner answered, and whether only commits hang; the leader then asks the primary and its replicas itself (direct_questions.ts) and decides in primary_trouble.ts. Good reports count 0.7 s. Replicas are held from 150 ms after the begin until each is held; released until each confirms. One stand-in of an instance's owners is in another zone. Ruled out: a connection of every proxy when its owners are silent (91 proxies at 77 connections).

--- a/src/appointed/failover/failover_controller.ts
+++ b/src/appointed/failover/failover_controller.ts
@@ -2,12 +2,11 @@
  * DECISION: when a primary is replaced. The steps of a change: `primary_changer.ts`.
  *
  * Answers: a primary that crashed, refuses, is cut off, stands still or leaves, and proxies that are cut off themselves.
- * Inputs: opinions of the proxies (`primary_health_opinions.ts`), age of the primary's newest heartbeat, its state in the
- *   catalog, milliseconds since its epoch began.
- * Rule: only with another ready instance in the group. A primary that leaves or is gone is replaced at once. Otherwise more
- *   proxies must find it bad than use it, and two of them, or one and a late heartbeat; silence right after a change counts
- *   only later. With no good opinion, a heartbeat that is missing for long is enough.
- * Constants: below, and `src/appointed/leases/primary_health_times.ts`. Tests: test/unit/failover.test.ts.
+ * Inputs: the primary's state in the catalog; opinions of the proxies (`primary_health_opinions.ts`), age of its newest heartbeat,
+ *   what it answers to control itself (`direct_questions.ts`), milliseconds since its epoch began.
+ * Rule: only with another ready instance in the group. A primary that leaves or is gone is replaced at once; whether any other
+ *   has failed is decided in `primary_trouble.ts`.
+ * Constants: below. Tests: test/unit/failover.test.ts.
  *
  * Owns which groups this leader is changing. Relies on a majority for each step; a step that fails is logged and begun again
  * at a later tick, here or at the next leader.
@@ -17,21 +16,17 @@
 import { Events } from '../../observability/events.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { Timer } from '../../runtime/runtime.js';
+import { DirectQuestions } from './direct_questions.js';
 import { targetOf } from './instance_administrator.js';
 import type { InstanceMonitor } from './instance_monitor.js';
 import { type ChangerContext, PrimaryChanger } from './primary_changer.js';
 import type { PrimaryHealthOpinions } from './primary_health_opinions.js';
+import { troubleOf, wantsDirectAnswer } from './primary_trouble.js';
 
 const { GroupPhase, InstanceRole, InstanceState } = whinyoke;
 
 /** Time between two looks at all groups, in milliseconds. A guess, not measured. */
 const TICK_MS = 50;
-/** Without any opinion of a proxy, heartbeats must be missing for this long, in milliseconds. A guess, not measured. */
-const SILENT_HEARTBEAT_MS = 5000;
-/** One proxy alone is believed when the primary's heartbeat is older than this, in milliseconds. A guess, not measured. */
-const LATE_HEARTBEAT_MS = 1500;
-/** Silence soon after a change is more likely load than a fault, for this many milliseconds. A guess, not measured. */
-const SETTLING_MS = 2000;
 
 interface KnownEpoch {
   readonly epoch: number;
@@ -57,12 +52,15 @@
   /** Epochs that this leader saw begin, and when. */
   private readonly knownEpochs = new Map<string, KnownEpoch>();
   private isAdopting = false;
+  private readonly questions: DirectQuestions;
 
   constructor(
     private readonly context: ChangerContext,
     private readonly monitor: InstanceMonitor,
     private readonly opinions: PrimaryHealthOpinions,
-  ) {}
+  ) {
+    this.questions = new DirectQuestions(context);
+  }
 
   /** Starts to watch; does nothing while this machine does not lead. */
   start(): void {
@@ -178,18 +176,16 @@
 
   private causeByHealth(entry: GroupEntry): ChangeCause | undefined {
     const now = this.context.clock.now();
-    const { bad, good, trouble } = this.opinions.verdict(entry.group ?? '', entry.epoch ?? 0, now);
-    const heartbeatAge = this.monitor.age(entry.primary ?? '', now);
-    if (bad > good) {
-      const isConfirmed = bad >= 2 || heartbeatAge > LATE_HEARTBEAT_MS;
-      const isSettled = trouble !== 'silent' || this.steadyAge(entry, now) > SETTLING_MS;
-      const text = `${bad} proxies find it ${trouble}, ${good} use it; heartbeat age ${Math.round(heartbeatAge)} ms`;
-      return isConfirmed && isSettled ? { text, isPlanned: false } : undefined;
-    }
-    const isSilent = good === 0 && heartbeatAge > SILENT_HEARTBEAT_MS;
-    return isSilent
-      ? { text: `no heartbeat for ${Math.round(heartbeatAge)} ms`, isPlanned: false }
-      : undefined;
+    const verdict = this.opinions.verdict(entry.group ?? '', entry.epoch ?? 0, now);
+    if (wantsDirectAnswer(verdict)) this.questions.ask(entry);
+    else this.questions.forget(entry);
+    const text = troubleOf({
+      verdict,
+      heartbeatAgeMs: this.monitor.age(entry.primary ?? '', now),
+      steadyMs: this.steadyAge(entry, now),
+      direct: this.questions.evidenceOn(entry),
+    });
+    return text === undefined ? undefined : { text, isPlanned: false };
   }
 
   /** An epoch that was there before this machine led began long ago, as far as it knows. */
--- a/src/appointed/failover/instance_administrator.ts
+++ b/src/appointed/failover/instance_administrator.ts
@@ -4,16 +4,26 @@
  * Owns no connection beyond one command. Relies on the instance, which may not answer: the result is undefined then.
  */
 import type { InstanceEntry } from '../catalog/catalog.js';
-import type {
-  InstanceConnector,
-  InstanceStatus,
-  InstanceTarget,
+import {
+  ConnectError,
+  type InstanceConnector,
+  type InstanceStatus,
+  type InstanceTarget,
 } from '../instance/instance_connection.js';
 import type { InstanceCommand } from '../instance/statement.js';
 
 /** Time to connect, and for an answer, in milliseconds. A guess, not measured. */
 const TIMEOUT_MS = 500;
 
+/** Whether an instance is there, as control itself found out. */
+export type Presence =
+  /** It answered; without a state where it was too busy to tell one. */
+  | { readonly kind: 'answered'; readonly status: InstanceStatus | undefined }
+  /** Nothing came from it in time. */
+  | { readonly kind: 'silent' }
+  /** Nobody listens at its address, or another instance does. */
+  | { readonly kind: 'refused' };
+
 /** Connection target of an instance. */
 export function targetOf(instance: InstanceEntry): InstanceTarget {
   return {
@@ -47,6 +57,27 @@
     return this.run(target, { kind: 'stepDown', term });
   }
 
+  /** Whether an instance is there; an answer that it is full or busy shows that it is. */
+  async presenceOf(target: InstanceTarget, timeoutMs: number): Promise<Presence> {
+    try {
+      const { connection } = await this.connector.connect(target, timeoutMs);
+      const status = await connection
+        .run({ kind: 'status' }, timeoutMs)
+        .then((answer) => answer.status)
+        // It answered the start of the connection, so it is there; only its state is not known.
+        .catch(() => undefined);
+      connection.close();
+      return { kind: 'answered', status };
+    } catch (error) {
+      // The kind of failure is the result; whoever asked logs what follows from it.
+      const failure = error instanceof ConnectError ? error.failure : 'silent';
+      if (failure === 'busy' || failure === 'connectionLimit') {
+        return { kind: 'answered', status: undefined };
+      }
+      return { kind: failure === 'silent' ? 'silent' : 'refused' };
+    }
+  }
+
   private async run(
     target: InstanceTarget,
     command: InstanceCommand,
--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -37,9 +37,17 @@
 const RETRY_PAUSE_MS = 150;
 /**
  * Time for proxies to confirm, in milliseconds, before the replicas are held beside the wait for the leases of those
- * that did not: longer than commits under way hold up a confirmation (250 ms).
+ * that did not: longer than commits under way hold up a confirmation (250 ms where planned, 80 ms in trouble).
  */
-const CONFIRMATION_WAIT_MS = 400;
+const PLANNED_CONFIRMATION_WAIT_MS = 400;
+const TROUBLED_CONFIRMATION_WAIT_MS = 150;
+/** Time between two tries to hold replicas beside that wait, in milliseconds: a busy replica refuses. A guess, not measured. */
+const HOLD_SPACING_MS = 100;
+
+/** Time between two tries to release a replica, in milliseconds. A guess, not measured. */
+const RELEASE_SPACING_MS = 150;
+/** A replica that could not be released for this long has crashed, which releases it, in milliseconds. A guess, not measured. */
+const RELEASE_TIMEOUT_MS = 10_000;
 
 /** What a change needs of its process. */
 export interface ChangerContext {
@@ -148,15 +156,32 @@
     while (this.isCurrent()) {
       const state = this.revocation();
       if (state.isComplete) return state;
-      if (!isHolding && this.changeLog.elapsedMs > CONFIRMATION_WAIT_MS) {
+      if (!isHolding && this.changeLog.elapsedMs > this.confirmationWaitMs) {
         isHolding = true;
-        void this.hold.holdAll(this.replicas, this.hold.newTerm);
+        void this.holdBesideWait();
       }
       await delay(this.context.clock, REVOCATION_POLL_MS);
     }
     return undefined;
   }
 
+  private get confirmationWaitMs(): number {
+    return this.entry.planned ? PLANNED_CONFIRMATION_WAIT_MS : TROUBLED_CONFIRMATION_WAIT_MS;
+  }
+
+  /**
+   * Holds the replicas until each of them is held or the leases have ended: a hold that begins only then lengthens the change
+   * by a whole lease that replicas confirm ({@link appointmentObjection}).
+   */
+  private async holdBesideWait(): Promise<void> {
+    while (this.isCurrent() && !this.revocation().isComplete) {
+      const loose = this.replicas.filter(({ id }) => !this.hold.heldSince(id ?? ''));
+      if (loose.length === 0) return;
+      await this.hold.holdAll(loose, this.hold.newTerm);
+      await delay(this.context.clock, HOLD_SPACING_MS);
+    }
+  }
+
   // ---- steps 3 to 6, repeated until they succeed ----
 
   /** One try of all steps after the end of the leases; resolves with whether the group has a primary again. */
@@ -277,8 +302,27 @@
       term: status.term,
     };
     await this.context.propose({ putGroup: next });
-    for (const instance of this.members) {
-      if (instance.id !== primary) void this.context.administrator.resume(targetOf(instance));
+    const others = this.members.filter(({ id }) => id !== primary);
+    for (const instance of others) void this.release(instance);
+  }
+
+  /**
+   * Lets a replica receive again. Repeated while it refuses or does not answer: the new primary's commits need a replica, and
+   * with one held and another one lost they would hang.
+   */
+  private async release(instance: InstanceEntry): Promise<void> {
+    const { clock, administrator } = this.context;
+    const giveUpAt = clock.now() + RELEASE_TIMEOUT_MS;
+    while (clock.now() < giveUpAt && this.isLatestChange()) {
+      if (await administrator.resume(targetOf(instance))) return;
+      await delay(clock, RELEASE_SPACING_MS);
     }
+    this.changeLog.step('not_released', instance.id ?? '');
+  }
+
+  /** Whether no later change of the group has begun, which would hold the replicas anew. */
+  private isLatestChange(): boolean {
+    const epoch = this.context.catalog.group(this.group)?.epoch ?? 0;
+    return this.context.isLeading() && epoch <= this.epoch + 1;
   }
 }
--- /dev/null
+++ b/src/appointed/failover/primary_trouble.ts
@@ -0,0 +1,85 @@
+/**
+ * DECISION: whether a primary that is ready and in the catalog has failed.
+ *
+ * Answers: a primary that crashed, stands still or is cut off; one whose connection owners are lost while it is well; one
+ *   whose queue is full, or whose connections fell silent; one that can't commit since no replica receives from it.
+ * Inputs: verdict of the proxies (`primary_health_opinions.ts`), age of its newest heartbeat, age of its epoch, and what it
+ *   answered to control itself (`direct_questions.ts`); times in milliseconds.
+ * Rule:
+ *   - more proxies find it bad than use it, and two of them do, or one and a late heartbeat, or one and control has no
+ *     answer itself. Silence right after a change counts only later.
+ *   - silence alone is not believed while heartbeats are fresh and the primary answers control. Then it needs a proof
+ *     that its commits don't reach a replica, or that no proxy uses it for {@link DISBELIEVED_MS}.
+ *   - proxies that reach no connection owner are believed once control has no answer itself, twice in a row.
+ *   - with no good opinion, a heartbeat that is missing for long is enough.
+ * Constants: below. Tests: test/unit/primary_trouble.test.ts. Pure.
+ */
+import type { DirectEvidence } from './direct_questions.js';
+import type { PrimaryVerdict } from './primary_health_opinions.js';
+
+/** Without any opinion of a proxy, heartbeats must be missing for this long, in milliseconds. A guess, not measured. */
+const SILENT_HEARTBEAT_MS = 5000;
+/** One proxy alone is believed when the primary's heartbeat is older than this, in milliseconds. A guess, not measured. */
+const LATE_HEARTBEAT_MS = 1500;
+/** Silence soon after a change is more likely load than a fault, for this many milliseconds. A guess, not measured. */
+const SETTLING_MS = 2000;
+/**
+ * A primary that answers control is replaced when no proxy could use it for this long, in milliseconds: all ways from the
+ * proxies to it may be cut. Longer than connections that fell silent take to be replaced. A guess, not measured.
+ */
+const DISBELIEVED_MS = 1500;
+/** Questions in a row that must stay without an answer where proxies know no more than that owners are lost. */
+const SILENT_QUESTIONS = 2;
+/** Proxies that must find no owner: one alone may be cut off itself. */
+const WITHOUT_OWNER = 2;
+
+/** Everything that decides. */
+export interface TroubleInput {
+  readonly verdict: PrimaryVerdict;
+  /** Age of the primary's newest heartbeat, in milliseconds. */
+  readonly heartbeatAgeMs: number;
+  /** Time since its epoch began, in milliseconds. */
+  readonly steadyMs: number;
+  /** What it answered to control itself. */
+  readonly direct: DirectEvidence;
+}
+
+/** Whether control should ask the primary itself: some proxy finds it silent, or reaches none of its owners. */
+export function wantsDirectAnswer({ bad, trouble, withoutOwner }: PrimaryVerdict): boolean {
+  return (bad > 0 && trouble === 'silent') || withoutOwner > 0;
+}
+
+/** Why the primary is to be replaced; undefined when it is not. */
+export function troubleOf(input: TroubleInput): string | undefined {
+  const { verdict, heartbeatAgeMs } = input;
+  const { bad, good, trouble, withoutOwner } = verdict;
+  const heartbeat = `heartbeat age ${Math.round(heartbeatAgeMs)} ms`;
+  if (bad > good) {
+    const text = `${bad} proxies find it ${trouble}, ${good} use it; ${heartbeat}`;
+    if (isConfirmed(input) && isSettled(input) && !isContradicted(input)) return text;
+  }
+  const isLost = good === 0 && input.direct.silentInRow >= SILENT_QUESTIONS;
+  if (isLost && withoutOwner >= WITHOUT_OWNER) {
+    return `${withoutOwner} proxies reach no owner of its connections, control has no answer; ${heartbeat}`;
+  }
+  const isMissing = good === 0 && heartbeatAgeMs > SILENT_HEARTBEAT_MS;
+  return isMissing ? `no heartbeat for ${Math.round(heartbeatAgeMs)} ms` : undefined;
+}
+
+function isConfirmed({ verdict, heartbeatAgeMs, direct }: TroubleInput): boolean {
+  const isSeenByControl = direct.silentInRow >= SILENT_QUESTIONS;
+  return verdict.bad >= 2 || heartbeatAgeMs > LATE_HEARTBEAT_MS || isSeenByControl;
+}
+
+function isSettled({ verdict, steadyMs }: TroubleInput): boolean {
+  return verdict.trouble !== 'silent' || steadyMs > SETTLING_MS;
+}
+
+/** Whether the primary is alive by its heartbeat and its answer to control, so that silence needs a better proof. */
+function isContradicted({ verdict, heartbeatAgeMs, direct }: TroubleInput): boolean {
+  if (verdict.trouble !== 'silent' || heartbeatAgeMs > LATE_HEARTBEAT_MS) return false;
+  if (direct.isPending) return true;
+  if (!direct.isAnswered || direct.isReplicationStalled) return false;
+  const isUsedByNobody = verdict.good === 0 && verdict.lastsMs > DISBELIEVED_MS;
+  return !isUsedByNobody;
+}
--- a/src/appointed/leases/primary_health_times.ts
+++ b/src/appointed/leases/primary_health_times.ts
@@ -27,5 +27,11 @@
  * connections is none. A guess, not measured.
  */
 export const COUNTED_REFUSAL_MS = 60;
-/** At the leader: a report that is older than this does not count, in milliseconds. A guess, not measured. */
+/**
+ * At the leader: a good report that is older than this does not count, in milliseconds. A proxy that is in touch renews its
+ * report with each request, about every 300 ms; one that was cut off together with the primary must not vouch for it. A guess,
+ * not measured.
+ */
+export const GOOD_REPORT_LIFETIME_MS = 700;
+/** At the leader: a report of trouble that is older than this does not count, in milliseconds. A guess, not measured. */
 export const REPORT_LIFETIME_MS = 1300;
--- a/src/appointed/relay/connection_owners.ts
+++ b/src/appointed/relay/connection_owners.ts
@@ -10,7 +10,8 @@
  * Rule: such an instance has a few owners among the proxies of its zone, of all zones where that has none, by rendezvous
  * hashing, so that all proxies agree without a message. They hold its connections; all other proxies relay their statements
  * to them. A hash of the tenant picks the first of the owners: all statements of a tenant meet at one, and reuse its
- * connections. Further proxies stand in while owners are gone.
+ * connections. Further proxies stand in while owners are gone; the last of them is in another zone, so that an instance whose zone
+ * loses its proxies is still reached.
  *
  * docs/design/connection-owners.md: scores of a quiet day, one with faults and one of high load 0.704, 0.549, 0.579
  * without owners, 0.858, 0.606, 0.652 with them. Its constants were not compared.
@@ -131,6 +132,8 @@
     const all = ofZone.length > 0 ? ofZone : this.everywhere.top(id);
     const count = ownerCount(connectionLimit);
     const standIns = all.slice(count, count + STAND_INS);
+    const elsewhere = this.everywhere.top(id).find((address) => !all.includes(address));
+    if (elsewhere !== undefined) standIns.splice(STAND_INS - 1, 1, elsewhere);
     const order = { instance, owners: all.slice(0, count), standIns };
     this.orders.set(id, order);
     return order;
--- a/src/appointed/sessions/statement_runner.ts
+++ b/src/appointed/sessions/statement_runner.ts
@@ -162,19 +162,20 @@
     const { load } = target.pool;
     const { group, primaryEpoch: epoch } = target;
     const sentAt = clock.now();
-    const isObserved = epoch !== undefined && !pooled.isRelayed;
-    const observer = isObserved ? this.context.primaryHealth.of(group, epoch) : undefined;
+    const tracker = epoch === undefined ? undefined : this.context.primaryHealth.of(group, epoch);
     const mayCommit = command.kind === 'commit' || isWrite(command);
-    const ended = observer?.started(mayCommit, sentAt);
+    const ended = pooled.isRelayed ? undefined : tracker?.started(mayCommit, sentAt);
     load.outstanding++;
     try {
       const answer = await pooled.connection.run(command, timeoutMs);
       const now = clock.now();
       ended?.(true, now);
+      if (pooled.isRelayed) tracker?.ownerAnswered();
       this.reportAnswer(held, answer, sentAt, command.kind === 'data');
       return answer;
     } catch (error) {
       ended?.(false, clock.now());
+      if (error instanceof OwnerUnreachableError) tracker?.ownersSilent(clock.now());
       if (isInstanceFault(held, error)) load.noteFailure(clock.now());
       throw error;
     } finally {
--- a/src/appointed/trust/primary_health_tracker.ts
+++ b/src/appointed/trust/primary_health_tracker.ts
@@ -4,6 +4,8 @@
  *
  * Answers: a primary that stops, hangs, refuses connections or says that it is none.
  * Inputs: when statements were sent and answered, when connections opened or failed (ms of this process's clock).
+ * A proxy that reaches the primary through connection owners only can't tell a lost owner from a lost primary: it reports that
+ * no owner answered, which control takes as a reason to ask the primary itself.
  * Rule: a failed connection, or an answer that it is no primary, is an opinion at once; statements without any answer for
  * {@link REPORTED_SILENCE_MS} make it silent, also where only commits have none; otherwise an answer within
  * {@link ANSWER_LIFETIME_MS} makes it healthy.
@@ -26,6 +28,19 @@
   readonly health: whinyoke.PrimaryHealth;
   /** How long the primary has been like this, in milliseconds; for a healthy one the age of the newest answer. */
   readonly sinceMs: number;
+  /** Whether only commits and writes stay without an answer. */
+  readonly isCommitsOnly: boolean;
+  /** Whether this proxy knows no more than that connection owners did not answer. */
+  readonly isThroughOwners: boolean;
+}
+
+/** For how long statements that no connection owner answered are reported, in milliseconds. Guess, not measured. */
+const OWNERS_SILENCE_LIFETIME_MS = 1000;
+
+/** Statements of this proxy that no connection owner answered. */
+interface OwnersSilence {
+  readonly since: number;
+  readonly newestAt: number;
 }
 
 /** Statements of one kind that were sent and not answered yet. */
@@ -67,6 +82,7 @@
 export class PrimaryHealthTracker {
   private readonly all = new UnansweredStatements();
   private readonly commits = new UnansweredStatements();
+  private ownersSilence: OwnersSilence | undefined;
   private failure: { health: whinyoke.PrimaryHealth; since: number } | undefined;
 
   /** Notes a statement that was sent; returns what ends it. */
@@ -93,6 +109,16 @@
     this.all.answered(now);
   }
 
+  /** Notes that no connection owner answered a statement for the primary. */
+  ownersSilent(now: number): void {
+    this.ownersSilence = { since: this.ownersSilence?.since ?? now, newestAt: now };
+  }
+
+  /** Notes that a connection owner passed on an answer of the primary. */
+  ownerAnswered(): void {
+    this.ownersSilence = undefined;
+  }
+
   /** Whether statements are without any answer for long enough to try another connection. */
   isSuspect(now: number): boolean {
     const since = this.all.silentSince(now, SUSPICION_MS);
@@ -101,15 +127,40 @@
 
   /** Present opinion; undefined without recent evidence. */
   opinion(now: number): PrimaryOpinion | undefined {
+    return this.ownOpinion(now) ?? this.opinionThroughOwners(now);
+  }
+
+  private ownOpinion(now: number): PrimaryOpinion | undefined {
     const { failure } = this;
-    if (failure) return { health: failure.health, sinceMs: now - failure.since };
-    const silentSince =
-      this.all.silentSince(now, REPORTED_SILENCE_MS) ??
-      this.commits.silentSince(now, REPORTED_SILENCE_MS);
-    if (silentSince !== undefined) {
-      return { health: PrimaryHealth.SILENT, sinceMs: now - silentSince };
+    if (failure) return ownOpinion(failure.health, now - failure.since);
+    const allSince = this.all.silentSince(now, REPORTED_SILENCE_MS);
+    if (allSince !== undefined) return ownOpinion(PrimaryHealth.SILENT, now - allSince);
+    const commitsSince = this.commits.silentSince(now, REPORTED_SILENCE_MS);
+    if (commitsSince !== undefined) {
+      return ownOpinion(PrimaryHealth.SILENT, now - commitsSince, true);
     }
     const age = now - this.all.answeredAt;
-    return age <= ANSWER_LIFETIME_MS ? { health: PrimaryHealth.HEALTHY, sinceMs: age } : undefined;
+    return age <= ANSWER_LIFETIME_MS ? ownOpinion(PrimaryHealth.HEALTHY, age) : undefined;
   }
+
+  private opinionThroughOwners(now: number): PrimaryOpinion | undefined {
+    const silence = this.ownersSilence;
+    if (!silence || now - silence.newestAt > OWNERS_SILENCE_LIFETIME_MS) return undefined;
+    const sinceMs = now - silence.since;
+    return {
+      health: PrimaryHealth.SILENT,
+      sinceMs,
+      isCommitsOnly: false,
+      isThroughOwners: true,
+    };
+  }
+}
+
+/** Opinion that rests on connections of this proxy. */
+function ownOpinion(
+  health: whinyoke.PrimaryHealth,
+  sinceMs: number,
+  isCommitsOnly = false,
+): PrimaryOpinion {
+  return { health, sinceMs, isCommitsOnly, isThroughOwners: false };
 }
--- a/src/appointed/trust/primary_health_trackers.ts
+++ b/src/appointed/trust/primary_health_trackers.ts
@@ -20,6 +20,8 @@
   readonly tracker: PrimaryHealthTracker;
   /** Health that control received last; undefined before the first report. */
   reportedHealth: whinyoke.PrimaryHealth | undefined;
+  /** Whether that report rested on connection owners only. */
+  isReportedThroughOwners: boolean;
 }
 
 /** Trackers of one proxy. */
@@ -33,7 +35,12 @@
     const known = this.tracked.get(group);
     if (known && known.epoch >= epoch) return known.tracker;
     const tracker = new PrimaryHealthTracker();
-    this.tracked.set(group, { epoch, tracker, reportedHealth: undefined });
+    this.tracked.set(group, {
+      epoch,
+      tracker,
+      reportedHealth: undefined,
+      isReportedThroughOwners: false,
+    });
     return tracker;
   }
 
@@ -45,20 +52,26 @@
       const entry = this.leases.entryOf(group);
       const opinion = entry?.epoch === epoch ? tracker.opinion(now) : undefined;
       if (!opinion) continue;
-      tracked.reportedHealth = opinion.health;
-      reports.push({ group, epoch, health: opinion.health, sinceMs: Math.round(opinion.sinceMs) });
+      const { health, isCommitsOnly: commitsOnly, isThroughOwners: throughOwners } = opinion;
+      tracked.reportedHealth = health;
+      tracked.isReportedThroughOwners = throughOwners;
+      const sinceMs = Math.round(opinion.sinceMs);
+      reports.push({ group, epoch, health, sinceMs, commitsOnly, throughOwners });
     }
     return reports;
   }
 
   /** Whether an opinion has changed that control should hear of at once. */
   hasNews(now: number): boolean {
-    for (const [group, { epoch, tracker, reportedHealth }] of this.tracked) {
+    for (const [group, tracked] of this.tracked) {
+      const { epoch, tracker, reportedHealth } = tracked;
       const entry = this.leases.entryOf(group);
       if (entry?.epoch !== epoch || entry.phase === GroupPhase.CHANGING) continue;
-      const health = tracker.opinion(now)?.health;
-      if (health === undefined || health === reportedHealth) continue;
-      if (health !== PrimaryHealth.HEALTHY || reportedHealth !== undefined) return true;
+      const opinion = tracker.opinion(now);
+      if (opinion === undefined) continue;
+      const isSameSource = opinion.isThroughOwners === tracked.isReportedThroughOwners;
+      if (opinion.health === reportedHealth && isSameSource) continue;
+      if (opinion.health !== PrimaryHealth.HEALTHY || reportedHealth !== undefined) return true;
     }
     return false;
   }
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -256,6 +256,13 @@
     'candidates for a primary were compared',
     '`choice` is none while no replica provably holds every acknowledged commit.',
   ),
+  primaryAsked: define(
+    347,
+    'primary_asked',
+    'info',
+    'control itself asked a primary that proxies find silent, or whose connection owners they do not reach',
+    '`answer` answered: it is there, and is kept unless `replication_stalled`; silent or refused twice in a row: it is lost.',
+  ),
   primaryChangeFailed: define(
     314,
     'primary_change_failed',
--- a/test/unit/connection_owners.test.ts
+++ b/test/unit/connection_owners.test.ts
@@ -49,6 +49,19 @@
   t.end();
 });
 
+void t.test('one stand-in is in another zone, and all proxies agree on it', (t) => {
+  const zones = zonesOf({ a: 27, b: 30, c: 25 });
+  const instance = { id: 'i-7', zone: 'b', connectionLimit: 53 };
+  const standIns = ['a:0', 'b:3', 'c:9'].map((address) => {
+    const owners = new ConnectionOwners(address);
+    owners.update(zones);
+    return owners.of(instance, 'tenant-1').filter((owner) => !owner.startsWith('b:'));
+  });
+  t.equal(standIns[0]!.length, 1);
+  t.same(standIns, [standIns[0], standIns[0], standIns[0]]);
+  t.end();
+});
+
 void t.test('where each proxy can have its own connections, an instance has no owners', (t) => {
   const owners = new ConnectionOwners('a:0');
   owners.update(zonesOf({ a: 6 }));
