Internal messages are counted by kind and direction

Cause: bytes between zones are priced, and nobody could tell which messages they are. Change: message_traffic.ts counts in the messenger; metrics whinyoke_messages and whinyoke_message_bytes, a log line (238) each 10 s. What it costs is not measured.

--- a/src/appointed/daemon/control_daemon.ts
+++ b/src/appointed/daemon/control_daemon.ts
@@ -17,6 +17,7 @@
 import {
   type ManagedProcess,
   addDroppedLines,
+  addMessageTraffic,
   openMetrics,
   openProcess,
   reloadSeeds,
@@ -69,6 +70,7 @@
   await core.start();
   const registry = createRegistry(core);
   addDroppedLines(registry, process.droppedLines);
+  addMessageTraffic(registry, process.traffic);
   const source = { registry, isReady: () => core.node.hasQuorum };
   const server = await openMetrics(settings.metrics, source, logger);
   logger.event(Events.started, {
--- a/src/appointed/daemon/proxy_daemon.ts
+++ b/src/appointed/daemon/proxy_daemon.ts
@@ -14,6 +14,7 @@
 import {
   type ManagedProcess,
   addDroppedLines,
+  addMessageTraffic,
   openMetrics,
   openProcess,
   reloadSeeds,
@@ -79,6 +80,7 @@
   const core = createCore(settings, protocols, process, metrics);
   metrics.watch(core);
   addDroppedLines(metrics.registry, process.droppedLines);
+  addMessageTraffic(metrics.registry, process.traffic);
   const listener = new SessionListener(protocols.callers, core, acceptor);
   core.start();
   evacuateWhenIsolated(core, listener);
--- a/src/daemon/managed_process.ts
+++ b/src/daemon/managed_process.ts
@@ -3,7 +3,7 @@
  * its reader, which may stop to read: lines are dropped then, and counted.
  */
 import type { Server } from 'node:http';
-import type { Registry } from 'prom-client';
+import { Gauge, type Registry } from 'prom-client';
 import { messageOf } from '../errors/errors.js';
 import { Events } from '../observability/events.js';
 import { BoundedOutput } from '../observability/bounded_output.js';
@@ -11,6 +11,7 @@
 import { addGauge } from '../observability/gauges.js';
 import { EventLogger } from '../observability/logger.js';
 import { RealFolder } from '../runtime/real_folder.js';
+import type { MessageTraffic } from '../runtime/message_traffic.js';
 import type { DataFolder, Runtime } from '../runtime/runtime.js';
 import { type MetricsSource, startMetricsServer } from './metrics_server.js';
 import { openRealRuntime } from './real_runtime.js';
@@ -31,10 +32,14 @@
   readonly decisions: DecisionLogger;
   /** Lines that were dropped since the start, since nobody read them in time. */
   readonly droppedLines: () => number;
+  /** Internal messages since the start. */
+  readonly traffic: MessageTraffic;
 }
 
 /** Time to open a connection to a peer, in milliseconds: more than a round trip between regions. Guess, not measured. */
 export const PEER_CONNECT_TIMEOUT_MS = 120;
+/** Time between two lines on internal messages, in milliseconds: one line of some hundred bytes. Guess, not measured. */
+const TRAFFIC_LOG_MS = 10_000;
 const NO_FOLDER_TEXT = 'this process has no data folder';
 
 /** Opens logs, data folder and the internal listener. */
@@ -53,7 +58,9 @@
       dataFolder === undefined ? Promise.resolve(noFolder()) : RealFolder.open(dataFolder),
   });
   const decisions = new DecisionLogger(logger, runtime.clock);
-  return { runtime, logger, decisions, droppedLines: () => output.droppedLines };
+  const { traffic } = runtime.messenger;
+  logTraffic(traffic, logger);
+  return { runtime, logger, decisions, droppedLines: () => output.droppedLines, traffic };
 }
 
 /** Adds the number of log lines that were dropped to the metrics of a process. */
@@ -62,6 +69,41 @@
   addGauge(registry, 'whinyoke_log_lines_dropped', help, droppedLines);
 }
 
+/** Adds internal messages and their bytes, by kind, to the metrics of a process. */
+export function addMessageTraffic(registry: Registry, traffic: MessageTraffic): void {
+  const labelNames = ['kind', 'direction'];
+  const messages = new Gauge({
+    name: 'whinyoke_messages',
+    help: 'Internal messages since the start, by kind',
+    labelNames,
+    registers: [registry],
+  });
+  const bytes = new Gauge({
+    name: 'whinyoke_message_bytes',
+    help: 'Bytes of internal messages since the start, with their frames, by kind',
+    labelNames,
+    registers: [registry],
+    collect: () => {
+      for (const { kind, direction, ...count } of traffic.all) {
+        messages.set({ kind, direction }, count.messages);
+        bytes.set({ kind, direction }, count.bytes);
+      }
+    },
+  });
+}
+
+/** Writes the bytes of internal messages since the start to the log now and then. */
+function logTraffic(traffic: MessageTraffic, logger: EventLogger): void {
+  const timer = setInterval(() => {
+    const fields = traffic.all.map(({ kind, direction, bytes }): [string, number] => [
+      `${kind}_${direction}`,
+      bytes,
+    ]);
+    logger.event(Events.messageTraffic, Object.fromEntries(fields));
+  }, TRAFFIC_LOG_MS);
+  timer.unref();
+}
+
 /** Starts the metrics endpoint; a process serves on when that can't listen. */
 export async function openMetrics(
   address: string | undefined,
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -207,6 +207,13 @@
     'a request that waited for a full instance will not be served in time, since more urgent ones came',
     'It did not run, and its caller is told at once. `waiting` requests wait on; look for a burst or a missing replica.',
   ),
+  messageTraffic: define(
+    238,
+    'message_traffic',
+    'info',
+    'bytes of internal messages since the start',
+    'By kind of message and direction, with frames. What grows fastest is what the network carries.',
+  ),
   settingsReloaded: define(
     234,
     'settings_reloaded',
--- a/src/runtime/frame.ts
+++ b/src/runtime/frame.ts
@@ -4,17 +4,17 @@
  */
 import type { Socket } from 'node:net';
 
-/** Length of the prefix, in bytes. */
-const LENGTH_BYTES = 4;
+/** Length of the prefix of each frame, in bytes. */
+export const FRAME_HEADER_BYTES = 4;
 
 /** Largest accepted frame, in bytes; anything longer ends the connection. Guess, not measured. */
 const MAXIMUM_FRAME_BYTES = 32 * 1024 * 1024;
 
 /** A payload with its length in front. */
 export function frame(payload: Uint8Array): Buffer {
-  const bytes = Buffer.allocUnsafe(LENGTH_BYTES + payload.length);
+  const bytes = Buffer.allocUnsafe(FRAME_HEADER_BYTES + payload.length);
   bytes.writeUInt32BE(payload.length, 0);
-  bytes.set(payload, LENGTH_BYTES);
+  bytes.set(payload, FRAME_HEADER_BYTES);
   return bytes;
 }
 
@@ -52,14 +52,14 @@
   }
 
   private shift(): Buffer | undefined {
-    if (this.buffered < LENGTH_BYTES) return undefined;
+    if (this.buffered < FRAME_HEADER_BYTES) return undefined;
     const bytes = this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks);
     const length = bytes.readUInt32BE(0);
     if (length > MAXIMUM_FRAME_BYTES) throw new RangeError(`frame of ${length} bytes`);
-    const end = LENGTH_BYTES + length;
+    const end = FRAME_HEADER_BYTES + length;
     const complete = bytes.length >= end;
     this.chunks = [complete ? bytes.subarray(end) : bytes];
     this.buffered = this.chunks[0]!.length;
-    return complete ? bytes.subarray(LENGTH_BYTES, end) : undefined;
+    return complete ? bytes.subarray(FRAME_HEADER_BYTES, end) : undefined;
   }
 }
--- a/src/runtime/tcp_messenger.ts
+++ b/src/runtime/tcp_messenger.ts
@@ -12,7 +12,8 @@
 import { PeerUnreachableError, messageOf } from '../errors/errors.js';
 import { type Envelope, decodeEnvelope, encodeEnvelope } from '../protocol/envelope.js';
 import { splitAddress } from './address.js';
-import { FrameReader, frame } from './frame.js';
+import { FRAME_HEADER_BYTES, FrameReader, frame } from './frame.js';
+import { MessageTraffic } from './message_traffic.js';
 import type { MessageBody, Messenger, RequestHandler } from './runtime.js';
 import { type SharedKey, acceptPeer, introduceSelf } from './shared_key_handshake.js';
 
@@ -57,6 +58,7 @@
     private readonly address: string,
     private readonly from: string,
     private readonly options: TcpMessengerOptions,
+    private readonly traffic: MessageTraffic,
   ) {
     this.ready = this.open();
     this.ready.catch((error: unknown) => this.fail(messageOf(error)));
@@ -82,7 +84,9 @@
           // One that was given up while the connection was being opened is not sent any more.
           if (!this.pending.has(id)) return;
           pending.wasSent = true;
-          socket.write(frame(encodeEnvelope(envelope)));
+          const bytes = frame(encodeEnvelope(envelope));
+          this.traffic.note('sent', body, bytes.length);
+          socket.write(bytes);
         },
         // `fail` has rejected the request: the constructor listens to the same promise.
         () => undefined,
@@ -116,6 +120,7 @@
   private receive(bytes: Buffer): void {
     this.framesReceived++;
     const envelope = decodeEnvelope(bytes);
+    this.traffic.note('received', envelope.body, bytes.length + FRAME_HEADER_BYTES);
     const request = this.pending.get(envelope.id);
     if (!request) return;
     this.pending.delete(envelope.id);
@@ -136,6 +141,8 @@
 
 /** Messenger over TCP. */
 export class TcpMessenger implements Messenger {
+  /** What this process sent and received. */
+  readonly traffic = new MessageTraffic();
   /** Connections by address and lane. */
   private readonly peers = new Map<string, PeerConnection>();
   private readonly incoming = new Set<Socket>();
@@ -171,7 +178,7 @@
     const key = `${address}/${lane}`;
     let peer = this.peers.get(key);
     if (!peer || peer.closed) {
-      peer = new PeerConnection(address, this.localAddress, this.options);
+      peer = new PeerConnection(address, this.localAddress, this.options, this.traffic);
       this.peers.set(key, peer);
     }
     return peer.request(body, timeoutMs);
@@ -211,10 +218,14 @@
   private async answer(socket: Socket, bytes: Buffer): Promise<void> {
     try {
       const request = decodeEnvelope(bytes);
+      this.traffic.note('received', request.body, bytes.length + FRAME_HEADER_BYTES);
       const handle = await this.handler;
       const body = await handle(request.body, request.from);
       const reply: Envelope = { id: request.id, reply: true, from: this.localAddress, body };
-      if (!socket.destroyed) socket.write(frame(encodeEnvelope(reply)));
+      if (socket.destroyed) return;
+      const written = frame(encodeEnvelope(reply));
+      this.traffic.note('sent', body, written.length);
+      socket.write(written);
     } catch (error) {
       // A handler that rejects drops the request: its sender gets no answer, and logs that. Undecodable bytes end the
       // connection.
--- /dev/null
+++ b/test/unit/message_traffic.test.ts
@@ -0,0 +1,33 @@
+/** Counts of internal messages by kind and direction. */
+import t from 'tap';
+import { MessageTraffic } from '../../src/runtime/message_traffic.js';
+import { TcpMessenger } from '../../src/runtime/tcp_messenger.js';
+
+void t.test('a request and its answer are counted at both ends, with as many bytes', async (t) => {
+  const open = (): TcpMessenger =>
+    new TcpMessenger({ host: '127.0.0.1', port: 0, sharedKey: undefined });
+  const [asking, answering] = [open(), open()];
+  t.teardown(() => Promise.all([asking.close(), answering.close()]));
+  await asking.listen();
+  const address = await answering.listen();
+  answering.serve(() =>
+    Promise.resolve({ syncReply: { accepted: true, update: Buffer.alloc(90) } }),
+  );
+  await asking.request(address, { syncRequest: { waitMs: 5 } }, 1000);
+  const sent = asking.traffic.all.find(({ direction }) => direction === 'sent');
+  const received = asking.traffic.all.find(({ direction }) => direction === 'received');
+  t.match(sent, { kind: 'syncRequest', messages: 1 });
+  t.match(received, { kind: 'syncReply', messages: 1 });
+  t.ok(received!.bytes > 94 && received!.bytes < 200);
+  const byKind = new Map(answering.traffic.all.map(({ kind, bytes }) => [kind, bytes]));
+  t.equal(byKind.get('syncRequest'), sent!.bytes);
+  t.equal(byKind.get('syncReply'), received!.bytes);
+});
+
+void t.test('a body without a field is counted, too', (t) => {
+  const traffic = new MessageTraffic();
+  traffic.note('sent', {}, 8);
+  traffic.note('sent', {}, 8);
+  t.same(traffic.all, [{ kind: 'empty', direction: 'sent', messages: 2, bytes: 16 }]);
+  t.end();
+});
