--- a/src/appointed/catalog/catalog.ts
+++ b/src/appointed/catalog/catalog.ts
@@ -80,6 +80,11 @@
     return this.instanceTable.hasLostSince(group, version);
   }
 
+  /** Log index since which the present incarnation of an instance counts; 0 for the first one. */
+  incarnationBegan(id: string): number {
+    return this.instanceTable.incarnationBegan(id);
+  }
+
   /** Groups whose epoch changed after a version. */
   groupsSince(version: number): readonly GroupEntry[] {
     return this.groupTable.since(version);
@@ -158,6 +163,7 @@
         tenant,
         operations,
       })),
+      incarnations: this.instanceTable.incarnations,
     } as whinyoke.ICatalogSnapshot;
     return whinyoke.CatalogSnapshot.encode(snapshot).finish();
   }
@@ -169,7 +175,8 @@
     this.currentLease = snapshot.duty ?? {};
     this.currentVersion = snapshot.version;
     this.proxyLossIndex = snapshot.proxyLossVersion;
-    this.instanceTable.restore(snapshot.instances, snapshot.forgottenVersion);
+    const { instances, incarnations, forgottenVersion } = snapshot;
+    this.instanceTable.restore(instances, incarnations, forgottenVersion);
     this.groupTable.restore(snapshot.groups);
     this.proxyById.clear();
     for (const item of snapshot.proxies) this.proxyById.set(item.id ?? '', item);
--- a/src/appointed/catalog/group_table.ts
+++ b/src/appointed/catalog/group_table.ts
@@ -57,7 +57,8 @@
   setTarget(choice: whinyoke.IGroupEntry): boolean {
     const present = this.entries.get(choice.group ?? '');
     if (!present || present.epoch !== choice.epoch) return false;
-    this.set({ ...present, target: choice.target });
+    const { target, targetIncarnation, leastPosition = present.leastPosition } = choice;
+    this.set({ ...present, target, targetIncarnation, leastPosition });
     return true;
   }
 
--- a/src/appointed/catalog/instance_table.ts
+++ b/src/appointed/catalog/instance_table.ts
@@ -1,9 +1,11 @@
 /**
  * Instances of the catalog, those that are gone included. Part of the replicated state: the same on every machine.
  *
- * Owns the entries and up to which log index entries were forgotten. Relies on nothing that can fail.
+ * Owns the entries, since when the present incarnation of each counts, and up to which log index entries were forgotten. Relies
+ * on nothing that can fail.
  */
 import { whinyoke } from '../../protocol/generated/messages.js';
+import { orderOf } from './incarnation_order.js';
 
 const { InstanceState } = whinyoke;
 
@@ -13,9 +15,14 @@
 /** An immutable instance of the catalog. */
 export type InstanceEntry = Readonly<whinyoke.IInstanceEntry>;
 
+/** Since when an incarnation counts. */
+export type IncarnationEntry = Readonly<whinyoke.IIncarnationEntry>;
+
 /** Instances by identifier. */
 export class InstanceTable {
   private readonly entries = new Map<string, InstanceEntry>();
+  /** Instances that are not in their first incarnation. */
+  private readonly begun = new Map<string, IncarnationEntry>();
   private forgottenIndex = 0;
 
   /** Newest version of an entry that was forgotten. */
@@ -44,33 +51,65 @@
     return this.all.filter((instance) => (instance.version ?? 0) > version);
   }
 
-  /** Whether an instance of a group left after a version; also true when that is no longer known. */
+  /** Log index since which the present incarnation of an instance counts; 0 for the first one. */
+  incarnationBegan(id: string): number {
+    return this.begun.get(id)?.beganAt ?? 0;
+  }
+
+  /** Instances that are not in their first incarnation. */
+  get incarnations(): readonly IncarnationEntry[] {
+    return [...this.begun.values()];
+  }
+
+  /**
+   * Whether an instance of a group left after a version, also by starting again in another group; also true when that is no
+   * longer known.
+   */
   hasLostSince(group: string, version: number): boolean {
     if (version < this.forgottenIndex) return true;
     return this.all.some((instance) => {
       const isOfGroup = instance.group === group || instance.group === '';
       const isLater = (instance.version ?? 0) > version;
-      return isOfGroup && isLater && instance.state === InstanceState.GONE;
+      const isGone = isOfGroup && isLater && instance.state === InstanceState.GONE;
+      return isGone || (!isOfGroup && this.hasMovedSince(instance.id ?? '', group, version));
     });
   }
 
-  /** Takes over an entry; returns whether anything changed. Late entries, and ones of instances that are gone, change nothing. */
+  /** Takes over an entry; returns whether anything changed. Late entries, and ones of incarnations that ended, change nothing. */
   put(index: number, instance: whinyoke.IInstanceEntry): boolean {
-    const known = this.entries.get(instance.id ?? '');
-    const isLate = (instance.sequence ?? 0) < (known?.sequence ?? 0);
-    if (isLate || known?.state === InstanceState.GONE) return false;
+    const id = instance.id ?? '';
+    const known = this.entries.get(id);
+    const order = known ? orderOf(known, instance) : 'same';
+    if (order === 'late') return false;
+    let incarnation = known?.incarnation ?? 0;
+    if (order === 'next') {
+      incarnation++;
+      this.begun.set(id, { instance: id, beganAt: index, formerGroup: known?.group ?? '' });
+    }
+    const born = instance.born || known?.born || 0;
     // Fields with default values are kept by the message's prototype only.
-    const entry = whinyoke.InstanceEntry.create({ ...instance, version: index });
-    this.entries.set(instance.id ?? '', entry);
+    const told = { ...instance, version: index, born, incarnation };
+    this.entries.set(id, whinyoke.InstanceEntry.create(told));
     this.forgetOldest();
     return true;
   }
 
   /** Replaces everything by the entries of a snapshot. */
-  restore(instances: readonly whinyoke.IInstanceEntry[], forgottenVersion: number): void {
+  restore(
+    instances: readonly whinyoke.IInstanceEntry[],
+    incarnations: readonly whinyoke.IIncarnationEntry[],
+    forgottenVersion: number,
+  ): void {
     this.forgottenIndex = forgottenVersion;
     this.entries.clear();
     for (const item of instances) this.entries.set(item.id ?? '', item);
+    this.begun.clear();
+    for (const item of incarnations) this.begun.set(item.instance ?? '', item);
+  }
+
+  private hasMovedSince(id: string, group: string, version: number): boolean {
+    const { formerGroup, beganAt } = this.begun.get(id) ?? {};
+    return formerGroup === group && (beganAt ?? 0) > version;
   }
 
   private forgetOldest(): void {
@@ -79,6 +118,7 @@
     for (const instance of excess) {
       this.forgottenIndex = Math.max(this.forgottenIndex, instance.version ?? 0);
       this.entries.delete(instance.id ?? '');
+      this.begun.delete(instance.id ?? '');
     }
   }
 }
--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -19,6 +19,7 @@
 import { DEFAULT_RAFT_OPTIONS, type RaftOptions } from '../../consensus/raft_options.js';
 import { ClusterJoiner, loadIdentity } from '../../consensus/cluster_joiner.js';
 import { AppointmentLease, type Proposer } from '../failover/appointment_lease.js';
+import { CaughtUpMembers } from '../failover/caught_up_members.js';
 import { FailoverController } from '../failover/failover_controller.js';
 import { InstanceAdministrator } from '../failover/instance_administrator.js';
 import { InstanceMonitor } from '../failover/instance_monitor.js';
@@ -102,6 +103,7 @@
   private readonly allowanceService: AllowanceService;
   private readonly catalogService: CatalogService;
   private readonly appointmentLease: AppointmentLease;
+  private readonly caughtUp: CaughtUpMembers;
   private readonly controller: FailoverController;
   private readonly joiner: ClusterJoiner;
   private seeds: readonly string[];
@@ -131,7 +133,10 @@
     this.appointmentLease = this.makeAppointmentLease(propose);
     const { appointmentLease } = this;
     const administrator = new InstanceAdministrator(connector);
-    const context = { ...shared, ledger, administrator, appointmentLease, isLeading };
+    this.caughtUp = new CaughtUpMembers({ ...shared, administrator, isLeading });
+    const { caughtUp } = this;
+    const duties = { administrator, appointmentLease, isLeading };
+    const context = { ...shared, ...duties, ledger, monitor, caughtUp };
     this.controller = new FailoverController(context, monitor, health);
     this.joiner = this.makeJoiner();
   }
@@ -163,6 +168,7 @@
     this.contact.start();
     this.joiner.start();
     this.controller.start();
+    this.caughtUp.start();
     this.runUpkeep();
     this.askForPositions();
   }
@@ -172,6 +178,7 @@
     this.upkeep?.cancel();
     this.positionTimer?.cancel();
     this.controller.stop();
+    this.caughtUp.stop();
     this.contact.stop();
     this.joiner.stop();
     this.node.stop();
--- a/src/appointed/control/catalog_service.ts
+++ b/src/appointed/control/catalog_service.ts
@@ -7,7 +7,8 @@
  * asks again.
  */
 import type { AddressClaims, ClaimOutcome } from './address_claim.js';
-import type { Catalog } from '../catalog/catalog.js';
+import type { Catalog, InstanceEntry } from '../catalog/catalog.js';
+import { type EntryOrder, orderOf } from '../catalog/incarnation_order.js';
 import type { RaftNode } from '../../consensus/raft_node.js';
 import { messageOf } from '../../errors/errors.js';
 import type { Proposer } from '../failover/appointment_lease.js';
@@ -114,28 +115,82 @@
   }
 
   private async noteHeartbeat(heartbeat: whinyoke.IInstanceBeat): Promise<whinyoke.ICatalogReply> {
-    const instance = heartbeat.instance ?? {};
-    const known = this.surroundings.catalog.instance(instance.id ?? '');
-    if (heartbeat.leaves) {
-      const left = { ...known, id: instance.id, state: InstanceState.GONE };
-      if (known?.state !== InstanceState.GONE)
-        await this.surroundings.propose({ putInstance: left });
+    const known = this.surroundings.catalog.instance(heartbeat.instance?.id ?? '');
+    const instance = this.numbered(known, heartbeat.instance ?? {});
+    const order = known ? orderOf(known, instance) : 'next';
+    if (known && isOfFormerIncarnation(known, instance, order)) {
+      this.logFormerIncarnation(known, instance, heartbeat.leaves ? 'deregister' : 'heartbeat');
       return { outcome: CatalogOutcome.DONE };
     }
-    if (known?.state === InstanceState.GONE) return { outcome: CatalogOutcome.DONE };
-    if (!known) {
+    if (heartbeat.leaves) return this.noteLeaving(known, instance, order);
+    if (order === 'late' && known?.state === InstanceState.GONE)
+      return { outcome: CatalogOutcome.DONE };
+    if (order === 'next') {
       const claim = await this.surroundings.claims.examine(instance);
       if (claim !== 'granted') return this.refuseClaim(instance, claim);
     }
     this.surroundings.monitor.note(heartbeat, this.surroundings.clock.now());
-    const isLate = (instance.sequence ?? 0) < (known?.sequence ?? 0);
-    if (!isLate && !isSame(known, instance)) {
-      await this.surroundings.propose({ putInstance: instance });
+    if (order !== 'late' && !isSame(known, instance)) {
+      await this.putInstance(known, instance);
       await this.removeFormerHolders(instance);
     }
     return { outcome: CatalogOutcome.DONE };
   }
 
+  /** An instance leaves; one that started again after the known incarnation does so under its own number. */
+  private async noteLeaving(
+    known: InstanceEntry | undefined,
+    { id, born, sequence, incarnation }: whinyoke.IInstanceEntry,
+    order: EntryOrder,
+  ): Promise<whinyoke.ICatalogReply> {
+    const left = { ...known, id, state: InstanceState.GONE };
+    if (known && order === 'next')
+      await this.putInstance(known, { ...left, born, sequence, incarnation });
+    else if (known?.state !== InstanceState.GONE)
+      await this.surroundings.propose({ putInstance: { ...left, born: born || known?.born } });
+    return { outcome: CatalogOutcome.DONE };
+  }
+
+  /** An earlier `born` is that of an incarnation that follows, on a clock that was set back, where the known one has ended. */
+  private numbered(
+    known: InstanceEntry | undefined,
+    instance: whinyoke.IInstanceEntry,
+  ): whinyoke.IInstanceEntry {
+    const isEarlier = known !== undefined && (instance.born || Infinity) < (known.born ?? 0);
+    const { monitor, clock } = this.surroundings;
+    if (!isEarlier || !monitor.mayHaveEnded(instance.id ?? '', clock.now())) return instance;
+    return { ...instance, incarnation: (known.incarnation ?? 0) + 1 };
+  }
+
+  private async putInstance(
+    known: InstanceEntry | undefined,
+    instance: whinyoke.IInstanceEntry,
+  ): Promise<void> {
+    await this.surroundings.propose({ putInstance: instance });
+    const entry = this.surroundings.catalog.instance(instance.id ?? '');
+    if (!known || !entry || entry.incarnation === known.incarnation) return;
+    this.surroundings.log(Events.instanceStartedAgain, {
+      instance: entry.id ?? '',
+      group: entry.group ?? '',
+      incarnation: entry.incarnation ?? 0,
+      born: entry.born ?? 0,
+      former_born: known.born ?? 0,
+    });
+  }
+
+  private logFormerIncarnation(
+    known: InstanceEntry,
+    { born }: whinyoke.IInstanceEntry,
+    message: string,
+  ): void {
+    this.surroundings.log(Events.formerIncarnationHeard, {
+      instance: known.id ?? '',
+      message,
+      born: born ?? 0,
+      present_born: known.born ?? 0,
+    });
+  }
+
   /** A heartbeat of one that is gone needs no answer that makes anybody try again; one that is unclear does. */
   private refuseClaim(
     instance: whinyoke.IInstanceEntry,
@@ -151,12 +206,23 @@
   }
 }
 
+/** Whether an entry is that of an incarnation that ended, not only an older one of the present incarnation. */
+function isOfFormerIncarnation(
+  known: InstanceEntry,
+  { born }: whinyoke.IInstanceEntry,
+  order: EntryOrder,
+): boolean {
+  const isOther = (born ?? 0) !== 0 && (known.born ?? 0) !== 0 && born !== known.born;
+  return order === 'late' && isOther;
+}
+
 function isSame(
   known: whinyoke.IInstanceEntry | undefined,
   told: whinyoke.IInstanceEntry,
 ): boolean {
   return (
     known !== undefined &&
+    (told.born || known.born) === known.born &&
     known.group === told.group &&
     known.address === told.address &&
     known.zone === told.zone &&
--- /dev/null
+++ b/src/appointed/failover/caught_up_members.ts
@@ -0,0 +1,120 @@
+/**
+ * DECISION: when an instance that started again counts as a replica of its group like any other.
+ *
+ * Answers: a new incarnation is empty at first; its former one may alone have confirmed commits of the epoch, which the primary
+ *   holds and sends to it again.
+ * Inputs: the primary's received position, asked after the catalog knew the new incarnation; the received position of the latter.
+ * Rule: from the moment when its log covers that position it holds everything that the former incarnation had confirmed.
+ * Constants: below. Tests: test/unit/incarnations.test.ts.
+ *
+ * Owns what this leader found out, in memory: another leader asks anew. Relies on the primary and the instance, which may not
+ * answer: the instance then goes on counting as missing.
+ */
+import type { Catalog, GroupEntry, InstanceEntry } from '../catalog/catalog.js';
+import { coversEpoch } from '../leases/epoch_primary.js';
+import type { DecisionLog } from '../../observability/decision_logger.js';
+import { Events } from '../../observability/events.js';
+import { type Position, covers } from '../../positions/position.js';
+import { whinyoke } from '../../protocol/generated/messages.js';
+import type { Clock, Timer } from '../../runtime/runtime.js';
+import { type InstanceAdministrator, targetOf } from './instance_administrator.js';
+
+const { GroupPhase } = whinyoke;
+
+/** Time between two looks, in milliseconds: each takes a slot of two instances. A guess, not measured. */
+const LOOK_MS = 500;
+
+/** What is needed of the leader. */
+interface CatchUpContext {
+  readonly clock: Clock;
+  readonly catalog: Catalog;
+  readonly administrator: Pick<InstanceAdministrator, 'status'>;
+  readonly log: DecisionLog;
+  readonly isLeading: () => boolean;
+}
+
+/** Name of one incarnation of an instance. */
+export function incarnationName({ id, incarnation }: InstanceEntry): string {
+  return `${id}/${incarnation ?? 0}`;
+}
+
+/** Incarnations that have caught up, as the leader knows. */
+export class CaughtUpMembers {
+  private readonly caughtUp = new Set<string>();
+  /** Position that each other new incarnation has to reach, for as long as it has not. */
+  private readonly wanted = new Map<string, Position>();
+  private timer: Timer | undefined;
+
+  constructor(private readonly context: CatchUpContext) {}
+
+  /** Starts to look; does nothing while this machine does not lead. */
+  start(): void {
+    this.timer = this.context.clock.setTimer(LOOK_MS, () => {
+      void this.look();
+      this.start();
+    });
+  }
+
+  /** Stops. */
+  stop(): void {
+    this.timer?.cancel();
+  }
+
+  /** Whether the present incarnation of an instance holds what its former ones had confirmed. */
+  has(instance: InstanceEntry): boolean {
+    return this.caughtUp.has(incarnationName(instance));
+  }
+
+  /** Asks once about all that have not caught up. */
+  async look(): Promise<void> {
+    const { catalog, isLeading } = this.context;
+    if (!isLeading()) return;
+    const behind = catalog.presentInstances.filter((instance) => this.isWaitedFor(instance));
+    await Promise.all(behind.map((instance) => this.ask(instance)));
+  }
+
+  private isWaitedFor(instance: InstanceEntry): boolean {
+    const { catalog } = this.context;
+    const group = catalog.group(instance.group ?? '');
+    if (!group || group.phase === GroupPhase.CHANGING) return false;
+    const began = catalog.incarnationBegan(instance.id ?? '');
+    const isReplica = group.primary !== instance.id;
+    return isReplica && began > (group.steadySince ?? 0) && !this.has(instance);
+  }
+
+  private async ask(instance: InstanceEntry): Promise<void> {
+    const { administrator, log } = this.context;
+    const name = incarnationName(instance);
+    const wanted = this.wanted.get(name) ?? (await this.primaryPosition(instance.group ?? ''));
+    if (!wanted) return;
+    this.wanted.set(name, wanted);
+    const status = await administrator.status(targetOf(instance));
+    if (!status || !covers(status.received, wanted) || this.caughtUp.has(name)) return;
+    this.wanted.delete(name);
+    this.caughtUp.add(name);
+    log(Events.incarnationCaughtUp, {
+      instance: instance.id ?? '',
+      group: instance.group ?? '',
+      incarnation: instance.incarnation ?? 0,
+    });
+  }
+
+  /** Position of the primary, if it is still the incarnation for which the epoch was begun. */
+  private async primaryPosition(group: string): Promise<Position | undefined> {
+    const { catalog, administrator } = this.context;
+    const entry = catalog.group(group);
+    const primary = catalog.instance(entry?.primary ?? '');
+    if (!entry || !primary) return undefined;
+    const status = await administrator.status(targetOf(primary));
+    const isLeading = status?.role === 'primary' && status.term === entry.term;
+    if (!isLeading || !coversEpoch(entry, status.received)) return undefined;
+    return this.isUnchanged(entry, primary) ? status.received : undefined;
+  }
+
+  private isUnchanged(entry: GroupEntry, primary: InstanceEntry): boolean {
+    const { catalog } = this.context;
+    const isEpoch = catalog.group(entry.group ?? '')?.epoch === entry.epoch;
+    const present = catalog.instance(primary.id ?? '')?.incarnation ?? 0;
+    return isEpoch && present === (entry.primaryIncarnation ?? 0);
+  }
+}
--- a/src/appointed/failover/failover_controller.ts
+++ b/src/appointed/failover/failover_controller.ts
@@ -4,7 +4,7 @@
  * Answers: a primary that crashed, refuses, is cut off, stands still or leaves, and proxies that are cut off themselves.
  * Inputs: opinions of the proxies (`primary_health_opinions.ts`), age of the primary's newest heartbeat, its state in the
  *   catalog, milliseconds since its epoch began.
- * Rule: only with another ready instance in the group. A primary that leaves or is gone is replaced at once. Otherwise more
+ * Rule: only with another ready instance in the group. A primary that leaves, is gone or started again is replaced at once. Otherwise more
  *   proxies must find it bad than use it, and two of them, or one and a late heartbeat; silence right after a change counts
  *   only later. With no good opinion, a heartbeat that is missing for long is enough.
  * Constants: below, and `src/appointed/leases/primary_health_times.ts`. Tests: test/unit/failover.test.ts.
@@ -13,6 +13,7 @@
  * at a later tick, here or at the next leader.
  */
 import type { GroupEntry } from '../catalog/catalog.js';
+import type { Position } from '../../positions/position.js';
 import { messageOf } from '../../errors/errors.js';
 import { Events } from '../../observability/events.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
@@ -42,6 +43,8 @@
 interface PrimaryClaim {
   readonly primary: string;
   readonly term: number;
+  readonly primaryIncarnation: number;
+  readonly leastPosition: Position;
 }
 
 /** Why a primary is to be replaced. */
@@ -98,8 +101,7 @@
       const claim = await this.strongestClaim(group);
       if (!claim) return;
       const { STEADY: phase } = GroupPhase;
-      const { primary, term } = claim;
-      await this.context.propose({ putGroup: { group, epoch: 1, phase, primary, term } });
+      await this.context.propose({ putGroup: { group, epoch: 1, phase, ...claim } });
     } catch (error) {
       // The group has no epoch yet; the next tick tries again, on the machine that leads then.
       this.logFailure(group, 'adopt', error);
@@ -121,7 +123,10 @@
     let strongest: PrimaryClaim | undefined;
     for (const [index, status] of statuses.entries()) {
       if (status?.role !== 'primary' || status.term <= (strongest?.term ?? -1)) continue;
-      strongest = { primary: claimants[index]!.id ?? '', term: status.term };
+      const { id, incarnation } = claimants[index]!;
+      const { term, received: leastPosition } = status;
+      const primaryIncarnation = incarnation ?? 0;
+      strongest = { primary: id ?? '', term, primaryIncarnation, leastPosition };
     }
     return strongest;
   }
@@ -172,6 +177,8 @@
   private causeOfChange(entry: GroupEntry): ChangeCause | undefined {
     if (!this.hasReplacement(entry)) return undefined;
     const primary = this.context.catalog.instance(entry.primary ?? '');
+    const isSame = (primary?.incarnation ?? 0) === (entry.primaryIncarnation ?? 0);
+    if (primary && !isSame) return { text: 'the primary started again', isPlanned: false };
     if (primary?.state === InstanceState.READY) return this.causeByHealth(entry);
     return { text: 'the primary leaves', isPlanned: primary?.state === InstanceState.DRAINING };
   }
--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -21,8 +21,12 @@
 import type { AppointmentLease, Proposer } from './appointment_lease.js';
 import { type CandidateReport, type Choice, chooseCandidate } from './candidate.js';
 import { type InstanceAdministrator, targetOf } from './instance_administrator.js';
+import type { InstanceMonitor } from './instance_monitor.js';
 import type { LeaseLedger, RevocationState } from './lease_ledger.js';
 import { PrimaryChangeLog } from './primary_change_log.js';
+import type { CaughtUpMembers } from './caught_up_members.js';
+import { type Position, covers } from '../../positions/position.js';
+import { ReplicaEvidence } from './replica_evidence.js';
 import { ReplicaHold } from './replica_hold.js';
 
 const { AppointOutcome, GroupPhase, InstanceState } = whinyoke;
@@ -49,6 +53,10 @@
   readonly catalog: Catalog;
   /** Leases of this leadership. */
   readonly ledger: LeaseLedger;
+  /** Newest heartbeats of instances. */
+  readonly monitor: InstanceMonitor;
+  /** Instances that started again and hold everything that they had confirmed before. */
+  readonly caughtUp: Pick<CaughtUpMembers, 'has'>;
   /** Sends commands to instances. */
   readonly administrator: InstanceAdministrator;
   /** Decides who calls the platform. */
@@ -61,16 +69,23 @@
   readonly isLeading: () => boolean;
 }
 
+/** Incarnation of an instance that is to lead, and what its log held when that was decided. */
+interface Appointee {
+  readonly instance: string;
+  readonly incarnation: number;
+  readonly position: Position;
+}
+
 /** The instance that a former leader appointed in this change before it could finish it. */
 function appointedAlready(
   reports: readonly CandidateReport[],
   oldTerm: number,
-): string | undefined {
+): CandidateReport | undefined {
   const leading = reports.filter(
     ({ status }) => status.role === 'primary' && status.term > oldTerm,
   );
   leading.sort((left, right) => right.status.term - left.status.term);
-  return leading[0]?.instance;
+  return leading[0];
 }
 
 /** Changer of one group in one CHANGING epoch. */
@@ -80,6 +95,7 @@
   /** Term of the old primary. */
   private readonly oldTerm: number;
   private readonly hold: ReplicaHold;
+  private readonly evidence: ReplicaEvidence;
   private readonly changeLog: PrimaryChangeLog;
 
   constructor(
@@ -91,6 +107,7 @@
     this.epoch = entry.epoch ?? 0;
     this.oldTerm = entry.term ?? 0;
     this.hold = new ReplicaHold(clock, administrator, this.oldTerm);
+    this.evidence = new ReplicaEvidence(context, entry, this.hold);
     this.changeLog = new PrimaryChangeLog(clock, log, this.group, this.epoch);
   }
 
@@ -161,45 +178,63 @@
 
   /** One try of all steps after the end of the leases; resolves with whether the group has a primary again. */
   private async tryOnce(): Promise<boolean> {
-    const instance = await this.chooseTarget();
-    if (!instance || !this.isCurrent()) return false;
+    const appointee = await this.chooseTarget();
+    if (!appointee || !this.isCurrent()) return false;
+    const { instance } = appointee;
     this.changeLog.step('target_chosen', instance);
     const outcome = await this.context.appointmentLease.appoint(this.group, instance);
     this.changeLog.step('appoint_answered', AppointOutcome[outcome]);
     if (outcome !== AppointOutcome.APPOINTED) return false;
-    const status = await this.awaitPrimary(instance);
+    const status = await this.awaitPrimary(appointee);
     if (!status) return false;
-    await this.finish(instance, status);
+    await this.finish(appointee, status);
     this.changeLog.step('primary_appointed', `${instance} term ${status.term}`);
     return true;
   }
 
   /** Steps 3 and 4: holds the replicas, ends the old primary's term, and names the instance that follows in the log. */
-  private async chooseTarget(): Promise<string | undefined> {
+  private async chooseTarget(): Promise<Appointee | undefined> {
     const { replicas, oldPrimary } = this;
     const { newTerm } = this.hold;
     const stepDown =
       oldPrimary && this.context.administrator.stepDown(targetOf(oldPrimary), newTerm);
-    const reports = await this.hold.holdAll(replicas, newTerm);
-    const appointed = appointedAlready(reports, this.oldTerm);
-    if (appointed !== undefined) return appointed;
-    const missing = replicas.length - reports.length;
+    const held = await this.hold.holdAll(replicas, newTerm);
+    const whole = held.filter((report) => this.evidence.isWhole(report));
+    const appointed = appointedAlready(whole, this.oldTerm);
+    if (appointed) return this.appointeeOf(appointed);
+    const { reports, missing } = this.evidence.weigh(replicas, held);
     // An old primary that is dark holds the change up only when its answer is needed.
-    const choice =
-      this.choose(reports, missing, undefined) ??
-      this.choose(reports, missing, await this.oldPrimaryReport(oldPrimary, stepDown));
-    if (!choice || !this.passesFence(choice.instance)) return undefined;
-    if (!this.isRecorded(choice.instance)) await this.record(choice.instance);
-    return choice.instance;
+    let old: CandidateReport | undefined;
+    let choice = this.choose(reports, missing, undefined);
+    if (!choice) {
+      old = await this.oldPrimaryReport(oldPrimary, stepDown, reports);
+      choice = this.choose(reports, missing, old);
+    }
+    const chosen = [...reports, ...(old ? [old] : [])].find(
+      ({ instance }) => instance === choice?.instance,
+    );
+    if (!chosen || !this.passesFence(chosen.instance)) return undefined;
+    const appointee = this.appointeeOf(chosen);
+    if (!this.isRecorded(appointee)) await this.record(appointee);
+    return appointee;
+  }
+
+  private appointeeOf({ instance, status }: CandidateReport): Appointee {
+    return { instance, incarnation: this.incarnationOf(instance), position: status.received };
   }
 
-  /** The old primary holds everything; it may lead again when no replica can. */
+  private incarnationOf(instance: string): number {
+    return this.context.catalog.instance(instance)?.incarnation ?? 0;
+  }
+
+  /** The old primary holds everything; it may lead again when no replica can, unless it has started again meanwhile. */
   private async oldPrimaryReport(
     old: InstanceEntry | undefined,
     stepDown: Promise<InstanceStatus | undefined> | undefined,
+    replicas: readonly CandidateReport[],
   ): Promise<CandidateReport | undefined> {
     const status = await stepDown;
-    if (!old || !status) return undefined;
+    if (!old || !status || !this.evidence.countsOldPrimary(old, status, replicas)) return undefined;
     const isEligible = old.state === InstanceState.READY && !this.entry.planned;
     return { instance: old.id ?? '', status, isEligible };
   }
@@ -232,9 +267,10 @@
     // The old primary that leads again is the one that such a proxy trusts.
     if (isConfirmedByAll || instance === this.entry.primary) return true;
     const { catalog, clock } = this.context;
+    const entry = catalog.instance(instance);
     const replica = {
-      version: catalog.instance(instance)?.version ?? Infinity,
-      heldSince: this.hold.heldSince(instance),
+      version: entry?.version ?? Infinity,
+      heldSince: entry && this.hold.heldSince(entry),
     };
     // A proxy that trusts the old primary knows at least the catalog in which that one's epoch began.
     const knownVersion = Math.max(unconfirmed.knownVersion, this.entry.steadySince ?? 0);
@@ -244,21 +280,33 @@
     return false;
   }
 
-  private isRecorded(target: string): boolean {
-    return this.context.catalog.group(this.group)?.target === target;
+  private isRecorded({ instance, incarnation }: Appointee): boolean {
+    const { target, targetIncarnation } = this.context.catalog.group(this.group) ?? {};
+    return target === instance && (targetIncarnation ?? 0) === incarnation;
   }
 
-  private record(target: string): Promise<whinyoke.CatalogResult> {
-    return this.context.propose({ setTarget: { group: this.group, epoch: this.epoch, target } });
+  private record({
+    instance: target,
+    incarnation,
+    position,
+  }: Appointee): Promise<whinyoke.CatalogResult> {
+    const { group, epoch } = this;
+    const choice = { target, targetIncarnation: incarnation, leastPosition: position };
+    return this.context.propose({ setTarget: { group, epoch, ...choice } });
   }
 
-  /** Step 5: waits until the appointed instance says itself that it is primary. */
-  private async awaitPrimary(instance: string): Promise<InstanceStatus | undefined> {
+  /** Step 5: waits until the appointed incarnation says itself that it is primary. */
+  private async awaitPrimary(appointee: Appointee): Promise<InstanceStatus | undefined> {
     const { clock, administrator, catalog } = this.context;
+    const { instance } = appointee;
     const begunAt = clock.now();
     while (this.isCurrent() && clock.now() - begunAt < APPOINTED_TIMEOUT_MS) {
       const entry = catalog.instance(instance);
       const status = entry && (await administrator.status(targetOf(entry)));
+      if (status && this.hasStartedAgain(appointee, status)) {
+        this.changeLog.step('appointee_started_again', instance);
+        return undefined;
+      }
       const isOld = instance === this.entry.primary;
       const isNewTerm = status && (isOld || status.term > this.oldTerm);
       if (status?.role === 'primary' && isNewTerm) return status;
@@ -267,14 +315,29 @@
     return undefined;
   }
 
+  /** Whether an answer is that of an incarnation which follows the appointed one: the others still hold what they held. */
+  private hasStartedAgain(
+    { instance, incarnation, position }: Appointee,
+    status: InstanceStatus,
+  ): boolean {
+    const { born } = this.context.catalog.instance(instance) ?? {};
+    const isShorter = Boolean(born) && !covers(status.received, position);
+    return isShorter || this.incarnationOf(instance) !== incarnation;
+  }
+
   /** Step 6: the next epoch begins, and the other replicas receive again. */
-  private async finish(primary: string, status: InstanceStatus): Promise<void> {
+  private async finish(
+    { instance: primary, incarnation }: Appointee,
+    status: InstanceStatus,
+  ): Promise<void> {
     const next = {
       group: this.group,
       epoch: this.epoch + 1,
       phase: GroupPhase.STEADY,
       primary,
       term: status.term,
+      primaryIncarnation: incarnation,
+      leastPosition: status.received,
     };
     await this.context.propose({ putGroup: next });
     for (const instance of this.members) {
--- /dev/null
+++ b/src/appointed/failover/replica_evidence.ts
@@ -0,0 +1,97 @@
+/**
+ * DECISION: whose answers tell what was confirmed in an epoch, when a primary is chosen.
+ *
+ * Answers: an instance that starts again under its identifier holds nothing, so its answer tells nothing of what its former
+ *   incarnation had confirmed; control may hear of that later than it gets the answer.
+ * Inputs: number and `born` of each instance in the catalog, since when its incarnation counts, whether that has caught up, the
+ *   position of its answer, since when it is held and its newest heartbeat (milliseconds on the leader's clock), and the least position,
+ *   the begin and the primary's incarnation of the epoch.
+ * Rule: a replica that started again within the epoch is missing until it has caught up. Any other speaks for itself when its
+ *   answer covers the least position; a shorter log only after a heartbeat of the known incarnation came {@link LATEST_HEARTBEAT_MS}
+ *   or more after it was held. The old primary's answer counts only from the epoch's incarnation, with no shorter a log than the
+ *   epoch's and every replica's. Instances that never told `born` always speak for themselves.
+ * Constants: below. Tests: test/unit/incarnations.test.ts. Owns nothing.
+ */
+import type { Catalog, GroupEntry, InstanceEntry } from '../catalog/catalog.js';
+import type { InstanceStatus } from '../instance/instance_connection.js';
+import { coversEpoch } from '../leases/epoch_primary.js';
+import { covers } from '../../positions/position.js';
+import type { CandidateReport } from './candidate.js';
+import type { CaughtUpMembers } from './caught_up_members.js';
+import type { InstanceMonitor } from './instance_monitor.js';
+import type { ReplicaHold } from './replica_hold.js';
+
+/**
+ * A heartbeat that comes this much after a moment was sent after it, in milliseconds: its sender waits a second for the answer, a
+ * control machine 0.9 s for the leader. A guess, not measured.
+ */
+const LATEST_HEARTBEAT_MS = 2000;
+
+/** What the rule needs of the leader. */
+interface EvidenceContext {
+  readonly catalog: Catalog;
+  readonly monitor: InstanceMonitor;
+  readonly caughtUp: Pick<CaughtUpMembers, 'has'>;
+}
+
+/** Answers of replicas as evidence. */
+interface WeighedAnswers {
+  /** All answers; those that may be of another incarnation are eligible only where their log covers the epoch's. */
+  readonly reports: readonly CandidateReport[];
+  /** Replicas whose word on what they had confirmed is missing. */
+  readonly missing: number;
+}
+
+/** Evidence of one change of primary. */
+export class ReplicaEvidence {
+  constructor(
+    private readonly context: EvidenceContext,
+    private readonly epoch: GroupEntry,
+    private readonly hold: Pick<ReplicaHold, 'heldSince'>,
+  ) {}
+
+  /** Weighs the answers of the replicas. */
+  weigh(replicas: readonly InstanceEntry[], reports: readonly CandidateReport[]): WeighedAnswers {
+    let speaking = 0;
+    const weighed = reports.map((report) => {
+      const instance = replicas.find(({ id }) => id === report.instance);
+      if (instance && this.speaksForItself(instance, report.status)) {
+        speaking++;
+        return report;
+      }
+      const isEligible = report.isEligible && coversEpoch(this.epoch, report.status.received);
+      return { ...report, isEligible };
+    });
+    return { reports: weighed, missing: replicas.length - speaking };
+  }
+
+  /** Whether the answer of the old primary is that of the incarnation which led the epoch. */
+  countsOldPrimary(
+    old: InstanceEntry,
+    { received }: InstanceStatus,
+    replicas: readonly CandidateReport[],
+  ): boolean {
+    if ((old.incarnation ?? 0) !== (this.epoch.primaryIncarnation ?? 0)) return false;
+    if (!old.born) return true;
+    const isLongest = replicas.every(({ status }) => covers(received, status.received));
+    return isLongest && coversEpoch(this.epoch, received);
+  }
+
+  /** Whether an answer holds what was named in the log when its instance was appointed; otherwise it started again since. */
+  isWhole({ instance, status }: CandidateReport): boolean {
+    const { catalog } = this.context;
+    const present = catalog.group(this.epoch.group ?? '') ?? this.epoch;
+    return !catalog.instance(instance)?.born || coversEpoch(present, status.received);
+  }
+
+  private speaksForItself(instance: InstanceEntry, { received }: InstanceStatus): boolean {
+    const { id = '', born } = instance;
+    if (!born) return true;
+    const { catalog, caughtUp, monitor } = this.context;
+    const isOfEpoch = catalog.incarnationBegan(id!) <= (this.epoch.steadySince ?? 0);
+    if (!isOfEpoch && !caughtUp.has(instance)) return false;
+    if (coversEpoch(this.epoch, received)) return true;
+    const heldSince = this.hold.heldSince(instance) ?? Infinity;
+    return monitor.hasHeardSince(id!, born, heldSince + LATEST_HEARTBEAT_MS);
+  }
+}
--- a/src/appointed/failover/replica_hold.ts
+++ b/src/appointed/failover/replica_hold.ts
@@ -11,13 +11,14 @@
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { Clock } from '../../runtime/runtime.js';
 import type { CandidateReport } from './candidate.js';
+import { incarnationName } from './caught_up_members.js';
 import { type InstanceAdministrator, targetOf } from './instance_administrator.js';
 
 const { InstanceState } = whinyoke;
 
 /** Hold of the replicas of one group in one change. */
 export class ReplicaHold {
-  /** Since when each replica has answered without a break that the old primary is not to be trusted. */
+  /** Since when each incarnation of a replica has answered without a break that the old primary is not to be trusted. */
   private readonly objectingSince = new Map<string, number>();
   /** Newest term that an instance of the group named. */
   private newestTerm: number;
@@ -39,8 +40,8 @@
   }
 
   /** Since when a replica has been held, or has followed a newer term, without a break; undefined when it has not. */
-  heldSince(instance: string): number | undefined {
-    return this.objectingSince.get(instance);
+  heldSince(instance: InstanceEntry): number | undefined {
+    return this.objectingSince.get(incarnationName(instance));
   }
 
   /** Holds replicas for a term; those that answer are candidates. */
@@ -61,15 +62,16 @@
   /** Stops a replica from receiving; one that does so already, or that follows a newer term, is left as it is. */
   private async hold(instance: InstanceEntry, term: number): Promise<InstanceStatus | undefined> {
     const target = targetOf(instance);
+    const name = incarnationName(instance);
     // A restart of an instance ends its hold, so one that was held before is asked whether it still is.
-    const known = this.objectingSince.has(target.id)
+    const known = this.objectingSince.has(name)
       ? await this.administrator.status(target)
       : undefined;
-    this.takeStatus(target.id, known);
-    if (known && this.objectingSince.has(target.id)) return known;
+    this.takeStatus(name, known);
+    if (known && this.objectingSince.has(name)) return known;
     const status =
       (await this.administrator.pause(target, term)) ?? (await this.administrator.status(target));
-    this.takeStatus(target.id, status);
+    this.takeStatus(name, status);
     return status;
   }
 
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -284,6 +284,27 @@
     'an instance that was not known told an address at which another one is',
     '`claim` refused: the one at the address is another; a late heartbeat. unclear: it could not be asked, and is again.',
   ),
+  instanceStartedAgain: define(
+    330,
+    'instance_started_again',
+    'warn',
+    'an instance started again under its identifier, and holds nothing of before',
+    '`incarnation` is its number in the catalog; `born` and `former_born` are the start times that it told (Unix ms).',
+  ),
+  formerIncarnationHeard: define(
+    331,
+    'former_incarnation_heard',
+    'info',
+    'a message of an incarnation that has ended came late; it changed nothing',
+    '`message` heartbeat or deregister; `born` is its start time, `present_born` that of the present incarnation (Unix ms).',
+  ),
+  incarnationCaughtUp: define(
+    332,
+    'incarnation_caught_up',
+    'info',
+    'an instance that started again holds everything that its former incarnation had confirmed',
+    'Until then it counts as a replica that is missing when a primary is chosen.',
+  ),
   instanceTold: define(
     322,
     'instance_told',
--- /dev/null
+++ b/test/tools/changed_group.ts
@@ -0,0 +1,141 @@
+/** A group of three instances on a leader that changes its primary: a catalog, instances that answer, appointments. */
+import { Catalog } from '../../src/appointed/catalog/catalog.js';
+import type { AppointmentLease } from '../../src/appointed/failover/appointment_lease.js';
+import { InstanceAdministrator } from '../../src/appointed/failover/instance_administrator.js';
+import { InstanceMonitor } from '../../src/appointed/failover/instance_monitor.js';
+import { LeaseLedger } from '../../src/appointed/failover/lease_ledger.js';
+import {
+  type ChangerContext,
+  PrimaryChanger,
+} from '../../src/appointed/failover/primary_changer.js';
+import type {
+  InstanceAnswer,
+  InstanceConnector,
+  InstanceStatus,
+} from '../../src/appointed/instance/instance_connection.js';
+import { ConnectError } from '../../src/appointed/instance/instance_connection.js';
+import { START } from '../../src/positions/position.js';
+import { whinyoke } from '../../src/protocol/generated/messages.js';
+import { Scheduler } from '../../lab/simulation/scheduler.js';
+
+const { AppointOutcome, GroupPhase, InstanceState } = whinyoke;
+const PROXIES = [
+  { id: 'p1', incarnation: 'x' },
+  { id: 'p2', incarnation: 'y' },
+];
+/** Term that the old primary leads. */
+const TERM = 3;
+
+/** State of an instance that has received up to `sequence` of term 3; of one that holds nothing when left out. */
+export function logUpTo(
+  sequence?: number,
+  role: InstanceStatus['role'] = 'replica',
+): InstanceStatus {
+  const received = sequence === undefined ? START : { term: TERM, sequence };
+  return { role, term: received.term, received, heldTerm: 0, lagMs: 0 };
+}
+
+/** The group `g` of the instances a (the primary), b and c. */
+export class ChangedGroup {
+  readonly scheduler = new Scheduler();
+  readonly catalog = new Catalog();
+  readonly monitor = new InstanceMonitor();
+  readonly ledger = new LeaseLedger();
+  caughtUp = { has: () => false };
+  readonly appointed: string[] = [];
+  /** What each instance answers; those that are left out do not answer. */
+  readonly states = new Map<string, InstanceStatus>();
+  /** Called when an instance is appointed; it leads the next term then. */
+  onAppoint: (instance: string) => void = () => undefined;
+  private index = 0;
+
+  constructor() {
+    this.ledger.begin(-Infinity, 0);
+    for (const id of ['a', 'b', 'c']) this.tell(id, 1000, 50);
+    const epoch = { group: 'g', epoch: 1, phase: GroupPhase.STEADY, primary: 'a', term: TERM };
+    this.apply({ putGroup: { ...epoch, leastPosition: { term: TERM, sequence: 90 } } });
+  }
+
+  apply(command: whinyoke.ICatalogCommand): whinyoke.CatalogResult {
+    const bytes = whinyoke.CatalogCommand.encode(command).finish();
+    return whinyoke.CatalogResult.decode(this.catalog.apply(++this.index, bytes));
+  }
+
+  /** An instance tells of itself, and the leader notes it. */
+  tell(id: string, born: number, sequence: number): void {
+    const instance = { id, group: 'g', address: id, state: InstanceState.READY, born, sequence };
+    this.monitor.note({ instance }, this.scheduler.now);
+    this.apply({ putInstance: instance });
+  }
+
+  /** Begins a change in which p1 confirms what it had acknowledged, and p2 says nothing. */
+  change(acknowledged: number): Promise<void> {
+    const epoch = this.catalog.group('g')!;
+    for (const proxy of PROXIES) this.apply({ putProxy: proxy });
+    this.apply({ putGroup: { ...epoch, epoch: 2, phase: GroupPhase.CHANGING } });
+    const position = { term: TERM, sequence: acknowledged };
+    this.ledger.confirm(PROXIES[0]!, { group: 'g', epoch: 2, hasPosition: true, position });
+    return this.changer().run();
+  }
+
+  /** p2 confirms as well, having acknowledged nothing. */
+  confirmAll(): void {
+    this.ledger.confirm(PROXIES[1]!, { group: 'g', epoch: 2 });
+  }
+
+  /** Lets virtual time pass, in milliseconds. */
+  run(durationMs: number): Promise<void> {
+    return this.scheduler.runUntil(this.scheduler.now + durationMs);
+  }
+
+  private changer(): PrimaryChanger {
+    const { scheduler, catalog, ledger, monitor } = this;
+    const clock = {
+      now: () => scheduler.now,
+      setTimer: (delayMs: number, callback: () => void) => {
+        const event = scheduler.schedule(delayMs, callback);
+        return { cancel: () => scheduler.cancel(event) };
+      },
+    };
+    const appoint = (_group: string, instance: string): Promise<whinyoke.AppointOutcome> => {
+      this.appointed.push(instance);
+      this.onAppoint(instance);
+      return Promise.resolve(AppointOutcome.APPOINTED);
+    };
+    const context: ChangerContext = {
+      clock,
+      catalog,
+      ledger,
+      monitor,
+      caughtUp: this.caughtUp,
+      administrator: new InstanceAdministrator(this.connector()),
+      appointmentLease: { appoint } as unknown as AppointmentLease,
+      propose: (command) => Promise.resolve(this.apply(command)),
+      log: () => undefined,
+      isLeading: () => true,
+    };
+    return new PrimaryChanger(context, catalog.group('g')!);
+  }
+
+  private connector(): InstanceConnector {
+    return {
+      connect: ({ id }) => {
+        if (!this.states.has(id))
+          return Promise.reject(new ConnectError(id, { failure: 'silent' }));
+        const connection = {
+          run: (command: { kind: string; term?: number }): Promise<InstanceAnswer> => {
+            const state = this.states.get(id) ?? logUpTo();
+            const heldTerm = command.kind === 'pause' ? command.term! : state.heldTerm;
+            this.states.set(id, { ...state, heldTerm });
+            const status = this.states.get(id)!;
+            return Promise.resolve({ rows: [], signature: '-', state: 'idle', status });
+          },
+          close: () => undefined,
+          closed: false,
+          onClosed: undefined,
+        };
+        return Promise.resolve({ connection });
+      },
+    };
+  }
+}
--- a/test/unit/failover.test.ts
+++ b/test/unit/failover.test.ts
@@ -384,6 +384,7 @@
   opinions: PrimaryHealthOpinions;
   proposed: whinyoke.ICatalogCommand[];
   setNow: (time: number) => void;
+  context: ChangerContext;
 } {
   let now = 0;
   const catalog = new Catalog();
@@ -411,7 +412,7 @@
   } as unknown as ChangerContext;
   const opinions = new PrimaryHealthOpinions();
   const controller = new FailoverController(context, new InstanceMonitor(), opinions);
-  return { controller, opinions, proposed, setNow: (time: number) => (now = time) };
+  return { controller, opinions, proposed, context, setNow: (time: number) => (now = time) };
 }
 
 void t.test('a primary that turns silent long after its epoch began is replaced at once', (t) => {
@@ -436,6 +437,18 @@
   t.end();
 });
 
+void t.test('a primary that started again is replaced at once', async (t) => {
+  const { controller, opinions, proposed, context } = controllerOf();
+  await context.propose({ putInstance: { id: 'i-1', group: 'g', address: 'i-1', born: 1 } });
+  opinions.note('p1', [{ group: 'g', epoch: 1, health: PrimaryHealth.HEALTHY, sinceMs: 1 }], 0);
+  controller.tick();
+  t.equal(proposed.length, 1, 'it begins to tell when it started');
+  await context.propose({ putInstance: { id: 'i-1', group: 'g', address: 'i-1', born: 2 } });
+  controller.tick();
+  t.match(proposed.at(-1), { putGroup: { epoch: 2, phase: GroupPhase.CHANGING, planned: false } });
+  t.end();
+});
+
 void t.test('one proxy against another does not replace a primary', (t) => {
   const { controller, opinions, proposed } = controllerOf();
   opinions.note('p1', [{ group: 'g', epoch: 1, health: PrimaryHealth.REFUSING, sinceMs: 600 }], 0);
--- /dev/null
+++ b/test/unit/incarnations.test.ts
@@ -0,0 +1,218 @@
+/** Instances that start again, empty, under their identifier: what no longer counts, and what begins anew. */
+import t from 'tap';
+import { Catalog } from '../../src/appointed/catalog/catalog.js';
+import { orderOf } from '../../src/appointed/catalog/incarnation_order.js';
+import { AddressClaims } from '../../src/appointed/control/address_claim.js';
+import { CatalogService } from '../../src/appointed/control/catalog_service.js';
+import { CaughtUpMembers } from '../../src/appointed/failover/caught_up_members.js';
+import type { RaftNode } from '../../src/consensus/raft_node.js';
+import { whinyoke } from '../../src/protocol/generated/messages.js';
+import { ChangedGroup, logUpTo } from '../tools/changed_group.js';
+
+const { CatalogOutcome, InstanceState } = whinyoke;
+
+/** Time for several tries of a change, in milliseconds. */
+const TRIES_MS = 2500;
+
+void t.test('an old primary that started again is no evidence', async (t) => {
+  const group = new ChangedGroup();
+  group.states.set('b', logUpTo(100));
+  group.states.set('a', logUpTo());
+  group.tell('a', 2000, 1);
+  void group.change(95);
+  await group.run(TRIES_MS);
+  t.same(group.appointed, [], 'c may alone hold up to 3.120');
+  group.states.set('c', logUpTo(120));
+  await group.run(TRIES_MS);
+  t.same(group.appointed[0], 'c');
+});
+
+void t.test('a replica that started again does not speak for the one that it was', async (t) => {
+  const group = new ChangedGroup();
+  group.states.set('b', logUpTo(100));
+  group.states.set('c', logUpTo());
+  group.tell('c', 2000, 1);
+  void group.change(120);
+  await group.run(TRIES_MS);
+  t.same(group.appointed, [], 'the former c alone had confirmed 3.120');
+  group.states.set('a', logUpTo(120, 'primary'));
+  await group.run(TRIES_MS);
+  t.same(group.appointed[0], 'a', 'only the old primary has it');
+});
+
+void t.test('answers of incarnations of which control has not heard yet', async (t) => {
+  const group = new ChangedGroup();
+  group.states.set('b', logUpTo(100));
+  group.states.set('a', logUpTo());
+  void group.change(95);
+  await group.run(TRIES_MS);
+  t.same(group.appointed, [], 'an old primary with a log shorter than that of its epoch');
+  group.states.set('c', logUpTo());
+  await group.run(TRIES_MS);
+  t.same(group.appointed, [], 'a replica that may be a new incarnation');
+  group.tell('c', 1000, 60);
+  await group.run(TRIES_MS);
+  t.same(group.appointed[0], 'b', 'its heartbeat came long after it was held: it never had more');
+});
+
+void t.test(
+  'confirmations of all proxies need no word of a replica that started again',
+  async (t) => {
+    const group = new ChangedGroup();
+    group.states.set('b', logUpTo(100));
+    group.states.set('c', logUpTo(91));
+    group.tell('c', 2000, 1);
+    void group.change(100);
+    group.confirmAll();
+    await group.run(TRIES_MS);
+    t.same(group.appointed[0], 'b');
+  },
+);
+
+void t.test('an instance that starts again after it was appointed does not lead', async (t) => {
+  const group = new ChangedGroup();
+  group.states.set('b', logUpTo(119));
+  group.states.set('c', logUpTo(120));
+  group.onAppoint = (instance) => {
+    const state = instance === 'c' ? logUpTo() : group.states.get(instance)!;
+    group.states.set(instance, { ...state, role: 'primary', term: 3 + group.appointed.length });
+  };
+  void group.change(119);
+  group.confirmAll();
+  await group.run(TRIES_MS);
+  t.same(group.appointed, ['c', 'b']);
+  const entry = {
+    epoch: 3,
+    primary: 'b',
+    leastPosition: { term: 3, sequence: 119 },
+  };
+  t.match(group.catalog.group('g'), entry);
+});
+
+void t.test('a new incarnation counts once it holds what the primary held', async (t) => {
+  const group = new ChangedGroup();
+  const { catalog, scheduler } = group;
+  group.states.set('a', logUpTo(120, 'primary'));
+  group.states.set('c', logUpTo(110));
+  group.tell('c', 2000, 1);
+  const caughtUp = new CaughtUpMembers({
+    clock: { now: () => scheduler.now, setTimer: () => ({ cancel: () => undefined }) },
+    catalog,
+    administrator: { status: ({ id }) => Promise.resolve(group.states.get(id)) },
+    log: () => undefined,
+    isLeading: () => true,
+  });
+  const isCaughtUp = async (): Promise<boolean> => {
+    await caughtUp.look();
+    return caughtUp.has(catalog.instance('c')!);
+  };
+  t.notOk(await isCaughtUp());
+  group.states.set('a', logUpTo());
+  group.states.set('c', logUpTo(120));
+  t.ok(await isCaughtUp(), 'the position that the primary told counts, whatever becomes of it');
+  group.tell('c', 3000, 1);
+  t.notOk(await isCaughtUp(), 'the next incarnation, while the primary itself started again');
+  t.notOk(caughtUp.has(catalog.instance('c')!));
+});
+
+void t.test('which entries tell of a new incarnation', (t) => {
+  const known = { born: 2000, sequence: 9, incarnation: 4, state: InstanceState.READY };
+  const order = (told: whinyoke.IInstanceEntry, change = {}): string =>
+    orderOf({ ...known, ...change }, told);
+  const isGone = { state: InstanceState.GONE };
+  t.equal(order({ born: 2000, sequence: 9 }), 'same');
+  t.equal(order({ born: 2000, sequence: 8 }), 'late');
+  t.equal(order({ born: 2001, sequence: 1 }), 'next');
+  t.equal(order({ born: 1999, sequence: 99 }), 'late', 'of the one before');
+  t.equal(order({ born: 1999, sequence: 1, incarnation: 5 }), 'next', 'a clock was set back');
+  t.equal(order({ born: 1999, sequence: 1, incarnation: 4 }), 'late', 'another was faster');
+  t.equal(order({ sequence: 10 }), 'same', 'it said it once and does not now');
+  t.equal(order({ sequence: 8 }), 'late');
+  t.equal(order({ born: 2000, sequence: 10 }, isGone), 'late');
+  t.equal(order({ born: 2001, sequence: 1 }, isGone), 'next', 'it comes back');
+  t.equal(order({ sequence: 10 }, isGone), 'late', 'gone for good, as ever');
+  t.equal(order({ born: 2000, sequence: 10 }, { born: 0 }), 'same', 'it begins to tell');
+  t.equal(order({ born: 2000, sequence: 1 }, { born: 0 }), 'next');
+  t.end();
+});
+
+/** A leader that takes heartbeats, without others at any address. */
+function leader(): {
+  readonly group: ChangedGroup;
+  readonly say: (
+    told: whinyoke.IInstanceEntry,
+    leaves?: boolean,
+  ) => Promise<whinyoke.InstanceState | null | undefined>;
+} {
+  const group = new ChangedGroup();
+  const { catalog, monitor, scheduler } = group;
+  const clock = { now: () => scheduler.now, setTimer: () => ({ cancel: () => undefined }) };
+  const fail = (): Promise<never> => Promise.reject(new Error('unused'));
+  const service = new CatalogService({
+    clock,
+    messenger: { request: fail, serve: () => undefined },
+    node: { role: 'leader', leadsWithState: true } as unknown as RaftNode,
+    catalog,
+    monitor,
+    claims: new AddressClaims(clock, catalog, monitor, { connect: fail }),
+    propose: (command) => Promise.resolve(group.apply(command)),
+    log: () => undefined,
+  });
+  const say = async (told: whinyoke.IInstanceEntry, leaves = false) => {
+    const instance = { id: 'b', group: 'g', address: 'b', ...told };
+    const { outcome } = await service.submit({ beat: { instance, leaves } });
+    t.equal(outcome, CatalogOutcome.DONE);
+    return catalog.instance('b')?.state;
+  };
+  return { group, say };
+}
+
+void t.test('late messages of an incarnation that ended change nothing', async (t) => {
+  const { group, say } = leader();
+  const present = { born: 2000, incarnation: 1, address: 'new', state: InstanceState.READY };
+  await say({ born: 2000, sequence: 1, address: 'new' });
+  t.match(group.catalog.instance('b'), present);
+  await say({ born: 1000, sequence: 51, address: 'b' });
+  t.match(group.catalog.instance('b'), present, 'a heartbeat');
+  await say({ born: 1000 }, true);
+  t.match(group.catalog.instance('b'), present, 'a deregister');
+  t.ok(group.monitor.hasHeardSince('b', 2000, 0));
+  t.equal(await say({ born: 2000 }, true), InstanceState.GONE, 'its own counts');
+  t.equal(
+    await say({ born: 2000, sequence: 2 }),
+    InstanceState.GONE,
+    'its late heartbeat does not',
+  );
+  t.equal(await say({ born: 3000, sequence: 1 }), InstanceState.READY, 'it comes back');
+  t.equal(group.catalog.instance('b')?.incarnation, 2);
+});
+
+void t.test('an earlier start time is believed after the silence of the known one', async (t) => {
+  const { group, say } = leader();
+  await say({ born: 900, sequence: 1 });
+  t.match(group.catalog.instance('b'), { born: 1000, incarnation: 0 });
+  await group.run(3001);
+  await say({ born: 900, sequence: 2 });
+  t.match(group.catalog.instance('b'), { born: 900, incarnation: 1 });
+  await say({ born: 1000, sequence: 52 });
+  t.match(
+    group.catalog.instance('b'),
+    { born: 1000, incarnation: 2 },
+    'it was late: nothing is lost',
+  );
+});
+
+void t.test('a snapshot keeps which incarnations there are', (t) => {
+  const group = new ChangedGroup();
+  const steadySince = group.catalog.group('g')!.steadySince!;
+  group.tell('c', 2000, 1);
+  const copy = new Catalog();
+  copy.restore(9, group.catalog.serialize());
+  t.same(copy.serialize(), group.catalog.serialize());
+  t.match(copy.instance('c'), { born: 2000, incarnation: 1 });
+  t.ok(copy.incarnationBegan('c') > steadySince);
+  t.equal(copy.incarnationBegan('b'), 0);
+  group.apply({ putInstance: { id: 'c', group: 'other', born: 3000, sequence: 1 } });
+  t.ok(group.catalog.hasLostInstanceSince('g', steadySince), 'it started again in another group');
+  t.end();
+});
