Proxies: connections, leases and relayed statements are of one incarnation

Cause: a proxy kept connections, load and trust of an instance that had started again under its identifier; a primary that is empty again could answer under the lease of its former incarnation before control has begun to replace it. Change: a new incarnation gets a new access; connections in use are closed, so what waits is told as lost or in doubt. The lease on an epoch ends for good when the catalog names another incarnation of its primary, or when a connection or an answer shows an empty log where the epoch's was not; that is reported as NOT_PRIMARY. Requests to owners name the incarnation, and owners run nothing that is meant for another. Replicas that started again while they were asked confirm no lease. Control takes no position of an empty primary. Checks: routes in connection_owners.test.ts name their incarnation, since the type asks for it. Ruled out: comparing the position at the start of a connection with the epoch's (a primary that has not applied everything yet would lose its lease); an answer without a position tells nothing.

--- a/src/appointed/connections/instance_directory.ts
+++ b/src/appointed/connections/instance_directory.ts
@@ -2,8 +2,8 @@
  * The instances that a proxy knows by the catalog, and the access to each of them. Makes a pool for each, with the settings
  * that its proxy gives, and writes what happens in pools to the log.
  *
- * Owns the entries, the accesses and their pools. Relies on the catalog being current: instances that are gone lose their
- * pool, new ones get one. What fails in a pool is passed on to the proxy.
+ * Owns the entries, the accesses and their pools. Relies on the catalog being current: instances that are gone, or started
+ * again, lose their pool, new ones get one. What fails in a pool is passed on to the proxy.
  */
 import type { InstanceEntry } from '../catalog/catalog.js';
 import { Events } from '../../observability/events.js';
@@ -51,6 +51,8 @@
   readonly liveProxies: () => number;
   /** A connection could not be opened. */
   onConnectFailed(target: InstanceTarget, error: ConnectError): void;
+  /** An instance started again: its former incarnation is over. */
+  onStartedAgain(former: InstanceTarget, incarnation: number): void;
   /** A connection was opened; the instance named its position after `startedAt`. */
   onOpened(target: InstanceTarget, position: Position, startedAt: number): void;
 }
@@ -95,9 +97,12 @@
       if (instance.state === InstanceState.GONE) this.entries.delete(id);
       else this.entries.set(id, instance);
     }
-    for (const [id, { local }] of this.accesses) {
-      if (this.entries.has(id)) continue;
-      local.close();
+    for (const [id, access] of this.accesses) {
+      const instance = this.entries.get(id);
+      const isSame = instance && (instance.incarnation ?? 0) === access.incarnation;
+      if (isSame) continue;
+      if (instance) this.endIncarnation(access, instance);
+      access.local.close();
       this.accesses.delete(id);
     }
     for (const [id, instance] of this.entries) {
@@ -135,6 +140,19 @@
     for (const { local } of this.accesses.values()) local.close();
   }
 
+  /** No answer of an incarnation that ended can come any more: whoever waits for one is told so. */
+  private endIncarnation(access: InstanceAccess, { id, group, incarnation }: InstanceEntry): void {
+    this.surroundings.log(Events.instanceReplaced, {
+      instance: id ?? '',
+      group: group ?? '',
+      former: access.incarnation,
+      incarnation: incarnation ?? 0,
+      connections: access.local.size,
+    });
+    access.abandonInUse();
+    this.surroundings.onStartedAgain(access.local.target, incarnation ?? 0);
+  }
+
   private createAccess(instance: InstanceEntry): InstanceAccess {
     const pool = this.createPool(instance);
     return new InstanceAccess(pool, this.surroundings.ownAddress, this.relaying, (tenant) =>
@@ -150,7 +168,8 @@
   private createPool(instance: InstanceEntry): InstancePool {
     const { runtime, connector, liveProxies } = this.surroundings;
     const { id, group, address } = instance;
-    const target = { id: id ?? '', group: group ?? '', address: address ?? '' };
+    const incarnation = instance.incarnation ?? 0;
+    const target = { id: id ?? '', group: group ?? '', address: address ?? '', incarnation };
     const options: PoolOptions = {
       share: () => this.owners.shareOf(this.ownedInstance(instance), liveProxies()),
       slots: () => this.entries.get(target.id)?.slots || UNKNOWN_SLOTS,
--- a/src/appointed/control/primary_position_cache.ts
+++ b/src/appointed/control/primary_position_cache.ts
@@ -8,6 +8,7 @@
  */
 import type { Catalog, GroupEntry } from '../catalog/catalog.js';
 import { targetOf } from '../failover/instance_administrator.js';
+import { isEmptyAgain } from '../leases/epoch_primary.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { InstanceConnector } from '../instance/instance_connection.js';
 import type { Clock } from '../../runtime/runtime.js';
@@ -100,14 +101,15 @@
   private async ask(entry: GroupEntry): Promise<void> {
     const group = entry.group ?? '';
     const instance = this.catalog.instance(entry.primary ?? '');
-    if (!instance) return;
+    const isOfEpoch = (instance?.incarnation ?? 0) === (entry.primaryIncarnation ?? 0);
+    if (!instance || !isOfEpoch) return;
     this.asking.add(group);
     const askedAt = this.clock.now();
     try {
       const target = targetOf(instance);
       const { connection, position } = await this.connector.connect(target, CONNECT_TIMEOUT_MS);
       connection.close();
-      if (position && this.isLeading()) {
+      if (position && this.isLeading() && !isEmptyAgain(entry, position)) {
         this.keep(group, { epoch: entry.epoch ?? 0, position, askedAt });
       }
     } catch {
--- a/src/appointed/instance/instance_connection.ts
+++ b/src/appointed/instance/instance_connection.ts
@@ -75,6 +75,8 @@
   readonly group: string;
   /** Host and port. */
   readonly address: string;
+  /** Number of the incarnation that is meant, in the catalog; the first one when left out. The wire does not tell it. */
+  readonly incarnation?: number;
 }
 
 /** How a connection attempt failed. */
--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -15,6 +15,7 @@
   InstanceTarget,
 } from '../instance/instance_connection.js';
 import type { ReadCandidate } from '../routing/replica_selector.js';
+import { distrustEmptyPrimary, distrustOtherIncarnation } from '../trust/primary_incarnation.js';
 import type { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
 import type { PrimaryLeases } from '../trust/primary_leases.js';
 import type { ConfirmingReplica } from '../trust/replica_lease_confirmer.js';
@@ -45,6 +46,7 @@
 
   constructor(private readonly surroundings: InstancesSurroundings) {
     const { runtime, ownAddress, connector, log, document, fleet } = surroundings;
+    const { clock } = runtime;
     this.directory = new InstanceDirectory({
       runtime,
       ownAddress,
@@ -55,6 +57,8 @@
       tenantRate: (tenant) => document.table?.tenants.named(tenant)?.limit?.ratePerSecond,
       liveProxies: () => fleet.liveProxies,
       onConnectFailed: (target, error) => this.onConnectFailed(target, error),
+      onStartedAgain: ({ id, group }, incarnation) =>
+        distrustOtherIncarnation({ ...surroundings, clock }, group, id, incarnation),
       onOpened: (target, position, startedAt) => this.onOpened(target, position, startedAt),
     });
   }
@@ -136,8 +140,10 @@
     const { leases, primaryHealth, positions, runtime } = this.surroundings;
     const { epoch, primary } = leases.entryOf(group) ?? {};
     if (primary !== instance || epoch === undefined || epoch === null) return;
-    if (!leases.accepts(group, epoch, runtime.clock.now())) return;
-    primaryHealth.of(group, epoch).opened(runtime.clock.now());
+    const { clock } = runtime;
+    if (distrustEmptyPrimary({ ...this.surroundings, clock }, group, epoch, position)) return;
+    if (!leases.accepts(group, epoch, clock.now())) return;
+    primaryHealth.of(group, epoch).opened(clock.now());
     positions.noteFromPrimary(group, epoch, startedAt, position);
   }
 
--- a/src/appointed/relay/instance_access.ts
+++ b/src/appointed/relay/instance_access.ts
@@ -28,6 +28,11 @@
     private readonly ownersFor: (tenant: string) => readonly string[],
   ) {}
 
+  /** Number of the incarnation that it leads to. */
+  get incarnation(): number {
+    return this.local.target.incarnation ?? 0;
+  }
+
   /** Whether requests queue at a connection owner. */
   get queuesAtOwner(): boolean {
     return this.ownersFor(NO_TENANT).length > 0;
@@ -50,6 +55,7 @@
     const others = owners.filter((address) => address !== this.ownAddress);
     const route = {
       instance: this.local.target.id,
+      incarnation: this.incarnation,
       tenant: request.tenant,
       priority: request.priority,
       usefulMs: request.usefulMs,
--- a/src/appointed/relay/relay_server.ts
+++ b/src/appointed/relay/relay_server.ts
@@ -9,6 +9,7 @@
 import { Events } from '../../observability/events.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { InstancePool } from '../connections/instance_pool.js';
+import type { InstanceTarget } from '../instance/instance_connection.js';
 import type { ProxyContext } from '../proxy/proxy_context.js';
 import type { SessionContent } from '../sessions/session_loader.js';
 import {
@@ -23,6 +24,9 @@
 
 const { RelayOutcome } = whinyoke;
 
+/** An instance that is reached by connections of this process. */
+type LocalTarget = Target & { readonly pool: InstancePool };
+
 /** A connection that another proxy's transaction keeps. */
 interface KeptConnection {
   readonly held: HeldConnection;
@@ -105,6 +109,7 @@
     const target = isLeaving ? undefined : this.targetOf(request.instance ?? '');
     if (!target)
       return { outcome: RelayOutcome.NOT_HOME, cause: 'the instance is not served here' };
+    if (!isMeant(request, target.pool.target)) return notRun('another incarnation is meant');
     return this.runNew(target, request, command, waitMs, timeoutMs);
   }
 
@@ -115,7 +120,7 @@
     return { outcome: RelayOutcome.ANSWERED };
   }
 
-  private targetOf(instance: string): Target | undefined {
+  private targetOf(instance: string): LocalTarget | undefined {
     const pool = this.poolOf(instance);
     if (!pool) return undefined;
     const { group } = pool.target;
@@ -191,6 +196,12 @@
   }
 }
 
+/** A request that names no incarnation, or the first one, means the one that is served. */
+function isMeant(request: whinyoke.IRelayRequest, { incarnation }: InstanceTarget): boolean {
+  const meant = request.instanceIncarnation ?? 0;
+  return meant === 0 || meant === (incarnation ?? 0);
+}
+
 /** Reply that nothing ran, here or elsewhere. */
 function notRun(cause: string): whinyoke.IRelayReply {
   return { outcome: RelayOutcome.NOT_RUN_HERE, cause };
--- a/src/appointed/relay/relayed_connection.ts
+++ b/src/appointed/relay/relayed_connection.ts
@@ -26,6 +26,8 @@
 export interface RelayedRoute {
   /** Identifier of the instance. */
   readonly instance: string;
+  /** Number of its incarnation. */
+  readonly incarnation: number;
   /** Undefined for statements of the system itself. */
   readonly tenant: string | undefined;
   /** 0 is the most urgent. */
@@ -182,9 +184,11 @@
   }
 
   private requestFor(command: RelayedCommand, timeoutMs: number): whinyoke.IRelayRequest {
-    const { instance, tenant, priority, waitMs, usefulMs = LONGEST_USEFUL_MS } = this.route;
+    const { instance, incarnation, tenant, priority, waitMs } = this.route;
+    const { usefulMs = LONGEST_USEFUL_MS } = this.route;
     return {
       instance,
+      instanceIncarnation: incarnation,
       tenant,
       anyTenant: tenant === undefined,
       priority,
--- a/src/appointed/sessions/statement_runner.ts
+++ b/src/appointed/sessions/statement_runner.ts
@@ -15,6 +15,7 @@
 import { type SessionContent, loadingSteps, recordLoaded } from './session_loader.js';
 import type { InstanceCommand } from '../instance/statement.js';
 import type { AttemptFailure } from '../routing/refusal_cause.js';
+import { distrustEmptyPrimary } from '../trust/primary_incarnation.js';
 import type { Target } from '../routing/target_planner.js';
 
 const { PrimaryHealth } = whinyoke;
@@ -189,9 +190,8 @@
     sentAt: number,
     isTimed: boolean,
   ): void {
-    const { clock, leases } = this.context;
-    const { group, primaryEpoch: epoch, pool } = held.target;
-    const now = clock.now();
+    const { primaryEpoch: epoch, pool } = held.target;
+    const now = this.context.clock.now();
     if (answer.position) pool.load.notePosition(answer.position);
     if (answer.error?.kind === 'lagging') pool.load.noteLagging(now);
     if (answer.error?.kind === 'busy') pool.noteBusy(held.pooled);
@@ -200,11 +200,23 @@
       pool.noteServed(held.pooled);
     }
     if (answer.error && FAILING_KINDS.has(answer.error.kind)) pool.load.noteRefusal(now);
-    if (epoch === undefined) return;
-    if (answer.error?.kind === 'readOnly' && !held.pooled.isRelayed) {
-      this.context.primaryHealth.of(group, epoch).failed(PrimaryHealth.NOT_PRIMARY, now);
-    } else if (answer.position && leases.accepts(group, epoch, now)) {
-      this.context.positions.noteFromPrimary(group, epoch, sentAt, answer.position);
+    if (epoch !== undefined) this.reportPrimary(held, epoch, answer, sentAt);
+  }
+
+  /** Reports what an answer of the primary of an epoch tells of it. */
+  private reportPrimary(
+    { target: { group }, pooled }: HeldConnection,
+    epoch: number,
+    { error, position }: InstanceAnswer,
+    sentAt: number,
+  ): void {
+    const { clock, leases, primaryHealth, positions } = this.context;
+    const now = clock.now();
+    if (error?.kind === 'readOnly' && !pooled.isRelayed) {
+      primaryHealth.of(group, epoch).failed(PrimaryHealth.NOT_PRIMARY, now);
+    } else if (position && leases.accepts(group, epoch, now)) {
+      if (distrustEmptyPrimary(this.context, group, epoch, position)) return;
+      positions.noteFromPrimary(group, epoch, sentAt, position);
     }
   }
 }
--- a/src/appointed/trust/group_lease.ts
+++ b/src/appointed/trust/group_lease.ts
@@ -36,6 +36,8 @@
   endedEpoch: number;
   /** Newest epoch whose confirmation control has taken. */
   confirmedEpoch: number;
+  /** Epoch whose primary has started again: it gets no lease any more. */
+  distrustedEpoch: number;
 }
 
 /**
@@ -85,6 +87,7 @@
     commitsUnderWay: known?.commitsUnderWay ?? 0,
     endedEpoch: known?.endedEpoch ?? 0,
     confirmedEpoch: known?.confirmedEpoch ?? 0,
+    distrustedEpoch: known?.distrustedEpoch ?? 0,
   };
 }
 
@@ -93,6 +96,11 @@
   return leaseUntil !== -Infinity && entry.phase !== whinyoke.GroupPhase.CHANGING;
 }
 
+/** Whether the present epoch may be leased: it is not being revoked, and its primary has not started again. */
+export function isLeasable({ entry, distrustedEpoch }: GroupLease): boolean {
+  return entry.phase !== whinyoke.GroupPhase.CHANGING && entry.epoch !== distrustedEpoch;
+}
+
 /** Whether a statement may be sent to the primary at `now`: the lease will outlast a short answer. */
 export function isUsable({ leaseUntil }: GroupLease, now: number): boolean {
   return now < leaseUntil - SEND_MARGIN_MS;
--- a/src/appointed/trust/primary_leases.ts
+++ b/src/appointed/trust/primary_leases.ts
@@ -9,6 +9,7 @@
 import {
   type GroupLease,
   isAnswerCounted,
+  isLeasable,
   isLeased,
   isRevocationDue,
   isUsable,
@@ -47,10 +48,10 @@
     }
   }
 
-  /** Extends the leases of all present epochs, but of those that are being revoked. */
+  /** Extends the leases of all present epochs, but of those that are being revoked or whose primary has started again. */
   extendAll(until: number): void {
     for (const lease of this.groups.values()) {
-      if (lease.entry.phase === whinyoke.GroupPhase.CHANGING) continue;
+      if (!isLeasable(lease)) continue;
       lease.leaseUntil = Math.max(lease.leaseUntil, until);
     }
     this.wakeWaiters();
@@ -64,6 +65,16 @@
     this.wakeWaiters();
   }
 
+  /** Ends the lease on the primary of an epoch for good: it has started again. Returns whether that was not known. */
+  distrust(group: string, epoch: number): boolean {
+    const lease = this.groups.get(group);
+    if (!lease || lease.distrustedEpoch >= epoch) return false;
+    if (lease.ending?.epoch === epoch) lease.ending = undefined;
+    if (lease.entry.epoch === epoch) lease.leaseUntil = -Infinity;
+    lease.distrustedEpoch = epoch;
+    return true;
+  }
+
   /** Names of all known groups, in order. */
   get groupNames(): readonly string[] {
     this.sortedNames ??= [...this.groups.keys()].sort(compareNames);
--- a/src/appointed/trust/replica_lease_confirmer.ts
+++ b/src/appointed/trust/replica_lease_confirmer.ts
@@ -157,14 +157,24 @@
     const replicas = this.surroundings.replicasOf(group);
     const answers = await Promise.all(replicas.map((replica) => this.statusOf(replica)));
     rounds.isUnderWay = false;
-    const objections = answers.map((answer) => objectionOf(answer, term ?? 0));
     const objection =
-      replicas.length === 0 ? 'no replica is known' : objections.find((text) => text !== undefined);
+      this.objectionTo(group, replicas) ??
+      answers.map((answer) => objectionOf(answer, term ?? 0)).find((text) => text !== undefined);
     const until = rounds.startedAt + REPLICA_LEASE_MS;
     if (objection === undefined) leases.extend(group, epoch ?? 0, until);
     this.logOutcome(group, rounds, objection ?? CONFIRMED);
   }
 
+  /** Why the replicas that were asked are not, or no longer, those of the group. */
+  private objectionTo(group: string, asked: readonly ConfirmingReplica[]): string | undefined {
+    if (asked.length === 0) return 'no replica is known';
+    const present = new Map(
+      this.surroundings.replicasOf(group).map(({ instance, pool }) => [instance, pool]),
+    );
+    const changed = asked.find(({ instance, pool }) => present.get(instance) !== pool);
+    return changed && `${changed.instance} left or started again`;
+  }
+
   private async statusOf({ instance, pool }: ConfirmingReplica): Promise<ReplicaAnswer> {
     if (!pool) return { instance, problem: 'not connected' };
     let pooled: PooledConnection | undefined;
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -284,6 +284,20 @@
     'an instance that was not known told an address at which another one is',
     '`claim` refused: the one at the address is another; a late heartbeat. unclear: it could not be asked, and is again.',
   ),
+  instanceReplaced: define(
+    250,
+    'instance_replaced',
+    'warn',
+    'an instance started again; the connections to its former incarnation were closed',
+    '`former` and `incarnation` are its numbers in the catalog. What was under way there is told as lost or in doubt.',
+  ),
+  primaryStartedAgain: define(
+    251,
+    'primary_started_again',
+    'warn',
+    'the primary of a group started again; this proxy has ended its lease on that epoch',
+    '`sign` is what showed it. Control replaces it; if no 330 and 310 follow there, look at that instance.',
+  ),
   instanceStartedAgain: define(
     330,
     'instance_started_again',
--- a/test/unit/connection_owners.test.ts
+++ b/test/unit/connection_owners.test.ts
@@ -108,6 +108,7 @@
   const owners = Object.keys(said);
   const route = {
     instance: 'i',
+    incarnation: 0,
     tenant: 'ana',
     priority: 1,
     usefulMs: undefined,
@@ -186,6 +187,7 @@
     const health = new OwnerHealth(STILL_CLOCK, messenger);
     const route = {
       instance: 'i',
+      incarnation: 0,
       tenant: 'ana',
       priority: 1,
       usefulMs: undefined,
--- /dev/null
+++ b/test/unit/incarnations_at_proxies.test.ts
@@ -0,0 +1,156 @@
+/** Instances that start again, as proxies see it: connections, leases on primaries, relayed statements. */
+import t from 'tap';
+import { encodeRelayCommand } from '../../src/appointed/relay/relay_codec.js';
+import { RelayServer } from '../../src/appointed/relay/relay_server.js';
+import type { DocumentInForce } from '../../src/appointed/proxy/document_in_force.js';
+import { FleetDirectory } from '../../src/appointed/proxy/fleet_directory.js';
+import { PrimaryPositions } from '../../src/appointed/proxy/primary_positions.js';
+import type { ProxyContext } from '../../src/appointed/proxy/proxy_context.js';
+import { ProxyInstances } from '../../src/appointed/proxy/proxy_instances.js';
+import { TenantDirectory } from '../../src/appointed/tenancy/tenant.js';
+import { PrimaryHealthTrackers } from '../../src/appointed/trust/primary_health_trackers.js';
+import { PrimaryLeases } from '../../src/appointed/trust/primary_leases.js';
+import { ReplicaLeaseConfirmer } from '../../src/appointed/trust/replica_lease_confirmer.js';
+import type { InstanceAnswer } from '../../src/appointed/instance/instance_connection.js';
+import { type Position, START } from '../../src/positions/position.js';
+import { whinyoke } from '../../src/protocol/generated/messages.js';
+import type { Runtime } from '../../src/runtime/runtime.js';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
+import { FakeConnection } from '../tools/fake_connection.js';
+import { logUpTo } from '../tools/changed_group.js';
+
+const { GroupPhase, PrimaryHealth, RelayOutcome } = whinyoke;
+const ANYBODY = { tenant: '', values: new Map<string, string>(), priority: 0 };
+const WAIT_MS = 100;
+const LEASE_MS = 3000;
+
+/** A proxy that holds a lease on instance a of group g, whose replica is b; instances open connections at `position`. */
+function proxyAt(position: Position) {
+  const connections: FakeConnection[] = [];
+  const events: string[] = [];
+  const connector = {
+    connect: () => {
+      const connection = new FakeConnection();
+      connections.push(connection);
+      return Promise.resolve({ connection, position });
+    },
+  };
+  const clock = { now: () => 0, setTimer: () => ({ cancel: () => undefined }) };
+  const runtime = {
+    clock,
+    random: new SeededRandom(1),
+    messenger: { request: () => Promise.reject(new Error('unused')), serve: () => undefined },
+  } as unknown as Runtime;
+  const limits = { group: 'g', connectionLimit: 8 };
+  const table = { limitsByGroup: new Map([['g', limits]]), tenants: new TenantDirectory([]) };
+  const leases = new PrimaryLeases();
+  const primaryHealth = new PrimaryHealthTrackers(leases);
+  const log = ({ name }: { name: string }): void => void events.push(name);
+  const instances = new ProxyInstances({
+    runtime,
+    ownAddress: 'p:1',
+    connector,
+    log,
+    document: { table } as unknown as DocumentInForce,
+    fleet: new FleetDirectory(),
+    leases,
+    primaryHealth,
+    positions: new PrimaryPositions(clock, leases),
+  });
+  const lead = (epoch: number, primaryIncarnation: number): void => {
+    const entry = { group: 'g', epoch, phase: GroupPhase.STEADY, primary: 'a', term: 3 };
+    const leastPosition = { term: 3, sequence: 90 };
+    leases.update([{ ...entry, primaryIncarnation, leastPosition }], 0);
+    leases.extendAll(LEASE_MS);
+  };
+  const tell = (id: string, incarnation: number): void =>
+    instances.adopt({ instances: [{ id, group: 'g', address: id, incarnation }] });
+  tell('a', 0);
+  tell('b', 0);
+  lead(1, 0);
+  return { clock, connections, events, instances, leases, primaryHealth, lead, tell, log };
+}
+
+void t.test('connections and load of an incarnation end with it', async (t) => {
+  const { events, instances, leases, tell } = proxyAt({ term: 3, sequence: 95 });
+  const former = instances.connectionsTo('b')!;
+  const inUse = await former.acquire(ANYBODY, WAIT_MS);
+  former.load.noteFailure(0);
+  tell('b', 1);
+  t.ok(inUse.connection.closed, 'also those in use');
+  const present = instances.connectionsTo('b')!;
+  t.not(present, former);
+  t.notOk(present.load.isEjected(1));
+  await t.rejects(former.acquire(ANYBODY, WAIT_MS), 'the former way leads nowhere');
+  t.ok(events.includes('instance_replaced'));
+  t.ok(leases.hasLease(0), 'the primary is another instance');
+  tell('b', 1);
+  t.equal(instances.connectionsTo('b'), present, 'the same incarnation keeps its connections');
+});
+
+void t.test('a primary that started again has no lease in its epoch any more', (t) => {
+  const { leases, lead, tell } = proxyAt(START);
+  tell('a', 1);
+  t.notOk(leases.accepts('g', 1, 0), 'answers do not count');
+  leases.extendAll(LEASE_MS);
+  leases.extend('g', 1, LEASE_MS);
+  t.notOk(leases.hasLease(0), 'neither control nor replicas extend it');
+  lead(3, 1);
+  t.ok(leases.hasLease(0), 'the next epoch is for the new incarnation');
+  t.end();
+});
+
+void t.test('a primary that opens a connection without its log is not trusted', async (t) => {
+  const { instances, leases, primaryHealth, clock } = proxyAt(START);
+  await instances.connectionsTo('a')!.acquire(ANYBODY, WAIT_MS);
+  t.notOk(leases.hasLease(0));
+  t.equal(primaryHealth.of('g', 1).opinion(clock.now())?.health, PrimaryHealth.NOT_PRIMARY);
+});
+
+void t.test('a primary that opens a connection with its log is trusted', async (t) => {
+  const { instances, leases } = proxyAt({ term: 3, sequence: 89 });
+  await instances.connectionsTo('a')!.acquire(ANYBODY, WAIT_MS);
+  t.ok(leases.hasLease(0), 'what it has not applied yet is not missing');
+});
+
+void t.test('replicas that start again while they are asked confirm no lease', async (t) => {
+  const { clock, leases, instances, tell, log, connections } = proxyAt({ term: 3, sequence: 95 });
+  const status = logUpTo(95);
+  const answer: InstanceAnswer = { rows: [], signature: '-', state: 'idle', status };
+  const confirmer = new ReplicaLeaseConfirmer({
+    clock,
+    leases,
+    log,
+    replicasOf: (group) => instances.replicasOf(group),
+  });
+  const pool = instances.localPool('b')!;
+  pool.release(await pool.acquire(ANYBODY, WAIT_MS));
+  let reply: (given: InstanceAnswer) => void = () => undefined;
+  const answered = new Promise<InstanceAnswer>((resolve) => (reply = resolve));
+  connections[0]!.run = () => answered as Promise<never>;
+  confirmer.maintain(2000);
+  await new Promise(setImmediate);
+  tell('b', 1);
+  reply(answer);
+  await new Promise(setImmediate);
+  t.notOk(leases.accepts('g', 1, LEASE_MS), 'the lease was not extended');
+  t.ok(leases.accepts('g', 1, LEASE_MS - 1));
+});
+
+void t.test('an owner runs nothing that is meant for another incarnation', async (t) => {
+  const { clock, instances, leases, tell, log } = proxyAt(START);
+  const context = { clock, leases, log } as unknown as ProxyContext;
+  const server = new RelayServer(context, (id) => instances.localPool(id), 'run');
+  tell('b', 2);
+  const outcomeFor = async (instanceIncarnation: number): Promise<string> => {
+    const command = encodeRelayCommand({ kind: 'status' });
+    const times = { waitMs: WAIT_MS, timeoutMs: WAIT_MS };
+    const request = { instance: 'b', instanceIncarnation, command, ...times, anyTenant: true };
+    const { outcome, cause } = await server.handle(request, false);
+    return `${RelayOutcome[outcome!]} ${cause ?? ''}`;
+  };
+  t.match(await outcomeFor(1), /NOT_RUN_HERE another incarnation/);
+  t.match(await outcomeFor(3), /NOT_RUN_HERE another incarnation/);
+  t.notMatch(await outcomeFor(2), /another incarnation/);
+  t.notMatch(await outcomeFor(0), /another incarnation/, 'a proxy of an older program names none');
+});
