Instances that start again empty: simulated, and two holes closed that this found

Cause: the simulator got instances that come back empty under their identifier (deployment appointed-incarnations, four kinds of faults, protection instance-lives). Change: (1) a proxy compares each position of a primary with the newest one that the primary had told before it was asked; floors and the leader's positions never go down within an epoch. (2) the leader keeps a connection open to each instance that tells born; a replica's answer counts only on such a connection, opened 2 s or more before a heartbeat of the known incarnation came. Entries name a least position only where the primary tells born, so all else is as before. Ruled out: position of the epoch's begin as a test for replicas (too weak where an epoch lasts); a heartbeat after each answer (1 to 3 s in every change).

--- a/lab/appointed/appointed_deployment.ts
+++ b/lab/appointed/appointed_deployment.ts
@@ -16,6 +16,8 @@
   readonly lagMs: number;
   readonly workMs: number;
   readonly callers: number;
+  /** Whether instances tell when they started, and may start again empty under their identifier. */
+  readonly tellsBorn?: boolean;
   /** Tenants of the callers; undefined where callers need no credential. */
   readonly tenancy?: TenancyOfDeployment;
 }
@@ -85,7 +87,18 @@
   },
 };
 
+/** Instances that may start again empty under their identifier. */
+export const APPOINTED_INCARNATIONS: AppointedDeployment = {
+  ...APPOINTED_QUETZAL,
+  name: 'appointed-incarnations',
+  lagMs: 30,
+  tellsBorn: true,
+};
+
 /** All, by name. */
 export const APPOINTED_DEPLOYMENTS: ReadonlyMap<string, AppointedDeployment> = new Map(
-  [APPOINTED_QUETZAL, APPOINTED_TOPLINA, APPOINTED_TENANTS].map((item) => [item.name, item]),
+  [APPOINTED_QUETZAL, APPOINTED_TOPLINA, APPOINTED_TENANTS, APPOINTED_INCARNATIONS].map((item) => [
+    item.name,
+    item,
+  ]),
 );
--- a/lab/appointed/appointed_faults.ts
+++ b/lab/appointed/appointed_faults.ts
@@ -34,12 +34,26 @@
 /** Kinds of faults of deployments with tenants; the others keep theirs, so that their seeds keep their meaning. */
 const TENANT_FAULTS = ['renew-credential', 'swap-credentials', 'mute-connections'] as const;
 
+/** Kinds of faults of deployments whose instances may start again empty under their identifier. */
+const INCARNATION_FAULTS = [
+  'restart-empty-primary',
+  'restart-empty-replica',
+  'restart-empty-behind-cut',
+  'restart-empty-newest-replica',
+] as const;
+
 /** Kind of a fault. */
-export type AppointedFaultKind = (typeof APPOINTED_FAULTS)[number] | (typeof TENANT_FAULTS)[number];
+export type AppointedFaultKind =
+  | (typeof APPOINTED_FAULTS)[number]
+  | (typeof TENANT_FAULTS)[number]
+  | (typeof INCARNATION_FAULTS)[number];
 
 /** Kinds of faults that may strike a deployment. */
 export function faultsOf(deployment: AppointedDeployment): readonly AppointedFaultKind[] {
-  return deployment.tenancy ? [...APPOINTED_FAULTS, ...TENANT_FAULTS] : APPOINTED_FAULTS;
+  const kinds: AppointedFaultKind[] = [...APPOINTED_FAULTS];
+  if (deployment.tenancy) kinds.push(...TENANT_FAULTS);
+  if (deployment.tellsBorn) kinds.push(...INCARNATION_FAULTS);
+  return kinds;
 }
 
 /** Ends a fault. */
@@ -85,12 +99,36 @@
   return () => machines.forEach((machine) => machine.start());
 }
 
+/** Ends an instance, and starts it again, empty, a moment later. */
+function restartEmpty(
+  world: AppointedWorld,
+  group: EmulatedGroup,
+  machine: InstanceMachine | undefined,
+): EndFault | undefined {
+  if (!world.deployment.tellsBorn || !machine?.running || !group.canLose(machine)) return undefined;
+  machine.running.process.kill();
+  machine.lose(world.scheduler.now);
+  world.scheduler.schedule(RESTART_MS, () => group.startMachine(machine));
+  return () => undefined;
+}
+
+/** The replica that received most. */
+function newestReplica(group: EmulatedGroup): InstanceMachine | undefined {
+  const lengthOf = ({ storage }: InstanceMachine): number => storage.log.length;
+  return replicasOf(group).toSorted((left, right) => lengthOf(right) - lengthOf(left))[0];
+}
+
 /** Only one control machine is lost at a time, unless all keep their disks. */
 function pickControl(world: AppointedWorld, random: RandomSource): SimulatedMachine | undefined {
   if (world.coordinators.some((control) => !control.isUp)) return undefined;
   return pick(world.coordinators, random);
 }
 
+/** Time for which a replica receives nothing before the other one starts again, in milliseconds. */
+const DEAF_MS = 400;
+/** Time in which an instance starts again, in milliseconds. */
+const RESTART_MS = 30;
+
 const STARTERS: Readonly<Record<AppointedFaultKind, Starter>> = {
   'crash-primary': (world, random) => {
     const group = pick(world.groups, random);
@@ -207,6 +245,38 @@
     world.network.muteOpenStreams();
     return () => undefined;
   },
+  'restart-empty-primary': (world, random) => {
+    const group = pick(world.groups, random);
+    return restartEmpty(world, group, primaryOf(group));
+  },
+  'restart-empty-replica': (world, random) => {
+    const group = pick(world.groups, random);
+    const replicas = replicasOf(group);
+    if (replicas.length === 0) return undefined;
+    return restartEmpty(world, group, pick(replicas, random));
+  },
+  // Control hears of it only when the cut ends.
+  'restart-empty-behind-cut': (world, random) => {
+    const group = pick(world.groups, random);
+    const machine = pick(group.machines, random);
+    if (!restartEmpty(world, group, machine)) return undefined;
+    return cutBothWays(world, [machine.site.host], hostsOf(world.coordinators));
+  },
+  // While the other replica receives nothing, this one alone confirms; then it starts again, and the primary goes down.
+  'restart-empty-newest-replica': (world, random) => {
+    const group = pick(world.groups, random);
+    const primary = primaryOf(group);
+    const [deaf] = replicasOf(group).flatMap((item) => item.running ?? []);
+    if (!primary || !deaf || !group.canLose(primary)) return undefined;
+    deaf.isDeaf = true;
+    let restart: EndFault | undefined;
+    world.scheduler.schedule(DEAF_MS, () => {
+      const isLost = restartEmpty(world, group, newestReplica(group));
+      if (isLost && primary.running) restart = crash(group, primary);
+      deaf.isDeaf = false;
+    });
+    return () => restart?.();
+  },
 };
 
 /** An instance tells that it leaves, serves on, and takes it back at the end. */
--- a/lab/appointed/appointed_judge.ts
+++ b/lab/appointed/appointed_judge.ts
@@ -82,7 +82,8 @@
 
 interface Leadership {
   readonly at: number;
-  readonly instance: EmulatedInstance;
+  /** Log of the incarnation that leads; it appends to it, and one that starts again begins another. */
+  readonly log: readonly LogRecord[];
   readonly requests: ReadonlySet<string>;
 }
 
@@ -183,7 +184,7 @@
       if (commit.group !== group || requests.has(commit.request)) continue;
       this.add('lost', `${commit.request} of ${group} is not in the log of ${instance.options.id}`);
     }
-    this.leaderships.set(group, { at: this.now(), instance, requests });
+    this.leaderships.set(group, { at: this.now(), log: instance.storage.log, requests });
   }
 
   /** The platform was called with a fencing token. */
@@ -265,7 +266,7 @@
   }
 
   private isInLeadersLog(leadership: Leadership, request: string): boolean {
-    const { log } = leadership.instance.storage;
+    const { log } = leadership;
     return this.holds(log, log.length, request);
   }
 
--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -18,6 +18,8 @@
 import {
   type AppointedProtection,
   WeakenedConnector,
+  disableEmptyPrimaryCheck,
+  disableIncarnations,
   disableLease,
   disableQuota,
   disableReplicaLeases,
@@ -107,6 +109,7 @@
     if (surroundings.disabled.has('lease')) disableLease(core);
     if (surroundings.disabled.has('replica-witness')) disableReplicaLeases(core);
     if (surroundings.disabled.has('fleet-quota')) disableQuota(core);
+    if (surroundings.disabled.has('instance-lives')) disableEmptyPrimaryCheck(core);
     this.core = core;
     core.start();
     process.onEnd(() => core.stop());
@@ -151,6 +154,7 @@
     this.core = undefined;
     void AppointedControl.open(runtime, options).then(async (core) => {
       if (!process.alive) return;
+      if (surroundings.disabled.has('instance-lives')) disableIncarnations(core);
       this.core = core;
       process.onEnd(() => core.stop());
       await core.start();
--- a/lab/appointed/appointed_world.ts
+++ b/lab/appointed/appointed_world.ts
@@ -244,7 +244,7 @@
   }
 
   private createGroups(): EmulatedGroup[] {
-    const { groups, instances, slots, connectionLimit, workMs } = this.deployment;
+    const { groups, instances, slots, connectionLimit, workMs, tellsBorn } = this.deployment;
     const newRandom = (): SeededRandom => new SeededRandom(this.random.integer(0, MAXIMUM_SEED));
     return Array.from({ length: groups }, (_, groupIndex) => {
       const name = `group-${groupIndex + 1}`;
@@ -260,7 +260,8 @@
         },
       }));
       const { scheduler, network, judge } = this;
-      return new EmulatedGroup(name, sites, scheduler, network, judge, newRandom);
+      const isTold = tellsBorn ?? false;
+      return new EmulatedGroup(name, sites, scheduler, network, judge, newRandom, isTold);
     });
   }
 
@@ -282,7 +283,8 @@
         zone: options.zone,
         slots: options.slots,
         state: instance?.isLeaving === true ? InstanceState.DRAINING : InstanceState.READY,
-        sequence: this.nextSequence++,
+        sequence: this.deployment.tellsBorn ? ++machine.beats : this.nextSequence++,
+        born: machine.storage.born,
       },
       role: machine.storage.role === 'primary' ? InstanceRole.PRIMARY : InstanceRole.REPLICA,
     };
--- a/lab/appointed/disabled_protections.ts
+++ b/lab/appointed/disabled_protections.ts
@@ -9,6 +9,7 @@
   LONGEST_REPLICA_LEASE_SILENCE_MS,
   REPLICA_LEASE_MS,
 } from '../../src/appointed/leases/replica_lease.js';
+import type { AppointedControl } from '../../src/appointed/control/appointed_control.js';
 import type { AppointedProxy } from '../../src/appointed/proxy/appointed_proxy.js';
 import type { InstanceCommand } from '../../src/appointed/instance/statement.js';
 
@@ -21,6 +22,7 @@
   'tenant-binding',
   'credential-freshness',
   'fleet-quota',
+  'instance-lives',
 ] as const;
 
 /** One protection. */
@@ -84,6 +86,21 @@
   };
 }
 
+/** Makes control take all incarnations of an instance for the same one. */
+export function disableIncarnations(core: AppointedControl): void {
+  const submit = core.submit.bind(core);
+  core.submit = (request) => {
+    const { beat } = request;
+    if (!beat) return submit(request);
+    return submit({ beat: { ...beat, instance: { ...beat.instance, born: 0 } } });
+  };
+}
+
+/** Makes a proxy trust a primary that has started again until control tells of it. */
+export function disableEmptyPrimaryCheck({ leases }: AppointedProxy): void {
+  leases.distrust = () => false;
+}
+
 /** Makes a proxy run every operation of a tenant, whatever its limit. */
 export function disableQuota(core: AppointedProxy): void {
   core.allowances.take = () => ({ isGranted: true });
--- a/lab/appointed/emulated_group.ts
+++ b/lab/appointed/emulated_group.ts
@@ -17,6 +17,8 @@
   readonly host: string;
 }
 
+/** When the first incarnations started, in Unix milliseconds. */
+const FIRST_BORN = 1_800_000_000_000;
 /** Time that an appointment takes, in milliseconds. */
 const APPOINT_MS = 300;
 const REPLICATION_MS = 10;
@@ -26,13 +28,25 @@
 /** One machine with an instance. */
 export class InstanceMachine {
   readonly storage: InstanceStorage;
+  /** Heartbeats that its incarnation has sent. */
+  beats = 0;
   current: EmulatedInstance | undefined;
 
   constructor(
     readonly site: InstanceSite,
     isPrimary: boolean,
+    born: number,
   ) {
-    this.storage = { log: [], role: isPrimary ? 'primary' : 'replica', term: 1 };
+    const role = isPrimary ? 'primary' : 'replica';
+    this.storage = { log: [], role, term: 1, born, isWhole: true };
+  }
+
+  /** Forgets everything: its next start is that of another incarnation. */
+  lose(now: number): void {
+    const { storage } = this;
+    Object.assign(storage, { log: [], role: 'replica', term: 0, isWhole: false });
+    storage.born = Math.max(storage.born + 1, FIRST_BORN + Math.round(now));
+    this.beats = 0;
   }
 
   /** The running instance. */
@@ -53,8 +67,16 @@
     private readonly network: VirtualNetwork,
     private readonly judge: AppointedJudge,
     private readonly newRandom: () => RandomSource,
+    tellsBorn: boolean,
   ) {
-    this.machines = sites.map((site, index) => new InstanceMachine(site, index === 0));
+    const born = tellsBorn ? FIRST_BORN : 0;
+    this.machines = sites.map((site, index) => new InstanceMachine(site, index === 0, born));
+  }
+
+  /** Whether an instance may lose its log: all others run, and none of them lacks what it had before. */
+  canLose(machine: InstanceMachine): boolean {
+    const others = this.machines.filter((other) => other !== machine);
+    return others.every((other) => other.running !== undefined && other.storage.isWhole);
   }
 
   /** Starts all instances, and replication. */
@@ -141,8 +163,8 @@
     this.scheduler.schedule(this.network.delay(from, to), () => {
       const replica = target.running;
       if (!replica?.process.running || this.network.isCut(from, to)) return;
-      const length = primary.storage.log.length;
       const isReceived = primary.storage.role === 'primary' && replica.receiveFrom(primary);
+      const { length } = replica.storage.log;
       if (!isReceived || this.network.isCut(to, from)) return;
       this.scheduler.schedule(this.network.delay(to, from), () =>
         primary.process.deliver(() => primary.confirmUpTo(length)),
--- a/lab/appointed/emulated_instance.ts
+++ b/lab/appointed/emulated_instance.ts
@@ -42,8 +42,15 @@
   log: LogRecord[];
   role: 'primary' | 'replica';
   term: number;
+  /** When its incarnation started; 0 where it does not tell. */
+  born: number;
+  /** Whether it began with what the instance held before, or has received all of a primary's log since. */
+  isWhole: boolean;
 }
 
+/** Records that an instance which began empty receives at a time. */
+const RECEIVED_AT_ONCE = 60;
+
 /** Statements that wait for a slot; one more is refused as busy. */
 const QUEUE_LENGTH = 24;
 
@@ -172,10 +179,13 @@
     const own = this.storage.log;
     let common = Math.min(own.length, log.length);
     while (common > 0 && own[common - 1] !== log[common - 1]) common--;
-    if (common === own.length && common === log.length) return true;
-    this.storage.log = [...log];
+    if (common === own.length && common === log.length) {
+      this.storage.isWhole = true;
+      return true;
+    }
+    const target = this.storage.isWhole ? log.length : common + RECEIVED_AT_ONCE;
+    this.storage.log = log.slice(0, target);
     this.appliedCount = Math.min(this.appliedCount, common);
-    const target = log.length;
     this.process.clock.setTimer(this.lagMs, () => {
       this.appliedCount = Math.max(this.appliedCount, Math.min(target, this.storage.log.length));
     });
--- a/src/appointed/control/address_claim.ts
+++ b/src/appointed/control/address_claim.ts
@@ -11,7 +11,7 @@
  */
 import type { Catalog, InstanceEntry } from '../catalog/catalog.js';
 import type { InstanceMonitor } from '../failover/instance_monitor.js';
-import { targetOf } from '../failover/instance_administrator.js';
+import { targetOf } from '../failover/instance_target.js';
 import { ConnectError, type InstanceConnector } from '../instance/instance_connection.js';
 import type { Clock } from '../../runtime/runtime.js';
 
--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -26,6 +26,7 @@
 import { LeaseLedger } from '../failover/lease_ledger.js';
 import type { PrimaryAppointer } from '../failover/primary_appointer.js';
 import { PrimaryHealthOpinions } from '../failover/primary_health_opinions.js';
+import { StandingConnections } from '../failover/standing_connections.js';
 import { LEASE_MS, STALE_LEADER_MS } from '../leases/lease_times.js';
 import { Events } from '../../observability/events.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
@@ -103,6 +104,7 @@
   private readonly allowanceService: AllowanceService;
   private readonly catalogService: CatalogService;
   private readonly appointmentLease: AppointmentLease;
+  private readonly standing: StandingConnections;
   private readonly caughtUp: CaughtUpMembers;
   private readonly controller: FailoverController;
   private readonly joiner: ClusterJoiner;
@@ -132,7 +134,8 @@
     this.catalogService = this.makeCatalogService(shared);
     this.appointmentLease = this.makeAppointmentLease(propose);
     const { appointmentLease } = this;
-    const administrator = new InstanceAdministrator(connector);
+    this.standing = new StandingConnections({ clock, catalog, connector, isLeading });
+    const administrator = new InstanceAdministrator(connector, this.standing);
     this.caughtUp = new CaughtUpMembers({ ...shared, administrator, isLeading });
     const { caughtUp } = this;
     const duties = { administrator, appointmentLease, isLeading };
@@ -168,6 +171,7 @@
     this.contact.start();
     this.joiner.start();
     this.controller.start();
+    this.standing.start();
     this.caughtUp.start();
     this.runUpkeep();
     this.askForPositions();
@@ -179,6 +183,7 @@
     this.positionTimer?.cancel();
     this.controller.stop();
     this.caughtUp.stop();
+    this.standing.stop();
     this.contact.stop();
     this.joiner.stop();
     this.node.stop();
--- a/src/appointed/failover/caught_up_members.ts
+++ b/src/appointed/failover/caught_up_members.ts
@@ -17,7 +17,8 @@
 import { type Position, covers } from '../../positions/position.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { Clock, Timer } from '../../runtime/runtime.js';
-import { type InstanceAdministrator, targetOf } from './instance_administrator.js';
+import type { InstanceAdministrator } from './instance_administrator.js';
+import { targetOf } from './instance_target.js';
 
 const { GroupPhase } = whinyoke;
 
--- a/src/appointed/failover/failover_controller.ts
+++ b/src/appointed/failover/failover_controller.ts
@@ -18,7 +18,7 @@
 import { Events } from '../../observability/events.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { Timer } from '../../runtime/runtime.js';
-import { targetOf } from './instance_administrator.js';
+import { targetOf } from './instance_target.js';
 import type { InstanceMonitor } from './instance_monitor.js';
 import { type ChangerContext, PrimaryChanger } from './primary_changer.js';
 import type { PrimaryHealthOpinions } from './primary_health_opinions.js';
@@ -44,7 +44,7 @@
   readonly primary: string;
   readonly term: number;
   readonly primaryIncarnation: number;
-  readonly leastPosition: Position;
+  readonly leastPosition: Position | undefined;
 }
 
 /** Why a primary is to be replaced. */
@@ -123,8 +123,9 @@
     let strongest: PrimaryClaim | undefined;
     for (const [index, status] of statuses.entries()) {
       if (status?.role !== 'primary' || status.term <= (strongest?.term ?? -1)) continue;
-      const { id, incarnation } = claimants[index]!;
-      const { term, received: leastPosition } = status;
+      const { id, incarnation, born } = claimants[index]!;
+      const { term, received } = status;
+      const leastPosition = born ? received : undefined;
       const primaryIncarnation = incarnation ?? 0;
       strongest = { primary: id ?? '', term, primaryIncarnation, leastPosition };
     }
--- a/src/appointed/failover/instance_administrator.ts
+++ b/src/appointed/failover/instance_administrator.ts
@@ -3,29 +3,25 @@
  *
  * Owns no connection beyond one command. Relies on the instance, which may not answer: the result is undefined then.
  */
-import type { InstanceEntry } from '../catalog/catalog.js';
 import type {
+  InstanceAnswer,
+  InstanceConnection,
   InstanceConnector,
   InstanceStatus,
   InstanceTarget,
 } from '../instance/instance_connection.js';
 import type { InstanceCommand } from '../instance/statement.js';
+import type { StandingConnections } from './standing_connections.js';
 
 /** Time to connect, and for an answer, in milliseconds. A guess, not measured. */
 const TIMEOUT_MS = 500;
 
-/** Connection target of an instance. */
-export function targetOf(instance: InstanceEntry): InstanceTarget {
-  return {
-    id: instance.id ?? '',
-    group: instance.group ?? '',
-    address: instance.address ?? '',
-  };
-}
-
-/** Administrator of one control machine. Opens a connection for each command. */
+/** Administrator of one control machine. Opens a connection for each command where there is no standing one. */
 export class InstanceAdministrator {
-  constructor(private readonly connector: InstanceConnector) {}
+  constructor(
+    private readonly connector: InstanceConnector,
+    private readonly standing: Pick<StandingConnections, 'of'>,
+  ) {}
 
   /** State of an instance; undefined when it does not answer. */
   status(target: InstanceTarget): Promise<InstanceStatus | undefined> {
@@ -47,15 +43,26 @@
     return this.run(target, { kind: 'stepDown', term });
   }
 
+  /** Runs a command on the standing connection, and on one of its own where there is none or it fails. */
   private async run(
     target: InstanceTarget,
     command: InstanceCommand,
+  ): Promise<InstanceStatus | undefined> {
+    const standing = this.standing.of(target);
+    const answer = standing && (await exchange(standing.connection, command));
+    if (standing && answer) return statusOf(answer, standing.openedAt);
+    return this.runAnew(target, command);
+  }
+
+  private async runAnew(
+    target: InstanceTarget,
+    command: InstanceCommand,
   ): Promise<InstanceStatus | undefined> {
     try {
       const { connection } = await this.connector.connect(target, TIMEOUT_MS);
       try {
-        const answer = await connection.run(command, TIMEOUT_MS);
-        return answer.error ? undefined : answer.status;
+        const answer = await exchange(connection, command);
+        return answer && statusOf(answer, undefined);
       } finally {
         connection.close();
       }
@@ -65,3 +72,23 @@
     }
   }
 }
+
+/** Answer to a command; undefined when there is none. */
+async function exchange(
+  connection: InstanceConnection,
+  command: InstanceCommand,
+): Promise<InstanceAnswer | undefined> {
+  try {
+    return await connection.run(command, TIMEOUT_MS);
+  } catch {
+    // No answer is no known state, as for an instance that can't be reached.
+    return undefined;
+  }
+}
+
+function statusOf(
+  { error, status }: InstanceAnswer,
+  connectedSince: number | undefined,
+): InstanceStatus | undefined {
+  return error || !status ? undefined : { ...status, connectedSince };
+}
--- /dev/null
+++ b/src/appointed/failover/instance_target.ts
@@ -0,0 +1,13 @@
+/** Where an instance of the catalog is connected to. Pure. */
+import type { InstanceEntry } from '../catalog/catalog.js';
+import type { InstanceTarget } from '../instance/instance_connection.js';
+
+/** Connection target of an instance. */
+export function targetOf(instance: InstanceEntry): InstanceTarget {
+  return {
+    id: instance.id ?? '',
+    group: instance.group ?? '',
+    address: instance.address ?? '',
+    incarnation: instance.incarnation ?? 0,
+  };
+}
--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -20,7 +20,8 @@
 import { appointmentObjection } from './appointment_fence.js';
 import type { AppointmentLease, Proposer } from './appointment_lease.js';
 import { type CandidateReport, type Choice, chooseCandidate } from './candidate.js';
-import { type InstanceAdministrator, targetOf } from './instance_administrator.js';
+import type { InstanceAdministrator } from './instance_administrator.js';
+import { targetOf } from './instance_target.js';
 import type { InstanceMonitor } from './instance_monitor.js';
 import type { LeaseLedger, RevocationState } from './lease_ledger.js';
 import { PrimaryChangeLog } from './primary_change_log.js';
@@ -107,7 +108,7 @@
     this.epoch = entry.epoch ?? 0;
     this.oldTerm = entry.term ?? 0;
     this.hold = new ReplicaHold(clock, administrator, this.oldTerm);
-    this.evidence = new ReplicaEvidence(context, entry, this.hold);
+    this.evidence = new ReplicaEvidence(context, entry);
     this.changeLog = new PrimaryChangeLog(clock, log, this.group, this.epoch);
   }
 
@@ -227,6 +228,11 @@
     return this.context.catalog.instance(instance)?.incarnation ?? 0;
   }
 
+  /** Whether an instance tells when it started, so that it may start again empty. */
+  private tellsStart(instance: string): boolean {
+    return Boolean(this.context.catalog.instance(instance)?.born);
+  }
+
   /** The old primary holds everything; it may lead again when no replica can, unless it has started again meanwhile. */
   private async oldPrimaryReport(
     old: InstanceEntry | undefined,
@@ -291,7 +297,8 @@
     position,
   }: Appointee): Promise<whinyoke.CatalogResult> {
     const { group, epoch } = this;
-    const choice = { target, targetIncarnation: incarnation, leastPosition: position };
+    const leastPosition = this.tellsStart(target) ? position : undefined;
+    const choice = { target, targetIncarnation: incarnation, leastPosition };
     return this.context.propose({ setTarget: { group, epoch, ...choice } });
   }
 
@@ -320,8 +327,7 @@
     { instance, incarnation, position }: Appointee,
     status: InstanceStatus,
   ): boolean {
-    const { born } = this.context.catalog.instance(instance) ?? {};
-    const isShorter = Boolean(born) && !covers(status.received, position);
+    const isShorter = this.tellsStart(instance) && !covers(status.received, position);
     return isShorter || this.incarnationOf(instance) !== incarnation;
   }
 
@@ -337,7 +343,7 @@
       primary,
       term: status.term,
       primaryIncarnation: incarnation,
-      leastPosition: status.received,
+      leastPosition: this.tellsStart(primary) ? status.received : undefined,
     };
     await this.context.propose({ putGroup: next });
     for (const instance of this.members) {
--- a/src/appointed/failover/replica_evidence.ts
+++ b/src/appointed/failover/replica_evidence.ts
@@ -4,12 +4,13 @@
  * Answers: an instance that starts again under its identifier holds nothing, so its answer tells nothing of what its former
  *   incarnation had confirmed; control may hear of that later than it gets the answer.
  * Inputs: number and `born` of each instance in the catalog, since when its incarnation counts, whether that has caught up, the
- *   position of its answer, since when it is held and its newest heartbeat (milliseconds on the leader's clock), and the least position,
- *   the begin and the primary's incarnation of the epoch.
- * Rule: a replica that started again within the epoch is missing until it has caught up. Any other speaks for itself when its
- *   answer covers the least position; a shorter log only after a heartbeat of the known incarnation came {@link LATEST_HEARTBEAT_MS}
- *   or more after it was held. The old primary's answer counts only from the epoch's incarnation, with no shorter a log than the
- *   epoch's and every replica's. Instances that never told `born` always speak for themselves.
+ *   position of its answer, since when the connection of the answer was open and the newest heartbeat (milliseconds on the
+ *   leader's clock), and the least position, the begin and the primary's incarnation of the epoch.
+ * Rule: a replica that started again within the epoch is missing until it has caught up. The answer of any other counts when it
+ *   came on a connection that was open {@link LATEST_HEARTBEAT_MS} or more before a heartbeat of the known incarnation came: a new
+ *   process can't go on with a connection, and two don't run at once. The old primary's answer counts only from the epoch's
+ *   incarnation, with no shorter a log than the epoch's and every replica's. Instances that never told `born` always speak for
+ *   themselves.
  * Constants: below. Tests: test/unit/incarnations.test.ts. Owns nothing.
  */
 import type { Catalog, GroupEntry, InstanceEntry } from '../catalog/catalog.js';
@@ -19,7 +20,6 @@
 import type { CandidateReport } from './candidate.js';
 import type { CaughtUpMembers } from './caught_up_members.js';
 import type { InstanceMonitor } from './instance_monitor.js';
-import type { ReplicaHold } from './replica_hold.js';
 
 /**
  * A heartbeat that comes this much after a moment was sent after it, in milliseconds: its sender waits a second for the answer, a
@@ -47,7 +47,6 @@
   constructor(
     private readonly context: EvidenceContext,
     private readonly epoch: GroupEntry,
-    private readonly hold: Pick<ReplicaHold, 'heldSince'>,
   ) {}
 
   /** Weighs the answers of the replicas. */
@@ -84,14 +83,14 @@
     return !catalog.instance(instance)?.born || coversEpoch(present, status.received);
   }
 
-  private speaksForItself(instance: InstanceEntry, { received }: InstanceStatus): boolean {
+  /** Whether the known incarnation gave an answer, and holds all that its instance had confirmed in the epoch. */
+  private speaksForItself(instance: InstanceEntry, status: InstanceStatus): boolean {
     const { id = '', born } = instance;
     if (!born) return true;
     const { catalog, caughtUp, monitor } = this.context;
     const isOfEpoch = catalog.incarnationBegan(id!) <= (this.epoch.steadySince ?? 0);
     if (!isOfEpoch && !caughtUp.has(instance)) return false;
-    if (coversEpoch(this.epoch, received)) return true;
-    const heldSince = this.hold.heldSince(instance) ?? Infinity;
-    return monitor.hasHeardSince(id!, born, heldSince + LATEST_HEARTBEAT_MS);
+    const connectedSince = status.connectedSince ?? Infinity;
+    return monitor.hasHeardSince(id!, born, connectedSince + LATEST_HEARTBEAT_MS);
   }
 }
--- a/src/appointed/failover/replica_hold.ts
+++ b/src/appointed/failover/replica_hold.ts
@@ -12,7 +12,8 @@
 import type { Clock } from '../../runtime/runtime.js';
 import type { CandidateReport } from './candidate.js';
 import { incarnationName } from './caught_up_members.js';
-import { type InstanceAdministrator, targetOf } from './instance_administrator.js';
+import type { InstanceAdministrator } from './instance_administrator.js';
+import { targetOf } from './instance_target.js';
 
 const { InstanceState } = whinyoke;
 
--- a/src/appointed/instance/instance_connection.ts
+++ b/src/appointed/instance/instance_connection.ts
@@ -127,4 +127,6 @@
   readonly heldTerm: number;
   /** Time by which it is behind the primary, in milliseconds. */
   readonly lagMs: number;
+  /** Since when the connection was open on which it answered; undefined where that was opened for the question. */
+  readonly connectedSince?: number | undefined;
 }
--- a/src/appointed/proxy/primary_positions.ts
+++ b/src/appointed/proxy/primary_positions.ts
@@ -44,7 +44,9 @@
 
   /** Notes a position with which the leased primary of `epoch` answered a request that was sent at `askedAt`. */
   noteFromPrimary(group: string, epoch: number, askedAt: number, position: Position): void {
-    this.floorOf(group).note(epoch, askedAt, position);
+    const floor = this.floorOf(group);
+    floor.note(epoch, askedAt, position);
+    if (floor.highestOf(epoch) !== position) return;
     this.shared.noteOwn(group, epoch, askedAt, position);
   }
 
--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -15,7 +15,7 @@
   InstanceTarget,
 } from '../instance/instance_connection.js';
 import type { ReadCandidate } from '../routing/replica_selector.js';
-import { distrustEmptyPrimary, distrustOtherIncarnation } from '../trust/primary_incarnation.js';
+import { distrustOtherIncarnation, distrustShorterLog } from '../trust/primary_incarnation.js';
 import type { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
 import type { PrimaryLeases } from '../trust/primary_leases.js';
 import type { ConfirmingReplica } from '../trust/replica_lease_confirmer.js';
@@ -141,7 +141,8 @@
     const { epoch, primary } = leases.entryOf(group) ?? {};
     if (primary !== instance || epoch === undefined || epoch === null) return;
     const { clock } = runtime;
-    if (distrustEmptyPrimary({ ...this.surroundings, clock }, group, epoch, position)) return;
+    const trust = { ...this.surroundings, clock };
+    if (distrustShorterLog(trust, { group, epoch }, position, undefined)) return;
     if (!leases.accepts(group, epoch, clock.now())) return;
     primaryHealth.of(group, epoch).opened(clock.now());
     positions.noteFromPrimary(group, epoch, startedAt, position);
--- a/src/appointed/routing/position_floor.ts
+++ b/src/appointed/routing/position_floor.ts
@@ -8,7 +8,7 @@
  * to be right, and old enough that replicas have probably applied it. See docs/design/appointed-primaries.md.
  * Relies on nothing: no I/O; the caller vouches that the primary was trusted.
  */
-import type { Position } from '../../positions/position.js';
+import { type Position, covers } from '../../positions/position.js';
 
 interface Sample {
   readonly sentAt: number;
@@ -24,11 +24,15 @@
 export class PositionFloor {
   private samples: Sample[] = [];
   private epoch = 0;
+  private highest: Position | undefined;
 
   /** Adds a position that the primary of `epoch` answered to a request sent at `sentAt`. */
   note(epoch: number, sentAt: number, position: Position): void {
     if (epoch < this.epoch) return;
     if (epoch > this.epoch) this.reset(epoch);
+    // An answer that was overtaken, or one of an instance that started again: a floor must not be lower than what was told.
+    if (this.highest && !covers(position, this.highest)) return;
+    this.highest = position;
     const newest = this.samples.at(-1);
     if (newest && sentAt < newest.sentAt + SAMPLE_SPACING_MS) return;
     this.samples.push({ sentAt, position });
@@ -36,6 +40,11 @@
     while (this.samples[0]!.sentAt < oldest) this.samples.shift();
   }
 
+  /** Newest position that the primary of an epoch told; undefined when there is none. */
+  highestOf(epoch: number | undefined): Position | undefined {
+    return epoch === this.epoch ? this.highest : undefined;
+  }
+
   /** Oldest position whose request was sent at `time` or later; undefined when there is none. */
   oldestSince(time: number): Position | undefined {
     return this.samples.find((sample) => sample.sentAt >= time)?.position;
@@ -49,5 +58,6 @@
   private reset(epoch: number): void {
     this.epoch = epoch;
     this.samples = [];
+    this.highest = undefined;
   }
 }
--- a/src/appointed/sessions/statement_runner.ts
+++ b/src/appointed/sessions/statement_runner.ts
@@ -9,13 +9,14 @@
 import { BackendConnectionLostError, OwnerUnreachableError } from '../../errors/errors.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { InstanceAnswer, InstanceErrorKind } from '../instance/instance_connection.js';
+import type { Position } from '../../positions/position.js';
 import { AcquireError, type AcquireFailure } from '../connections/acquire_error.js';
 import type { ConnectionRequest, PooledConnection } from '../connections/pooled_connection.js';
 import type { ProxyContext } from '../proxy/proxy_context.js';
 import { type SessionContent, loadingSteps, recordLoaded } from './session_loader.js';
 import type { InstanceCommand } from '../instance/statement.js';
 import type { AttemptFailure } from '../routing/refusal_cause.js';
-import { distrustEmptyPrimary } from '../trust/primary_incarnation.js';
+import { distrustShorterLog } from '../trust/primary_incarnation.js';
 import type { Target } from '../routing/target_planner.js';
 
 const { PrimaryHealth } = whinyoke;
@@ -58,6 +59,13 @@
   readonly pooled: PooledConnection;
 }
 
+/** When an instance was asked, and what was known of it then. */
+interface Asked {
+  readonly at: number;
+  /** Newest position that it had told as the primary of its epoch. */
+  readonly known: Position | undefined;
+}
+
 /** The statement certainly did not run. */
 export interface NotRunAttempt {
   readonly outcome: 'notRun';
@@ -163,6 +171,8 @@
     const { load } = target.pool;
     const { group, primaryEpoch: epoch } = target;
     const sentAt = clock.now();
+    const known = this.context.positions.floorOf(group).highestOf(epoch);
+    const asked = { at: sentAt, known };
     const isObserved = epoch !== undefined && !pooled.isRelayed;
     const observer = isObserved ? this.context.primaryHealth.of(group, epoch) : undefined;
     const mayCommit = command.kind === 'commit' || isWrite(command);
@@ -172,7 +182,7 @@
       const answer = await pooled.connection.run(command, timeoutMs);
       const now = clock.now();
       ended?.(true, now);
-      this.reportAnswer(held, answer, sentAt, command.kind === 'data');
+      this.reportAnswer(held, answer, asked, command.kind === 'data');
       return answer;
     } catch (error) {
       ended?.(false, clock.now());
@@ -187,7 +197,7 @@
   private reportAnswer(
     held: HeldConnection,
     answer: InstanceAnswer,
-    sentAt: number,
+    asked: Asked,
     isTimed: boolean,
   ): void {
     const { primaryEpoch: epoch, pool } = held.target;
@@ -196,11 +206,11 @@
     if (answer.error?.kind === 'lagging') pool.load.noteLagging(now);
     if (answer.error?.kind === 'busy') pool.noteBusy(held.pooled);
     if (isTimed && !answer.error) {
-      pool.load.noteAnswer(now - sentAt, now);
+      pool.load.noteAnswer(now - asked.at, now);
       pool.noteServed(held.pooled);
     }
     if (answer.error && FAILING_KINDS.has(answer.error.kind)) pool.load.noteRefusal(now);
-    if (epoch !== undefined) this.reportPrimary(held, epoch, answer, sentAt);
+    if (epoch !== undefined) this.reportPrimary(held, epoch, answer, asked);
   }
 
   /** Reports what an answer of the primary of an epoch tells of it. */
@@ -208,15 +218,15 @@
     { target: { group }, pooled }: HeldConnection,
     epoch: number,
     { error, position }: InstanceAnswer,
-    sentAt: number,
+    asked: Asked,
   ): void {
     const { clock, leases, primaryHealth, positions } = this.context;
     const now = clock.now();
     if (error?.kind === 'readOnly' && !pooled.isRelayed) {
       primaryHealth.of(group, epoch).failed(PrimaryHealth.NOT_PRIMARY, now);
     } else if (position && leases.accepts(group, epoch, now)) {
-      if (distrustEmptyPrimary(this.context, group, epoch, position)) return;
-      positions.noteFromPrimary(group, epoch, sentAt, position);
+      if (distrustShorterLog(this.context, { group, epoch }, position, asked.known)) return;
+      positions.noteFromPrimary(group, epoch, asked.at, position);
     }
   }
 }
--- a/src/appointed/trust/primary_incarnation.ts
+++ b/src/appointed/trust/primary_incarnation.ts
@@ -3,17 +3,18 @@
  *
  * Answers: the new incarnation of a primary opens connections and answers before control has begun to replace it. It lacks every
  *   commit, so a read there is stale and a write there is lost.
- * Inputs: the positions that the primary names, the least position of the epoch, its incarnation in the catalog.
- * Rule: an empty log where the epoch's was not, or another incarnation than the epoch's, ends the lease on that epoch for good,
- *   and is reported as a primary that is none.
+ * Inputs: the positions that the primary names, those that it named before it was asked, the least position of the epoch, its
+ *   incarnation in the catalog.
+ * Rule: a log that has become shorter, or another incarnation than the epoch's, ends the lease on that epoch for good, and is
+ *   reported as a primary that is none.
  * Constants: none. Tests: test/unit/incarnations.test.ts.
  *
  * Owns nothing. An answer that names no position tells nothing.
  */
-import { isEmptyAgain } from '../leases/epoch_primary.js';
+import { isOfLaterIncarnation } from '../leases/epoch_primary.js';
 import { Events } from '../../observability/events.js';
 import type { DecisionLog } from '../../observability/decision_logger.js';
-import type { Position } from '../../positions/position.js';
+import { type Position, formatPosition } from '../../positions/position.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { Clock } from '../../runtime/runtime.js';
 import type { PrimaryHealthTracker } from './primary_health_tracker.js';
@@ -29,16 +30,19 @@
   readonly primaryHealth: { of(group: string, epoch: number): PrimaryHealthTracker };
 }
 
-/** Ends the lease where a position shows that the primary of `epoch` is empty; returns whether it does. */
-export function distrustEmptyPrimary(
+/**
+ * Ends the lease where a position shows that the primary of `epoch` has lost its log; returns whether it does.
+ * @param known - newest position that the primary had told before it was asked
+ */
+export function distrustShorterLog(
   surroundings: TrustSurroundings,
-  group: string,
-  epoch: number,
+  { group, epoch }: { readonly group: string; readonly epoch: number },
   position: Position,
+  known: Position | undefined,
 ): boolean {
   const entry = surroundings.leases.entryOf(group);
-  if (!entry || !isEmptyAgain(entry, position)) return false;
-  distrust(surroundings, group, epoch, 'its log is empty');
+  if (!entry || !isOfLaterIncarnation(entry, position, known)) return false;
+  distrust(surroundings, group, epoch, `its log ends at ${formatPosition(position)}`);
   return true;
 }
 
--- a/test/tools/changed_group.ts
+++ b/test/tools/changed_group.ts
@@ -8,10 +8,13 @@
   type ChangerContext,
   PrimaryChanger,
 } from '../../src/appointed/failover/primary_changer.js';
+import type { StandingConnection } from '../../src/appointed/failover/standing_connections.js';
 import type {
   InstanceAnswer,
+  InstanceConnection,
   InstanceConnector,
   InstanceStatus,
+  InstanceTarget,
 } from '../../src/appointed/instance/instance_connection.js';
 import { ConnectError } from '../../src/appointed/instance/instance_connection.js';
 import { START } from '../../src/positions/position.js';
@@ -45,6 +48,8 @@
   readonly appointed: string[] = [];
   /** What each instance answers; those that are left out do not answer. */
   readonly states = new Map<string, InstanceStatus>();
+  /** When the standing connection to an instance was opened; long ago for those that are left out. */
+  readonly openedAt = new Map<string, number>();
   /** Called when an instance is appointed; it leads the next term then. */
   onAppoint: (instance: string) => void = () => undefined;
   private index = 0;
@@ -102,13 +107,14 @@
       this.onAppoint(instance);
       return Promise.resolve(AppointOutcome.APPOINTED);
     };
+    const standing = { of: (target: InstanceTarget) => this.standing(target) };
     const context: ChangerContext = {
       clock,
       catalog,
       ledger,
       monitor,
       caughtUp: this.caughtUp,
-      administrator: new InstanceAdministrator(this.connector()),
+      administrator: new InstanceAdministrator(this.connector(), standing),
       appointmentLease: { appoint } as unknown as AppointmentLease,
       propose: (command) => Promise.resolve(this.apply(command)),
       log: () => undefined,
@@ -117,25 +123,28 @@
     return new PrimaryChanger(context, catalog.group('g')!);
   }
 
+  private standing({ id }: InstanceTarget): StandingConnection | undefined {
+    if (!this.states.has(id)) return undefined;
+    return { connection: this.connectionTo(id), openedAt: this.openedAt.get(id) ?? -Infinity };
+  }
+
   private connector(): InstanceConnector {
     return {
       connect: ({ id }) => {
-        if (!this.states.has(id))
-          return Promise.reject(new ConnectError(id, { failure: 'silent' }));
-        const connection = {
-          run: (command: { kind: string; term?: number }): Promise<InstanceAnswer> => {
-            const state = this.states.get(id) ?? logUpTo();
-            const heldTerm = command.kind === 'pause' ? command.term! : state.heldTerm;
-            this.states.set(id, { ...state, heldTerm });
-            const status = this.states.get(id)!;
-            return Promise.resolve({ rows: [], signature: '-', state: 'idle', status });
-          },
-          close: () => undefined,
-          closed: false,
-          onClosed: undefined,
-        };
-        return Promise.resolve({ connection });
+        if (this.states.has(id)) return Promise.resolve({ connection: this.connectionTo(id) });
+        return Promise.reject(new ConnectError(id, { failure: 'silent' }));
       },
     };
   }
+
+  private connectionTo(id: string): InstanceConnection {
+    const run = (command: { kind: string; term?: number }): Promise<InstanceAnswer> => {
+      const state = this.states.get(id) ?? logUpTo();
+      const heldTerm = command.kind === 'pause' ? command.term! : state.heldTerm;
+      this.states.set(id, { ...state, heldTerm });
+      const status = this.states.get(id)!;
+      return Promise.resolve({ rows: [], signature: '-', state: 'idle', status });
+    };
+    return { run, close: () => undefined, closed: false, onClosed: undefined };
+  }
 }
--- a/test/unit/incarnations.test.ts
+++ b/test/unit/incarnations.test.ts
@@ -47,12 +47,17 @@
   void group.change(95);
   await group.run(TRIES_MS);
   t.same(group.appointed, [], 'an old primary with a log shorter than that of its epoch');
-  group.states.set('c', logUpTo());
+  group.states.set('c', logUpTo(99));
+  group.openedAt.set('c', group.scheduler.now);
   await group.run(TRIES_MS);
   t.same(group.appointed, [], 'a replica that may be a new incarnation');
   group.tell('c', 1000, 60);
   await group.run(TRIES_MS);
-  t.same(group.appointed[0], 'b', 'its heartbeat came long after it was held: it never had more');
+  t.same(
+    group.appointed[0],
+    'b',
+    'its heartbeat came long after the connection: it never had more',
+  );
 });
 
 void t.test(
