--- a/src/appointed/failover/replica_evidence.ts
+++ b/src/appointed/failover/replica_evidence.ts
@@ -36,7 +36,7 @@
 
 /** Answers of replicas as evidence. */
 interface WeighedAnswers {
-  /** All answers; those that may be of another incarnation are eligible only where their log covers the epoch's. */
+  /** All answers; they are eligible only where their log covers the epoch's. */
   readonly reports: readonly CandidateReport[];
   /** Replicas whose word on what they had confirmed is missing. */
   readonly missing: number;
@@ -54,16 +54,27 @@
     let speaking = 0;
     const weighed = reports.map((report) => {
       const instance = replicas.find(({ id }) => id === report.instance);
-      if (instance && this.speaksForItself(instance, report.status)) {
-        speaking++;
-        return report;
-      }
-      const isEligible = report.isEligible && coversEpoch(this.epoch, report.status.received);
-      return { ...report, isEligible };
+      const isSpeaking = instance !== undefined && this.speaksForItself(instance, report.status);
+      if (isSpeaking) speaking++;
+      const holdsEpoch = this.holdsFormerEpochs(instance, report.status, isSpeaking);
+      return { ...report, isEligible: report.isEligible && holdsEpoch };
     });
     return { reports: weighed, missing: replicas.length - speaking };
   }
 
+  /**
+   * Whether a log holds what was acknowledged before the epoch began: the proxy or the replica that knew of it may have been
+   * lost then. Once an instance is to be appointed, the entry names the position of that one, which others may lack.
+   */
+  private holdsFormerEpochs(
+    instance: InstanceEntry | undefined,
+    { received }: InstanceStatus,
+    isSpeaking: boolean,
+  ): boolean {
+    const isJudged = instance?.born && !(isSpeaking && this.epoch.target);
+    return !isJudged || coversEpoch(this.epoch, received);
+  }
+
   /** Whether the answer of the old primary is that of the incarnation which led the epoch. */
   countsOldPrimary(
     old: InstanceEntry,
--- a/test/unit/incarnations.test.ts
+++ b/test/unit/incarnations.test.ts
@@ -74,6 +74,26 @@
   },
 );
 
+void t.test(
+  'a log that is shorter than that of the epoch at its begin is not chosen',
+  async (t) => {
+    const group = new ChangedGroup();
+    group.states.set('b', logUpTo(89));
+    group.states.set('c', logUpTo(80));
+    void group.change(50);
+    group.confirmAll();
+    await group.run(TRIES_MS);
+    t.same(
+      group.appointed,
+      [],
+      'the primary may alone hold 3.90, acknowledged in an earlier epoch',
+    );
+    group.states.set('b', logUpTo(90));
+    await group.run(TRIES_MS);
+    t.same(group.appointed[0], 'b');
+  },
+);
+
 void t.test('an instance that starts again after it was appointed does not lead', async (t) => {
   const group = new ChangedGroup();
   group.states.set('b', logUpTo(119));
@@ -207,6 +227,16 @@
   );
 });
 
+void t.test('a new leader takes a heartbeat of a former incarnation for late', async (t) => {
+  const { group, say } = leader();
+  await say({ born: 2000, sequence: 1 });
+  group.monitor.begin(group.scheduler.now);
+  await group.run(1000);
+  await say({ born: 1000, sequence: 51 });
+  t.match(group.catalog.instance('b'), { born: 2000, incarnation: 1 });
+  t.notOk(group.monitor.hasHeardSince('b', 1000, 0));
+});
+
 void t.test('a snapshot keeps which incarnations there are', (t) => {
   const group = new ChangedGroup();
   const steadySince = group.catalog.group('g')!.steadySince!;
--- /dev/null
+++ b/test/unit/instance_reports.test.ts
@@ -0,0 +1,49 @@
+/** What instances say of themselves over HTTP: the start time of their incarnation, decoded once. */
+import type { AddressInfo } from 'node:net';
+import t from 'tap';
+import { ControlApi } from '../../platform/control_api.js';
+import type { AppointedControl } from '../../src/appointed/control/appointed_control.js';
+import type { RoutingDocumentReader } from '../../src/appointed/catalog/route_table.js';
+import { whinyoke } from '../../src/protocol/generated/messages.js';
+
+const HEARTBEAT = {
+  service: 's',
+  address: '10.0.0.1:1',
+  zone: 'z',
+  slots: 2,
+  state: 'ready',
+  sequence: 4,
+};
+
+void t.test('heartbeats and deregisters tell when an instance started', async (t) => {
+  const taken: whinyoke.IInstanceBeat[] = [];
+  const submit = ({ beat }: whinyoke.ICatalogRequest): Promise<whinyoke.ICatalogReply> => {
+    taken.push(beat!);
+    return Promise.resolve({ outcome: whinyoke.CatalogOutcome.DONE });
+  };
+  const core = { submit } as unknown as AppointedControl;
+  const api = new ControlApi(core, {} as RoutingDocumentReader, () => undefined);
+  const server = await api.listen('127.0.0.1:0');
+  t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const post = async (call: string, body: string): Promise<number> => {
+    const url = `http://127.0.0.1:${port}/instances/i-1/${call}`;
+    const { status } = await fetch(url, { method: 'POST', body });
+    return status;
+  };
+  const told = (change: object): string => JSON.stringify({ ...HEARTBEAT, ...change });
+  t.equal(await post('heartbeat', told({ born: 1_800_000_000_123 })), 200);
+  t.match(taken.at(-1), { instance: { id: 'i-1', born: 1_800_000_000_123, sequence: 4 } });
+  t.equal(await post('heartbeat', told({})), 200);
+  t.equal(taken.at(-1)?.instance?.born, undefined, 'one that never says it');
+  t.equal(await post('deregister', '{"born":7}'), 200);
+  t.match(taken.at(-1), { instance: { id: 'i-1', born: 7 }, leaves: true });
+  t.equal(await post('deregister', ''), 200);
+  t.equal(taken.at(-1)?.instance?.born, undefined);
+  const count = taken.length;
+  for (const born of ['7', 1.5, -1, null, 1e300]) {
+    t.equal(await post('heartbeat', told({ born })), 400, `born ${born}`);
+    t.equal(await post('deregister', JSON.stringify({ born })), 400, `born ${born}`);
+  }
+  t.equal(taken.length, count, 'nothing was taken');
+});
--- a/test/unit/kept_data.test.ts
+++ b/test/unit/kept_data.test.ts
@@ -128,6 +128,11 @@
       ],
     );
     t.match(catalog.duty, { holder: 'control-1', token: 1 });
+    const told = { id: 'i1', group: 'orders', address: 'i1:1', sequence: 1000 };
+    await core.submit({ beat: { instance: { ...told, born: 5 } } });
+    t.match(catalog.instance('i1'), { born: 5, incarnation: 0 }, 'it begins to tell its start');
+    await core.submit({ beat: { instance: { ...told, born: 6, sequence: 1 } } });
+    t.match(catalog.instance('i1'), { born: 6, incarnation: 1 }, 'and starts again');
     const next = await node.propose(
       whinyoke.CatalogCommand.encode({ takeDuty: { holder: 'control-2' } }).finish(),
     );
