--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -19,12 +19,14 @@
 import { DEFAULT_RAFT_OPTIONS, type RaftOptions } from '../../consensus/raft_options.js';
 import { ClusterJoiner, loadIdentity } from '../../consensus/cluster_joiner.js';
 import { AppointmentLease, type Proposer } from '../failover/appointment_lease.js';
+import { CaughtUpMembers } from '../failover/caught_up_members.js';
 import { FailoverController } from '../failover/failover_controller.js';
 import { InstanceAdministrator } from '../failover/instance_administrator.js';
 import { InstanceMonitor } from '../failover/instance_monitor.js';
 import { LeaseLedger } from '../failover/lease_ledger.js';
 import type { PrimaryAppointer } from '../failover/primary_appointer.js';
 import { PrimaryHealthOpinions } from '../failover/primary_health_opinions.js';
+import { StandingConnections } from '../failover/standing_connections.js';
 import { LEASE_MS, STALE_LEADER_MS } from '../leases/lease_times.js';
 import { Events } from '../../observability/events.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
@@ -102,6 +104,8 @@
   private readonly allowanceService: AllowanceService;
   private readonly catalogService: CatalogService;
   private readonly appointmentLease: AppointmentLease;
+  private readonly standing: StandingConnections;
+  private readonly caughtUp: CaughtUpMembers;
   private readonly controller: FailoverController;
   private readonly joiner: ClusterJoiner;
   private seeds: readonly string[];
@@ -130,8 +134,12 @@
     this.catalogService = this.makeCatalogService(shared);
     this.appointmentLease = this.makeAppointmentLease(propose);
     const { appointmentLease } = this;
-    const administrator = new InstanceAdministrator(connector);
-    const context = { ...shared, ledger, administrator, appointmentLease, isLeading };
+    this.standing = new StandingConnections({ clock, catalog, connector, isLeading });
+    const administrator = new InstanceAdministrator(connector, this.standing);
+    this.caughtUp = new CaughtUpMembers({ ...shared, administrator, isLeading });
+    const { caughtUp } = this;
+    const duties = { administrator, appointmentLease, isLeading };
+    const context = { ...shared, ...duties, ledger, monitor, caughtUp };
     this.controller = new FailoverController(context, monitor, health);
     this.joiner = this.makeJoiner();
   }
@@ -163,6 +171,8 @@
     this.contact.start();
     this.joiner.start();
     this.controller.start();
+    this.standing.start();
+    this.caughtUp.start();
     this.runUpkeep();
     this.askForPositions();
   }
@@ -172,6 +182,8 @@
     this.upkeep?.cancel();
     this.positionTimer?.cancel();
     this.controller.stop();
+    this.caughtUp.stop();
+    this.standing.stop();
     this.contact.stop();
     this.joiner.stop();
     this.node.stop();
--- a/src/appointed/failover/direct_questions.ts
+++ b/src/appointed/failover/direct_questions.ts
@@ -8,7 +8,8 @@
 import type { GroupEntry, InstanceEntry } from '../catalog/catalog.js';
 import { Events } from '../../observability/events.js';
 import { type Position, comparePositions } from '../../positions/position.js';
-import { type Presence, targetOf } from './instance_administrator.js';
+import type { Presence } from './instance_administrator.js';
+import { targetOf } from './instance_target.js';
 import type { ChangerContext } from './primary_changer.js';
 
 /** Time for one answer, in milliseconds: more than a trip within a region and a short queue. A guess, not measured. */
--- a/src/appointed/failover/failover_controller.ts
+++ b/src/appointed/failover/failover_controller.ts
@@ -2,22 +2,23 @@
  * DECISION: when a primary is replaced. The steps of a change: `primary_changer.ts`.
  *
  * Answers: a primary that crashed, refuses, is cut off, stands still or leaves, and proxies that are cut off themselves.
- * Inputs: the primary's state in the catalog; opinions of the proxies (`primary_health_opinions.ts`), age of its newest heartbeat,
- *   what it answers to control itself (`direct_questions.ts`), milliseconds since its epoch began.
- * Rule: only with another ready instance in the group. A primary that leaves or is gone is replaced at once; whether any other
- *   has failed is decided in `primary_trouble.ts`.
+ * Inputs: the primary's state and incarnation in the catalog; opinions of the proxies (`primary_health_opinions.ts`), age of its
+ *   newest heartbeat, what it answers to control itself (`direct_questions.ts`), milliseconds since its epoch began.
+ * Rule: only with another ready instance in the group. A primary that leaves, is gone or started again is replaced at once; whether
+ *   any other has failed is decided in `primary_trouble.ts`.
  * Constants: below. Tests: test/unit/failover.test.ts.
  *
  * Owns which groups this leader is changing. Relies on a majority for each step; a step that fails is logged and begun again
  * at a later tick, here or at the next leader.
  */
 import type { GroupEntry } from '../catalog/catalog.js';
+import type { Position } from '../../positions/position.js';
 import { messageOf } from '../../errors/errors.js';
 import { Events } from '../../observability/events.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { Timer } from '../../runtime/runtime.js';
 import { DirectQuestions } from './direct_questions.js';
-import { targetOf } from './instance_administrator.js';
+import { targetOf } from './instance_target.js';
 import type { InstanceMonitor } from './instance_monitor.js';
 import { type ChangerContext, PrimaryChanger } from './primary_changer.js';
 import type { PrimaryHealthOpinions } from './primary_health_opinions.js';
@@ -37,6 +38,8 @@
 interface PrimaryClaim {
   readonly primary: string;
   readonly term: number;
+  readonly primaryIncarnation: number;
+  readonly leastPosition: Position | undefined;
 }
 
 /** Why a primary is to be replaced. */
@@ -96,8 +99,7 @@
       const claim = await this.strongestClaim(group);
       if (!claim) return;
       const { STEADY: phase } = GroupPhase;
-      const { primary, term } = claim;
-      await this.context.propose({ putGroup: { group, epoch: 1, phase, primary, term } });
+      await this.context.propose({ putGroup: { group, epoch: 1, phase, ...claim } });
     } catch (error) {
       // The group has no epoch yet; the next tick tries again, on the machine that leads then.
       this.logFailure(group, 'adopt', error);
@@ -119,7 +121,11 @@
     let strongest: PrimaryClaim | undefined;
     for (const [index, status] of statuses.entries()) {
       if (status?.role !== 'primary' || status.term <= (strongest?.term ?? -1)) continue;
-      strongest = { primary: claimants[index]!.id ?? '', term: status.term };
+      const { id, incarnation, born } = claimants[index]!;
+      const { term, received } = status;
+      const leastPosition = born ? received : undefined;
+      const primaryIncarnation = incarnation ?? 0;
+      strongest = { primary: id ?? '', term, primaryIncarnation, leastPosition };
     }
     return strongest;
   }
@@ -170,6 +176,8 @@
   private causeOfChange(entry: GroupEntry): ChangeCause | undefined {
     if (!this.hasReplacement(entry)) return undefined;
     const primary = this.context.catalog.instance(entry.primary ?? '');
+    const isSame = (primary?.incarnation ?? 0) === (entry.primaryIncarnation ?? 0);
+    if (primary && !isSame) return { text: 'the primary started again', isPlanned: false };
     if (primary?.state === InstanceState.READY) return this.causeByHealth(entry);
     return { text: 'the primary leaves', isPlanned: primary?.state === InstanceState.DRAINING };
   }
--- a/src/appointed/instance/instance_connection.ts
+++ b/src/appointed/instance/instance_connection.ts
@@ -75,6 +75,8 @@
   readonly group: string;
   /** Host and port. */
   readonly address: string;
+  /** Number of the incarnation that is meant, in the catalog; the first one when left out. The wire does not tell it. */
+  readonly incarnation?: number;
 }
 
 /** How a connection attempt failed. */
@@ -125,4 +127,6 @@
   readonly heldTerm: number;
   /** Time by which it is behind the primary, in milliseconds. */
   readonly lagMs: number;
+  /** Since when the connection was open on which it answered; undefined where that was opened for the question. */
+  readonly connectedSince?: number | undefined;
 }
