--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -55,6 +55,7 @@
   answered: () => undefined,
   served: () => undefined,
   retried: () => undefined,
+  refusedByHomes: () => undefined,
 };
 
 function logInto(
--- a/src/appointed/connections/connection_source.ts
+++ b/src/appointed/connections/connection_source.ts
@@ -1,5 +1,6 @@
 /** Where statements get their connections to one instance: from a pool of this process, or from connection owners. */
 import type { InstanceLoad } from './instance_load.js';
+import type { Homes } from '../placement/data_residency.js';
 import type { ConnectionRequest, PooledConnection } from './pooled_connection.js';
 
 /** Source of connections to one instance. */
@@ -10,6 +11,8 @@
   readonly queuesAtOwner: boolean;
   /** @throws AcquireError when none could be had within `timeoutMs` */
   acquire(request: ConnectionRequest, timeoutMs: number): Promise<PooledConnection>;
+  /** Whether the next statement on a connection may have these homes: another proxy may keep it, which gets its body. */
+  mayCarry(pooled: PooledConnection, homes: Homes): boolean;
   /** Gives a connection back; it has no transaction and no answer outstanding. */
   release(pooled: PooledConnection): void;
   /** Closes a connection whose state is unknown. */
--- a/src/appointed/connections/instance_directory.ts
+++ b/src/appointed/connections/instance_directory.ts
@@ -26,6 +26,7 @@
 import type { ReadCandidate } from '../routing/replica_selector.js';
 import type { ConfirmingReplica } from '../trust/replica_lease_confirmer.js';
 import type { DecisionLog } from '../../observability/decision_logger.js';
+import { isWithinHomes } from '../placement/data_residency.js';
 
 const { InstanceState } = whinyoke;
 
@@ -39,6 +40,8 @@
   readonly runtime: Runtime;
   /** Address for messages of other processes. */
   readonly ownAddress: string;
+  /** Region of each zone that the settings name. */
+  readonly regionByZone: ReadonlyMap<string, string>;
   readonly connector: InstanceConnector;
   readonly log: DecisionLog;
   /** Connections that an instance of a group takes from all proxies together. */
@@ -118,6 +121,12 @@
     return candidates;
   }
 
+  /** Zone of an instance; undefined when the catalog does not list it. */
+  zoneOf(instance: string): string | undefined {
+    const entry = this.entries.get(instance);
+    return entry && (entry.zone ?? '');
+  }
+
   /** All instances of a group but its primary, whatever their state. */
   replicasOf(group: string, primary: string): readonly ConfirmingReplica[] {
     return [...this.entries]
@@ -137,9 +146,11 @@
 
   private createAccess(instance: InstanceEntry): InstanceAccess {
     const pool = this.createPool(instance);
-    return new InstanceAccess(pool, this.surroundings.ownAddress, this.relaying, (tenant) =>
-      this.owners.of(this.ownedInstance(instance), tenant),
-    );
+    const { ownAddress, regionByZone } = this.surroundings;
+    return new InstanceAccess(pool, ownAddress, this.relaying, {
+      ownersFor: (tenant) => this.owners.of(this.ownedInstance(instance), tenant),
+      maySee: (address, homes) => isWithinHomes(homes, this.owners.zoneOf(address), regionByZone),
+    });
   }
 
   private ownedInstance({ id, zone, group }: InstanceEntry): OwnedInstance {
--- a/src/appointed/connections/instance_pool.ts
+++ b/src/appointed/connections/instance_pool.ts
@@ -146,6 +146,11 @@
     this.serveWaiters();
   }
 
+  /** The statements of its connections pass no other proxy. */
+  mayCarry(): boolean {
+    return true;
+  }
+
   /** Gives a connection back; it has no transaction and no answer outstanding. */
   release(pooled: PooledConnection): void {
     this.inUse.remove(pooled);
--- a/src/appointed/connections/pooled_connection.ts
+++ b/src/appointed/connections/pooled_connection.ts
@@ -2,6 +2,7 @@
  * One connection of a pool or of a connection owner, and what is known of it: the session values and prepared shapes that it
  * has loaded. Owns that knowledge; its pool and the session loader keep it true.
  */
+import type { Homes } from '../placement/data_residency.js';
 import type { InstanceConnection } from '../instance/instance_connection.js';
 
 /** Steps that a reset counts as (a count), more than a single value. Guess, not measured. */
@@ -50,4 +51,6 @@
   readonly priority: number;
   /** Time within which an answer meets the caller's objective, in milliseconds; no limit when left out. */
   readonly usefulMs?: number;
+  /** Regions to which the request is bound; undefined where it is bound to none. */
+  readonly homes?: Homes;
 }
--- a/src/appointed/daemon/proxy_metrics.ts
+++ b/src/appointed/daemon/proxy_metrics.ts
@@ -35,6 +35,13 @@
     registers: [this.registry],
   });
 
+  private readonly homeRefusals = new Counter({
+    name: 'whinyoke_refused_by_homes_total',
+    help: 'Requests refused since their homes left no instance, by route',
+    labelNames: ['route'],
+    registers: [this.registry],
+  });
+
   /** Counts an answer to a caller. */
   answered(route: string, outcome: string, durationMs: number): void {
     this.latency.observe({ route, outcome }, durationMs / MILLISECONDS_PER_SECOND);
@@ -51,6 +58,11 @@
     this.retries.inc({ route, cause });
   }
 
+  /** Counts a request that its homes left no instance. */
+  refusedByHomes(route: string): void {
+    this.homeRefusals.inc({ route });
+  }
+
   /** Adds gauges that are read from a core. */
   watch(core: AppointedProxy): void {
     this.addSynchronisation(core);
--- a/src/appointed/proxy/appointed_proxy.ts
+++ b/src/appointed/proxy/appointed_proxy.ts
@@ -63,6 +63,8 @@
   readonly clock: Clock;
   /** Zone of this process. */
   readonly zone: string;
+  /** Region of each zone that the settings name. */
+  readonly regionByZone: ReadonlyMap<string, string>;
   /** Log of decisions. */
   readonly log: DecisionLog;
   /** Counters of requests. */
@@ -96,6 +98,7 @@
   ) {
     this.clock = runtime.clock;
     this.zone = options.zone;
+    this.regionByZone = options.placementRules.regionByZone;
     this.log = options.log;
     this.counters = options.counters;
     const incarnation = runtime.random.identifier();
@@ -224,6 +227,7 @@
     return new ProxyInstances({
       runtime,
       ownAddress,
+      regionByZone: this.regionByZone,
       connector,
       log,
       document,
--- a/src/appointed/proxy/proxy_context.ts
+++ b/src/appointed/proxy/proxy_context.ts
@@ -21,6 +21,8 @@
   served(route: string, instance: string, isPrimary: boolean, isReplicaAllowed: boolean): void;
   /** A statement was tried again. */
   retried(route: string, cause: string): void;
+  /** A request was refused since its homes left no instance. */
+  refusedByHomes(route: string): void;
 }
 
 /** Health of primaries as the proxy's own statements show it. */
@@ -47,6 +49,8 @@
   connectionsTo(instance: string): ConnectionSource | undefined;
   /** Instances of a group that take new work. */
   readCandidates(group: string): readonly ReadCandidate[];
+  /** Zone of an instance; undefined when the catalog does not list it. */
+  zoneOf(instance: string): string | undefined;
 }
 
 /** Surroundings of a session. */
@@ -55,6 +59,8 @@
   readonly clock: Clock;
   /** Zone of this process. */
   readonly zone: string;
+  /** Region of each zone that the settings name. */
+  readonly regionByZone: ReadonlyMap<string, string>;
   /** Log of decisions. */
   readonly log: DecisionLog;
   /** Counters of requests. */
--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -30,6 +30,8 @@
   readonly runtime: Runtime;
   /** Address for messages of other processes. */
   readonly ownAddress: string;
+  /** Region of each zone that the settings name. */
+  readonly regionByZone: ReadonlyMap<string, string>;
   readonly connector: InstanceConnector;
   readonly log: DecisionLog;
   readonly document: DocumentInForce;
@@ -44,10 +46,11 @@
   private readonly directory: InstanceDirectory;
 
   constructor(private readonly surroundings: InstancesSurroundings) {
-    const { runtime, ownAddress, connector, log, document, fleet } = surroundings;
+    const { runtime, ownAddress, regionByZone, connector, log, document, fleet } = surroundings;
     this.directory = new InstanceDirectory({
       runtime,
       ownAddress,
+      regionByZone,
       connector,
       log,
       connectionLimitOf: (group) => document.table?.limitsByGroup.get(group)?.connectionLimit ?? 0,
@@ -84,6 +87,11 @@
     return this.directory.readCandidates(group, this.primaryOf(group));
   }
 
+  /** Zone of an instance; undefined when the catalog does not list it. */
+  zoneOf(instance: string): string | undefined {
+    return this.directory.zoneOf(instance);
+  }
+
   /** All instances of a group but its primary, whatever their state. */
   replicasOf(group: string): readonly ConfirmingReplica[] {
     return this.directory.replicasOf(group, this.primaryOf(group));
--- a/src/appointed/relay/connection_owners.ts
+++ b/src/appointed/relay/connection_owners.ts
@@ -81,6 +81,7 @@
   /** Order of each instance, kept until the proxies change: each statement needs one. */
   private readonly orders = new Map<string, OwnerOrder>();
   private readonly everywhere = new RendezvousTable(MOST_OWNERS + STAND_INS, stableHash);
+  private readonly zones = new Map<string, string>();
   private proxies = 0;
 
   constructor(private readonly ownAddress: string) {}
@@ -91,6 +92,9 @@
     for (const zone of this.tables.keys()) if (!known.has(zone)) this.tables.delete(zone);
     for (const { zone, addresses } of zones) this.tableOf(zone).setNodes(new Set(addresses));
     const all = new Set(zones.flatMap(({ addresses }) => addresses));
+    this.zones.clear();
+    for (const { zone, addresses } of zones)
+      for (const item of addresses) this.zones.set(item, zone);
     this.everywhere.setNodes(all);
     this.proxies = all.size;
     this.orders.clear();
@@ -107,6 +111,11 @@
     return [...owners.slice(first), ...owners.slice(0, first), ...standIns];
   }
 
+  /** Zone of a live proxy; undefined for any other. */
+  zoneOf(address: string): string | undefined {
+    return this.zones.get(address);
+  }
+
   /** Connections that this proxy may hold to an instance itself. */
   shareOf(instance: OwnedInstance, liveProxies: number): ConnectionShare {
     const { connectionLimit } = instance;
--- a/src/appointed/relay/instance_access.ts
+++ b/src/appointed/relay/instance_access.ts
@@ -8,9 +8,18 @@
 import type { InstanceLoad } from '../connections/instance_load.js';
 import type { InstancePool } from '../connections/instance_pool.js';
 import { type ConnectionRequest, PooledConnection } from '../connections/pooled_connection.js';
+import type { Homes } from '../placement/data_residency.js';
 import { NO_TENANT } from '../tenancy/tenant.js';
 import { RelayedConnection, type RelaySurroundings } from './relayed_connection.js';
 
+/** Connection owners of one instance, as its proxy knows them. */
+export interface OwnersOfInstance {
+  /** Connection owners for a tenant, in order; empty where this proxy has connections of its own. */
+  ownersFor(tenant: string): readonly string[];
+  /** Whether another proxy may get the body of a statement with these homes. */
+  maySee(address: string, homes: Homes): boolean;
+}
+
 /** Most owners (a count) that one request tries. Guess, not measured. */
 const MOST_TRIED = 3;
 
@@ -18,19 +27,20 @@
 export class InstanceAccess implements ConnectionSource {
   /** Connections of owners that are in use here. */
   private readonly relayed = new Set<PooledConnection>();
+  /** The owner that keeps a connection for each of them. */
+  private readonly keepers = new WeakMap<PooledConnection, () => string | undefined>();
 
   constructor(
     /** Connections of this process. */
     readonly local: InstancePool,
     private readonly ownAddress: string,
     private readonly surroundings: RelaySurroundings,
-    /** Connection owners for a tenant, in order; empty where this proxy has connections of its own. */
-    private readonly ownersFor: (tenant: string) => readonly string[],
+    private readonly owners: OwnersOfInstance,
   ) {}
 
   /** Whether requests queue at a connection owner. */
   get queuesAtOwner(): boolean {
-    return this.ownersFor(NO_TENANT).length > 0;
+    return this.owners.ownersFor(NO_TENANT).length > 0;
   }
 
   /** What the answers of the instance say of it. */
@@ -38,11 +48,15 @@
     return this.local.load;
   }
 
-  /** A connection of the pool where this proxy is the first owner or no owner may be tried; a relayed one otherwise. */
+  /**
+   * A connection of the pool where this proxy is the first owner or no owner may be tried; a relayed one otherwise. Owners outside
+   * the homes of the request may not.
+   */
   acquire(request: ConnectionRequest, timeoutMs: number): Promise<PooledConnection> {
-    const owners = this.ownersFor(request.tenant ?? NO_TENANT).filter((address) =>
-      this.surroundings.health.mayTry(address),
-    );
+    const owners = this.owners
+      .ownersFor(request.tenant ?? NO_TENANT)
+      .filter((address) => this.maySee(address, request.homes))
+      .filter((address) => this.surroundings.health.mayTry(address));
     const [first] = owners;
     if (first === undefined || first === this.ownAddress) {
       return this.local.acquire(request, timeoutMs);
@@ -55,14 +69,22 @@
       usefulMs: request.usefulMs,
       waitMs: timeoutMs,
       owners: others.slice(0, MOST_TRIED),
+      homes: request.homes,
     };
     const connection = new RelayedConnection(route, this.surroundings);
     const pooled = new PooledConnection(connection, request.tenant ?? NO_TENANT, true);
+    this.keepers.set(pooled, () => connection.keeper);
     this.relayed.add(pooled);
     connection.onClosed = () => this.relayed.delete(pooled);
     return Promise.resolve(pooled);
   }
 
+  /** Whether the next statement on a connection may have these homes. */
+  mayCarry(pooled: PooledConnection, homes: Homes): boolean {
+    const keeper = this.keepers.get(pooled)?.();
+    return keeper === undefined || this.maySee(keeper, homes);
+  }
+
   /** Gives a connection back to where it came from. */
   release(pooled: PooledConnection): void {
     if (pooled.isRelayed) this.relayed.delete(pooled);
@@ -100,4 +122,8 @@
     this.local.abandonInUse();
     for (const { connection } of [...this.relayed]) connection.close();
   }
+
+  private maySee(address: string, homes: Homes): boolean {
+    return address === this.ownAddress || this.owners.maySee(address, homes);
+  }
 }
--- a/src/appointed/relay/relay_server.ts
+++ b/src/appointed/relay/relay_server.ts
@@ -16,7 +16,9 @@
   type HeldConnection,
   StatementRunner,
 } from '../sessions/statement_runner.js';
+import { isWithinHomes } from '../placement/data_residency.js';
 import { textOf } from '../routing/refusal_cause.js';
+import { mayServe } from '../routing/request_homes.js';
 import { type Target } from '../routing/target_planner.js';
 import { durationOf } from '../../runtime/duration.js';
 import { type RelayedCommand, decodeRelayCommand, encodeRelayAnswer } from './relay_codec.js';
@@ -105,9 +107,26 @@
     const target = isLeaving ? undefined : this.targetOf(request.instance ?? '');
     if (!target)
       return { outcome: RelayOutcome.NOT_HOME, cause: 'the instance is not served here' };
+    if (!this.isWithin(request)) return this.refuseOutside(request);
     return this.runNew(target, request, command, waitMs, timeoutMs);
   }
 
+  /** Whether a statement may be here, and may be run by its instance: the settings of its proxy may tell other regions. */
+  private isWithin({ homes, instance }: whinyoke.IRelayRequest): boolean {
+    const { zone, regionByZone } = this.context;
+    const regions = homes ? new Set(homes.regions ?? []) : undefined;
+    const isHere = isWithinHomes(regions, zone, regionByZone);
+    return isHere && mayServe(this.context, regions, instance ?? '');
+  }
+
+  private refuseOutside({ instance, homes }: whinyoke.IRelayRequest): whinyoke.IRelayReply {
+    this.context.log(Events.relayOutsideHomes, {
+      instance: instance ?? '',
+      homes: (homes?.regions ?? []).join(),
+    });
+    return notRun(textOf({ kind: 'outsideHomes' }));
+  }
+
   private closeKept(connection: string): whinyoke.IRelayReply {
     const kept = this.kept.get(connection);
     this.kept.delete(connection);
--- a/src/appointed/relay/relayed_connection.ts
+++ b/src/appointed/relay/relayed_connection.ts
@@ -16,6 +16,7 @@
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { InstanceAnswer, InstanceConnection } from '../instance/instance_connection.js';
 import type { InstanceCommand } from '../instance/statement.js';
+import type { Homes } from '../placement/data_residency.js';
 import type { Messenger } from '../../runtime/runtime.js';
 import type { OwnerHealth } from './owner_health.js';
 import { type RelayedCommand, decodeRelayAnswer, encodeRelayCommand } from './relay_codec.js';
@@ -36,6 +37,8 @@
   readonly waitMs: number;
   /** Connection owners in the order in which they are tried. */
   readonly owners: readonly string[];
+  /** Regions to which its statements are bound, which owners check too; undefined where they are bound to none. */
+  readonly homes?: Homes;
 }
 
 /** What all relayed connections of a process use. */
@@ -80,6 +83,11 @@
     return this.isClosed;
   }
 
+  /** Owner that keeps a connection for this one; undefined where none does. */
+  get keeper(): string | undefined {
+    return this.kept?.owner;
+  }
+
   /** Runs one command at an owner; session values and prepared shapes travel with the next statement. */
   run(command: InstanceCommand, timeoutMs: number): Promise<InstanceAnswer> {
     if (this.isClosed) {
@@ -182,7 +190,7 @@
   }
 
   private requestFor(command: RelayedCommand, timeoutMs: number): whinyoke.IRelayRequest {
-    const { instance, tenant, priority, waitMs, usefulMs = LONGEST_USEFUL_MS } = this.route;
+    const { instance, tenant, priority, waitMs, homes, usefulMs = LONGEST_USEFUL_MS } = this.route;
     return {
       instance,
       tenant,
@@ -194,6 +202,7 @@
       connection: this.kept?.connection,
       values: [...this.values].map(([name, value]) => ({ name, value })),
       command: encodeRelayCommand(command),
+      homes: homes && { regions: [...homes] },
     };
   }
 
--- a/src/appointed/routing/refusal.ts
+++ b/src/appointed/routing/refusal.ts
@@ -88,6 +88,7 @@
   cause: RefusalCause,
 ): CallerReply {
   logRefusal(context, request, kind, cause);
+  if (cause.kind === 'outsideHomes') context.counters.refusedByHomes(request.deadline.route.name);
   const retryMs = retryAfterMs(cause, situationOf(context, request.deadline.route.group));
   const text = `${textOf(cause)}; retry after ${Math.round(retryMs)} ms`;
   return refused(kind, text, request.state);
--- a/src/appointed/routing/refusal_cause.ts
+++ b/src/appointed/routing/refusal_cause.ts
@@ -48,6 +48,8 @@
   | { readonly kind: 'noTrustedPrimary' }
   /** No replica is fresh enough, and no primary is trusted. */
   | { readonly kind: 'noInstanceForRead' }
+  /** The homes of the request leave no instance that may run it. */
+  | { readonly kind: 'outsideHomes' }
   /** The leader has no operation left for the tenant. */
   | { readonly kind: 'tenantOverLimit'; readonly retryAfterMs: number }
   /** No control machine answered the request for an operation. */
@@ -88,6 +90,8 @@
       return 'no trusted primary';
     case 'noInstanceForRead':
       return 'no instance may serve the read';
+    case 'outsideHomes':
+      return 'no instance within the homes may run it';
     case 'tenantOverLimit':
       return 'the tenant is over its limit';
     case 'noGrant':
--- a/src/appointed/routing/retry_after.ts
+++ b/src/appointed/routing/retry_after.ts
@@ -4,7 +4,7 @@
  * Situation: callers that were refused come back. Too early, they load instances and control machines that can't serve
  * them yet; too late, their deadline has passed.
  * Inputs: the cause of the refusal; the situation of the group that the request is for (ages in milliseconds).
- * Rule: a cause that names its own time decides. Where control must be reached first, the time of an election is told.
+ * Rule: a cause that names its own time decides. Where homes leave no instance, the time told is a long one. Where control must be reached first, the time of an election is told.
  * Otherwise the group decides: the rest of a change of primary, a short time while a primary is trusted, the time of an
  * election while this proxy has no lease.
  * Relies on nothing: pure functions.
@@ -21,6 +21,11 @@
  * an election. Guess, not measured (docs/design/quota.md tells that it is used for grants).
  */
 const CONTROL_RETRY_MS = 300;
+/**
+ * Only a newer document, another primary or a new instance helps, in milliseconds: callers that come back sooner are refused again.
+ * Guess, not measured.
+ */
+const PLACEMENT_RETRY_MS = 1000;
 /** Usual duration of a change of primary, in milliseconds. Guess, not measured. */
 export const USUAL_CHANGE_MS = 800;
 /**
@@ -45,6 +50,8 @@
   switch (cause.kind) {
     case 'tenantOverLimit':
       return cause.retryAfterMs;
+    case 'outsideHomes':
+      return PLACEMENT_RETRY_MS;
     case 'noGrant':
     case 'credentialUnproven':
     case 'noConfiguration':
--- a/src/appointed/routing/target_planner.ts
+++ b/src/appointed/routing/target_planner.ts
@@ -5,6 +5,7 @@
  * enough.
  * Inputs: the route's policy with its staleness bound in milliseconds, the time when the read or its transaction began, the
  * newest commit of the session, the instances that were tried already.
+ * Homes of the request (request_homes.ts) bind both: an instance outside them is never a target.
  * Rule: a read gets a position floor (position_floor.ts); replicas come in the order of replica_selector.ts, the trusted
  * primary at its place among them, or last. Without a floor only the primary may serve the read.
  * Relies on: the lease on the primary (it may have ended: then the primary is no target), positions of the primary (they
@@ -13,8 +14,11 @@
 import { type Position, latest } from '../../positions/position.js';
 import type { ConnectionSource } from '../connections/connection_source.js';
 import { orderCandidates } from './replica_selector.js';
+import { homesOf, mayServe } from './request_homes.js';
 import type { Route } from '../catalog/route_table.js';
+import type { Homes } from '../placement/data_residency.js';
 import type { ProxyContext } from '../proxy/proxy_context.js';
+import type { Tenant } from '../tenancy/tenant.js';
 
 /**
  * Position floors are taken this much younger than the staleness bound, in milliseconds: for clocks that run at different
@@ -34,12 +38,16 @@
   readonly primaryEpoch?: number;
   /** Position that a replica must have applied. */
   readonly after?: Position;
+  /** Regions to which the statement is bound; they bind its way to the instance too. */
+  readonly homes?: Homes;
 }
 
 /** A read to be planned. */
 export interface ReadPlanRequest {
   /** Route whose policy tells how fresh an instance must be. */
   readonly route: Route;
+  /** Tenant of the caller, whose homes bind it too. */
+  readonly tenant: Tenant;
   /** When the first byte of the read, or of its transaction, arrived. */
   readonly firstByteAt: number;
   /** Newest commit of the same session. */
@@ -47,13 +55,23 @@
 }
 
 /** The trusted primary of a group. */
-export function primaryTarget(context: ProxyContext, group: string): Target | undefined {
+function primaryTarget(context: ProxyContext, group: string): Target | undefined {
   const primary = context.leases.primaryOf(group, context.clock.now());
   const pool = primary && context.instances.connectionsTo(primary.instance);
   if (!primary || !pool) return undefined;
   return { instance: primary.instance, pool, group, primaryEpoch: primary.epoch };
 }
 
+/** The trusted primary, if a statement with these homes may go there. */
+export function primaryWithin(
+  context: ProxyContext,
+  group: string,
+  homes: Homes,
+): Target | undefined {
+  const primary = primaryTarget(context, group);
+  return primary && mayServe(context, homes, primary.instance) ? { ...primary, homes } : undefined;
+}
+
 /** Whether answers of a target count now: those of replicas always, those of a primary under its lease. */
 export function isTargetTrusted(context: ProxyContext, target: Target): boolean {
   const { primaryEpoch, group } = target;
@@ -79,7 +97,8 @@
   tried: ReadonlySet<string>,
 ): Target[] {
   const { group } = request.route;
-  const primary = primaryTarget(context, group);
+  const homes = homesOf(context, request.route, request.tenant);
+  const primary = primaryWithin(context, group, homes);
   const after = readFloor(context, request);
   if (!after) {
     context.leaseConfirmer.noteWanted(group);
@@ -88,7 +107,7 @@
   const primaryInstance = context.leases.entryOf(group)?.primary;
   const candidates = context.instances
     .readCandidates(group)
-    .filter((candidate) => !tried.has(candidate.id))
+    .filter((candidate) => !tried.has(candidate.id) && mayServe(context, homes, candidate.id))
     .filter((candidate) => candidate.id !== primaryInstance || primary !== undefined);
   const ordered = orderCandidates(candidates, {
     zone: context.zone,
@@ -102,7 +121,7 @@
       continue;
     }
     const pool = context.instances.connectionsTo(id);
-    if (pool) targets.push({ instance: id, pool, group, after });
+    if (pool) targets.push({ instance: id, pool, group, after, homes });
   }
   const isPrimaryListed = targets.some((target) => target.primaryEpoch !== undefined);
   if (primary && !isPrimaryListed && !tried.has(primary.instance)) targets.push(primary);
--- a/src/appointed/sessions/caller_transaction.ts
+++ b/src/appointed/sessions/caller_transaction.ts
@@ -13,6 +13,12 @@
 import { type RefusedRequest, inDoubt, logRetry, refuse } from '../routing/refusal.js';
 import type { AttemptFailure, RefusalCause } from '../routing/refusal_cause.js';
 import { ROLLBACK_TIMEOUT_MS, RequestDeadline } from '../routing/request_deadline.js';
+import {
+  awaitFloorWithin,
+  causeWithoutInstance,
+  homesOf,
+  mayServe,
+} from '../routing/request_homes.js';
 import { RetryPause } from '../routing/retry_pause.js';
 import type { Route } from '../catalog/route_table.js';
 import type { ProxyContext } from '../proxy/proxy_context.js';
@@ -63,6 +69,10 @@
     const refusal = { id, deadline, state: 'failed' as const };
     const problem = await this.bind(id, deadline, content);
     if (problem !== undefined) return refuse(this.context, refusal, 'busy', problem);
+    if (!this.isWithinHomes()) {
+      this.drop();
+      return refuse(this.context, refusal, 'aborted', { kind: 'outsideHomes' });
+    }
     this.operation.noteRun();
     if (accessOf(statement) === 'write') this.hasWritten = true;
     const command = { kind: 'data' as const, id, statement };
@@ -95,9 +105,10 @@
     if (problem !== undefined) {
       return { reply: refuse(this.context, refusal, 'aborted', problem) };
     }
-    if (!this.isTrusted()) {
+    const obstacle = this.obstacleToCommit();
+    if (obstacle) {
       this.drop();
-      return { reply: refuse(this.context, refusal, 'aborted', { kind: 'leaseEnded' }) };
+      return { reply: refuse(this.context, refusal, 'aborted', obstacle) };
     }
     this.context.leases.commitStarted(this.route.group);
     try {
@@ -111,6 +122,8 @@
   /** Rolls back; the connection is cleaned up in the background. */
   rollback(id: string): void {
     this.isEnded = true;
+    // Not even ROLLBACK goes to an instance that a newer document puts out of reach; closing rolls back too.
+    if (!this.isWithinHomes()) this.drop();
     const { held } = this;
     this.held = undefined;
     if (!held) return;
@@ -208,7 +221,7 @@
   ): Promise<RefusalCause | undefined> {
     const tried = new Set<string>();
     const pause = new RetryPause(this.context.clock);
-    let cause: RefusalCause = { kind: 'noTrustedPrimary' };
+    let cause: RefusalCause | undefined;
     if (this.mayUseReplicas) await this.context.positions.awaitFloor(this.route.group);
     while (deadline.allowsAttempt) {
       const target = await this.nextTarget(deadline, tried, pause);
@@ -219,7 +232,9 @@
       cause = { kind: 'attemptFailed', instance: target.instance, failure };
       logRetry(this.context, { id, deadline }, target, failure);
     }
-    return cause;
+    const { route, operation } = this;
+    const otherwise: RefusalCause = { kind: 'noTrustedPrimary' };
+    return cause ?? causeWithoutInstance(this.context, route, operation.tenant, otherwise);
   }
 
   /** The instance to try next; after a round over all of them, pauses and waits for the primary. */
@@ -228,18 +243,23 @@
     tried: Set<string>,
     pause: RetryPause,
   ): Promise<Target | undefined> {
-    const { route, ownPosition } = this;
+    const { route, ownPosition, operation } = this;
+    const { tenant } = operation;
     if (this.mayUseReplicas) {
-      const plan = { route, firstByteAt: this.beganAt, ownPosition };
-      const [target] = planRead(this.context, plan, tried);
-      if (target) return target;
+      const plan = { route, tenant, firstByteAt: this.beganAt, ownPosition };
+      for (;;) {
+        const [target] = planRead(this.context, plan, tried);
+        if (target) return target;
+        if (tried.size > 0) break;
+        if (!(await awaitFloorWithin(this.context, deadline, tenant, pause))) break;
+      }
     }
     if (tried.size > 0) {
       if (!deadline.allowsRetry(false)) return undefined;
       tried.clear();
       await pause.wait();
     }
-    return awaitPrimary(this.context, deadline);
+    return awaitPrimary(this.context, deadline, tenant);
   }
 
   /** Begins at one instance; returns why it could not. */
@@ -253,7 +273,8 @@
     try {
       const { name: tenant } = this.operation.tenant;
       const usefulMs = deadline.usefulRemaining;
-      const needed = { tenant, values: content.values, priority, usefulMs };
+      const { homes } = target;
+      const needed = { tenant, values: content.values, priority, usefulMs, homes };
       held = await this.runner.hold(target, needed, deadline.connectionWait(false));
     } catch {
       // Nothing ran. The pool counts its refusals by reason; the text of this cause names none.
@@ -278,6 +299,21 @@
     return this.held !== undefined && isTargetTrusted(this.context, this.held.target);
   }
 
+  /** Whether the homes of now leave the instance, and the way to it, to the transaction. */
+  private isWithinHomes(): boolean {
+    const { context, held, route, operation } = this;
+    if (!held) return true;
+    const homes = homesOf(context, route, operation.tenant);
+    const { instance, pool } = held.target;
+    return mayServe(context, homes, instance) && pool.mayCarry(held.pooled, homes);
+  }
+
+  /** Why COMMIT may not be sent; undefined when it may. */
+  private obstacleToCommit(): RefusalCause | undefined {
+    if (!this.isWithinHomes()) return { kind: 'outsideHomes' };
+    return this.isTrusted() ? undefined : { kind: 'leaseEnded' };
+  }
+
   private countServed(): void {
     const { target } = this.held!;
     const isPrimary = target.primaryEpoch !== undefined;
--- a/src/appointed/sessions/single_statement.ts
+++ b/src/appointed/sessions/single_statement.ts
@@ -13,6 +13,7 @@
 import { inDoubt, logRetry, refuse } from '../routing/refusal.js';
 import type { AttemptFailure, RefusalCause } from '../routing/refusal_cause.js';
 import type { RequestDeadline } from '../routing/request_deadline.js';
+import { awaitFloorWithin, causeWithoutInstance } from '../routing/request_homes.js';
 import { RetryPause } from '../routing/retry_pause.js';
 import type { ProxyContext } from '../proxy/proxy_context.js';
 import type { SessionContent } from './session_loader.js';
@@ -62,18 +63,20 @@
   async read(request: SingleRequest): Promise<CallerReply> {
     const { deadline } = request;
     const { route } = deadline;
-    const plan = { route, firstByteAt: deadline.arrivedAt, ownPosition: request.ownPosition };
+    const { tenant } = request.operation;
+    const firstByteAt = deadline.arrivedAt;
+    const plan = { route, tenant, firstByteAt, ownPosition: request.ownPosition };
     const tried = new Set<string>();
     const pause = new RetryPause(this.context.clock);
     let wasOffered = false;
-    let cause: RefusalCause = { kind: 'noInstanceForRead' };
+    let cause: RefusalCause | undefined;
     if (route.policy.kind !== 'primary') await this.context.positions.awaitFloor(route.group);
     while (deadline.allowsAttempt) {
       if (request.operation.hasRun && !(await this.mayRunAgain(request))) break;
       const targets = planRead(this.context, plan, tried);
       const target = targets[0];
       if (!target) {
-        if (await this.mayTryAgain(deadline, tried, wasOffered, pause)) continue;
+        if (await this.mayTryAgain(request, tried, wasOffered, pause)) continue;
         break;
       }
       tried.add(target.instance);
@@ -84,19 +87,22 @@
       wasOffered ||= attempt.outcome !== 'notRun';
     }
     const refusal = { id: request.id, deadline, state: 'idle' as const };
+    cause ??= causeWithoutInstance(this.context, route, tenant, { kind: 'noInstanceForRead' });
     return refuse(this.context, refusal, 'busy', cause);
   }
 
   /** Runs a write on the trusted primary; never a second time when it may have run. */
   async write(request: SingleRequest): Promise<CommittedReply> {
     const { deadline } = request;
-    const { group } = deadline.route;
+    const { tenant } = request.operation;
+    const { route } = deadline;
+    const { group } = route;
     const refusal = { id: request.id, deadline, state: 'idle' as const };
     const pause = new RetryPause(this.context.clock);
     let wasOffered = false;
-    let cause: RefusalCause = { kind: 'noTrustedPrimary' };
+    let cause: RefusalCause | undefined;
     while (deadline.allowsAttempt) {
-      const target = await awaitPrimary(this.context, deadline);
+      const target = await awaitPrimary(this.context, deadline, tenant);
       if (!target) break;
       this.context.leases.commitStarted(group);
       const result = await this.attemptWrite(request, target).finally(() =>
@@ -109,6 +115,7 @@
       logRetry(this.context, request, target, result.cause);
       await pause.wait();
     }
+    cause ??= causeWithoutInstance(this.context, route, tenant, { kind: 'noTrustedPrimary' });
     return { reply: refuse(this.context, refusal, 'busy', cause) };
   }
 
@@ -118,12 +125,15 @@
    * floor has become known.
    */
   private async mayTryAgain(
-    deadline: RequestDeadline,
+    { deadline, operation: { tenant } }: SingleRequest,
     tried: Set<string>,
     wasOffered: boolean,
     pause: RetryPause,
   ): Promise<boolean> {
-    if (tried.size === 0) return (await awaitPrimary(this.context, deadline)) !== undefined;
+    if (tried.size === 0) {
+      const primary = await awaitPrimary(this.context, deadline, tenant);
+      return primary !== undefined || awaitFloorWithin(this.context, deadline, tenant, pause);
+    }
     if (!deadline.allowsRetry(wasOffered)) return false;
     tried.clear();
     await pause.wait();
@@ -236,7 +246,9 @@
     const usefulMs = request.deadline.usefulRemaining;
     try {
       const { values } = request.content;
-      const needed = { tenant: request.operation.tenant.name, values, priority, usefulMs };
+      const { homes } = target;
+      const { name: tenant } = request.operation.tenant;
+      const needed = { tenant, values, priority, usefulMs, homes };
       return await this.runner.hold(target, needed, waitMs);
     } catch (error) {
       // The cause of the attempt carries the reason; the pool counts its refusals.
--- a/src/appointed/trust/primary_waiter.ts
+++ b/src/appointed/trust/primary_waiter.ts
@@ -5,19 +5,24 @@
 import { delay } from '../../runtime/runtime.js';
 import { changeAge } from '../routing/refusal.js';
 import type { RequestDeadline } from '../routing/request_deadline.js';
+import { homesOf, isWaitInVain } from '../routing/request_homes.js';
 import type { ProxyContext } from '../proxy/proxy_context.js';
-import { type Target, primaryTarget } from '../routing/target_planner.js';
+import { type Target, primaryWithin } from '../routing/target_planner.js';
+import type { Tenant } from '../tenancy/tenant.js';
 
-/** The leased primary; undefined when the request may not wait longer for one. */
+/** The leased primary; undefined when the request may not wait longer for one, or its homes make that vain. */
 export async function awaitPrimary(
   context: ProxyContext,
   deadline: RequestDeadline,
+  tenant: Tenant,
 ): Promise<Target | undefined> {
   const { group } = deadline.route;
   for (;;) {
-    const target = primaryTarget(context, group);
+    const homes = homesOf(context, deadline.route, tenant);
+    const target = primaryWithin(context, group, homes);
     context.leaseConfirmer.noteWanted(group);
     if (target) return target;
+    if (isWaitInVain(context, group, homes)) return undefined;
     const waitMs = deadline.primaryWait(changeAge(context, group));
     if (waitMs <= 0) return undefined;
     await Promise.race([context.leases.nextExtension(), delay(context.clock, waitMs)]);
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -221,6 +221,20 @@
     'changed settings could not be taken over',
     'The process goes on with those that it has; `reason` names the field. Correct the settings file.',
   ),
+  relayOutsideHomes: define(
+    258,
+    'relay_outside_homes',
+    'warn',
+    'another proxy sent a statement that may not be here',
+    "Its homes don't hold the region of this proxy or of the instance; it was not run. Compare the `zones` in the settings of both machines.",
+  ),
+  instanceUnused: define(
+    259,
+    'instance_unused',
+    'warn',
+    'an entry of the catalog names no instance to use',
+    '`reason` tells what it lacks. Nothing is sent there until a heartbeat, or a document that names its service, mends it.',
+  ),
   allowancesBegun: define(
     325,
     'allowances_begun',
--- a/test/tools/fake_connection.ts
+++ b/test/tools/fake_connection.ts
@@ -5,7 +5,7 @@
 export class FakeConnection implements InstanceConnection {
   onClosed: (() => void) | undefined;
   closed = false;
-  run = (): Promise<never> => Promise.reject(new Error('unused'));
+  run: InstanceConnection['run'] = () => Promise.reject(new Error('unused'));
   close(): void {
     this.closed = true;
     this.onClosed?.();
--- /dev/null
+++ b/test/tools/placed_proxy.ts
@@ -0,0 +1,203 @@
+/** One proxy before one group, with faked control, instances and other proxies; notes where statements go. */
+import { documentOf } from '../../src/appointed/catalog/document_source.js';
+import { DEFAULT_PLACEMENT_RULES } from '../../src/appointed/placement/placement_rules.js';
+import { AppointedProxy } from '../../src/appointed/proxy/appointed_proxy.js';
+import type { RoutedSession } from '../../src/appointed/sessions/routed_session.js';
+import { whinyoke } from '../../src/protocol/generated/messages.js';
+import { RealClock } from '../../src/runtime/real_clock.js';
+import type { MessageBody, RequestHandler, Runtime } from '../../src/runtime/runtime.js';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
+import { PlatformDocumentReader } from '../../platform/routing_document.js';
+import { FakeConnection } from './fake_connection.js';
+
+const { RelayOutcome } = whinyoke;
+/** How long faked control holds a request, in milliseconds. */
+const HOLD_MS = 10;
+const OWN_ADDRESS = 'own:1';
+const POSITION = { term: 1, sequence: 7 };
+
+/** An instance, or a proxy, in a zone. */
+export interface Placed {
+  readonly id: string;
+  readonly zone: string;
+}
+
+/** What surrounds the proxy. */
+export interface Placement {
+  readonly zone: string;
+  readonly instances: readonly Placed[];
+  /** Identifier of the primary. */
+  readonly primary: string;
+  /** Other proxies; their identifiers are their addresses. */
+  readonly proxies?: readonly Placed[];
+  readonly connectionLimit?: number;
+  readonly regionByZone: Readonly<Record<string, string>>;
+}
+
+/** Where a statement went: to an instance, by another proxy where one is named. */
+export interface Passed {
+  readonly instance: string;
+  readonly via?: string;
+}
+
+/** Homes of a document. */
+export interface DocumentHomes {
+  readonly route?: readonly string[] | null;
+  readonly tenant?: readonly string[];
+  readonly routeType?: string;
+}
+
+/** A document with one route to the group, and one tenant whose key is `key`. */
+export function documentWith(version: number, homes: DocumentHomes, connectionLimit = 30): string {
+  const route = {
+    name: 'r',
+    hostname: 'db',
+    route_type: homes.routeType ?? 'bounded_staleness',
+    timeout_ms: 8000,
+    target_latency_ms: 4000,
+    service: 'g',
+    max_staleness_ms: 1500,
+    allowed_regions: homes.route,
+  };
+  const tenant = { name: 'ana', api_keys: ['key'], allowed_regions: homes.tenant };
+  const services = [{ name: 'g', connection_limit: connectionLimit }];
+  return JSON.stringify({ version, routes: [route], services, tenants: [tenant] });
+}
+
+/** The proxy. */
+export class PlacedProxy {
+  readonly core: AppointedProxy;
+  readonly passed: Passed[] = [];
+  readonly clock = new RealClock();
+  private version = 1;
+  private handler: RequestHandler | undefined;
+  private document: string;
+
+  constructor(
+    private readonly placement: Placement,
+    homes: DocumentHomes,
+  ) {
+    this.document = documentWith(1, homes, placement.connectionLimit);
+    const request = (to: string, body: MessageBody): Promise<MessageBody> => this.answer(to, body);
+    const messenger = {
+      request,
+      serve: (handler: RequestHandler) => void (this.handler = handler),
+    };
+    const random = new SeededRandom(1);
+    const runtime = { clock: this.clock, random, messenger } as unknown as Runtime;
+    const regionByZone = new Map(Object.entries(placement.regionByZone));
+    this.core = new AppointedProxy(runtime, {
+      id: 'own',
+      zone: placement.zone,
+      address: OWN_ADDRESS,
+      seeds: ['control:1'],
+      connector: { connect: ({ id }) => Promise.resolve(this.open(id)) },
+      reader: new PlatformDocumentReader(),
+      log: () => undefined,
+      counters: {
+        answered: () => undefined,
+        served: () => undefined,
+        retried: () => undefined,
+        refusedByHomes: () => undefined,
+      },
+      credentialFreshnessMs: Infinity,
+      quotaRules: { windowMs: 5000, overage: 0, tolerance: 0 },
+      placementRules: { ...DEFAULT_PLACEMENT_RULES, regionByZone },
+    });
+  }
+
+  /** Starts, and resolves with a session once the first document is in force. */
+  async start(): Promise<RoutedSession> {
+    this.core.start();
+    await this.core.awaitTable(1000);
+    await this.settle();
+    return this.core.openSession('db', 'key')!;
+  }
+
+  /** Puts a document with other homes in force. */
+  async change(homes: DocumentHomes): Promise<void> {
+    this.version++;
+    this.document = documentWith(this.version, homes, this.placement.connectionLimit);
+    while (this.core.table?.version !== this.version) await this.settle();
+  }
+
+  /** Sends a statement of another proxy. */
+  async relayed(relayRequest: whinyoke.IRelayRequest): Promise<whinyoke.IRelayReply> {
+    const { relayReply } = await this.handler!({ relayRequest }, 'other:1');
+    return relayReply ?? {};
+  }
+
+  /** Takes the notes so far. */
+  takePassed(): readonly Passed[] {
+    return this.passed.splice(0);
+  }
+
+  private settle(): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, 3 * HOLD_MS));
+  }
+
+  private async answer(address: string, body: MessageBody): Promise<MessageBody> {
+    if (body.relayRequest) return { relayReply: this.relay(address, body.relayRequest) };
+    await new Promise((resolve) => setTimeout(resolve, HOLD_MS));
+    return { syncReply: this.synchronise() };
+  }
+
+  private synchronise(): whinyoke.ISyncReply {
+    const { instances, primary, proxies = [], zone } = this.placement;
+    const group = { group: 'g', epoch: 1, primary, term: 1, version: 1 };
+    const entries = instances.map((item) => ({
+      ...item,
+      group: 'g',
+      address: '10.0.0.1:80',
+      slots: 4,
+      version: 1,
+    }));
+    const update = {
+      document: documentOf(this.version, this.document),
+      isWhole: true,
+      instances: entries,
+      groups: [group],
+    };
+    const fleet = [...proxies, { id: OWN_ADDRESS, zone }];
+    const zones = fleet.map((proxy) => ({ zone: proxy.zone, addresses: [proxy.id] }));
+    return {
+      accepted: true,
+      leaseMs: 3000,
+      version: this.version,
+      update: whinyoke.CatalogUpdate.encode(update).finish(),
+      directory: { version: 1, liveProxies: fleet.length, zones: mergeZones(zones) },
+      term: 1,
+      positions: { terms: [POSITION.term], sequences: [POSITION.sequence], agesMs: [1] },
+    };
+  }
+
+  private relay(via: string, request: whinyoke.IRelayRequest): whinyoke.IRelayReply {
+    if (request.closes) return {};
+    this.passed.push({ instance: request.instance ?? '', via });
+    const isOpen = request.command?.begin !== undefined || request.connection === 'kept';
+    const state = isOpen && request.command?.commit === undefined ? 'open' : 'idle';
+    const answer = { rows: [], signature: 's', state, position: POSITION };
+    return { outcome: RelayOutcome.ANSWERED, connection: isOpen ? 'kept' : '', answer };
+  }
+
+  private open(instance: string): { connection: FakeConnection; position: typeof POSITION } {
+    const connection = new FakeConnection();
+    let state: 'idle' | 'open' = 'idle';
+    const run: FakeConnection['run'] = (command) => {
+      if (command.kind === 'begin') state = 'open';
+      if (command.kind === 'commit' || command.kind === 'rollback') state = 'idle';
+      this.passed.push({ instance });
+      return Promise.resolve({ rows: [], signature: 's', state, position: POSITION });
+    };
+    connection.run = run;
+    return { connection, position: POSITION };
+  }
+}
+
+function mergeZones(zones: readonly whinyoke.IZoneProxies[]): whinyoke.IZoneProxies[] {
+  const byZone = new Map<string, string[]>();
+  for (const { zone, addresses } of zones) {
+    byZone.set(zone!, [...(byZone.get(zone!) ?? []), ...(addresses ?? [])]);
+  }
+  return [...byZone].map(([zone, addresses]) => ({ zone, addresses }));
+}
--- /dev/null
+++ b/test/unit/data_residency.test.ts
@@ -0,0 +1,203 @@
+/** Requests with homes: no instance and no other proxy outside is ever chosen; an empty choice is refused at once. */
+import fc from 'fast-check';
+import t from 'tap';
+import { PlatformDocumentReader } from '../../platform/routing_document.js';
+import type { RoutedSession } from '../../src/appointed/sessions/routed_session.js';
+import type { CallerStatement } from '../../src/appointed/instance/statement.js';
+import {
+  type DocumentHomes,
+  type Placement,
+  PlacedProxy,
+  documentWith,
+} from '../tools/placed_proxy.js';
+
+const READ: CallerStatement = { kind: 'read', argument: 'k' };
+const WRITE: CallerStatement = { kind: 'write', argument: 'k v' };
+const REGIONS = { n1: 'north', n2: 'north', s1: 'south', s2: 'south' };
+/** The primary and the nearest replica are in the north. */
+const MIXED: Placement = {
+  zone: 'n1',
+  instances: [
+    { id: 'p', zone: 'n1' },
+    { id: 'near', zone: 'n1' },
+    { id: 'far', zone: 's1' },
+  ],
+  primary: 'p',
+  regionByZone: REGIONS,
+};
+const OUTSIDE = /^no instance within the homes may run it; retry after 1000 ms$/;
+
+async function withProxy(
+  t: { teardown(end: () => void): void },
+  placement: Placement,
+  homes: DocumentHomes,
+): Promise<{ proxy: PlacedProxy; session: RoutedSession }> {
+  const proxy = new PlacedProxy(placement, homes);
+  t.teardown(() => proxy.core.stop());
+  return { proxy, session: await proxy.start() };
+}
+
+/** Where a statement went (instance, or instance and owner; empty: nowhere), and how it was refused. */
+async function run(proxy: PlacedProxy, session: RoutedSession, statement: CallerStatement) {
+  const startedAt = proxy.clock.now();
+  const { error } = await session.execute('q', statement);
+  const tookMs = proxy.clock.now() - startedAt;
+  const ways = proxy
+    .takePassed()
+    .map(({ instance, via }) => (via ? `${instance} by ${via}` : instance));
+  return { way: [...new Set(ways)].join(), error: error?.text ?? '', tookMs };
+}
+
+/** Whether a statement was refused at once, for its homes, and reached nothing. */
+async function isRefusedAtOnce(
+  proxy: PlacedProxy,
+  session: RoutedSession,
+  statement: CallerStatement,
+): Promise<boolean> {
+  const { way, error, tookMs } = await run(proxy, session, statement);
+  return way === '' && OUTSIDE.test(error) && tookMs < 300;
+}
+
+void t.test('an empty list and a null bind nothing; other lists do', (t) => {
+  const homes = (route: DocumentHomes['route']): unknown =>
+    new PlatformDocumentReader().read(documentWith(1, { route })).routeByDatabase.get('db')!.homes;
+  t.equal(homes([]), undefined);
+  t.equal(homes(null), undefined);
+  t.same(homes(['north']), new Set(['north']));
+  t.end();
+});
+
+void t.test('homes bind a read whose near replicas are elsewhere', async (t) => {
+  const { proxy, session } = await withProxy(t, MIXED, { route: ['south'] });
+  for (let count = 0; count < 5; count++) {
+    t.equal((await run(proxy, session, READ)).way, 'far');
+  }
+  await proxy.change({});
+  t.not((await run(proxy, session, READ)).way, 'far', 'without homes the near ones serve');
+});
+
+void t.test('a primary outside the homes: writes are refused at once', async (t) => {
+  const { proxy, session } = await withProxy(t, MIXED, { route: ['south'] });
+  t.ok(await isRefusedAtOnce(proxy, session, WRITE));
+  await session.execute('b', { kind: 'begin', readOnly: false });
+  t.ok(await isRefusedAtOnce(proxy, session, WRITE), 'in a transaction');
+});
+
+void t.test('route and tenant with disjoint homes: nothing serves the request', async (t) => {
+  const homes = { route: ['south'], tenant: ['north'] };
+  const { proxy, session } = await withProxy(t, MIXED, homes);
+  t.ok(await isRefusedAtOnce(proxy, session, READ));
+  await proxy.change({ route: ['south'], tenant: ['north', 'south'] });
+  t.equal((await run(proxy, session, READ)).way, 'far', 'both bind');
+});
+
+void t.test('an instance in a zone without a region is in no home', async (t) => {
+  const placement = { ...MIXED, regionByZone: { n1: 'north' } };
+  const { proxy, session } = await withProxy(t, placement, { route: ['s1', 'south'] });
+  t.ok(await isRefusedAtOnce(proxy, session, READ));
+});
+
+void t.test('an open session and an open transaction go by the newest homes', async (t) => {
+  const { proxy, session } = await withProxy(t, MIXED, { routeType: 'primary' });
+  await session.execute('b', { kind: 'begin', readOnly: false });
+  t.equal((await run(proxy, session, WRITE)).way, 'p');
+  await proxy.change({ routeType: 'primary', route: ['south'] });
+  t.ok(await isRefusedAtOnce(proxy, session, WRITE));
+  t.equal(session.state, 'failed');
+  await session.execute('r', { kind: 'rollback' });
+  t.ok(await isRefusedAtOnce(proxy, session, READ), 'the open session');
+  await proxy.change({ routeType: 'primary', route: ['north'] });
+  await session.execute('b', { kind: 'begin', readOnly: false });
+  await run(proxy, session, WRITE);
+  await proxy.change({ routeType: 'primary', route: ['south'] });
+  const { error } = await session.execute('c', { kind: 'commit' });
+  t.match(error, { kind: 'aborted', text: OUTSIDE }, 'COMMIT is not sent');
+  t.same(proxy.takePassed(), []);
+});
+
+const FEW_CONNECTIONS: Placement = {
+  zone: 's1',
+  instances: [{ id: 'p', zone: 'n1' }],
+  primary: 'p',
+  connectionLimit: 2,
+  proxies: Array.from({ length: 6 }, (_, index) => ({ id: `o${index}:1`, zone: 's2' })),
+  regionByZone: REGIONS,
+};
+
+void t.test('the only owners are in another region: own connections are used', async (t) => {
+  const { proxy, session } = await withProxy(t, FEW_CONNECTIONS, {});
+  t.match((await run(proxy, session, WRITE)).way, /^p by o/, 'without homes an owner carries it');
+  await proxy.change({ route: ['north'] });
+  t.equal((await run(proxy, session, WRITE)).way, 'p');
+});
+
+void t.test('a transaction whose connection is kept outside newer homes is ended', async (t) => {
+  const { proxy, session } = await withProxy(t, FEW_CONNECTIONS, { routeType: 'primary' });
+  await session.execute('b', { kind: 'begin', readOnly: false });
+  t.match((await run(proxy, session, WRITE)).way, /^p by o/);
+  await proxy.change({ routeType: 'primary', route: ['north'] });
+  t.ok(await isRefusedAtOnce(proxy, session, WRITE));
+});
+
+void t.test('an owner refuses a statement whose homes are elsewhere', async (t) => {
+  const { proxy } = await withProxy(t, MIXED, {});
+  const command = { data: { id: 'q', argument: 'k' } };
+  const ask = (instance: string, regions: string[]) =>
+    proxy.relayed({
+      instance,
+      tenant: 'ana',
+      waitMs: 50,
+      timeoutMs: 50,
+      command,
+      homes: { regions },
+    });
+  const refusal = { outcome: 1, cause: 'no instance within the homes may run it' };
+  t.match(await ask('near', ['south']), refusal, 'this proxy');
+  t.match(await ask('far', ['north']), refusal, 'the instance');
+  t.match(await ask('near', []), refusal, 'no region at all');
+  t.match(await ask('near', ['north']), { outcome: 0 });
+  t.same(proxy.takePassed(), [{ instance: 'near' }]);
+});
+
+const ZONES = ['n1', 'n2', 's1', 's2', 'e1', 'unknown'];
+const REGION_OF: Readonly<Record<string, string>> = { ...REGIONS, e1: 'east' };
+const someRegions = fc.option(
+  fc.uniqueArray(fc.constantFrom<string>('north', 'south', 'east', 'nowhere'), { maxLength: 3 }),
+  { nil: undefined },
+);
+const placed = (prefix: string) =>
+  fc
+    .array(fc.constantFrom(...ZONES), { minLength: 1, maxLength: 6 })
+    .map((zones) => zones.map((zone, index) => ({ id: `${prefix}${index}:1`, zone })));
+
+void t.test('no instance and no other proxy outside the homes is ever chosen', async (t) => {
+  let served = 0;
+  const property = fc.asyncProperty(
+    placed('i'),
+    placed('o'),
+    fc.constantFrom(...ZONES),
+    someRegions,
+    someRegions,
+    async (instances, proxies, zone, route, tenant) => {
+      const placement = { zone, instances, proxies, primary: 'i0:1', connectionLimit: 2 };
+      const proxy = new PlacedProxy({ ...placement, regionByZone: REGION_OF }, { route, tenant });
+      const session = await proxy.start();
+      for (const statement of [READ, READ, WRITE]) await session.execute('q', statement);
+      await session.execute('b', { kind: 'begin', readOnly: false });
+      await session.execute('q', WRITE);
+      session.close();
+      proxy.core.stop();
+      const zoneOf = new Map([...instances, ...proxies].map((item) => [item.id, item.zone]));
+      const isAllowed = (id: string): boolean => {
+        const region = REGION_OF[zoneOf.get(id)!];
+        const lists = [route, tenant].filter((list) => list !== undefined && list.length > 0);
+        return lists.every((list) => region !== undefined && list!.includes(region));
+      };
+      const passed = proxy.takePassed();
+      served += passed.length;
+      return passed.every(({ instance, via }) => isAllowed(instance) && (!via || isAllowed(via)));
+    },
+  );
+  await fc.assert(property, { seed: 36, numRuns: 60 });
+  t.ok(served > 60, `${served} commands were sent`);
+});
--- a/test/unit/refusals.test.ts
+++ b/test/unit/refusals.test.ts
@@ -34,6 +34,7 @@
     [{ kind: 'transactionAnswered', error: undefined }, 'the instance answered without an error'],
     [{ kind: 'noTrustedPrimary' }, 'no trusted primary'],
     [{ kind: 'noInstanceForRead' }, 'no instance may serve the read'],
+    [{ kind: 'outsideHomes' }, 'no instance within the homes may run it'],
     [{ kind: 'tenantOverLimit', retryAfterMs: 1 }, 'the tenant is over its limit'],
     [{ kind: 'noGrant' }, 'no control machine grants operations'],
     [{ kind: 'credentialUnknown' }, 'no tenant holds the credential'],
@@ -56,6 +57,7 @@
     t.equal(retryAfterMs({ kind }, steady), 300, kind);
   }
   t.equal(retryAfterMs({ kind: 'noConfiguration' }), 300, 'no group is known');
+  t.equal(retryAfterMs({ kind: 'outsideHomes' }, steady), 1000, 'a trusted primary does not help');
   t.equal(retryAfterMs({ kind: 'tenantOverLimit', retryAfterMs: 71 }, steady), 71);
   t.equal(overLimitRetryMs(100, 0), 100);
   t.equal(overLimitRetryMs(100, 0.5), 175, 'spread over one and a half times the wait');
