--- a/src/appointed/daemon/control_daemon.ts
+++ b/src/appointed/daemon/control_daemon.ts
@@ -50,6 +50,8 @@
 interface RunningAppointedControl {
   readonly core: AppointedControl;
   readonly log: DecisionLog;
+  /** What the metrics endpoint shows. */
+  readonly registry: Registry;
   /** Takes over the control machines that changed settings name; `readSeeds` throws where they are wrong. */
   reloadSeeds(readSeeds: () => readonly string[]): void;
   /** Resolves after a planned stop. */
@@ -86,6 +88,7 @@
   return {
     core,
     log: decisions.log,
+    registry,
     reloadSeeds: (readSeeds) => reloadSeeds(readSeeds, logger, (seeds) => core.updateSeeds(seeds)),
     stopped: stop(),
   };
--- a/src/errors/errors.ts
+++ b/src/errors/errors.ts
@@ -50,6 +50,9 @@
 /** Settings or configuration text that can't be used; the message gives file, line and path. */
 export const InvalidDocumentError = WhinyokeError.subclass('InvalidDocumentError');
 
+/** A call of an operator or an instance that can't be understood; nothing changed. */
+export const InvalidCallError = WhinyokeError.subclass('InvalidCallError');
+
 /** A file in the data folder is damaged in a way that a crash can't explain. */
 export const StorageCorruptionError = WhinyokeError.subclass('StorageCorruptionError');
 
--- a/test/tools/placed_proxy.ts
+++ b/test/tools/placed_proxy.ts
@@ -25,7 +25,8 @@
 /** What surrounds the proxy. */
 export interface Placement {
   readonly zone: string;
-  readonly instances: readonly Placed[];
+  /** Fields of entries that are left out are those of an instance that may be used. */
+  readonly instances: readonly (Placed & whinyoke.IInstanceEntry)[];
   /** Identifier of the primary. */
   readonly primary: string;
   /** Other proxies; their identifiers are their addresses. */
@@ -146,11 +147,11 @@
     const { instances, primary, proxies = [], zone } = this.placement;
     const group = { group: 'g', epoch: 1, primary, term: 1, version: 1 };
     const entries = instances.map((item) => ({
-      ...item,
       group: 'g',
       address: '10.0.0.1:80',
       slots: 4,
       version: 1,
+      ...item,
     }));
     const update = {
       document: documentOf(this.version, this.document),
--- a/test/unit/failover.test.ts
+++ b/test/unit/failover.test.ts
@@ -396,7 +396,9 @@
     return Promise.resolve(whinyoke.CatalogResult.decode(bytes));
   };
   for (const id of ['i-1', 'i-2']) {
-    void propose({ putInstance: { id, group: 'g', state: InstanceState.READY, address: `${id}:80` } });
+    void propose({
+      putInstance: { id, group: 'g', state: InstanceState.READY, address: `${id}:80` },
+    });
   }
   void propose({ putGroup: groupEntry(1) });
   const context = {
