--- a/src/appointed/routing/request_homes.ts
+++ b/src/appointed/routing/request_homes.ts
@@ -26,14 +26,14 @@
 }
 
 /** Whether homes keep a request from the primary that is trusted now; false where none is. */
-export function isPrimaryOutside(context: ProxyContext, group: string, homes: Homes): boolean {
+function isPrimaryOutside(context: ProxyContext, group: string, homes: Homes): boolean {
   if (homes === undefined) return false;
   const primary = context.leases.primaryOf(group, context.clock.now());
   return primary !== undefined && !mayServe(context, homes, primary.instance);
 }
 
 /** Whether homes leave any instance of a group that takes new work. */
-export function leavesInstance(context: ProxyContext, group: string, homes: Homes): boolean {
+function leavesInstance(context: ProxyContext, group: string, homes: Homes): boolean {
   if (homes === undefined) return true;
   return context.instances.readCandidates(group).some(({ id }) => mayServe(context, homes, id));
 }
--- a/test/tools/placed_proxy.ts
+++ b/test/tools/placed_proxy.ts
@@ -17,7 +17,7 @@
 const POSITION = { term: 1, sequence: 7 };
 
 /** An instance, or a proxy, in a zone. */
-export interface Placed {
+interface Placed {
   readonly id: string;
   readonly zone: string;
 }
