Homes cost nothing where no route is bound

Change: bound routes are listed once a document; an unbound statement gets the same target as before; a kept owner is read from its connection.

--- a/src/appointed/failover/candidate.ts
+++ b/src/appointed/failover/candidate.ts
@@ -40,7 +40,7 @@
   readonly isMembershipWhole: boolean;
   /** Term of the old primary. */
   readonly term: number;
-  /** Number of routes that an instance may serve as the primary; the same for all when left out. */
+  /** Number of bound routes that an instance may serve as the primary; the same for all when left out. */
   readonly servedRoutes?: (instance: string) => number;
 }
 
--- a/src/appointed/failover/failover_controller.ts
+++ b/src/appointed/failover/failover_controller.ts
@@ -233,11 +233,13 @@
   }
 
   private replacementsFor(entry: GroupEntry): readonly InstanceEntry[] {
-    return this.usable.filter(
+    const { catalog, document } = this.context;
+    return catalog.presentInstances.filter(
       (instance) =>
         instance.group === entry.group &&
         instance.id !== entry.primary &&
-        instance.state === InstanceState.READY,
+        instance.state === InstanceState.READY &&
+        unusedReason(instance, document.table) === undefined,
     );
   }
 
--- a/src/appointed/placement/primary_homes.ts
+++ b/src/appointed/placement/primary_homes.ts
@@ -1,15 +1,15 @@
 /**
- * DECISION: how many routes of a group a primary in a zone may serve, by which primaries are placed.
+ * DECISION: how many bound routes of a group a primary in a zone may serve, by which primaries are placed.
  *
  * Answers: homes of routes, which a primary elsewhere can't serve.
  * Inputs: routes of the newest document, region of each zone.
- * Rule: a route counts when it is bound to no region, or to the zone's. Homes of tenants bind single requests and don't count. The number
- *   decides among instances that provably hold every acknowledged commit, never about the proof (`failover/candidate.ts`).
+ * Rule: a route counts when it is bound to the region of the zone; one that is bound to none may be served by all alike. Homes of tenants
+ *   bind single requests and don't count. The number decides among instances that provably hold every acknowledged commit, never about the proof (`failover/candidate.ts`).
  * Constants: none. See docs/design/data-residency.md. Tests: test/unit/primary_homes.test.ts. Pure.
  */
 import type { InstanceEntry } from '../catalog/instance_table.js';
 import type { RouteTable } from '../catalog/route_table.js';
-import { isWithinHomes } from './data_residency.js';
+import { type Homes, isWithinHomes } from './data_residency.js';
 
 /** What places primaries. */
 export interface PrimaryPlacement {
@@ -19,14 +19,26 @@
   readonly regionByZone: ReadonlyMap<string, string>;
 }
 
-/** Number of routes of its group that an instance may serve as the primary. */
+/** Homes of the bound routes of each group, by document: control looks at all groups many times a second. */
+const boundRoutesByTable = new WeakMap<RouteTable, ReadonlyMap<string, readonly Homes[]>>();
+
+function boundRoutesOf(table: RouteTable): ReadonlyMap<string, readonly Homes[]> {
+  const known = boundRoutesByTable.get(table);
+  if (known) return known;
+  const bound = new Map<string, Homes[]>();
+  for (const { group, homes } of table.routeByDatabase.values()) {
+    if (homes) bound.set(group, [...(bound.get(group) ?? []), homes]);
+  }
+  boundRoutesByTable.set(table, bound);
+  return bound;
+}
+
+/** Number of bound routes of its group that an instance may serve as the primary. */
 export function servedRoutes(
   instance: InstanceEntry | undefined,
-  { document, regionByZone }: PrimaryPlacement,
+  { document: { table }, regionByZone }: PrimaryPlacement,
 ): number {
-  const routes = [...(document.table?.routeByDatabase.values() ?? [])];
-  const zone = instance?.zone ?? '';
-  return routes.filter(
-    ({ group, homes }) => group === instance?.group && isWithinHomes(homes, zone, regionByZone),
-  ).length;
+  const bound = table && boundRoutesOf(table).get(instance?.group ?? '');
+  if (!bound) return 0;
+  return bound.filter((homes) => isWithinHomes(homes, instance?.zone ?? '', regionByZone)).length;
 }
--- a/src/appointed/relay/instance_access.ts
+++ b/src/appointed/relay/instance_access.ts
@@ -27,8 +27,6 @@
 export class InstanceAccess implements ConnectionSource {
   /** Connections of owners that are in use here. */
   private readonly relayed = new Set<PooledConnection>();
-  /** The owner that keeps a connection for each of them. */
-  private readonly keepers = new WeakMap<PooledConnection, () => string | undefined>();
 
   constructor(
     /** Connections of this process. */
@@ -73,7 +71,6 @@
     };
     const connection = new RelayedConnection(route, this.surroundings);
     const pooled = new PooledConnection(connection, request.tenant ?? NO_TENANT, true);
-    this.keepers.set(pooled, () => connection.keeper);
     this.relayed.add(pooled);
     connection.onClosed = () => this.relayed.delete(pooled);
     return Promise.resolve(pooled);
@@ -81,7 +78,8 @@
 
   /** Whether the next statement on a connection may have these homes. */
   mayCarry(pooled: PooledConnection, homes: Homes): boolean {
-    const keeper = this.keepers.get(pooled)?.();
+    const { connection } = pooled;
+    const keeper = connection instanceof RelayedConnection ? connection.keeper : undefined;
     return keeper === undefined || this.maySee(keeper, homes);
   }
 
--- a/src/appointed/routing/request_homes.ts
+++ b/src/appointed/routing/request_homes.ts
@@ -22,6 +22,7 @@
 
 /** Whether an instance may run a request with these homes. */
 export function mayServe(context: ProxyContext, homes: Homes, instance: string): boolean {
+  if (homes === undefined) return true;
   return isWithinHomes(homes, context.instances.zoneOf(instance), context.regionByZone);
 }
 
--- a/src/appointed/routing/target_planner.ts
+++ b/src/appointed/routing/target_planner.ts
@@ -69,7 +69,8 @@
   homes: Homes,
 ): Target | undefined {
   const primary = primaryTarget(context, group);
-  return primary && mayServe(context, homes, primary.instance) ? { ...primary, homes } : undefined;
+  if (!primary || homes === undefined) return primary;
+  return mayServe(context, homes, primary.instance) ? { ...primary, homes } : undefined;
 }
 
 /** Whether answers of a target count now: those of replicas always, those of a primary under its lease. */
