Simulation of two regions: a bound group under all faults

Cause: homes were held by unit tests of one proxy only. Change: deployment appointed-regions (10 proxies, two regions, one group bound to one of them), a check of each statement that runs, and the protection homes that can be taken away.

--- a/lab/appointed/appointed_deployment.ts
+++ b/lab/appointed/appointed_deployment.ts
@@ -18,6 +18,16 @@
   readonly callers: number;
   /** Tenants of the callers; undefined where callers need no credential. */
   readonly tenancy?: TenancyOfDeployment;
+  /** A group all of whose routes are bound to some regions; undefined where nothing is bound. */
+  readonly residency?: ResidencyOfDeployment;
+}
+
+/** Regions of a deployment, and what is bound to them. */
+export interface ResidencyOfDeployment {
+  readonly regionByZone: ReadonlyMap<string, string>;
+  /** Group whose routes are bound. */
+  readonly group: string;
+  readonly homes: ReadonlySet<string>;
 }
 
 /** Tenants of a deployment, and how strictly their limits are judged. */
@@ -85,7 +95,26 @@
   },
 };
 
+/** Many proxies before few connections in two regions; the requests of one group may not leave one of them. */
+export const APPOINTED_REGIONS: AppointedDeployment = {
+  ...APPOINTED_TENANTS,
+  name: 'appointed-regions',
+  tenancy: undefined,
+  residency: {
+    regionByZone: new Map([
+      ['zone-0', 'north'],
+      ['zone-1', 'south'],
+      ['zone-2', 'south'],
+    ]),
+    group: 'group-1',
+    homes: new Set(['south']),
+  },
+};
+
 /** All, by name. */
 export const APPOINTED_DEPLOYMENTS: ReadonlyMap<string, AppointedDeployment> = new Map(
-  [APPOINTED_QUETZAL, APPOINTED_TOPLINA, APPOINTED_TENANTS].map((item) => [item.name, item]),
+  [APPOINTED_QUETZAL, APPOINTED_TOPLINA, APPOINTED_TENANTS, APPOINTED_REGIONS].map((item) => [
+    item.name,
+    item,
+  ]),
 );
--- a/lab/appointed/appointed_judge.ts
+++ b/lab/appointed/appointed_judge.ts
@@ -4,6 +4,7 @@
  */
 import type { CallerErrorKind } from '../../src/appointed/sessions/caller_reply.js';
 import type { PreparedShape } from '../../src/appointed/instance/statement.js';
+import type { ResidencyOfDeployment } from './appointed_deployment.js';
 import type { SimulatedTenancy } from './simulated_tenancy.js';
 import type {
   CommitReport,
@@ -27,7 +28,8 @@
   | 'configuration'
   | 'shared-fence'
   | 'tenant'
-  | 'quota';
+  | 'quota'
+  | 'homes';
 
 /** A broken promise. */
 export interface AppointedViolation {
@@ -108,6 +110,8 @@
   private readonly countedTransactions = new Set<string>();
   /** Tenants of the run; undefined where callers need no credential. */
   tenancy: SimulatedTenancy | undefined;
+  /** What is bound to regions; undefined where nothing is. */
+  residency: ResidencyOfDeployment | undefined;
 
   constructor(private readonly now: () => number) {}
 
@@ -125,6 +129,7 @@
     this.checkSession(report);
     this.checkDrain(report);
     this.checkTenant(report);
+    this.checkHomes(report);
   }
 
   onCommit(report: CommitReport): void {
@@ -257,6 +262,15 @@
     this.runsOfTenant.set(session.tenant, runs);
   }
 
+  private checkHomes({ id, instance }: RunReport): void {
+    const { residency } = this;
+    if (!residency || instance.options.group !== residency.group) return;
+    const region = residency.regionByZone.get(instance.options.zone);
+    if (region === undefined || !residency.homes.has(region)) {
+      this.add('homes', `${id} ran on ${instance.options.id} in ${region}`);
+    }
+  }
+
   /** Whether the first `length` records of a log hold a request. Sequence numbers begin with 1. */
   private holds(log: readonly LogRecord[], length: number, request: string): boolean {
     const record = this.recordOf.get(request);
--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -5,7 +5,11 @@
 import type { EventFields } from '../../src/observability/logger.js';
 import type { InstanceConnector } from '../../src/appointed/instance/instance_connection.js';
 import type { RequestCounters } from '../../src/appointed/proxy/proxy_context.js';
-import type { RouteTable, RoutingDocumentReader } from '../../src/appointed/catalog/route_table.js';
+import type {
+  Route,
+  RouteTable,
+  RoutingDocumentReader,
+} from '../../src/appointed/catalog/route_table.js';
 import { AppointedProxy } from '../../src/appointed/proxy/appointed_proxy.js';
 import { RoutedSession } from '../../src/appointed/sessions/routed_session.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
@@ -159,23 +163,36 @@
   }
 }
 
+/** A route as documents of the simulation write it. */
+export type WrittenRoute = Omit<Route, 'homes'> & { readonly homes?: readonly string[] };
+
 /** Routing documents of the simulation: JSON of the product's own route table. */
 export class SimulatedDocumentReader implements RoutingDocumentReader {
+  /** @param readsHomes - whether homes of routes count */
+  constructor(private readonly readsHomes: boolean) {}
+
   read(source: string): RouteTable {
     const fields = JSON.parse(source) as Omit<
       RouteTable,
       'routeByDatabase' | 'limitsByGroup' | 'tenants'
     > & {
-      routes: [string, never][];
+      routes: [string, WrittenRoute][];
       limits: [string, never][];
       tenants: readonly TenantGrant[];
     };
     return {
       version: fields.version,
       transactionIdleMs: fields.transactionIdleMs,
-      routeByDatabase: new Map(fields.routes),
+      routeByDatabase: new Map(
+        fields.routes.map(([database, route]) => [database, this.readRoute(route)]),
+      ),
       limitsByGroup: new Map(fields.limits),
       tenants: new TenantDirectory(fields.tenants),
     };
   }
+
+  private readRoute(route: WrittenRoute): Route {
+    const homes = this.readsHomes && route.homes ? new Set(route.homes) : undefined;
+    return { ...route, homes };
+  }
 }
--- a/lab/appointed/appointed_world.ts
+++ b/lab/appointed/appointed_world.ts
@@ -6,7 +6,7 @@
   PrimaryAppointer,
 } from '../../src/appointed/failover/primary_appointer.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
-import type { GroupLimits, ReadPolicy, Route } from '../../src/appointed/catalog/route_table.js';
+import type { GroupLimits, ReadPolicy } from '../../src/appointed/catalog/route_table.js';
 import { hostOf } from '../../src/runtime/address.js';
 import { delay } from '../../src/runtime/runtime.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
@@ -20,12 +20,16 @@
   type AppointedSurroundings,
   SimulatedCoordinator,
   SimulatedDocumentReader,
+  type WrittenRoute,
   type SimulatedLogLine,
   SimulatedRouter,
 } from './appointed_nodes.js';
 import type { AppointedProtection } from './disabled_protections.js';
 import { EmulatedGroup, type InstanceMachine } from './emulated_group.js';
-import { DEFAULT_PLACEMENT_RULES } from '../../src/appointed/placement/placement_rules.js';
+import {
+  DEFAULT_PLACEMENT_RULES,
+  type PlacementRules,
+} from '../../src/appointed/placement/placement_rules.js';
 import { SimulatedTenancy } from './simulated_tenancy.js';
 import { VirtualInstanceConnector } from './virtual_instances.js';
 
@@ -61,6 +65,11 @@
   return `${group}-${policy.kind}`;
 }
 
+function placementRulesOf({ residency }: AppointedDeployment): PlacementRules {
+  const { regionByZone } = residency ?? DEFAULT_PLACEMENT_RULES;
+  return { ...DEFAULT_PLACEMENT_RULES, regionByZone };
+}
+
 /** One simulated deployment. */
 export class AppointedWorld {
   readonly scheduler = new Scheduler();
@@ -93,6 +102,7 @@
     this.judge = new AppointedJudge(() => this.scheduler.now);
     this.tenancy = deployment.tenancy && new SimulatedTenancy(deployment.tenancy);
     this.judge.tenancy = this.tenancy;
+    this.judge.residency = deployment.residency;
     this.outside = new VirtualProcess(CALLERS_HOST, this.scheduler, this.random, 0);
     this.groups = this.createGroups();
     const controlAddresses = Array.from(
@@ -105,11 +115,11 @@
       addresses: new AddressBook(),
       random: this.random,
       seeds: controlAddresses.slice(0, SEEDS),
-      reader: new SimulatedDocumentReader(),
+      reader: new SimulatedDocumentReader(!disabled.has('homes')),
       lines: this.lines,
       disabled,
       tenancy: deployment.tenancy,
-      placementRules: DEFAULT_PLACEMENT_RULES,
+      placementRules: placementRulesOf(deployment),
       connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
       connectorFor: (process) =>
         new VirtualInstanceConnector(
@@ -219,10 +229,13 @@
   }
 
   private routeFields(version: number): object {
-    const routes: [string, Route][] = this.groups.flatMap(({ name: group }) =>
-      POLICIES.map((policy): [string, Route] => {
+    const routes: [string, WrittenRoute][] = this.groups.flatMap(({ name: group }) =>
+      POLICIES.map((policy): [string, WrittenRoute] => {
         const database = databaseOf(group, policy);
-        const route: Route = {
+        const { residency } = this.deployment;
+        const homes = residency?.group === group ? [...residency.homes] : undefined;
+        const route: WrittenRoute = {
+          homes,
           name: database,
           database,
           group,
--- a/lab/appointed/disabled_protections.ts
+++ b/lab/appointed/disabled_protections.ts
@@ -21,6 +21,7 @@
   'tenant-binding',
   'credential-freshness',
   'fleet-quota',
+  'homes',
 ] as const;
 
 /** One protection. */
