--- a/lab/appointed/disabled_protections.ts
+++ b/lab/appointed/disabled_protections.ts
@@ -23,6 +23,7 @@
   'credential-freshness',
   'fleet-quota',
   'instance-lives',
+  'homes',
 ] as const;
 
 /** One protection. */
--- a/src/appointed/connections/instance_directory.ts
+++ b/src/appointed/connections/instance_directory.ts
@@ -6,6 +6,8 @@
  * again, lose their pool, new ones get one. What fails in a pool is passed on to the proxy.
  */
 import type { InstanceEntry } from '../catalog/catalog.js';
+import type { RouteTable } from '../catalog/route_table.js';
+import { unusedReason } from '../catalog/usable_instance.js';
 import { Events } from '../../observability/events.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import { ConnectionOwners, type OwnedInstance } from '../relay/connection_owners.js';
@@ -26,6 +28,7 @@
 import type { ReadCandidate } from '../routing/replica_selector.js';
 import type { ConfirmingReplica } from '../trust/replica_lease_confirmer.js';
 import type { DecisionLog } from '../../observability/decision_logger.js';
+import { isWithinHomes } from '../placement/data_residency.js';
 
 const { InstanceState } = whinyoke;
 
@@ -39,12 +42,16 @@
   readonly runtime: Runtime;
   /** Address for messages of other processes. */
   readonly ownAddress: string;
+  /** Region of each zone that the settings name. */
+  readonly regionByZone: ReadonlyMap<string, string>;
   readonly connector: InstanceConnector;
   readonly log: DecisionLog;
   /** Connections that an instance of a group takes from all proxies together. */
   connectionLimitOf(group: string): number;
   /** Whether a connection serves only the tenant for whom it was opened. */
   hasTenants(): boolean;
+  /** Routing document in force; undefined before the first. */
+  table(): RouteTable | undefined;
   /** Operations a second that a tenant may run; undefined where it has no limit. */
   tenantRate(tenant: string): number | undefined;
   /** Number of live proxies, this one included. */
@@ -97,19 +104,32 @@
       if (instance.state === InstanceState.GONE) this.entries.delete(id);
       else this.entries.set(id, instance);
     }
+    const usable = this.usableEntries();
     for (const [id, access] of this.accesses) {
-      const instance = this.entries.get(id);
+      const instance = usable.get(id);
       const isSame = instance && (instance.incarnation ?? 0) === access.incarnation;
       if (isSame) continue;
       if (instance) this.endIncarnation(access, instance);
       access.local.close();
       this.accesses.delete(id);
     }
-    for (const [id, instance] of this.entries) {
+    for (const [id, instance] of usable) {
       if (!this.accesses.has(id)) this.accesses.set(id, this.createAccess(instance));
     }
   }
 
+  /** Entries that name an instance to use; nothing is sent to the address of any other. */
+  private usableEntries(): ReadonlyMap<string, InstanceEntry> {
+    const table = this.surroundings.table();
+    const usable = new Map<string, InstanceEntry>();
+    for (const [id, instance] of this.entries) {
+      const reason = unusedReason(instance, table);
+      if (reason === undefined) usable.set(id, instance);
+      else this.surroundings.log(Events.instanceUnused, { instance: id, reason });
+    }
+    return usable;
+  }
+
   /** Instances of a group that take new work. */
   readCandidates(group: string, primary: string): readonly ReadCandidate[] {
     const candidates: ReadCandidate[] = [];
@@ -123,10 +143,17 @@
     return candidates;
   }
 
+  /** Zone of an instance; undefined when the catalog does not list it. */
+  zoneOf(instance: string): string | undefined {
+    const entry = this.entries.get(instance);
+    return entry && (entry.zone ?? '');
+  }
+
   /** All instances of a group but its primary, whatever their state. */
   replicasOf(group: string, primary: string): readonly ConfirmingReplica[] {
     return [...this.entries]
       .filter(([id, instance]) => instance.group === group && id !== primary)
+      .filter(([id]) => this.accesses.has(id))
       .map(([id]) => ({ instance: id, pool: this.accesses.get(id) }));
   }
 
@@ -155,9 +182,11 @@
 
   private createAccess(instance: InstanceEntry): InstanceAccess {
     const pool = this.createPool(instance);
-    return new InstanceAccess(pool, this.surroundings.ownAddress, this.relaying, (tenant) =>
-      this.owners.of(this.ownedInstance(instance), tenant),
-    );
+    const { ownAddress, regionByZone } = this.surroundings;
+    return new InstanceAccess(pool, ownAddress, this.relaying, {
+      ownersFor: (tenant) => this.owners.of(this.ownedInstance(instance), tenant),
+      maySee: (address, homes) => isWithinHomes(homes, this.owners.zoneOf(address), regionByZone),
+    });
   }
 
   private ownedInstance({ id, zone, group }: InstanceEntry): OwnedInstance {
--- a/src/appointed/failover/failover_controller.ts
+++ b/src/appointed/failover/failover_controller.ts
@@ -5,16 +5,19 @@
  * Inputs: the primary's state and incarnation in the catalog; opinions of the proxies (`primary_health_opinions.ts`), age of its
  *   newest heartbeat, what it answers to control itself (`direct_questions.ts`), milliseconds since its epoch began.
  * Rule: only with another ready instance in the group. A primary that leaves, is gone or started again is replaced at once; whether
- *   any other has failed is decided in `primary_trouble.ts`.
+ *   any other has failed is decided in `primary_trouble.ts`. One that is well is replaced as planned when homes of routes keep it
+ *   from more of them than another instance (`placement/primary_homes.ts`).
  * Constants: below. Tests: test/unit/failover.test.ts.
  *
  * Owns which groups this leader is changing. Relies on a majority for each step; a step that fails is logged and begun again
  * at a later tick, here or at the next leader.
  */
-import type { GroupEntry } from '../catalog/catalog.js';
+import type { GroupEntry, InstanceEntry } from '../catalog/catalog.js';
+import { unusedReason } from '../catalog/usable_instance.js';
 import type { Position } from '../../positions/position.js';
 import { messageOf } from '../../errors/errors.js';
 import { Events } from '../../observability/events.js';
+import { servedRoutes } from '../placement/primary_homes.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { Timer } from '../../runtime/runtime.js';
 import { DirectQuestions } from './direct_questions.js';
@@ -29,6 +32,12 @@
 /** Time between two looks at all groups, in milliseconds. A guess, not measured. */
 const TICK_MS = 50;
 
+/**
+ * A change for the sake of homes that ended outside them again, for want of a proof, is not tried anew for this long, in
+ * milliseconds: each try keeps writes waiting. A guess, not measured.
+ */
+const HOMES_RETRY_MS = 30_000;
+
 interface KnownEpoch {
   readonly epoch: number;
   readonly beganAt: number;
@@ -82,7 +91,7 @@
   tick(): void {
     if (!this.context.isLeading()) return;
     const { catalog } = this.context;
-    const names = new Set(catalog.presentInstances.map((instance) => instance.group ?? ''));
+    const names = new Set(this.usable.map((instance) => instance.group ?? ''));
     for (const name of names) {
       const entry = catalog.group(name);
       if (!entry) void this.adoptPrimary(name);
@@ -110,8 +119,8 @@
 
   /** The instance of the newest term, among those that call themselves primary of a group. */
   private async strongestClaim(group: string): Promise<PrimaryClaim | undefined> {
-    const { catalog, administrator } = this.context;
-    const claimants = catalog.presentInstances.filter(
+    const { administrator } = this.context;
+    const claimants = this.usable.filter(
       ({ id, group: own }) =>
         own === group && this.monitor.roleOf(id ?? '') === InstanceRole.PRIMARY,
     );
@@ -178,7 +187,9 @@
     const primary = this.context.catalog.instance(entry.primary ?? '');
     const isSame = (primary?.incarnation ?? 0) === (entry.primaryIncarnation ?? 0);
     if (primary && !isSame) return { text: 'the primary started again', isPlanned: false };
-    if (primary?.state === InstanceState.READY) return this.causeByHealth(entry);
+    if (primary?.state === InstanceState.READY) {
+      return this.causeByHealth(entry) ?? this.causeByHomes(entry, primary);
+    }
     return { text: 'the primary leaves', isPlanned: primary?.state === InstanceState.DRAINING };
   }
 
@@ -196,6 +207,18 @@
     return text === undefined ? undefined : { text, isPlanned: false };
   }
 
+  /** A primary that may serve fewer routes than another instance is replaced as planned. */
+  private causeByHomes(entry: GroupEntry, primary: InstanceEntry): ChangeCause | undefined {
+    if (this.steadyAge(entry, this.context.clock.now()) < HOMES_RETRY_MS) return undefined;
+    const own = servedRoutes(primary, this.context);
+    const isBetter = (other: InstanceEntry): boolean => servedRoutes(other, this.context) > own;
+    if (!this.replacementsFor(entry).some(isBetter)) return undefined;
+    return {
+      text: `its region keeps it from routes that another instance may serve`,
+      isPlanned: true,
+    };
+  }
+
   /** An epoch that was there before this machine led began long ago, as far as it knows. */
   private noteEpoch(entry: GroupEntry): void {
     const group = entry.group ?? '';
@@ -210,11 +233,26 @@
   }
 
   private hasReplacement(entry: GroupEntry): boolean {
-    return this.context.catalog.presentInstances.some(
+    return this.replacementsFor(entry).length > 0;
+  }
+
+  private replacementsFor(entry: GroupEntry): readonly InstanceEntry[] {
+    const { catalog, document } = this.context;
+    return catalog.presentInstances.filter(
       (instance) =>
         instance.group === entry.group &&
         instance.id !== entry.primary &&
-        instance.state === InstanceState.READY,
+        instance.state === InstanceState.READY &&
+        unusedReason(instance, document.table) === undefined,
+    );
+  }
+
+  /** Entries that name an instance to use; the other ones make no group and replace nobody. */
+  private get usable(): readonly InstanceEntry[] {
+    const { catalog, document } = this.context;
+    const { table } = document;
+    return catalog.presentInstances.filter(
+      (instance) => unusedReason(instance, table) === undefined,
     );
   }
 }
--- a/test/unit/incarnations_at_proxies.test.ts
+++ b/test/unit/incarnations_at_proxies.test.ts
@@ -49,6 +49,7 @@
   const instances = new ProxyInstances({
     runtime,
     ownAddress: 'p:1',
+    regionByZone: new Map(),
     connector,
     log,
     document: { table } as unknown as DocumentInForce,
@@ -64,7 +65,7 @@
     leases.extendAll(LEASE_MS);
   };
   const tell = (id: string, incarnation: number): void =>
-    instances.adopt({ instances: [{ id, group: 'g', address: id, incarnation }] });
+    instances.adopt({ instances: [{ id, group: 'g', address: `${id}:1`, incarnation }] });
   tell('a', 0);
   tell('b', 0);
   lead(1, 0);
--- a/test/unit/instance_reports.test.ts
+++ b/test/unit/instance_reports.test.ts
@@ -10,8 +10,11 @@
   service: 's',
   address: '10.0.0.1:1',
   zone: 'z',
+  version: 'v1',
   slots: 2,
   state: 'ready',
+  warmup_remaining_ms: 0,
+  database_role: 'replica',
   sequence: 4,
 };
 
@@ -21,8 +24,13 @@
     taken.push(beat!);
     return Promise.resolve({ outcome: whinyoke.CatalogOutcome.DONE });
   };
-  const core = { submit } as unknown as AppointedControl;
-  const api = new ControlApi(core, {} as RoutingDocumentReader, () => undefined);
+  const core = { submit, expectsHeartbeat: () => true } as unknown as AppointedControl;
+  const api = new ControlApi(
+    core,
+    {} as RoutingDocumentReader,
+    () => undefined,
+    () => undefined,
+  );
   const server = await api.listen('127.0.0.1:0');
   t.teardown(() => server.close());
   const { port } = server.address() as AddressInfo;
--- a/test/unit/primary_trouble.test.ts
+++ b/test/unit/primary_trouble.test.ts
@@ -18,6 +18,7 @@
 import { PrimaryHealthTracker } from '../../src/appointed/trust/primary_health_tracker.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { RealClock } from '../../src/runtime/real_clock.js';
+import { tableNaming } from '../tools/route_table.js';
 import { delay } from '../../src/runtime/runtime.js';
 
 const { GroupPhase, InstanceState, PrimaryHealth } = whinyoke;
@@ -121,7 +122,9 @@
     return Promise.resolve(whinyoke.CatalogResult.decode(bytes));
   };
   for (const id of ['i-1', 'i-2', 'i-3']) {
-    void propose({ putInstance: { id, group: 'g', state: InstanceState.READY, address: id } });
+    void propose({
+      putInstance: { id, group: 'g', state: InstanceState.READY, address: `${id}:1` },
+    });
   }
   const steady = { group: 'g', epoch: 1, phase: GroupPhase.STEADY, primary: 'i-1', term: 3 };
   void propose({ putGroup: steady });
@@ -130,6 +133,8 @@
     clock: new RealClock(),
     catalog,
     ledger: new LeaseLedger(),
+    document: { table: tableNaming('g') },
+    regionByZone: new Map(),
     administrator,
     appointmentLease: {
       appoint: () => Promise.resolve(whinyoke.AppointOutcome.APPOINTED),
