Catalog: orders on evacuated zones

Cause: an order of the operator had no place in the replicated state. Ruled out: an empty entry for an order that holds already, as for documents: a finish behind a begin that is not committed yet would be acknowledged and lost (a test shows that it is not).

--- a/src/appointed/catalog/catalog.ts
+++ b/src/appointed/catalog/catalog.ts
@@ -1,12 +1,13 @@
 /**
  * Replicated state of groups whose primary is appointed by the control plane: the routing document, the
- * instances, the epoch of each group, the registered proxies and the holder of the appointment lease.
+ * instances, the epoch of each group, the evacuated zones, the registered proxies and the holder of the appointment lease.
  *
  * Owns this state; it changes by committed commands only, so it is the same on every control machine. Relies on nothing that
  * can fail.
  */
 import type { StateMachine } from '../../consensus/log_applier.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
+import { type EvacuationEntry, EvacuationTable } from './evacuation_table.js';
 import { type GroupEntry, GroupTable } from './group_table.js';
 import { type InstanceEntry, InstanceTable } from './instance_table.js';
 
@@ -24,6 +25,7 @@
   private currentDocument: whinyoke.IRoutingDocument | undefined;
   private readonly instanceTable = new InstanceTable();
   private readonly groupTable = new GroupTable();
+  private readonly evacuationTable = new EvacuationTable();
   private readonly proxyById = new Map<string, ProxyEntry>();
   /** Operations of each tenant that its leader leaves to a successor; about 20 bytes a tenant that ever ran one. */
   private readonly successorReserveByTenant = new Map<string, number>();
@@ -32,7 +34,7 @@
   private proxyLossIndex = 0;
   private readonly listeners = new Set<CatalogListener>();
 
-  /** Log index of the newest change that proxies have to know of: documents, instances, groups. */
+  /** Log index of the newest change that proxies have to know of: documents, instances, groups, evacuated zones. */
   get version(): number {
     return this.currentVersion;
   }
@@ -95,6 +97,26 @@
     return this.groupTable.byName;
   }
 
+  /** Newest order on each zone that was ever evacuated. */
+  get evacuations(): readonly EvacuationEntry[] {
+    return this.evacuationTable.all;
+  }
+
+  /** Names of the evacuated zones. */
+  get evacuatedZones(): readonly string[] {
+    return this.evacuationTable.evacuatedZones;
+  }
+
+  /** Whether a zone is evacuated. */
+  isEvacuated(zone: string): boolean {
+    return this.evacuationTable.isEvacuated(zone);
+  }
+
+  /** Orders on zones that took effect after a version. */
+  evacuationsSince(version: number): readonly EvacuationEntry[] {
+    return this.evacuationTable.since(version);
+  }
+
   /** Registered proxies. */
   get proxies(): readonly ProxyEntry[] {
     return [...this.proxyById.values()];
@@ -158,6 +180,7 @@
         tenant,
         operations,
       })),
+      evacuations: this.evacuations,
     } as whinyoke.ICatalogSnapshot;
     return whinyoke.CatalogSnapshot.encode(snapshot).finish();
   }
@@ -171,6 +194,7 @@
     this.proxyLossIndex = snapshot.proxyLossVersion;
     this.instanceTable.restore(snapshot.instances, snapshot.forgottenVersion);
     this.groupTable.restore(snapshot.groups);
+    this.evacuationTable.restore(snapshot.evacuations);
     this.proxyById.clear();
     for (const item of snapshot.proxies) this.proxyById.set(item.id ?? '', item);
     this.successorReserveByTenant.clear();
@@ -198,6 +222,8 @@
         return this.proxyById.delete(command.removeProxy!);
       case 'putFloors':
         return this.putSuccessorReserves(command.putFloors!.floors ?? []);
+      case 'putEvacuation':
+        return this.putEvacuation(index, command.putEvacuation!);
       case 'takeDuty':
         return this.takeLease(command.takeDuty!);
       default:
@@ -227,6 +253,12 @@
     return floors.length > 0;
   }
 
+  /** After a `finished` order the instances of its zone are used again; entry `index` is the one since which they are. */
+  private putEvacuation(index: number, order: whinyoke.IEvacuationOrder): boolean {
+    const change = this.evacuationTable.put(index, order);
+    return change !== 'none';
+  }
+
   private takeLease(next: whinyoke.IDutyEntry): boolean {
     if (next.holder === this.currentLease.holder) return false;
     this.currentLease = { ...next, token: (this.currentLease.token ?? 0) + 1 };
@@ -240,5 +272,5 @@
 
 /** Whether proxies have to know of a command; registrations of proxies and the appointment lease concern control only. */
 function isForProxies(command: whinyoke.CatalogCommand): boolean {
-  return ['putDocument', 'putInstance', 'putGroup'].includes(command.kind ?? '');
+  return ['putDocument', 'putInstance', 'putGroup', 'putEvacuation'].includes(command.kind ?? '');
 }
--- a/src/appointed/control/catalog_service.ts
+++ b/src/appointed/control/catalog_service.ts
@@ -73,6 +73,7 @@
     try {
       if (request.putDocument) return await this.putDocument(request.putDocument);
       if (request.beat) return await this.noteHeartbeat(request.beat);
+      if (request.evacuation) return await this.putEvacuation(request.evacuation);
       return await this.readDocument();
     } catch (error) {
       this.logFailure(request, messageOf(error));
@@ -85,6 +86,7 @@
       request: Object.keys(request)[0] ?? '',
       instance: request.beat?.instance?.id ?? '',
       version: request.putDocument?.version ?? 0,
+      zone: request.evacuation?.zone ?? '',
       reason,
     });
   }
@@ -96,6 +98,15 @@
     return { outcome: CatalogOutcome.DONE };
   }
 
+  /**
+   * An order that holds already is proposed too: the entry changes nothing, proves that this machine leads, and comes behind
+   * any order on the zone that is not committed yet.
+   */
+  private async putEvacuation(order: whinyoke.IEvacuationOrder): Promise<whinyoke.ICatalogReply> {
+    await this.surroundings.propose({ putEvacuation: order });
+    return { outcome: CatalogOutcome.DONE };
+  }
+
   private async readDocument(): Promise<whinyoke.ICatalogReply> {
     await this.confirmLeadership();
     return { outcome: CatalogOutcome.DONE, document: this.surroundings.catalog.document };
--- a/src/appointed/control/catalog_updates.ts
+++ b/src/appointed/control/catalog_updates.ts
@@ -40,6 +40,7 @@
       isWhole: changed === undefined,
       instances: [...(changed ?? catalog.presentInstances)],
       groups: [...catalog.groupsSince(knownVersion)],
+      evacuations: [...(changed ? catalog.evacuationsSince(knownVersion) : catalog.evacuations)],
     }).finish();
   }
 }
--- a/src/appointed/control/change_notifier.ts
+++ b/src/appointed/control/change_notifier.ts
@@ -1,10 +1,10 @@
 /**
  * DECISION: when the held requests of proxies are woken.
  *
- * Answers: a change of primary that every proxy must know at once; a start, or many documents, where changes come together
- *   and each of them would wake every proxy.
- * Inputs: the catalog's version, and the epochs of the groups that changed since the last wake.
- * Rule: a change of primary wakes all held requests at once; anything else is gathered for GATHER_MS.
+ * Answers: a change of primary or an order on a zone that every proxy must know at once; a start, or many documents, where
+ *   changes come together and each of them would wake every proxy.
+ * Inputs: the catalog's version, the epochs of the groups and the orders on zones that changed since the last wake.
+ * Rule: a change of primary and an order on a zone wake all held requests at once; anything else is gathered for GATHER_MS.
  * Constants: below.
  *
  * Owns the held requests of one control machine. Relies on the catalog only, which can't fail.
@@ -66,6 +66,7 @@
   }
 
   private isUrgent(): boolean {
+    if (this.catalog.evacuationsSince(this.announcedVersion).length > 0) return true;
     const changed = this.catalog.groupsSince(this.announcedVersion);
     return changed.some((group) => (group.epoch ?? 0) > FIRST_EPOCH);
   }
