Control: operators evacuate zones over HTTP

Cause: POST /evacuation/ZONE/begin and /finish were answered with 404. Change: 200 once a majority holds the order, 503 when that is not certain, 404 for a zone that neither the settings, nor a present instance, nor an earlier order names, 400 for a path that can't be decoded. A machine that knows no zone at all answers 503. Ruled out: judging the zone at the leader: the reply has no outcome for it, and settings are the same everywhere.

--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -182,6 +182,14 @@
     this.seeds = seeds;
   }
 
+  /** Zones of the settings, of present instances, and those on which an operator gave an order. */
+  get knownZones(): ReadonlySet<string> {
+    const { presentInstances, evacuations } = this.catalog;
+    const told = [...presentInstances, ...evacuations].map(({ zone }) => zone ?? '');
+    const named = [...this.options.placementRules.regionByZone.keys(), ...told];
+    return new Set(named.filter((zone) => zone !== ''));
+  }
+
   /** Changes or reads the catalog, here or at the leader. */
   submit(request: whinyoke.ICatalogRequest): Promise<whinyoke.ICatalogReply> {
     return this.catalogService.submit(request);
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -284,6 +284,20 @@
     'an instance that was not known told an address at which another one is',
     '`claim` refused: the one at the address is another; a late heartbeat. unclear: it could not be asked, and is again.',
   ),
+  evacuationOrdered: define(
+    335,
+    'evacuation_ordered',
+    'warn',
+    'an operator ordered to evacuate a zone, or to use it again',
+    '`outcome` is what the operator was told; `begins` false: the zone is used again.',
+  ),
+  evacuationProgress: define(
+    336,
+    'evacuation_progress',
+    'info',
+    'primaries in an evacuated zone, or the end of its evacuation',
+    '`primaries` still stand there, `stuck` of them have no ready instance elsewhere: their requests are refused.',
+  ),
   instanceTold: define(
     322,
     'instance_told',
--- a/test/unit/evacuation.test.ts
+++ b/test/unit/evacuation.test.ts
@@ -1,5 +1,11 @@
 /** Evacuated zones: orders in the catalog, what proxies do about them, primaries that move. Each test brings about one failure. */
-import t from 'tap';
+import { once } from 'node:events';
+import type { AddressInfo } from 'node:net';
+import t, { type Test } from 'tap';
+import { DEFAULT_PLACEMENT_RULES } from '../../src/appointed/placement/placement_rules.js';
+import { ControlApi } from '../../platform/control_api.js';
+import { PlatformDocumentReader } from '../../platform/routing_document.js';
+import { AppointedControl } from '../../src/appointed/control/appointed_control.js';
 import { Catalog } from '../../src/appointed/catalog/catalog.js';
 import { CatalogUpdates } from '../../src/appointed/control/catalog_updates.js';
 import { ChangeNotifier } from '../../src/appointed/control/change_notifier.js';
@@ -10,6 +16,9 @@
 import { documentOf } from '../../src/appointed/catalog/document_source.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { RealClock } from '../../src/runtime/real_clock.js';
+import { RealFolder } from '../../src/runtime/real_folder.js';
+import { delay } from '../../src/runtime/runtime.js';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
 
 const { CatalogOutcome, GroupPhase, InstanceState } = whinyoke;
 
@@ -146,3 +155,98 @@
   t.same(catalog.evacuatedZones, ['a']);
   t.end();
 });
+
+/** Status of orders at a control machine that knows some zones, and answers in one way. */
+async function statusesOf(
+  t: Test,
+  zones: readonly string[],
+  reply: whinyoke.ICatalogReply,
+  paths: readonly string[],
+): Promise<{ statuses: readonly number[]; orders: whinyoke.ICatalogRequest[] }> {
+  const orders: whinyoke.ICatalogRequest[] = [];
+  const core = {
+    knownZones: new Set(zones),
+    submit: (request: whinyoke.ICatalogRequest) => {
+      orders.push(request);
+      return Promise.resolve(reply);
+    },
+  } as unknown as AppointedControl;
+  const api = new ControlApi(core, new PlatformDocumentReader(), () => undefined);
+  const server = await api.listen('127.0.0.1:0');
+  t.teardown(async () => {
+    server.closeAllConnections();
+    server.close();
+    await once(server, 'close');
+  });
+  const { port } = server.address() as AddressInfo;
+  const statuses: number[] = [];
+  for (const path of paths) {
+    const response = await fetch(`http://127.0.0.1:${port}${path}`, { method: 'POST' });
+    statuses.push(response.status);
+  }
+  return { statuses, orders };
+}
+
+void t.test('an operator is told what became of an order', async (t) => {
+  const done = { outcome: CatalogOutcome.DONE };
+  const paths = ['/evacuation/z%201/begin', '/evacuation/z%201/finish'];
+  const taken = await statusesOf(t, ['z 1'], done, paths);
+  t.same(taken.statuses, [200, 200]);
+  t.same(taken.orders, [
+    { evacuation: { zone: 'z 1', begins: true } },
+    { evacuation: { zone: 'z 1', begins: false } },
+  ]);
+  const wrong = ['/evacuation/b/begin', '/evacuation/%E0%A4%A/begin', '/evacuation/a/pause'];
+  const refused = await statusesOf(t, ['a'], done, wrong);
+  t.same(refused.statuses, [404, 400, 404]);
+  t.same(refused.orders, []);
+  const proper = ['/evacuation/a/begin'];
+  const unsure = await statusesOf(t, ['a'], { outcome: CatalogOutcome.UNAVAILABLE }, proper);
+  t.same(unsure.statuses, [503], 'no majority');
+  const unread = await statusesOf(t, [], done, proper);
+  t.same(unread.statuses, [503], 'a machine without any zone can not tell');
+  const older = await statusesOf(t, ['a'], { ...done, document: documentOf(1, 'one') }, proper);
+  t.same(older.statuses, [503], 'a leader of an older program read the document instead');
+});
+
+/** A control machine that stands alone on a folder, once it leads. */
+async function openAlone(t: Test, path: string, isFirstStart: boolean): Promise<AppointedControl> {
+  const folder = await RealFolder.open(path);
+  const nobody = (): Promise<never> => Promise.reject(new Error('nobody is there'));
+  const clock = new RealClock();
+  const messenger = { request: nobody, serve: () => undefined };
+  const runtime = { clock, random: new SeededRandom(1), messenger, folder };
+  const address = '127.0.0.1:7101';
+  const core = await AppointedControl.open(runtime, {
+    name: 'control-1',
+    address,
+    seeds: [address],
+    isFirstStart,
+    voters: 1,
+    connector: { connect: nobody },
+    appointer: { appoint: () => Promise.resolve(whinyoke.AppointOutcome.TRY_LATER) },
+    log: () => undefined,
+    documents: new PlatformDocumentReader(),
+    quotaRules: { windowMs: 5000, overage: 0.1, tolerance: 20 },
+    placementRules: { ...DEFAULT_PLACEMENT_RULES, regionByZone: new Map([['a', 'r']]) },
+  });
+  t.teardown(async () => {
+    core.stop();
+    await folder.close();
+  });
+  await core.start();
+  while (!core.node.leadsWithState) await delay(clock, 10);
+  return core;
+}
+
+void t.test('an order survives a restart of a control machine on its data folder', async (t) => {
+  const path = t.testdir({});
+  const first = await openAlone(t, path, true);
+  t.ok(first.knownZones.has('a'), 'a zone of the settings, without any instance');
+  const reply = await first.submit({ evacuation: { zone: 'a', begins: true } });
+  t.match(reply, { outcome: CatalogOutcome.DONE });
+  first.stop();
+  const { evacuations } = first.catalog;
+  const second = await openAlone(t, path, false);
+  t.same(second.catalog.evacuations, evacuations);
+});
