Proxies: nothing is sent to an evacuated zone

Cause: a proxy knew no evacuated zones: reads, transactions, waiting statements, spare connections and probes went on there. Change: orders come with the catalog and count from the newest proof before them, on the proxy's own clock. Reads leave at once; a primary there is used until its change or half of the bound; transactions that rest end after a quarter, all before their next statement after half; a statement that was sent is never cut off. Pools of the zone are suspended, at connection owners too. New causes: primaryEvacuated (retry after 1,000 ms) and zoneEvacuated. Ruled out: closing connections in use at the end of the bound: commits under way would become INDOUBT.

--- a/src/appointed/connections/acquire_error.ts
+++ b/src/appointed/connections/acquire_error.ts
@@ -7,10 +7,11 @@
  * - `displaced`: while it waited, since more urgent requests came before it;
  * - `unreachable`: the instance could not be reached;
  * - `wrongInstance`: another instance has its address;
+ * - `evacuated`: the instance is in an evacuated zone;
  * - `closed`: the pool has ended.
  */
 export type AcquireFailure =
-  'timeout' | 'full' | 'displaced' | 'unreachable' | 'wrongInstance' | 'closed';
+  'timeout' | 'full' | 'displaced' | 'unreachable' | 'wrongInstance' | 'evacuated' | 'closed';
 
 /**
  * A pool had no connection for a request. A plain error, unlike all others: a full queue makes one for each statement that
--- a/src/appointed/connections/connections_in_use.ts
+++ b/src/appointed/connections/connections_in_use.ts
@@ -53,6 +53,17 @@
     this.activeCount--;
   }
 
+  /** Closes those whose transaction has waited for its caller since `latest` or before; returns how many. */
+  closeResting(latest: number): number {
+    let count = 0;
+    for (const { connection, isActive, idleSince } of this.connections) {
+      if (isActive || connection.closed || idleSince > latest) continue;
+      connection.close();
+      count++;
+    }
+    return count;
+  }
+
   /** Closes all connections; each stays in the set until it is removed. */
   closeAll(): void {
     for (const { connection } of this.connections) connection.close();
--- a/src/appointed/connections/instance_directory.ts
+++ b/src/appointed/connections/instance_directory.ts
@@ -23,6 +23,8 @@
 import { InstanceLoad } from './instance_load.js';
 import { InstancePool } from './instance_pool.js';
 import type { PoolListener, PoolOptions } from './pool_options.js';
+import { evacuatePool } from './zone_evacuator.js';
+import type { EvacuationStage } from '../placement/evacuated_zones.js';
 import type { ReadCandidate } from '../routing/replica_selector.js';
 import type { ConfirmingReplica } from '../trust/replica_lease_confirmer.js';
 import type { DecisionLog } from '../../observability/decision_logger.js';
@@ -47,6 +49,8 @@
   hasTenants(): boolean;
   /** Operations a second that a tenant may run; undefined where it has no limit. */
   tenantRate(tenant: string): number | undefined;
+  /** How far the evacuation of a zone has come; undefined when it is not evacuated. */
+  stageOf(zone: string): EvacuationStage | undefined;
   /** Number of live proxies, this one included. */
   readonly liveProxies: () => number;
   /** A connection could not be opened. */
@@ -105,13 +109,19 @@
     }
   }
 
-  /** Instances of a group that take new work. */
+  /** How far the evacuation of an instance's zone has come; undefined when it is not evacuated. */
+  stageOf(instance: string): EvacuationStage | undefined {
+    const zone = this.entries.get(instance)?.zone;
+    return zone === undefined || zone === null ? undefined : this.surroundings.stageOf(zone);
+  }
+
+  /** Instances of a group that take new work, none in an evacuated zone. */
   readCandidates(group: string, primary: string): readonly ReadCandidate[] {
     const candidates: ReadCandidate[] = [];
     for (const [id, instance] of this.entries) {
       const access = this.accesses.get(id);
       const isUsable = instance.group === group && instance.state === InstanceState.READY;
-      if (!access || !isUsable) continue;
+      if (!access || !isUsable || this.stageOf(id) !== undefined) continue;
       const { load } = access;
       candidates.push({ id, zone: instance.zone ?? '', load, isPrimary: id === primary });
     }
@@ -125,6 +135,24 @@
       .map(([id]) => ({ instance: id, pool: this.accesses.get(id) }));
   }
 
+  /** Suspends and resumes pools as the evacuation of zones asks; called after each change of the catalog, and often. */
+  evacuate(isPrimary: (instance: string, group: string) => boolean): void {
+    for (const [id, { group, zone }] of this.entries) {
+      const pool = this.accesses.get(id)?.local;
+      if (!pool) continue;
+      const stage = this.stageOf(id);
+      const count = evacuatePool(pool, stage, isPrimary(id, group ?? ''));
+      if (count === 0) continue;
+      this.surroundings.log(Events.transactionsEvacuated, {
+        instance: id,
+        group: group ?? '',
+        zone: zone ?? '',
+        stage,
+        count,
+      });
+    }
+  }
+
   /** Opens missing and closes idle connections of all pools; called often. */
   maintain(): void {
     for (const { local } of this.accesses.values()) local.maintain();
--- a/src/appointed/connections/instance_pool.ts
+++ b/src/appointed/connections/instance_pool.ts
@@ -48,6 +48,10 @@
   private readonly demand: DemandOpener;
   private readonly spares: SpareSchedule;
   private isClosed = false;
+  /** Whether only questions of the system itself get connections, since the zone of the instance is evacuated. */
+  private isSuspended = false;
+  /** Connections that were opened for such questions. */
+  private readonly forQuestions = new WeakSet<PooledConnection>();
 
   constructor(
     /** The instance. */
@@ -107,6 +111,9 @@
    */
   acquire(request: ConnectionRequest, timeoutMs: number): Promise<PooledConnection> {
     if (this.isClosed) return Promise.reject(this.refusal('closed'));
+    if (this.isSuspended && request.tenant !== undefined) {
+      return Promise.reject(this.refusal('evacuated'));
+    }
     const now = this.clock.now();
     const free = this.mayServe(now) ? this.take(request) : undefined;
     if (free) return Promise.resolve(free);
@@ -142,6 +149,7 @@
 
   /** Counts a transaction's connection as running none: the transaction waits for its caller. */
   rest(pooled: PooledConnection): void {
+    pooled.idleSince = this.clock.now();
     this.inUse.deactivate(pooled);
     this.serveWaiters();
   }
@@ -150,7 +158,7 @@
   release(pooled: PooledConnection): void {
     this.inUse.remove(pooled);
     if (pooled.connection.closed) this.serveWaiters();
-    else if (this.isClosed || this.size >= this.backoff.limit) pooled.connection.close();
+    else if (!this.mayKeep(pooled)) pooled.connection.close();
     else this.offer(pooled);
   }
 
@@ -166,11 +174,30 @@
     this.inUse.closeAll();
   }
 
+  /** Refuses what waits and comes, and closes what is idle: the zone of the instance is evacuated. What runs may end. */
+  suspend(): void {
+    if (this.isSuspended) return;
+    this.isSuspended = true;
+    this.idle.closeAll();
+    this.waiters.rejectAll(() => this.refusal('evacuated'));
+  }
+
+  /** Serves again. */
+  resume(): void {
+    this.isSuspended = false;
+  }
+
+  /** Closes connections whose transactions have waited for their callers this long, in milliseconds; returns how many. */
+  endRested(restedMs: number): number {
+    return this.inUse.closeResting(this.clock.now() - restedMs);
+  }
+
   /** Opens connections until the minimum is there, and closes those that are idle for long; called often. */
   maintain(): void {
     if (this.isClosed) return;
     const now = this.clock.now();
-    const { minimumIdle, idleTimeoutMs } = this.options.share();
+    const { minimumIdle: wantedIdle, idleTimeoutMs } = this.options.share();
+    const minimumIdle = this.isSuspended ? 0 : wantedIdle;
     this.idle.closeExpired(now, this.idleTimeout.current(idleTimeoutMs), minimumIdle);
     if (this.size < minimumIdle && this.options.opensSpares()) this.openSpareInTurn(now);
     else this.spares.clear();
@@ -182,7 +209,7 @@
    * connections may have fallen silent.
    */
   probe(): void {
-    if (this.opener.count === 0 && !this.isClosed) this.opener.open(NO_TENANT);
+    if (this.opener.count === 0 && !this.isClosed && !this.isSuspended) this.opener.open(NO_TENANT);
   }
 
   /** Ends the pool; connections in use end when they are given back. */
@@ -226,6 +253,11 @@
     return new AcquireError(failure);
   }
 
+  private mayKeep(pooled: PooledConnection): boolean {
+    if (this.isClosed || this.size >= this.backoff.limit) return false;
+    return !this.isSuspended || this.forQuestions.has(pooled);
+  }
+
   private take(request: ConnectionRequest): PooledConnection | undefined {
     const pooled = this.idle.takeClosest(request);
     if (!pooled) return undefined;
@@ -287,11 +319,12 @@
       this.load.notePosition(position);
       this.listener.onOpened(position, startedAt);
     }
-    if (this.isClosed) {
+    if (this.isClosed || (this.isSuspended && this.waiters.length === 0)) {
       connection.close();
       return;
     }
     const pooled = new PooledConnection(connection, tenant);
+    if (this.isSuspended) this.forQuestions.add(pooled);
     connection.onClosed = () => this.idle.remove(pooled);
     this.offer(pooled);
   }
--- a/src/appointed/connections/pooled_connection.ts
+++ b/src/appointed/connections/pooled_connection.ts
@@ -13,7 +13,7 @@
   readonly values = new Map<string, string>();
   /** Names of the prepared shapes that it has. */
   readonly preparedNames = new Set<string>();
-  /** When it became idle. */
+  /** When it became idle, or its transaction began to wait for the caller. */
   idleSince = 0;
   /** Whether a statement runs on it or is about to; a transaction rests between its statements. */
   isActive = false;
--- /dev/null
+++ b/src/appointed/placement/evacuated_zones.ts
@@ -0,0 +1,84 @@
+/**
+ * DECISION: what one proxy may still send to the instances of an evacuated zone. Owns the zones and since when they count as
+ * evacuated; relies on control, which tells of orders: a proxy that hears nothing goes on as its leases allow.
+ *
+ * Answers: the operator ordered that nothing more is sent to a zone. What is open there should end well, yet nothing may reach
+ *   the zone later than a bound after the acknowledgement, which this proxy has not seen.
+ * Inputs: orders in the updates of the catalog; when the newest request was sent whose reply did not tell of an order, and the
+ *   present time (milliseconds on this process's clock); the bound of the settings.
+ * Rule: the acknowledgement came later than that request, so parts of the bound are counted from there. At once nothing new
+ *   goes to a zone but what only a primary there can run; from {@link RESTED_FRACTION} on transactions that rest are ended; from
+ *   {@link CLOSED_FRACTION} on nothing is sent. A zone that was evacuated before this process heard of control is closed.
+ */
+import { Events } from '../../observability/events.js';
+import type { DecisionLog } from '../../observability/decision_logger.js';
+import type { whinyoke } from '../../protocol/generated/messages.js';
+
+/**
+ * How far an evacuation has come, as this proxy may act on it.
+ * - `begun`: what is open may go on, and a primary may be used;
+ * - `rested`: transactions that have rested are ended;
+ * - `closed`: nothing is sent.
+ */
+export type EvacuationStage = 'begun' | 'rested' | 'closed';
+
+/** Part of the bound (a ratio) after which transactions that rest are ended. Guess, not measured. */
+const RESTED_FRACTION = 0.25;
+/**
+ * Part of the bound (a ratio) after which nothing is sent: the rest is for statements that wait at a connection owner, and
+ * for a leader that answered though another one led already. Guess, not measured.
+ */
+const CLOSED_FRACTION = 0.5;
+
+/** Evacuated zones of one proxy. */
+export class EvacuatedZones {
+  /** Time by which no order on the zone was acknowledged yet. */
+  private readonly notBefore = new Map<string, number>();
+
+  constructor(
+    /** From the acknowledgement until nothing may reach the zone, in milliseconds. */
+    private readonly evacuationMs: number,
+    private readonly log: DecisionLog,
+  ) {}
+
+  /** Names of the evacuated zones. */
+  get names(): readonly string[] {
+    return [...this.notBefore.keys()];
+  }
+
+  /**
+   * Takes over orders of an update.
+   * @param provenAt - when the newest request was sent whose reply did not tell of these orders; -Infinity without one
+   */
+  adopt(update: whinyoke.ICatalogUpdate, provenAt: number): void {
+    const evacuated = new Set<string>();
+    for (const { zone, begunAt } of update.evacuations ?? []) {
+      if ((begunAt ?? 0) > 0) evacuated.add(zone ?? '');
+      else this.readmit(zone ?? '');
+    }
+    if (update.isWhole) {
+      for (const zone of this.names) if (!evacuated.has(zone)) this.readmit(zone);
+    }
+    for (const zone of evacuated) this.evacuate(zone, provenAt);
+  }
+
+  /** Stage of a zone; undefined when it is not evacuated. */
+  stageOf(zone: string, now: number): EvacuationStage | undefined {
+    const notBefore = this.notBefore.get(zone);
+    if (notBefore === undefined) return undefined;
+    const part = (now - notBefore) / this.evacuationMs;
+    if (part >= CLOSED_FRACTION) return 'closed';
+    return part >= RESTED_FRACTION ? 'rested' : 'begun';
+  }
+
+  /** A zone that is evacuated already stays in its stage. */
+  private evacuate(zone: string, provenAt: number): void {
+    if (this.notBefore.has(zone)) return;
+    this.notBefore.set(zone, provenAt);
+    this.log(Events.zoneEvacuated, { zone });
+  }
+
+  private readmit(zone: string): void {
+    if (this.notBefore.delete(zone)) this.log(Events.zoneReadmitted, { zone });
+  }
+}
--- a/src/appointed/proxy/appointed_proxy.ts
+++ b/src/appointed/proxy/appointed_proxy.ts
@@ -18,6 +18,7 @@
 import { RoutedSession } from '../sessions/routed_session.js';
 import { Admission } from '../tenancy/admission.js';
 import { AllowanceClient } from '../tenancy/allowance_client.js';
+import { EvacuatedZones } from '../placement/evacuated_zones.js';
 import type { PlacementRules } from '../placement/placement_rules.js';
 import type { QuotaRules } from '../tenancy/operation_budget.js';
 import { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
@@ -83,6 +84,8 @@
   readonly admission: Admission;
   /** Limits on the operations of tenants. */
   readonly allowances: AllowanceClient;
+  /** Evacuated zones, as far as control told of them. */
+  readonly evacuatedZones: EvacuatedZones;
   private readonly document: DocumentInForce;
   private readonly contact: ControlContact;
   private readonly synchronisation: ControlSynchronisation;
@@ -104,6 +107,7 @@
     this.document = new DocumentInForce(this.clock, this.log, options.reader);
     this.contact = new ControlContact(this.clock, this.log);
     this.positions = new PrimaryPositions(this.clock, this.leases);
+    this.evacuatedZones = new EvacuatedZones(options.placementRules.evacuationMs, this.log);
     this.instances = this.createInstances(fleet);
     this.synchronisation = this.createSynchronisation(fleet);
     const leaderAddress = (): string => this.synchronisation.leaderAddress;
@@ -219,7 +223,7 @@
   }
 
   private createInstances(fleet: FleetDirectory): ProxyInstances {
-    const { runtime, document, leases, primaryHealth, positions, log } = this;
+    const { runtime, document, leases, primaryHealth, positions, log, evacuatedZones } = this;
     const { address: ownAddress, connector } = this.options;
     return new ProxyInstances({
       runtime,
@@ -231,11 +235,13 @@
       leases,
       primaryHealth,
       positions,
+      evacuatedZones,
     });
   }
 
   private createSynchronisation(fleet: FleetDirectory): ControlSynchronisation {
     const { self, log, contact, document, leases, primaryHealth, positions, instances } = this;
+    const { evacuatedZones } = this;
     const parts = {
       self,
       log,
@@ -246,6 +252,7 @@
       primaryHealth,
       positions,
       instances,
+      evacuatedZones,
     };
     return new ControlSynchronisation(this.runtime, parts, this.options.seeds);
   }
--- a/src/appointed/proxy/control_synchronisation.ts
+++ b/src/appointed/proxy/control_synchronisation.ts
@@ -9,6 +9,7 @@
 import type { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
 import type { PrimaryLeases } from '../trust/primary_leases.js';
 import { ControlClient } from './control_client.js';
+import type { EvacuatedZones } from '../placement/evacuated_zones.js';
 import type { ControlContact } from './control_contact.js';
 import type { DocumentInForce } from './document_in_force.js';
 import type { FleetDirectory } from './fleet_directory.js';
@@ -29,6 +30,7 @@
   readonly primaryHealth: PrimaryHealthTrackers;
   readonly positions: PrimaryPositions;
   readonly instances: ProxyInstances;
+  readonly evacuatedZones: EvacuatedZones;
 }
 
 /** Synchronisation of one proxy. */
@@ -142,9 +144,10 @@
     const version = reply.version ?? 0;
     const update = whinyoke.CatalogUpdate.decode(reply.update ?? NO_BYTES);
     if (update.document) document.adopt(update.document);
+    const provenBefore = contact.provenAt;
     contact.noteProof(sentAt);
     leases.update(update.groups, now);
-    if (version > this.catalogVersion) this.adoptCatalog(version, update);
+    if (version > this.catalogVersion) this.adoptCatalog(version, update, provenBefore);
     // A reply that was overtaken grants leases on epochs that may be over.
     if (version === this.catalogVersion) {
       leases.extendAll(sentAt + (reply.leaseMs ?? 0));
@@ -163,10 +166,15 @@
     this.parts.instances.adoptOwners(directory);
   }
 
-  private adoptCatalog(version: number, update: whinyoke.CatalogUpdate): void {
-    const { positions, instances, fleet, log } = this.parts;
+  private adoptCatalog(
+    version: number,
+    update: whinyoke.CatalogUpdate,
+    provenBefore: number,
+  ): void {
+    const { positions, instances, fleet, log, evacuatedZones } = this.parts;
     if (this.catalogVersion === 0) positions.expectFirst();
     this.catalogVersion = version;
+    evacuatedZones.adopt(update, provenBefore);
     instances.adopt(update);
     log(Events.catalogInForce, {
       version,
--- a/src/appointed/proxy/proxy_context.ts
+++ b/src/appointed/proxy/proxy_context.ts
@@ -9,6 +9,7 @@
 import type { ConnectionSource } from '../connections/connection_source.js';
 import type { PrimaryHealthTracker } from '../trust/primary_health_tracker.js';
 import type { PrimaryLeases } from '../trust/primary_leases.js';
+import type { EvacuationStage } from '../placement/evacuated_zones.js';
 import type { ReadCandidate } from '../routing/replica_selector.js';
 import type { RouteTable } from '../catalog/route_table.js';
 import type { PrimaryPositions } from './primary_positions.js';
@@ -45,6 +46,8 @@
 export interface SessionInstances {
   /** Source of connections to an instance; undefined when the catalog does not list it. */
   connectionsTo(instance: string): ConnectionSource | undefined;
+  /** How far the evacuation of an instance's zone has come; undefined when it is not evacuated. */
+  evacuationStageOf(instance: string): EvacuationStage | undefined;
   /** Instances of a group that take new work. */
   readCandidates(group: string): readonly ReadCandidate[];
 }
--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -14,6 +14,7 @@
   InstanceConnector,
   InstanceTarget,
 } from '../instance/instance_connection.js';
+import type { EvacuatedZones, EvacuationStage } from '../placement/evacuated_zones.js';
 import type { ReadCandidate } from '../routing/replica_selector.js';
 import type { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
 import type { PrimaryLeases } from '../trust/primary_leases.js';
@@ -37,6 +38,7 @@
   readonly leases: PrimaryLeases;
   readonly primaryHealth: PrimaryHealthTrackers;
   readonly positions: PrimaryPositions;
+  readonly evacuatedZones: EvacuatedZones;
 }
 
 /** Instances of one proxy. */
@@ -44,7 +46,7 @@
   private readonly directory: InstanceDirectory;
 
   constructor(private readonly surroundings: InstancesSurroundings) {
-    const { runtime, ownAddress, connector, log, document, fleet } = surroundings;
+    const { runtime, ownAddress, connector, log, document, fleet, evacuatedZones } = surroundings;
     this.directory = new InstanceDirectory({
       runtime,
       ownAddress,
@@ -53,6 +55,7 @@
       connectionLimitOf: (group) => document.table?.limitsByGroup.get(group)?.connectionLimit ?? 0,
       hasTenants: () => document.table === undefined || document.table.tenants.size > 0,
       tenantRate: (tenant) => document.table?.tenants.named(tenant)?.limit?.ratePerSecond,
+      stageOf: (zone) => evacuatedZones.stageOf(zone, runtime.clock.now()),
       liveProxies: () => fleet.liveProxies,
       onConnectFailed: (target, error) => this.onConnectFailed(target, error),
       onOpened: (target, position, startedAt) => this.onOpened(target, position, startedAt),
@@ -79,6 +82,11 @@
     return this.directory.access(instance)?.local;
   }
 
+  /** How far the evacuation of an instance's zone has come; undefined when it is not evacuated. */
+  evacuationStageOf(instance: string): EvacuationStage | undefined {
+    return this.directory.stageOf(instance);
+  }
+
   /** Instances of a group that take new work. */
   readCandidates(group: string): readonly ReadCandidate[] {
     return this.directory.readCandidates(group, this.primaryOf(group));
@@ -92,6 +100,7 @@
   /** Takes over what changed in the catalog. */
   adopt(update: whinyoke.ICatalogUpdate): void {
     this.directory.adopt(update);
+    this.evacuate();
   }
 
   /** Takes over which proxies may own connections, by zone. */
@@ -115,6 +124,7 @@
 
   /** Looks after all pools; called often. */
   maintain(): void {
+    this.evacuate();
     this.directory.maintain();
   }
 
@@ -123,6 +133,10 @@
     this.directory.close();
   }
 
+  private evacuate(): void {
+    this.directory.evacuate((instance, group) => this.primaryOf(group) === instance);
+  }
+
   private primaryOf(group: string): string {
     return this.surroundings.leases.entryOf(group)?.primary ?? '';
   }
--- a/src/appointed/routing/refusal_cause.ts
+++ b/src/appointed/routing/refusal_cause.ts
@@ -24,6 +24,8 @@
   | { readonly kind: 'sessionNotLoaded' }
   /** This proxy may no longer trust the answers of the primary. */
   | { readonly kind: 'leaseEnded' }
+  /** The zone of the instance of a transaction was evacuated. */
+  | { readonly kind: 'zoneEvacuated' }
   /** The instance answered BEGIN with an error. */
   | { readonly kind: 'beginAnswered'; readonly error: InstanceErrorKind };
 
@@ -48,6 +50,8 @@
   | { readonly kind: 'noTrustedPrimary' }
   /** No replica is fresh enough, and no primary is trusted. */
   | { readonly kind: 'noInstanceForRead' }
+  /** Only the primary could run it, and that is in an evacuated zone. */
+  | { readonly kind: 'primaryEvacuated' }
   /** The leader has no operation left for the tenant. */
   | { readonly kind: 'tenantOverLimit'; readonly retryAfterMs: number }
   /** No control machine answered the request for an operation. */
@@ -76,6 +80,8 @@
       return 'the session could not be loaded';
     case 'leaseEnded':
       return 'the lease on the primary ended';
+    case 'zoneEvacuated':
+      return 'the zone of its instance is evacuated';
     case 'beginAnswered':
       return `answered ${cause.error}`;
     case 'attemptFailed':
@@ -88,6 +94,8 @@
       return 'no trusted primary';
     case 'noInstanceForRead':
       return 'no instance may serve the read';
+    case 'primaryEvacuated':
+      return 'the primary is in an evacuated zone';
     case 'tenantOverLimit':
       return 'the tenant is over its limit';
     case 'noGrant':
--- a/src/appointed/routing/retry_after.ts
+++ b/src/appointed/routing/retry_after.ts
@@ -21,6 +21,11 @@
  * an election. Guess, not measured (docs/design/quota.md tells that it is used for grants).
  */
 const CONTROL_RETRY_MS = 300;
+/**
+ * A primary in an evacuated zone could not be replaced yet; control tries again after a second, and another change follows;
+ * milliseconds. Guess, not measured.
+ */
+const EVACUATED_RETRY_MS = 1000;
 /** Usual duration of a change of primary, in milliseconds. Guess, not measured. */
 export const USUAL_CHANGE_MS = 800;
 /**
@@ -49,6 +54,8 @@
     case 'credentialUnproven':
     case 'noConfiguration':
       return CONTROL_RETRY_MS;
+    case 'primaryEvacuated':
+      return EVACUATED_RETRY_MS;
     default:
       return situation ? groupRetryMs(situation) : CONTROL_RETRY_MS;
   }
--- a/src/appointed/routing/target_planner.ts
+++ b/src/appointed/routing/target_planner.ts
@@ -6,7 +6,8 @@
  * Inputs: the route's policy with its staleness bound in milliseconds, the time when the read or its transaction began, the
  * newest commit of the session, the instances that were tried already.
  * Rule: a read gets a position floor (position_floor.ts); replicas come in the order of replica_selector.ts, the trusted
- * primary at its place among them, or last. Without a floor only the primary may serve the read.
+ * primary at its place among them, or last. Without a floor only the primary may serve the read. An instance in an evacuated
+ * zone is no target; a primary there is one until the zone is closed, for a read only where nothing else is left.
  * Relies on: the lease on the primary (it may have ended: then the primary is no target), positions of the primary (they
  * may be missing or too old: then there is no floor), and the pools (an instance without one is left out).
  */
@@ -51,6 +52,7 @@
   const primary = context.leases.primaryOf(group, context.clock.now());
   const pool = primary && context.instances.connectionsTo(primary.instance);
   if (!primary || !pool) return undefined;
+  if (context.instances.evacuationStageOf(primary.instance) === 'closed') return undefined;
   return { instance: primary.instance, pool, group, primaryEpoch: primary.epoch };
 }
 
@@ -105,6 +107,8 @@
     if (pool) targets.push({ instance: id, pool, group, after });
   }
   const isPrimaryListed = targets.some((target) => target.primaryEpoch !== undefined);
-  if (primary && !isPrimaryListed && !tried.has(primary.instance)) targets.push(primary);
+  if (!primary || isPrimaryListed || tried.has(primary.instance)) return targets;
+  const isEvacuated = context.instances.evacuationStageOf(primary.instance) !== undefined;
+  if (!isEvacuated || targets.length === 0) targets.push(primary);
   return targets;
 }
--- a/src/appointed/sessions/caller_transaction.ts
+++ b/src/appointed/sessions/caller_transaction.ts
@@ -10,10 +10,12 @@
 import type { Position } from '../../positions/position.js';
 import { type CallerReply, type CommittedReply, refused } from './caller_reply.js';
 import type { InstanceAnswer, InstanceError } from '../instance/instance_connection.js';
+import { causeWithoutPrimary } from '../routing/evacuated_primary.js';
 import { type RefusedRequest, inDoubt, logRetry, refuse } from '../routing/refusal.js';
 import type { AttemptFailure, RefusalCause } from '../routing/refusal_cause.js';
 import { ROLLBACK_TIMEOUT_MS, RequestDeadline } from '../routing/request_deadline.js';
 import { RetryPause } from '../routing/retry_pause.js';
+import type { EvacuationStage } from '../placement/evacuated_zones.js';
 import type { Route } from '../catalog/route_table.js';
 import type { ProxyContext } from '../proxy/proxy_context.js';
 import type { AdmittedOperation } from '../tenancy/admitted_operation.js';
@@ -63,14 +65,16 @@
     const refusal = { id, deadline, state: 'failed' as const };
     const problem = await this.bind(id, deadline, content);
     if (problem !== undefined) return refuse(this.context, refusal, 'busy', problem);
+    if (this.isZoneClosed) return this.endEvacuated(refusal);
     this.operation.noteRun();
     if (accessOf(statement) === 'write') this.hasWritten = true;
     const command = { kind: 'data' as const, id, statement };
     const limitMs = deadline.statementTimeout(this.held!.target.pool.load.slowAnswerThreshold);
     const attempt = await this.attempt(command, content, deadline, limitMs);
     if (attempt.outcome !== 'answered') {
+      const cause = this.causeOfFailure(attempt);
       this.drop();
-      return refuse(this.context, refusal, 'aborted', attempt.cause);
+      return refuse(this.context, refusal, 'aborted', cause);
     }
     const { answer } = attempt;
     if (answer.error) return this.failStatement(answer.error, refusal);
@@ -95,6 +99,7 @@
     if (problem !== undefined) {
       return { reply: refuse(this.context, refusal, 'aborted', problem) };
     }
+    if (this.isZoneClosed) return { reply: this.endEvacuated(refusal) };
     if (!this.isTrusted()) {
       this.drop();
       return { reply: refuse(this.context, refusal, 'aborted', { kind: 'leaseEnded' }) };
@@ -131,10 +136,10 @@
   /** Decides whether a commit is kept, certainly not kept, or in doubt. */
   private judgeCommit(attempt: Attempt, refusal: RefusedRequest): CommittedReply {
     const held = this.held!;
+    const cause = this.causeOfFailure(attempt);
     this.held = undefined;
     const answer = attempt.outcome === 'answered' ? attempt.answer : undefined;
     this.runner.release(held, answer?.state === 'idle' ? answer : UNKNOWN_ANSWER);
-    const cause = causeOfFailure(attempt);
     if (attempt.outcome === 'notRun' || (answer?.error && isNotRun(answer.error.kind))) {
       return { reply: refuse(this.context, refusal, 'aborted', cause) };
     }
@@ -212,7 +217,7 @@
     if (this.mayUseReplicas) await this.context.positions.awaitFloor(this.route.group);
     while (deadline.allowsAttempt) {
       const target = await this.nextTarget(deadline, tried, pause);
-      if (!target) break;
+      if (!target) return causeWithoutPrimary(this.context, this.route.group, cause);
       tried.add(target.instance);
       const failure = await this.beginAt(target, deadline, content);
       if (failure === undefined) return undefined;
@@ -274,6 +279,31 @@
       : attempt.cause;
   }
 
+  /** Whether nothing may be sent to the instance any more, since its zone is evacuated. */
+  private get isZoneClosed(): boolean {
+    return this.evacuationStage === 'closed';
+  }
+
+  private get evacuationStage(): EvacuationStage | undefined {
+    const instance = this.held?.target.instance;
+    return instance === undefined ? undefined : this.context.instances.evacuationStageOf(instance);
+  }
+
+  /** Ends the transaction before its next statement is sent: nothing of it is kept. */
+  private endEvacuated(refusal: RefusedRequest): CallerReply {
+    this.drop();
+    return refuse(this.context, refusal, 'aborted', { kind: 'zoneEvacuated' });
+  }
+
+  /** Cause of an attempt that was not answered, or was answered with an error. Pools of evacuated zones end what rests. */
+  private causeOfFailure(attempt: Attempt): RefusalCause {
+    if (attempt.outcome === 'answered') {
+      return { kind: 'transactionAnswered', error: attempt.answer.error?.kind };
+    }
+    const isEnded = attempt.outcome === 'notRun' && this.evacuationStage !== undefined;
+    return isEnded ? { kind: 'zoneEvacuated' } : attempt.cause;
+  }
+
   private isTrusted(): boolean {
     return this.held !== undefined && isTargetTrusted(this.context, this.held.target);
   }
@@ -292,9 +322,3 @@
 
 /** Stands for an answer after which a connection can't be used again. */
 const UNKNOWN_ANSWER: InstanceAnswer = { rows: [], signature: '', state: 'failed' };
-
-/** Cause of a commit that was not answered, or was answered with an error. */
-function causeOfFailure(attempt: Attempt): RefusalCause {
-  if (attempt.outcome !== 'answered') return attempt.cause;
-  return { kind: 'transactionAnswered', error: attempt.answer.error?.kind };
-}
--- a/src/appointed/sessions/single_statement.ts
+++ b/src/appointed/sessions/single_statement.ts
@@ -10,6 +10,7 @@
 import { type CallerReply, type CommittedReply, refused } from './caller_reply.js';
 import type { InstanceAnswer, InstanceError } from '../instance/instance_connection.js';
 import { AcquireError } from '../connections/acquire_error.js';
+import { causeWithoutPrimary } from '../routing/evacuated_primary.js';
 import { inDoubt, logRetry, refuse } from '../routing/refusal.js';
 import type { AttemptFailure, RefusalCause } from '../routing/refusal_cause.js';
 import type { RequestDeadline } from '../routing/request_deadline.js';
@@ -84,6 +85,9 @@
       wasOffered ||= attempt.outcome !== 'notRun';
     }
     const refusal = { id: request.id, deadline, state: 'idle' as const };
+    if (cause.kind === 'noInstanceForRead') {
+      cause = causeWithoutPrimary(this.context, route.group, cause);
+    }
     return refuse(this.context, refusal, 'busy', cause);
   }
 
@@ -97,7 +101,10 @@
     let cause: RefusalCause = { kind: 'noTrustedPrimary' };
     while (deadline.allowsAttempt) {
       const target = await awaitPrimary(this.context, deadline);
-      if (!target) break;
+      if (!target) {
+        cause = causeWithoutPrimary(this.context, group, cause);
+        break;
+      }
       this.context.leases.commitStarted(group);
       const result = await this.attemptWrite(request, target).finally(() =>
         this.context.leases.commitEnded(group),
--- a/src/appointed/sessions/statement_runner.ts
+++ b/src/appointed/sessions/statement_runner.ts
@@ -37,11 +37,12 @@
   'other',
 ]);
 
-/** Failures to get a connection that are due to load; the instance is not avoided for them. */
+/** Failures to get a connection that are due to load or to an operator; the instance is not avoided for them. */
 const LOAD_FAILURES: ReadonlySet<AcquireFailure> = new Set<AcquireFailure>([
   'timeout',
   'full',
   'displaced',
+  'evacuated',
 ]);
 
 /** Whether an error promises that the statement did not run. */
--- a/src/appointed/trust/primary_waiter.ts
+++ b/src/appointed/trust/primary_waiter.ts
@@ -3,6 +3,7 @@
  * replicas to extend the lease, which may not happen: the wait then ends by the request's deadline.
  */
 import { delay } from '../../runtime/runtime.js';
+import { isPrimaryEvacuated } from '../routing/evacuated_primary.js';
 import { changeAge } from '../routing/refusal.js';
 import type { RequestDeadline } from '../routing/request_deadline.js';
 import type { ProxyContext } from '../proxy/proxy_context.js';
@@ -18,6 +19,7 @@
     const target = primaryTarget(context, group);
     context.leaseConfirmer.noteWanted(group);
     if (target) return target;
+    if (isPrimaryEvacuated(context, group)) return undefined;
     const waitMs = deadline.primaryWait(changeAge(context, group));
     if (waitMs <= 0) return undefined;
     await Promise.race([context.leases.nextExtension(), delay(context.clock, waitMs)]);
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -179,6 +179,27 @@
     'the replicas of a group were asked whether its primary still leads, while control is out of reach',
     '`confirmed`: the primary is used on. Anything else is the reason why its lease ends.',
   ),
+  zoneEvacuated: define(
+    253,
+    'zone_evacuated',
+    'warn',
+    'the evacuation of a zone is in force at this proxy',
+    'No read goes there from now on; its primaries are used until they are replaced, or half of the bound is over.',
+  ),
+  zoneReadmitted: define(
+    254,
+    'zone_readmitted',
+    'info',
+    'a zone is used again',
+    'Its instances get reads again; primaries stay where they are.',
+  ),
+  transactionsEvacuated: define(
+    255,
+    'transactions_evacuated',
+    'info',
+    'transactions in an evacuated zone were ended between two statements',
+    'Their callers are told that they were aborted and may begin again. `stage` rested: only those that had rested.',
+  ),
   credentialUnknown: define(
     241,
     'credential_unknown',
--- /dev/null
+++ b/test/tools/lone_proxy.ts
@@ -0,0 +1,232 @@
+/**
+ * One real proxy on a virtual clock, before instances that only record what they are sent, with a catalog in place of control.
+ * Group `g` has the database `any` (reads may be 2 s old) and `own` (only the primary serves).
+ */
+import { Scheduler } from '../../lab/simulation/scheduler.js';
+import { VirtualProcess } from '../../lab/simulation/virtual_process.js';
+import { Catalog } from '../../src/appointed/catalog/catalog.js';
+import { documentOf } from '../../src/appointed/catalog/document_source.js';
+import type { ReadPolicy, Route } from '../../src/appointed/catalog/route_table.js';
+import { CatalogUpdates } from '../../src/appointed/control/catalog_updates.js';
+import type { InstanceAnswer } from '../../src/appointed/instance/instance_connection.js';
+import type { InstanceCommand } from '../../src/appointed/instance/statement.js';
+import { DEFAULT_PLACEMENT_RULES } from '../../src/appointed/placement/placement_rules.js';
+import { AppointedProxy } from '../../src/appointed/proxy/appointed_proxy.js';
+import { RoutedSession } from '../../src/appointed/sessions/routed_session.js';
+import { TenantDirectory } from '../../src/appointed/tenancy/tenant.js';
+import { BackendConnectionLostError } from '../../src/errors/errors.js';
+import type { EventKind } from '../../src/observability/events.js';
+import { whinyoke } from '../../src/protocol/generated/messages.js';
+import { type MessageBody, type Runtime, delay } from '../../src/runtime/runtime.js';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
+import { FakeConnection } from './fake_connection.js';
+
+const { GroupPhase, InstanceState } = whinyoke;
+const CONTROL = '10.8.0.1:7000';
+const WORK_MS = 5;
+const LEASE_MS = 3000;
+const CONNECTION_LIMIT = 100;
+
+/** A command that reached an instance. */
+interface SentCommand {
+  readonly at: number;
+  readonly instance: string;
+  readonly command: InstanceCommand;
+}
+
+/** A connection that records commands and answers them after a while, unless its instance hangs. */
+class RecordingConnection extends FakeConnection {
+  private state: InstanceAnswer['state'] = 'idle';
+
+  constructor(
+    private readonly proxy: LoneProxy,
+    private readonly instance: string,
+  ) {
+    super();
+  }
+
+  override run = (async (command: InstanceCommand): Promise<InstanceAnswer> => {
+    if (this.closed) throw new BackendConnectionLostError('connection is closed', { sent: false });
+    const { proxy, instance } = this;
+    proxy.sent.push({ at: proxy.now, instance, command });
+    do await delay(proxy.clock, WORK_MS);
+    while (proxy.hanging.has(instance) && !this.closed);
+    if (this.closed) throw new BackendConnectionLostError('connection was closed', { sent: true });
+    if (command.kind === 'begin') this.state = 'open';
+    if (command.kind === 'commit' || command.kind === 'rollback') this.state = 'idle';
+    const received = { term: 1, sequence: 1 };
+    const role = proxy.catalog.group('g')?.primary === instance ? 'primary' : 'replica';
+    const status = { role, term: 1, received, heldTerm: 0, lagMs: 0 } as const;
+    return { rows: [], signature: 's', state: this.state, position: received, status };
+  }) as FakeConnection['run'];
+}
+
+function routeOf(database: string, policy: ReadPolicy): [string, Route] {
+  const times = { timeoutMs: 1000, targetLatencyMs: 400, priority: 0 };
+  return [database, { name: database, database, group: 'g', policy, ...times, isPublic: true }];
+}
+
+/** The proxy, its instances and its control. */
+export class LoneProxy {
+  readonly scheduler = new Scheduler();
+  readonly catalog = new Catalog();
+  readonly core: AppointedProxy;
+  /** Everything that reached an instance. */
+  readonly sent: SentCommand[] = [];
+  /** Openings, by instance. */
+  readonly opened: string[] = [];
+  /** Instances that do not answer. */
+  readonly hanging = new Set<string>();
+  /** Names of events. */
+  readonly events: string[] = [];
+  /** Whether control answers nothing. */
+  isControlSilent = false;
+  /** Handler of messages of other proxies. */
+  handle: Parameters<Runtime['messenger']['serve']>[0] = () => Promise.reject(new Error('unset'));
+  private readonly process = new VirtualProcess('10.7.0.1', this.scheduler, new SeededRandom(1), 0);
+  private readonly updates = new CatalogUpdates(this.catalog);
+  private index = 0;
+  private nextRequest = 1;
+
+  /** @param zones - zone of each instance; the first one is the primary */
+  constructor(zones: Readonly<Record<string, string>>) {
+    const [primary] = Object.keys(zones);
+    this.apply({ putDocument: documentOf(1, 'one') });
+    for (const [id, zone] of Object.entries(zones)) this.placeInstance(id, zone);
+    this.lead(primary!, 1);
+    const messenger: Runtime['messenger'] = {
+      request: (_address, body) => this.answer(body),
+      serve: (handler) => void (this.handle = handler),
+    };
+    const { process } = this;
+    const { clock, random } = process;
+    // A proxy of this interface keeps no data folder.
+    const runtime = { clock, random, messenger } as Runtime;
+    this.core = new AppointedProxy(runtime, {
+      id: 'p',
+      zone: 'z1',
+      address: '10.7.0.1:7001',
+      seeds: [CONTROL],
+      connector: {
+        connect: ({ id }) => {
+          this.opened.push(id);
+          const position = { term: 1, sequence: 1 };
+          return Promise.resolve({ connection: new RecordingConnection(this, id), position });
+        },
+      },
+      reader: {
+        read: () => ({
+          version: 1,
+          routeByDatabase: new Map([
+            routeOf('any', { kind: 'boundedStaleness', maximumStalenessMs: 2000 }),
+            routeOf('own', { kind: 'primary' }),
+          ]),
+          limitsByGroup: new Map([['g', { group: 'g', connectionLimit: CONNECTION_LIMIT }]]),
+          transactionIdleMs: 0,
+          tenants: new TenantDirectory([]),
+        }),
+      },
+      log: (kind: EventKind) => void this.events.push(kind.name),
+      counters: { answered: noop, served: noop, retried: noop },
+      credentialFreshnessMs: Infinity,
+      quotaRules: { windowMs: 5000, overage: 0, tolerance: 0 },
+      placementRules: DEFAULT_PLACEMENT_RULES,
+    });
+  }
+
+  get now(): number {
+    return this.scheduler.now;
+  }
+
+  get clock(): Runtime['clock'] {
+    return this.process.clock;
+  }
+
+  /** Starts the proxy, and has a write give it the position that reads need. */
+  async start(): Promise<void> {
+    this.core.start();
+    await this.run(200);
+    await this.settled(this.session('own').write());
+  }
+
+  run(milliseconds: number): Promise<void> {
+    return this.scheduler.runUntil(this.now + milliseconds);
+  }
+
+  /** Lets time pass until a promise is settled. */
+  async settled<T>(promise: Promise<T>): Promise<T> {
+    let isSettled = false;
+    const note = (): void => void (isSettled = true);
+    promise.then(note, note);
+    for (let tries = 0; tries < 3000 && !isSettled; tries++) await this.run(1);
+    if (!isSettled) throw new Error('still waiting after 3 s');
+    return promise;
+  }
+
+  apply(command: whinyoke.ICatalogCommand): void {
+    this.index++;
+    this.catalog.apply(this.index, whinyoke.CatalogCommand.encode(command).finish());
+  }
+
+  order(zone: string, begins: boolean): void {
+    this.apply({ putEvacuation: { zone, begins } });
+  }
+
+  placeInstance(id: string, zone: string): void {
+    const state = InstanceState.READY;
+    this.apply({ putInstance: { id, group: 'g', address: `${id}:1`, zone, slots: 4, state } });
+  }
+
+  /** Names the primary of the next epoch. */
+  lead(primary: string, epoch: number, phase = GroupPhase.STEADY): void {
+    this.apply({ putGroup: { group: 'g', epoch, phase, primary, term: 1, planned: true } });
+  }
+
+  /** Opens a session; what it runs gets new identifiers. */
+  session(database: string): {
+    state: () => string;
+    read: () => ReturnType<RoutedSession['execute']>;
+    write: () => ReturnType<RoutedSession['execute']>;
+    execute: (
+      statement: Parameters<RoutedSession['execute']>[1],
+    ) => ReturnType<RoutedSession['execute']>;
+  } {
+    const session = this.core.openSession(database)!;
+    const execute: ReturnType<LoneProxy['session']>['execute'] = (statement) =>
+      session.execute(`r${this.nextRequest++}`, statement);
+    return {
+      state: () => session.state,
+      read: () => execute({ kind: 'read', argument: 'x' }),
+      write: () => execute({ kind: 'write', argument: 'x' }),
+      execute,
+    };
+  }
+
+  /** Instances that statements of callers reached after a moment. */
+  reachedSince(at: number): readonly string[] {
+    const later = this.sent.filter((item) => item.at > at && item.command.kind !== 'status');
+    return [...new Set(later.map(({ instance }) => instance))].sort();
+  }
+
+  private async answer({ syncRequest }: MessageBody): Promise<MessageBody> {
+    const known = syncRequest?.knownVersion ?? 0;
+    const until = this.now + (syncRequest?.waitMs ?? 0);
+    do await delay(this.clock, 1);
+    while (this.catalog.version <= known && this.now < until);
+    if (this.isControlSilent) throw new Error('control is silent');
+    return {
+      syncReply: {
+        accepted: true,
+        leaseMs: LEASE_MS,
+        version: this.catalog.version,
+        update: this.updates.since(known, syncRequest?.knownDocument ?? 0),
+        term: 1,
+        clockMs: Math.floor(this.now),
+      },
+    };
+  }
+}
+
+function noop(): void {
+  return undefined;
+}
--- a/test/unit/refusals.test.ts
+++ b/test/unit/refusals.test.ts
@@ -33,6 +33,8 @@
     [{ kind: 'transactionAnswered', error: 'failed' }, 'the instance answered failed'],
     [{ kind: 'transactionAnswered', error: undefined }, 'the instance answered without an error'],
     [{ kind: 'noTrustedPrimary' }, 'no trusted primary'],
+    [{ kind: 'primaryEvacuated' }, 'the primary is in an evacuated zone'],
+    [{ kind: 'zoneEvacuated' }, 'the zone of its instance is evacuated'],
     [{ kind: 'noInstanceForRead' }, 'no instance may serve the read'],
     [{ kind: 'tenantOverLimit', retryAfterMs: 1 }, 'the tenant is over its limit'],
     [{ kind: 'noGrant' }, 'no control machine grants operations'],
@@ -55,6 +57,7 @@
   for (const kind of ['noGrant', 'credentialUnproven', 'noConfiguration'] as const) {
     t.equal(retryAfterMs({ kind }, steady), 300, kind);
   }
+  t.equal(retryAfterMs({ kind: 'primaryEvacuated' }, steady), 1000, 'control tries again');
   t.equal(retryAfterMs({ kind: 'noConfiguration' }), 300, 'no group is known');
   t.equal(retryAfterMs({ kind: 'tenantOverLimit', retryAfterMs: 71 }, steady), 71);
   t.equal(overLimitRetryMs(100, 0), 100);
