Control: primaries leave evacuated zones

Cause: a primary in an evacuated zone stayed, and everything that only it can run was refused until the finish. Change: a planned change begins for each primary in an evacuated zone with a ready instance elsewhere, side by side, 25 a second at most. An instance in an evacuated zone is not eligible; where no other is proven for 1.5 s, any ready one may lead, so that the others follow it, and the change is tried again a second later. The leader logs how many primaries stand there still. Ruled out: leaving the group without a primary until the finish: replicas elsewhere would get no positions for reads.

--- a/src/appointed/failover/failover_controller.ts
+++ b/src/appointed/failover/failover_controller.ts
@@ -1,12 +1,14 @@
 /**
  * DECISION: when a primary is replaced. The steps of a change: `primary_changer.ts`.
  *
- * Answers: a primary that crashed, refuses, is cut off, stands still or leaves, and proxies that are cut off themselves.
+ * Answers: a primary that crashed, refuses, is cut off, stands still, leaves or is in an evacuated zone, and proxies that are
+ *   cut off themselves.
  * Inputs: opinions of the proxies (`primary_health_opinions.ts`), age of the primary's newest heartbeat, its state in the
  *   catalog, milliseconds since its epoch began.
  * Rule: only with another ready instance in the group. A primary that leaves or is gone is replaced at once. Otherwise more
  *   proxies must find it bad than use it, and two of them, or one and a late heartbeat; silence right after a change counts
- *   only later. With no good opinion, a heartbeat that is missing for long is enough.
+ *   only later. With no good opinion, a heartbeat that is missing for long is enough. One that is well leaves an evacuated zone
+ *   by a planned change (`primary_evacuation.ts`).
  * Constants: below, and `src/appointed/leases/primary_health_times.ts`. Tests: test/unit/failover.test.ts.
  *
  * Owns which groups this leader is changing. Relies on a majority for each step; a step that fails is logged and begun again
@@ -20,6 +22,7 @@
 import { targetOf } from './instance_administrator.js';
 import type { InstanceMonitor } from './instance_monitor.js';
 import { type ChangerContext, PrimaryChanger } from './primary_changer.js';
+import { PrimaryEvacuation } from './primary_evacuation.js';
 import type { PrimaryHealthOpinions } from './primary_health_opinions.js';
 
 const { GroupPhase, InstanceRole, InstanceState } = whinyoke;
@@ -57,12 +60,15 @@
   /** Epochs that this leader saw begin, and when. */
   private readonly knownEpochs = new Map<string, KnownEpoch>();
   private isAdopting = false;
+  private readonly evacuation: PrimaryEvacuation;
 
   constructor(
     private readonly context: ChangerContext,
     private readonly monitor: InstanceMonitor,
     private readonly opinions: PrimaryHealthOpinions,
-  ) {}
+  ) {
+    this.evacuation = new PrimaryEvacuation(context.catalog, context.log);
+  }
 
   /** Starts to watch; does nothing while this machine does not lead. */
   start(): void {
@@ -88,6 +94,7 @@
       else if (entry.phase === GroupPhase.CHANGING) this.resume(entry);
       else this.judge(entry);
     }
+    this.evacuation.report();
   }
 
   /** A group seen for the first time: the instance that leads it now becomes its primary. */
@@ -138,9 +145,9 @@
 
   private judge(entry: GroupEntry): void {
     this.noteEpoch(entry);
+    if (this.changing.has(entry.group ?? '')) return;
     const cause = this.causeOfChange(entry);
-    if (!cause || this.changing.has(entry.group ?? '')) return;
-    void this.begin(entry, cause.text, cause.isPlanned);
+    if (cause) void this.begin(entry, cause.text, cause.isPlanned);
   }
 
   private async begin(entry: GroupEntry, cause: string, isPlanned: boolean): Promise<void> {
@@ -172,7 +179,9 @@
   private causeOfChange(entry: GroupEntry): ChangeCause | undefined {
     if (!this.hasReplacement(entry)) return undefined;
     const primary = this.context.catalog.instance(entry.primary ?? '');
-    if (primary?.state === InstanceState.READY) return this.causeByHealth(entry);
+    if (primary?.state === InstanceState.READY) {
+      return this.causeByHealth(entry) ?? this.causeByEvacuation(entry);
+    }
     return { text: 'the primary leaves', isPlanned: primary?.state === InstanceState.DRAINING };
   }
 
@@ -192,6 +201,12 @@
       : undefined;
   }
 
+  private causeByEvacuation(entry: GroupEntry): ChangeCause | undefined {
+    const now = this.context.clock.now();
+    const text = this.evacuation.takeCause(entry, this.steadyAge(entry, now), now);
+    return text === undefined ? undefined : { text, isPlanned: true };
+  }
+
   /** An epoch that was there before this machine led began long ago, as far as it knows. */
   private noteEpoch(entry: GroupEntry): void {
     const group = entry.group ?? '';
--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -22,6 +22,7 @@
 import { type CandidateReport, type Choice, chooseCandidate } from './candidate.js';
 import { type InstanceAdministrator, targetOf } from './instance_administrator.js';
 import type { LeaseLedger, RevocationState } from './lease_ledger.js';
+import { evacuatedZoneOf } from './primary_evacuation.js';
 import { PrimaryChangeLog } from './primary_change_log.js';
 import { ReplicaHold } from './replica_hold.js';
 
@@ -41,6 +42,12 @@
  */
 const CONFIRMATION_WAIT_MS = 400;
 
+/**
+ * An instance in an evacuated zone, or one that was to be replaced, leads only when no other one could be proven to hold
+ * everything for this time, in milliseconds: several tries. Its replicas receive again then. Guess, not measured.
+ */
+const LAST_RESORT_MS = 1500;
+
 /** What a change needs of its process. */
 export interface ChangerContext {
   /** Time and timers of this process. */
@@ -185,14 +192,36 @@
     if (appointed !== undefined) return appointed;
     const missing = replicas.length - reports.length;
     // An old primary that is dark holds the change up only when its answer is needed.
+    const elsewhere = reports.map((report) => this.unlessEvacuated(report));
     const choice =
-      this.choose(reports, missing, undefined) ??
-      this.choose(reports, missing, await this.oldPrimaryReport(oldPrimary, stepDown));
+      this.choose(elsewhere, missing, undefined) ??
+      this.chooseWithOld(reports, missing, await this.oldPrimaryReport(oldPrimary, stepDown));
     if (!choice || !this.passesFence(choice.instance)) return undefined;
     if (!this.isRecorded(choice.instance)) await this.record(choice.instance);
     return choice.instance;
   }
 
+  /** The old primary's answer may prove another one; after a while any ready instance may lead. */
+  private chooseWithOld(
+    reports: readonly CandidateReport[],
+    missing: number,
+    old: CandidateReport | undefined,
+  ): Choice | undefined {
+    const elsewhere = reports.map((report) => this.unlessEvacuated(report));
+    const oldElsewhere = old && this.unlessEvacuated(old);
+    const isPlanned = this.entry.planned ?? false;
+    const present =
+      oldElsewhere && isPlanned ? { ...oldElsewhere, isEligible: false } : oldElsewhere;
+    const choice = this.choose(elsewhere, missing, present);
+    if (choice || this.changeLog.elapsedMs < LAST_RESORT_MS) return choice;
+    return this.choose(reports, missing, old);
+  }
+
+  private unlessEvacuated(report: CandidateReport): CandidateReport {
+    const isEvacuated = evacuatedZoneOf(this.context.catalog, report.instance) !== undefined;
+    return isEvacuated ? { ...report, isEligible: false } : report;
+  }
+
   /** The old primary holds everything; it may lead again when no replica can. */
   private async oldPrimaryReport(
     old: InstanceEntry | undefined,
@@ -200,7 +229,7 @@
   ): Promise<CandidateReport | undefined> {
     const status = await stepDown;
     if (!old || !status) return undefined;
-    const isEligible = old.state === InstanceState.READY && !this.entry.planned;
+    const isEligible = old.state === InstanceState.READY;
     return { instance: old.id ?? '', status, isEligible };
   }
 
--- /dev/null
+++ b/src/appointed/failover/primary_evacuation.ts
@@ -0,0 +1,119 @@
+/**
+ * DECISION: when the primary of a group leaves an evacuated zone. The change itself: `primary_changer.ts`.
+ *
+ * Answers: an operator evacuates a zone; what only a primary there can run is refused after a part of the bound.
+ * Inputs: evacuated zones and instances of the catalog, the present primary, milliseconds since its epoch began.
+ * Rule: as soon as another ready instance stands elsewhere, for all groups side by side, but no more begins in a second than
+ *   {@link MOST_BEGUN}. A primary that had to be appointed in such a zone, since no other one provably held everything, is
+ *   replaced {@link FOLLOW_MS} later: by then the others have followed it. After the end of an evacuation nothing moves back.
+ * Constants: below. Tests: test/unit/evacuation.test.ts.
+ *
+ * Owns how many changes were begun lately, and what was logged. Relies on the catalog only, which can't fail.
+ */
+import type { Catalog, GroupEntry } from '../catalog/catalog.js';
+import { Events } from '../../observability/events.js';
+import type { DecisionLog } from '../../observability/decision_logger.js';
+import { whinyoke } from '../../protocol/generated/messages.js';
+import { MILLISECONDS_PER_SECOND } from '../../runtime/duration.js';
+
+const { InstanceState } = whinyoke;
+
+/**
+ * Changes begun in one second (a count): half of the calls that the platform takes in its example of settings (50 a second);
+ * the rest is for failures and repeated calls. Guess, not measured.
+ */
+const MOST_BEGUN = 25;
+/** Time for replicas elsewhere to follow a primary that nothing is sent to, in milliseconds. Guess, not measured. */
+const FOLLOW_MS = 1000;
+
+/** A primary in an evacuated zone. */
+export interface EvacuatedPrimary {
+  readonly group: string;
+  readonly zone: string;
+  /** Whether no ready instance of its group stands elsewhere. */
+  readonly isStuck: boolean;
+}
+
+/** Evacuated zone of an instance; undefined when it is in no such zone. */
+export function evacuatedZoneOf(catalog: Catalog, instance: string): string | undefined {
+  const zone = catalog.instance(instance)?.zone ?? '';
+  return catalog.isEvacuated(zone) ? zone : undefined;
+}
+
+/** All primaries in evacuated zones. */
+export function evacuatedPrimaries(catalog: Catalog): readonly EvacuatedPrimary[] {
+  const primaries: EvacuatedPrimary[] = [];
+  for (const { group, primary } of catalog.groups) {
+    const zone = evacuatedZoneOf(catalog, primary ?? '');
+    if (zone === undefined) continue;
+    const isStuck = !hasReadyElsewhere(catalog, group ?? '');
+    primaries.push({ group: group ?? '', zone, isStuck });
+  }
+  return primaries;
+}
+
+function hasReadyElsewhere(catalog: Catalog, group: string): boolean {
+  return catalog.presentInstances.some(
+    (instance) =>
+      instance.group === group &&
+      instance.state === InstanceState.READY &&
+      !catalog.isEvacuated(instance.zone ?? ''),
+  );
+}
+
+/** Evacuation of primaries by one leader. */
+export class PrimaryEvacuation {
+  private windowBeganAt = -Infinity;
+  private begun = 0;
+  /** What was logged of each evacuated zone. */
+  private readonly reported = new Map<string, string>();
+
+  constructor(
+    private readonly catalog: Catalog,
+    private readonly log: DecisionLog,
+  ) {}
+
+  /**
+   * Cause for a change of a steady group that may begin at `now`, and is counted as begun; undefined when there is none.
+   * @param steadyMs - how long the primary has led
+   */
+  takeCause(entry: GroupEntry, steadyMs: number, now: number): string | undefined {
+    const zone = evacuatedZoneOf(this.catalog, entry.primary ?? '');
+    if (zone === undefined || steadyMs < FOLLOW_MS) return undefined;
+    if (!hasReadyElsewhere(this.catalog, entry.group ?? '')) return undefined;
+    return this.mayBegin(now) ? `zone ${zone} is evacuated` : undefined;
+  }
+
+  /** Logs what changed of the primaries in evacuated zones; called often. */
+  report(): void {
+    const { evacuatedZones } = this.catalog;
+    if (evacuatedZones.length === 0 && this.reported.size === 0) return;
+    const all = evacuatedPrimaries(this.catalog);
+    for (const zone of evacuatedZones) {
+      const ofZone = all.filter((primary) => primary.zone === zone);
+      this.reportZone(zone, ofZone.length, ofZone.filter(({ isStuck }) => isStuck).length);
+    }
+    for (const zone of [...this.reported.keys()]) {
+      if (evacuatedZones.includes(zone)) continue;
+      this.reported.delete(zone);
+      this.log(Events.evacuationProgress, { zone, evacuated: false });
+    }
+  }
+
+  private mayBegin(now: number): boolean {
+    if (now - this.windowBeganAt >= MILLISECONDS_PER_SECOND) {
+      this.windowBeganAt = now;
+      this.begun = 0;
+    }
+    if (this.begun >= MOST_BEGUN) return false;
+    this.begun++;
+    return true;
+  }
+
+  private reportZone(zone: string, primaries: number, stuck: number): void {
+    const state = `${primaries}/${stuck}`;
+    if (this.reported.get(zone) === state) return;
+    this.reported.set(zone, state);
+    this.log(Events.evacuationProgress, { zone, evacuated: true, primaries, stuck });
+  }
+}
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -316,8 +316,8 @@
     336,
     'evacuation_progress',
     'info',
-    'primaries in an evacuated zone, or the end of its evacuation',
-    '`primaries` still stand there, `stuck` of them have no ready instance elsewhere: their requests are refused.',
+    'the leader sees how far the evacuation of a zone has come',
+    '`primaries` still stand there; `stuck` of them have no ready instance elsewhere, and their requests are refused.',
   ),
   instanceTold: define(
     322,
--- /dev/null
+++ b/test/unit/evacuation_primaries.test.ts
@@ -0,0 +1,240 @@
+/** How primaries leave evacuated zones: when a change begins, and which instance may lead at its end. */
+import t from 'tap';
+import { Scheduler } from '../../lab/simulation/scheduler.js';
+import { VirtualProcess } from '../../lab/simulation/virtual_process.js';
+import { Catalog } from '../../src/appointed/catalog/catalog.js';
+import { FailoverController } from '../../src/appointed/failover/failover_controller.js';
+import { InstanceMonitor } from '../../src/appointed/failover/instance_monitor.js';
+import { LeaseLedger } from '../../src/appointed/failover/lease_ledger.js';
+import type { ChangerContext } from '../../src/appointed/failover/primary_changer.js';
+import { evacuatedPrimaries } from '../../src/appointed/failover/primary_evacuation.js';
+import { PrimaryHealthOpinions } from '../../src/appointed/failover/primary_health_opinions.js';
+import type {
+  InstanceStatus,
+  InstanceTarget,
+} from '../../src/appointed/instance/instance_connection.js';
+import { whinyoke } from '../../src/protocol/generated/messages.js';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
+
+const { AppointOutcome, GroupPhase, InstanceState } = whinyoke;
+
+/** A leader before instances whose answers a test sets; an appointed instance leads at once, with what it had received. */
+class Leader {
+  readonly scheduler = new Scheduler();
+  readonly catalog = new Catalog();
+  readonly opinions = new PrimaryHealthOpinions();
+  /** Number of commits that each instance received; undefined: it does not answer. */
+  readonly received = new Map<string, number | undefined>();
+  readonly appointed: string[] = [];
+  readonly causes: string[] = [];
+  readonly progress: object[] = [];
+  private readonly terms = new Map<string, number>();
+  private index = 0;
+  private readonly controller: FailoverController;
+
+  constructor() {
+    const { clock } = new VirtualProcess('10.8.0.1', this.scheduler, new SeededRandom(1), 0);
+    const answer = ({ id }: InstanceTarget): Promise<InstanceStatus | undefined> =>
+      Promise.resolve(this.statusOf(id));
+    const context = {
+      clock,
+      catalog: this.catalog,
+      ledger: new LeaseLedger(),
+      administrator: { status: answer, pause: answer, stepDown: answer, resume: answer },
+      appointmentLease: { appoint: (group: string, id: string) => this.appoint(group, id) },
+      propose: (command: whinyoke.ICatalogCommand) => Promise.resolve(this.apply(command)),
+      log: ({ name }: { name: string }, fields: Record<string, unknown>) => {
+        if (name === 'primary_change_begun') this.causes.push(String(fields['cause']));
+        if (name === 'evacuation_progress') this.progress.push(fields);
+      },
+      isLeading: () => true,
+    } as unknown as ChangerContext;
+    this.controller = new FailoverController(context, new InstanceMonitor(), this.opinions);
+  }
+
+  apply(command: whinyoke.ICatalogCommand): whinyoke.CatalogResult {
+    this.index++;
+    const bytes = whinyoke.CatalogCommand.encode(command).finish();
+    return whinyoke.CatalogResult.decode(this.catalog.apply(this.index, bytes));
+  }
+
+  order(zone: string, begins: boolean): void {
+    this.apply({ putEvacuation: { zone, begins } });
+  }
+
+  /** A group whose instances stand in these zones; the first one leads. */
+  addGroup(group: string, zones: readonly string[]): void {
+    for (const [place, zone] of zones.entries()) this.place(group, place, zone);
+    this.terms.set(`${group}-0`, 1);
+    const { STEADY: phase } = GroupPhase;
+    this.apply({ putGroup: { group, epoch: 1, phase, primary: `${group}-0`, term: 1 } });
+  }
+
+  place(group: string, place: number, zone: string, state = InstanceState.READY): void {
+    const id = `${group}-${place}`;
+    if (!this.received.has(id)) this.received.set(id, 10);
+    this.apply({ putInstance: { id, group, address: id, zone, state } });
+  }
+
+  primaryOf(group: string): string {
+    const { phase, primary } = this.catalog.group(group)!;
+    return phase === GroupPhase.CHANGING ? 'changing' : primary!;
+  }
+
+  run(milliseconds: number): Promise<void> {
+    this.controller.start();
+    return this.scheduler.runUntil(this.scheduler.now + milliseconds).then(() => {
+      this.controller.stop();
+    });
+  }
+
+  private appoint(group: string, id: string): Promise<whinyoke.AppointOutcome> {
+    this.appointed.push(id);
+    const newest = Math.max(...this.terms.values());
+    this.terms.set(id, newest + 1);
+    for (const other of this.received.keys()) {
+      const isFollower = other.startsWith(`${group}-`);
+      if (isFollower && this.received.get(other) !== undefined) {
+        this.received.set(other, this.received.get(id));
+      }
+    }
+    return Promise.resolve(AppointOutcome.APPOINTED);
+  }
+
+  private statusOf(id: string): InstanceStatus | undefined {
+    const sequence = this.received.get(id);
+    if (sequence === undefined) return undefined;
+    const term = this.terms.get(id) ?? 1;
+    const role = term > 1 ? 'primary' : 'replica';
+    return { role, term, received: { term: 1, sequence }, heldTerm: 9, lagMs: 0 };
+  }
+}
+
+void t.test(
+  'primaries leave an evacuated zone side by side, and stay where they are',
+  async (t) => {
+    const leader = new Leader();
+    for (const group of ['g', 'h', 'k']) leader.addGroup(group, ['z1', 'z2', 'z3']);
+    leader.addGroup('m', ['z2', 'z1', 'z3']);
+    leader.order('z1', true);
+    t.same(evacuatedPrimaries(leader.catalog).length, 3);
+    await leader.run(300);
+    t.same(
+      ['g', 'h', 'k', 'm'].map((group) => leader.primaryOf(group)),
+      ['g-1', 'h-1', 'k-1', 'm-0'],
+    );
+    t.same(leader.causes, Array(3).fill('zone z1 is evacuated'));
+    t.same(leader.progress.at(-1), { zone: 'z1', evacuated: true, primaries: 0, stuck: 0 });
+    leader.order('z1', false);
+    await leader.run(3000);
+    t.same(leader.primaryOf('g'), 'g-1', 'it does not move back');
+    t.same(leader.progress.at(-1), { zone: 'z1', evacuated: false });
+    t.equal(leader.causes.length, 3);
+  },
+);
+
+void t.test('no more changes begin in a second than the platform takes', async (t) => {
+  const leader = new Leader();
+  const groups = Array.from({ length: 60 }, (_, place) => `g${place}`);
+  for (const group of groups) leader.addGroup(group, ['z1', 'z2']);
+  leader.order('z1', true);
+  await leader.run(900);
+  t.equal(leader.causes.length, 25);
+  await leader.run(2000);
+  t.ok(groups.every((group) => leader.primaryOf(group) === `${group}-1`));
+});
+
+void t.test(
+  'a change never ends in an evacuated zone while another instance is proven',
+  async (t) => {
+    const leader = new Leader();
+    leader.addGroup('g', ['z1', 'z2', 'z3']);
+    leader.order('z1', true);
+    leader.order('z2', true);
+    await leader.run(1000);
+    t.equal(leader.primaryOf('g'), 'g-2');
+    const late = new Leader();
+    late.addGroup('g', ['z1', 'z2', 'z3']);
+    late.apply({
+      putGroup: { group: 'g', epoch: 2, phase: GroupPhase.CHANGING, primary: 'g-0', term: 1 },
+    });
+    late.order('z2', true);
+    await late.run(1000);
+    t.same(late.appointed, ['g-2'], 'an evacuation that begins in a change counts');
+  },
+);
+
+void t.test(
+  'nothing acknowledged is lost to hurry: who lacks it leads only after it followed',
+  async (t) => {
+    const leader = new Leader();
+    leader.addGroup('g', ['z1', 'z2', 'z3']);
+    leader.received.set('g-2', 9);
+    leader.received.set('g-0', undefined);
+    leader.apply({ putProxy: { id: 'p', incarnation: 'lost' } });
+    leader.order('z1', true);
+    leader.order('z2', true);
+    await leader.run(1000);
+    t.equal(leader.primaryOf('g'), 'changing', 'z3 may lack a commit that z2 has');
+    await leader.run(700);
+    t.equal(
+      leader.primaryOf('g'),
+      'g-1',
+      'one in an evacuated zone leads, so that the other can follow',
+    );
+    await leader.run(1500);
+    t.equal(leader.primaryOf('g'), 'g-2', 'and the change is tried again');
+    t.same(leader.appointed, ['g-1', 'g-2']);
+  },
+);
+
+void t.test(
+  'while all zones are evacuated no change begins for it, until one is free',
+  async (t) => {
+    const leader = new Leader();
+    leader.addGroup('g', ['z1', 'z2']);
+    leader.order('z1', true);
+    leader.order('z2', true);
+    await leader.run(1000);
+    t.same(leader.causes, []);
+    t.match(leader.progress, [
+      { zone: 'z1', primaries: 1, stuck: 1 },
+      { zone: 'z2', primaries: 0 },
+    ]);
+    leader.place('g', 2, 'z3');
+    await leader.run(300);
+    t.equal(leader.primaryOf('g'), 'g-2', 'an instance moved in elsewhere');
+  },
+);
+
+void t.test(
+  'with draining: only one that stays is ready elsewhere, and one that leaves does so as planned',
+  async (t) => {
+    const leader = new Leader();
+    leader.addGroup('g', ['z1', 'z2', 'z3']);
+    leader.place('g', 1, 'z2', InstanceState.DRAINING);
+    leader.order('z1', true);
+    await leader.run(300);
+    t.equal(leader.primaryOf('g'), 'g-2');
+    leader.addGroup('h', ['z1', 'z2']);
+    leader.place('h', 0, 'z1', InstanceState.DRAINING);
+    await leader.run(300);
+    t.equal(leader.causes.at(-1), 'the primary leaves');
+    t.equal(leader.primaryOf('h'), 'h-1');
+  },
+);
+
+void t.test(
+  'a zone that is cut off: its dark primary is replaced elsewhere, with evidence',
+  async (t) => {
+    for (const isCutFirst of [true, false]) {
+      const leader = new Leader();
+      leader.addGroup('g', ['z1', 'z2', 'z3']);
+      if (isCutFirst) leader.received.set('g-0', undefined);
+      leader.order('z1', true);
+      leader.received.set('g-0', undefined);
+      await leader.run(1000);
+      t.equal(leader.primaryOf('g'), 'g-1');
+    }
+  },
+);
