Simulator: operators evacuate zones

Change: the act evacuate-zone, which strikes where it is named (other faults keep their seeds), a check that no statement reaches a zone later than 5 s after the acknowledgement from proxies that nothing disturbed for 5 s, and a protection evacuated-zones that can be taken away.

--- a/lab/appointed/appointed_faults.ts
+++ b/lab/appointed/appointed_faults.ts
@@ -34,14 +34,41 @@
 /** Kinds of faults of deployments with tenants; the others keep theirs, so that their seeds keep their meaning. */
 const TENANT_FAULTS = ['renew-credential', 'swap-credentials', 'mute-connections'] as const;
 
+/** Acts of operators that strike only where they are named: the others keep their seeds. */
+const OPERATOR_ACTS = ['evacuate-zone'] as const;
+
 /** Kind of a fault. */
-export type AppointedFaultKind = (typeof APPOINTED_FAULTS)[number] | (typeof TENANT_FAULTS)[number];
+export type AppointedFaultKind =
+  | (typeof APPOINTED_FAULTS)[number]
+  | (typeof TENANT_FAULTS)[number]
+  | (typeof OPERATOR_ACTS)[number];
+
+/** Kinds that leave every proxy in touch with control; the judge holds proxies to time bounds meanwhile. */
+const KINDS_IN_TOUCH: ReadonlySet<AppointedFaultKind> = new Set<AppointedFaultKind>([
+  'crash-primary',
+  'dark-primary',
+  'cut-primary-from-replicas',
+  'cut-primary-from-proxies',
+  'crash-replica',
+  'lag-replicas',
+  'deaf-replica',
+  'lost-answers',
+  'leave-primary',
+  'leave-replica',
+  'change-configuration',
+  'evacuate-zone',
+]);
 
 /** Kinds of faults that may strike a deployment. */
 export function faultsOf(deployment: AppointedDeployment): readonly AppointedFaultKind[] {
   return deployment.tenancy ? [...APPOINTED_FAULTS, ...TENANT_FAULTS] : APPOINTED_FAULTS;
 }
 
+/** Kinds of faults that may be named for a deployment. */
+export function nameableFaultsOf(deployment: AppointedDeployment): readonly AppointedFaultKind[] {
+  return [...faultsOf(deployment), ...OPERATOR_ACTS];
+}
+
 /** Ends a fault. */
 export type EndFault = () => void;
 
@@ -187,6 +214,12 @@
     for (let count = 0; count < 3; count++) void world.submitDocument();
     return () => undefined;
   },
+  'evacuate-zone': (world, random) => {
+    const zone = pick(world.zones, random);
+    if (world.orderedZones.has(zone)) return undefined;
+    const begun = world.evacuate(zone);
+    return () => void begun.then(() => world.finishEvacuation(zone));
+  },
   'renew-credential': (world, random) => {
     const { tenancy } = world;
     if (!tenancy) return undefined;
@@ -226,5 +259,11 @@
   world: AppointedWorld,
   random: RandomSource,
 ): EndFault | undefined {
-  return STARTERS[kind](world, random);
+  const end = STARTERS[kind](world, random);
+  if (!end || KINDS_IN_TOUCH.has(kind)) return end;
+  world.judge.onDisturbed(1);
+  return () => {
+    end();
+    world.judge.onDisturbed(-1);
+  };
 }
--- a/lab/appointed/appointed_judge.ts
+++ b/lab/appointed/appointed_judge.ts
@@ -24,6 +24,7 @@
   | 'lost'
   | 'replaced-primary'
   | 'drain'
+  | 'evacuation'
   | 'configuration'
   | 'shared-fence'
   | 'tenant'
@@ -87,6 +88,10 @@
 }
 
 const DRAIN_LIMIT_MS = 7000;
+/** From the acknowledgement of an evacuation until nothing may reach the zone, in milliseconds. */
+const EVACUATION_LIMIT_MS = 5000;
+/** Bounds hold for proxies that were undisturbed for this long, in milliseconds. */
+const CONTACT_MS = 5000;
 
 /** Judge of one simulation. */
 export class AppointedJudge implements InstanceJournal {
@@ -102,6 +107,9 @@
   private readonly connectionOfTransaction = new Map<string, EmulatedSession>();
   private readonly transactionOfSession = new Map<EmulatedSession, string>();
   private readonly leavingSince = new Map<string, number>();
+  private readonly evacuatedSince = new Map<string, number>();
+  private disturbances = 0;
+  private disturbedUntil = -Infinity;
   private readonly fences = new Map<number, string>();
   private highestFence = 0;
   private readonly runsOfTenant = new Map<string, TenantRun[]>();
@@ -124,6 +132,7 @@
     this.runs.set(report.id, records);
     this.checkSession(report);
     this.checkDrain(report);
+    this.checkEvacuation(report);
     this.checkTenant(report);
   }
 
@@ -209,6 +218,22 @@
     this.leavingSince.delete(instance);
   }
 
+  /** A control machine acknowledged the evacuation of a zone. */
+  onEvacuated(zone: string): void {
+    this.evacuatedSince.set(zone, this.now());
+  }
+
+  /** The operator takes an evacuation back. */
+  onReadmitted(zone: string): void {
+    this.evacuatedSince.delete(zone);
+  }
+
+  /** A fault that may keep proxies from control begins (1) or ends (-1). */
+  onDisturbed(change: 1 | -1): void {
+    this.disturbances += change;
+    this.disturbedUntil = this.now();
+  }
+
   /** Notes a broken promise that another part found. */
   add(kind: ViolationKind, detail: string): void {
     this.violations.push({ kind, at: Math.round(this.now()), detail });
@@ -313,6 +338,15 @@
     if (isFirst) this.add('drain', `${report.id} reached ${report.instance.options.id}`);
   }
 
+  private checkEvacuation({ id, instance }: RunReport): void {
+    const { zone, id: name } = instance.options;
+    const isInTouch = this.disturbances === 0 && this.now() - this.disturbedUntil > CONTACT_MS;
+    const ageMs = this.now() - (this.evacuatedSince.get(zone) ?? Infinity);
+    if (isInTouch && ageMs > EVACUATION_LIMIT_MS) {
+      this.add('evacuation', `${id} reached ${name} after ${Math.round(ageMs)} ms`);
+    }
+  }
+
   private checkFreshness(read: ReadCheck, run: RunRecord): void {
     const { group } = run.report.instance.options;
     for (const commit of this.acknowledged) {
--- a/lab/appointed/appointed_world.ts
+++ b/lab/appointed/appointed_world.ts
@@ -37,6 +37,8 @@
 const VOTERS = 3;
 const ZONES = 3;
 const BEAT_MS = 1200;
+/** Pause of the operator between two calls, in milliseconds. */
+const ORDER_PAUSE_MS = 200;
 const PLATFORM_HOST = '10.200.0.1';
 const SUBMISSIONS = 20;
 const SUBMISSION_TIMEOUT_MS = 500;
@@ -76,6 +78,8 @@
   private acknowledgedVersion = 0;
   /** Tenants and their present credentials; undefined where callers need none. */
   readonly tenancy: SimulatedTenancy | undefined;
+  /** Zones that the operator evacuates, until the end of that is acknowledged. */
+  readonly orderedZones = new Set<string>();
   private nextVersion = 1;
   private nextSequence = 1;
 
@@ -179,6 +183,36 @@
     }
   }
 
+  /** Zones of the instances. */
+  get zones(): readonly string[] {
+    return [...new Set(this.instanceMachines().map(({ machine }) => machine.site.options.zone))];
+  }
+
+  /** Evacuates a zone; resolves when that is acknowledged, or was sent often in vain. */
+  async evacuate(zone: string): Promise<void> {
+    this.orderedZones.add(zone);
+    if (await this.orderUntilTaken({ zone, begins: true })) this.judge.onEvacuated(zone);
+  }
+
+  /** Takes the evacuation of a zone back. */
+  async finishEvacuation(zone: string): Promise<void> {
+    this.judge.onReadmitted(zone);
+    if (await this.orderUntilTaken({ zone, begins: false })) this.orderedZones.delete(zone);
+  }
+
+  private async orderUntilTaken(evacuation: whinyoke.IEvacuationOrder): Promise<boolean> {
+    const { clock } = this.outside;
+    for (let attempt = 0; attempt < SUBMISSIONS; attempt++) {
+      const reply = await Promise.race([
+        this.callControl({ evacuation }),
+        delay(clock, SUBMISSION_TIMEOUT_MS),
+      ]);
+      if (reply && reply.outcome === CatalogOutcome.DONE) return true;
+      await delay(clock, ORDER_PAUSE_MS);
+    }
+    return false;
+  }
+
   private noteAcknowledged(version: number): void {
     this.acknowledgedVersion = Math.max(this.acknowledgedVersion, version);
     this.tenancy?.noteAcknowledged(version, this.scheduler.now);
--- a/lab/appointed/disabled_protections.ts
+++ b/lab/appointed/disabled_protections.ts
@@ -21,6 +21,7 @@
   'tenant-binding',
   'credential-freshness',
   'fleet-quota',
+  'evacuated-zones',
 ] as const;
 
 /** One protection. */
@@ -84,6 +85,11 @@
   };
 }
 
+/** Makes a proxy go on sending to zones that are evacuated. */
+export function disableEvacuatedZones(core: AppointedProxy): void {
+  core.evacuatedZones.adopt = () => undefined;
+}
+
 /** Makes a proxy run every operation of a tenant, whatever its limit. */
 export function disableQuota(core: AppointedProxy): void {
   core.allowances.take = () => ({ isGranted: true });
--- a/lab/cli/main.ts
+++ b/lab/cli/main.ts
@@ -21,7 +21,7 @@
 import { APPOINTED_PROTECTIONS } from '../appointed/disabled_protections.js';
 import { explainRequest } from '../explain/explain.js';
 import type { FaultKind } from '../simulation/faults.js';
-import { faultsOf, runSimulateCommand } from '../simulation/simulate_command.js';
+import { faultsOf, nameableFaultsOf, runSimulateCommand } from '../simulation/simulate_command.js';
 
 const labProgram = fileURLToPath(import.meta.url);
 const proxyProgram = fileURLToPath(new URL('../../src/cli/main.js', import.meta.url));
@@ -54,8 +54,8 @@
   deployment: string,
   text: string | undefined,
 ): readonly (FaultKind | AppointedFaultKind)[] {
-  const known = faultsOf(deployment);
-  if (text === undefined) return known;
+  if (text === undefined) return faultsOf(deployment);
+  const known = nameableFaultsOf(deployment);
   const names = text === 'none' ? [] : text.split(',');
   const unknown = names.find((name) => !(known as readonly string[]).includes(name));
   if (unknown === undefined) return names as (FaultKind | AppointedFaultKind)[];
--- a/lab/simulation/simulate_command.ts
+++ b/lab/simulation/simulate_command.ts
@@ -7,6 +7,7 @@
 import {
   type AppointedFaultKind,
   faultsOf as appointedFaultsOf,
+  nameableFaultsOf as nameableAppointedFaultsOf,
 } from '../appointed/appointed_faults.js';
 import type { AppointedProtection } from '../appointed/disabled_protections.js';
 import { type HistoryEvent, parseHistory } from '../history/history.js';
@@ -97,12 +98,18 @@
   return appointed ? appointedFaultsOf(appointed) : FAULT_KINDS;
 }
 
+/** Kinds of faults that may be named for a deployment. */
+export function nameableFaultsOf(deployment: string): readonly (FaultKind | AppointedFaultKind)[] {
+  const appointed = APPOINTED_DEPLOYMENTS.get(deployment);
+  return appointed ? nameableAppointedFaultsOf(appointed) : FAULT_KINDS;
+}
+
 /** Command that runs one seed again. */
 function replayCommand(options: SimulateOptions, seed: number): string {
   const parts = [
     `whinyoke-lab simulate --deployment ${options.deployment} --seeds ${seed}-${seed}`,
   ];
-  if (options.faults.length < faultsOf(options.deployment).length)
+  if (options.faults.join() !== faultsOf(options.deployment).join())
     parts.push(`--faults ${options.faults.join(',')}`);
   if (options.disabled !== undefined) parts.push(`--disable ${options.disabled}`);
   return parts.join(' ');
--- a/test/simulation/appointed.test.ts
+++ b/test/simulation/appointed.test.ts
@@ -57,6 +57,14 @@
   }
 });
 
+void t.test('zones are evacuated, alone and while primaries fail', async (t) => {
+  const acts = ['evacuate-zone', 'evacuate-zone', 'crash-primary', 'leave-primary'] as const;
+  for (let seed = 1; seed <= 3; seed++) {
+    await expectClean(t, { deployment: APPOINTED_QUETZAL, seed, faults: ['evacuate-zone'] });
+    await expectClean(t, { deployment: APPOINTED_TOPLINA, seed, faults: acts });
+  }
+});
+
 void t.test('the same seed gives the same history', async (t) => {
   const options = { deployment: APPOINTED_QUETZAL, seed: 9 };
   const [first, second] = [await runAppointed(options), await runAppointed(options)];
@@ -81,6 +89,14 @@
     'stale',
   );
   t.equal(await find({ deployment: APPOINTED_QUETZAL, disabled: ['session-values'] }), 'pinned');
+  t.equal(
+    await find({
+      deployment: APPOINTED_QUETZAL,
+      disabled: ['evacuated-zones'],
+      faults: ['evacuate-zone'],
+    }),
+    'evacuation',
+  );
   t.match(
     await find({
       deployment: APPOINTED_QUETZAL,
