Control: an order whose operator gave the call up is not taken

Cause: a control machine that froze with an order in its socket takes it when it wakes; a begin that was repeated elsewhere would come behind its finish, and nobody would end it.

--- a/test/unit/evacuation.test.ts
+++ b/test/unit/evacuation.test.ts
@@ -1,6 +1,6 @@
 /** Evacuated zones: orders in the catalog, what proxies do about them, primaries that move. Each test brings about one failure. */
 import { once } from 'node:events';
-import type { AddressInfo } from 'node:net';
+import { type AddressInfo, connect } from 'node:net';
 import t, { type Test } from 'tap';
 import { DEFAULT_PLACEMENT_RULES } from '../../src/appointed/placement/placement_rules.js';
 import { ControlApi } from '../../platform/control_api.js';
@@ -209,6 +209,27 @@
   t.same(older.statuses, [503], 'a leader of an older program read the document instead');
 });
 
+void t.test('an order whose operator gave the call up is not taken', async (t) => {
+  const orders: whinyoke.ICatalogRequest[] = [];
+  const core = {
+    knownZones: new Set(['a']),
+    submit: (request: whinyoke.ICatalogRequest) => {
+      orders.push(request);
+      return Promise.resolve({ outcome: CatalogOutcome.DONE });
+    },
+  } as unknown as AppointedControl;
+  const api = new ControlApi(core, new PlatformDocumentReader(), () => undefined);
+  const server = await api.listen('127.0.0.1:0');
+  const { port } = server.address() as AddressInfo;
+  const given = connect(port, '127.0.0.1');
+  given.end('POST /evacuation/a/begin HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n');
+  await once(given, 'close');
+  server.close();
+  await once(server, 'close');
+  await delay(new RealClock(), 100);
+  t.same(orders, []);
+});
+
 /** A control machine that stands alone on a folder, once it leads. */
 async function openAlone(t: Test, path: string, isFirstStart: boolean): Promise<AppointedControl> {
   const folder = await RealFolder.open(path);
