Metrics of evacuated zones

Cause: an operator could not see how far an evacuation has come. Change: whinyoke_evacuated_primaries on control machines (moving, stuck), whinyoke_evacuated_zone_idle_seconds on proxies: time since a statement was last sent from there to an instance of the zone. Figures: test/unit/evacuation_proxy.test.ts 44 assertions, 0 failed.

--- a/src/appointed/connections/instance_directory.ts
+++ b/src/appointed/connections/instance_directory.ts
@@ -115,6 +115,14 @@
     return zone === undefined || zone === null ? undefined : this.surroundings.stageOf(zone);
   }
 
+  /** When this process last took a connection to an instance of a zone for a caller's statement; -Infinity: never. */
+  lastStatementIn(zone: string): number {
+    const ofZone = [...this.entries].filter(([, entry]) => entry.zone === zone);
+    return Math.max(
+      ...ofZone.map(([id]) => this.accesses.get(id)?.local.lastStatementAt ?? -Infinity),
+    );
+  }
+
   /** Instances of a group that take new work, none in an evacuated zone. */
   readCandidates(group: string, primary: string): readonly ReadCandidate[] {
     const candidates: ReadCandidate[] = [];
--- a/src/appointed/connections/instance_pool.ts
+++ b/src/appointed/connections/instance_pool.ts
@@ -37,6 +37,8 @@
 export class InstancePool {
   /** Requests that got no connection since the start, by cause. */
   readonly refused = new Map<AcquireFailure, number>();
+  /** When a connection was last taken for a caller's statement; -Infinity before the first. */
+  lastStatementAt = -Infinity;
   private readonly idle = new IdleConnections();
   private readonly inUse = new ConnectionsInUse();
   private readonly idleTimeout = new IdleTimeout();
@@ -144,6 +146,7 @@
 
   /** Counts a transaction's connection as running a statement. The statement waits for nothing. */
   wake(pooled: PooledConnection): void {
+    this.lastStatementAt = this.clock.now();
     this.inUse.activate(pooled);
   }
 
@@ -262,7 +265,9 @@
     const pooled = this.idle.takeClosest(request);
     if (!pooled) return undefined;
     this.inUse.add(pooled);
-    this.order.noteStart(request, this.load.latency, this.clock.now());
+    const now = this.clock.now();
+    if (request.tenant !== undefined) this.lastStatementAt = now;
+    this.order.noteStart(request, this.load.latency, now);
     return pooled;
   }
 
--- a/src/appointed/daemon/control_daemon.ts
+++ b/src/appointed/daemon/control_daemon.ts
@@ -4,6 +4,7 @@
  */
 import { Gauge, Registry } from 'prom-client';
 import { AppointedControl } from '../control/appointed_control.js';
+import { evacuatedPrimaries } from '../failover/primary_evacuation.js';
 import type { PrimaryAppointer } from '../failover/primary_appointer.js';
 import { addGauge } from '../../observability/gauges.js';
 import { Events } from '../../observability/events.js';
@@ -129,6 +130,7 @@
     () => catalog.duty.token ?? 0,
   );
   addGroupEpochs(registry, core);
+  addEvacuations(registry, core);
   return registry;
 }
 
@@ -148,3 +150,21 @@
     },
   });
 }
+
+function addEvacuations(registry: Registry, { catalog }: AppointedControl): void {
+  const primaries = new Gauge({
+    name: 'whinyoke_evacuated_primaries',
+    help: 'Primaries that stand in each evacuated zone; `stuck`: no ready instance of their group stands elsewhere',
+    labelNames: ['zone', 'state'],
+    registers: [registry],
+    collect: () => {
+      primaries.reset();
+      for (const zone of catalog.evacuatedZones) {
+        for (const state of ['moving', 'stuck']) primaries.set({ zone, state }, 0);
+      }
+      for (const { zone, isStuck } of evacuatedPrimaries(catalog)) {
+        primaries.inc({ zone, state: isStuck ? 'stuck' : 'moving' });
+      }
+    },
+  });
+}
--- a/src/appointed/daemon/proxy_metrics.ts
+++ b/src/appointed/daemon/proxy_metrics.ts
@@ -59,6 +59,7 @@
     this.addPoolConnections(core);
     this.addPoolRefusals(core);
     this.addPrimaryEpochs(core);
+    this.addEvacuatedZones(core);
   }
 
   private addSynchronisation(core: AppointedProxy): void {
@@ -140,6 +141,22 @@
     });
   }
 
+  private addEvacuatedZones(core: AppointedProxy): void {
+    const zones = new Gauge({
+      name: 'whinyoke_evacuated_zone_idle_seconds',
+      help: 'Time since a statement was last sent from here to an evacuated zone; -1: none was since the start',
+      labelNames: ['zone'],
+      registers: [this.registry],
+      collect: () => {
+        zones.reset();
+        for (const zone of core.evacuatedZones.names) {
+          const idleMs = core.clock.now() - core.instances.lastStatementIn(zone);
+          zones.set({ zone }, Number.isFinite(idleMs) ? idleMs / MILLISECONDS_PER_SECOND : -1);
+        }
+      },
+    });
+  }
+
   private addPrimaryEpochs(core: AppointedProxy): void {
     const epochs = new Gauge({
       name: 'whinyoke_primary_epoch',
--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -82,6 +82,11 @@
     return this.directory.access(instance)?.local;
   }
 
+  /** When this process last took a connection to an instance of a zone for a caller's statement; -Infinity: never. */
+  lastStatementIn(zone: string): number {
+    return this.directory.lastStatementIn(zone);
+  }
+
   /** How far the evacuation of an instance's zone has come; undefined when it is not evacuated. */
   evacuationStageOf(instance: string): EvacuationStage | undefined {
     return this.directory.stageOf(instance);
--- a/test/unit/evacuation_proxy.test.ts
+++ b/test/unit/evacuation_proxy.test.ts
@@ -1,6 +1,7 @@
 /** What a proxy does while a zone is evacuated. The bound is 5 s: transactions that rest end after 1.25 s, all else after 2.5 s. */
 import t from 'tap';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
+import { ProxyMetrics } from '../../src/appointed/daemon/proxy_metrics.js';
 import { AcquireError } from '../../src/appointed/connections/acquire_error.js';
 import { DEFAULT_PLACEMENT_RULES } from '../../src/appointed/placement/placement_rules.js';
 import { connectionRequest as request } from '../tools/connection_request.js';
@@ -29,6 +30,10 @@
   const heardAt = proxy.now;
   for (let count = 0; count < 20; count++) await proxy.settled(session.read());
   t.same(proxy.reachedSince(heardAt), ['c']);
+  const metrics = new ProxyMetrics();
+  metrics.watch(proxy.core);
+  const shown = await metrics.registry.metrics();
+  t.match(shown, /^whinyoke_evacuated_zone_idle_seconds{zone="z1"} 0\.\d+$/m);
   const openedBefore = proxy.opened.length;
   await proxy.run(2000);
   t.notOk(proxy.opened.slice(openedBefore).includes('b'), 'no spare connection');
