Evacuated zones: short bounds, needless questions

Cause: with a bound of two seconds half of it would leave no time for a leader that answered late and a wait at an owner; the leader asked primaries for positions though no replica could be read. Change: nothing is sent in the last 2 s of a bound; such primaries are not asked. Ruled out: a smaller fraction: it would cost the usual bound of 5 s half of its time.

--- a/src/appointed/control/primary_position_cache.ts
+++ b/src/appointed/control/primary_position_cache.ts
@@ -7,6 +7,7 @@
  * readers then ask their primary themselves.
  */
 import type { Catalog, GroupEntry } from '../catalog/catalog.js';
+import { isPrimaryStuck } from '../failover/primary_evacuation.js';
 import { targetOf } from '../failover/instance_administrator.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { InstanceConnector } from '../instance/instance_connection.js';
@@ -92,6 +93,8 @@
 
   private isMissing(entry: GroupEntry, now: number): boolean {
     if (entry.phase === GroupPhase.CHANGING || this.asking.has(entry.group ?? '')) return false;
+    // No replica may be read, so its position would be of no use.
+    if (isPrimaryStuck(this.catalog, entry)) return false;
     const known = this.usable(entry, now);
     return known === undefined || now - known.askedAt > ASK_AGE_MS;
   }
--- a/src/appointed/failover/primary_evacuation.ts
+++ b/src/appointed/failover/primary_evacuation.ts
@@ -43,15 +43,21 @@
 /** All primaries in evacuated zones. */
 export function evacuatedPrimaries(catalog: Catalog): readonly EvacuatedPrimary[] {
   const primaries: EvacuatedPrimary[] = [];
-  for (const { group, primary } of catalog.groups) {
-    const zone = evacuatedZoneOf(catalog, primary ?? '');
+  for (const entry of catalog.groups) {
+    const zone = evacuatedZoneOf(catalog, entry.primary ?? '');
     if (zone === undefined) continue;
-    const isStuck = !hasReadyElsewhere(catalog, group ?? '');
-    primaries.push({ group: group ?? '', zone, isStuck });
+    const isStuck = isPrimaryStuck(catalog, entry);
+    primaries.push({ group: entry.group ?? '', zone, isStuck });
   }
   return primaries;
 }
 
+/** Whether the primary of a group is in an evacuated zone, and no ready instance of the group stands elsewhere. */
+export function isPrimaryStuck(catalog: Catalog, { group, primary }: GroupEntry): boolean {
+  if (evacuatedZoneOf(catalog, primary ?? '') === undefined) return false;
+  return !hasReadyElsewhere(catalog, group ?? '');
+}
+
 function hasReadyElsewhere(catalog: Catalog, group: string): boolean {
   return catalog.presentInstances.some(
     (instance) =>
--- a/src/appointed/placement/evacuated_zones.ts
+++ b/src/appointed/placement/evacuated_zones.ts
@@ -7,8 +7,9 @@
  * Inputs: orders in the updates of the catalog; when the newest request was sent whose reply did not tell of an order, and the
  *   present time (milliseconds on this process's clock); the bound of the settings.
  * Rule: the acknowledgement came later than that request, so parts of the bound are counted from there. At once nothing new
- *   goes to a zone but what only a primary there can run; from {@link RESTED_FRACTION} on transactions that rest are ended; from
- *   {@link CLOSED_FRACTION} on nothing is sent. A zone that was evacuated before this process heard of control is closed.
+ *   goes to a zone but what only a primary there can run; from half of the bound on, or {@link CLOSED_MARGIN_MS} before its end,
+ *   nothing is sent, and from half of that time on transactions that rest are ended. A zone that was evacuated before this
+ *   process heard of control is closed.
  */
 import { Events } from '../../observability/events.js';
 import type { DecisionLog } from '../../observability/decision_logger.js';
@@ -22,24 +23,33 @@
  */
 export type EvacuationStage = 'begun' | 'rested' | 'closed';
 
-/** Part of the bound (a ratio) after which transactions that rest are ended. Guess, not measured. */
-const RESTED_FRACTION = 0.25;
+/** Part of the bound (a ratio) after which nothing is sent. Guess, not measured. */
+const CLOSED_FRACTION = 0.5;
 /**
- * Part of the bound (a ratio) after which nothing is sent: the rest is for statements that wait at a connection owner, and
- * for a leader that answered though another one led already. Guess, not measured.
+ * Time before the end of the bound, in milliseconds, in which nothing may be sent in any case: a leader may answer for 500
+ * though another one leads already, and a statement may wait for 1,500 at a connection owner that has not heard of the order.
  */
-const CLOSED_FRACTION = 0.5;
+const CLOSED_MARGIN_MS = 2000;
+/** Part of the time until then (a ratio) after which transactions that rest are ended. Guess, not measured. */
+const RESTED_FRACTION = 0.5;
 
 /** Evacuated zones of one proxy. */
 export class EvacuatedZones {
   /** Time by which no order on the zone was acknowledged yet. */
   private readonly notBefore = new Map<string, number>();
+  /** Age of an order from which on nothing is sent, in milliseconds. */
+  private readonly closedMs: number;
 
+  /**
+   * @param evacuationMs - from the acknowledgement until nothing may reach the zone, in milliseconds
+   */
   constructor(
-    /** From the acknowledgement until nothing may reach the zone, in milliseconds. */
-    private readonly evacuationMs: number,
+    evacuationMs: number,
     private readonly log: DecisionLog,
-  ) {}
+  ) {
+    const longestMs = Math.max(0, evacuationMs - CLOSED_MARGIN_MS);
+    this.closedMs = Math.min(evacuationMs * CLOSED_FRACTION, longestMs);
+  }
 
   /** Names of the evacuated zones. */
   get names(): readonly string[] {
@@ -66,9 +76,9 @@
   stageOf(zone: string, now: number): EvacuationStage | undefined {
     const notBefore = this.notBefore.get(zone);
     if (notBefore === undefined) return undefined;
-    const part = (now - notBefore) / this.evacuationMs;
-    if (part >= CLOSED_FRACTION) return 'closed';
-    return part >= RESTED_FRACTION ? 'rested' : 'begun';
+    const ageMs = now - notBefore;
+    if (ageMs >= this.closedMs) return 'closed';
+    return ageMs >= this.closedMs * RESTED_FRACTION ? 'rested' : 'begun';
   }
 
   /** A zone that is evacuated already stays in its stage. */
--- a/test/tools/lone_proxy.ts
+++ b/test/tools/lone_proxy.ts
@@ -75,6 +75,8 @@
   readonly sent: SentCommand[] = [];
   /** Openings, by instance. */
   readonly opened: string[] = [];
+  /** Instances to which no connection is opened. */
+  readonly unopened = new Set<string>();
   /** Instances that do not answer. */
   readonly hanging = new Set<string>();
   /** Names of events. */
@@ -109,6 +111,7 @@
       seeds: [CONTROL],
       connector: {
         connect: ({ id }) => {
+          if (this.unopened.has(id)) return new Promise(() => undefined);
           this.opened.push(id);
           const position = { term: 1, sequence: 1 };
           return Promise.resolve({ connection: new RecordingConnection(this, id), position });
--- a/test/unit/evacuation.test.ts
+++ b/test/unit/evacuation.test.ts
@@ -9,6 +9,7 @@
 import { Catalog } from '../../src/appointed/catalog/catalog.js';
 import { CatalogUpdates } from '../../src/appointed/control/catalog_updates.js';
 import { ChangeNotifier } from '../../src/appointed/control/change_notifier.js';
+import { PrimaryPositionCache } from '../../src/appointed/control/primary_position_cache.js';
 import {
   CatalogService,
   type CatalogServiceSurroundings,
@@ -89,6 +90,31 @@
   },
 );
 
+void t.test('a primary is not asked for its position where no replica may be read', async (t) => {
+  const { catalog, apply, order } = withCatalog();
+  for (const [id, zone] of [
+    ['p', 'a'],
+    ['r', 'b'],
+  ]) {
+    apply({ putInstance: { id: id!, group: 'g', zone: zone!, address: id! } });
+  }
+  apply({ putGroup: { group: 'g', epoch: 1, phase: GroupPhase.STEADY, primary: 'p', term: 1 } });
+  const asked: string[] = [];
+  const connect = ({ id }: { id: string }): Promise<never> => {
+    asked.push(id);
+    return Promise.reject(new Error('it refuses'));
+  };
+  const cache = new PrimaryPositionCache(new RealClock(), catalog, { connect }, () => true);
+  cache.noteWanted();
+  order('a', true);
+  order('b', true);
+  await cache.askMissing();
+  t.same(asked, []);
+  order('b', false);
+  await cache.askMissing();
+  t.same(asked, ['p']);
+});
+
 /** The service of a leader whose log is `propose`. */
 function serviceOf(
   catalog: Catalog,
--- a/test/unit/evacuation_proxy.test.ts
+++ b/test/unit/evacuation_proxy.test.ts
@@ -3,6 +3,7 @@
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { ProxyMetrics } from '../../src/appointed/daemon/proxy_metrics.js';
 import { AcquireError } from '../../src/appointed/connections/acquire_error.js';
+import { EvacuatedZones } from '../../src/appointed/placement/evacuated_zones.js';
 import { DEFAULT_PLACEMENT_RULES } from '../../src/appointed/placement/placement_rules.js';
 import { connectionRequest as request } from '../tools/connection_request.js';
 import { CountingConnector, poolOf } from '../tools/instance_pool.js';
@@ -76,6 +77,33 @@
   t.notOk(pool.refused.has('closed'));
 });
 
+void t.test(
+  'a read that waits for an instance in the zone is placed elsewhere at once',
+  async (t) => {
+    const proxy = new LoneProxy({ a: 'z3', b: 'z1', c: 'z2' });
+    proxy.unopened.add('b');
+    await proxy.start();
+    const startedAt = proxy.now;
+    const read = proxy.session('any').read();
+    await proxy.run(2);
+    t.same(proxy.reachedSince(startedAt), [], 'it waits for a connection to b');
+    proxy.order('z1', true);
+    t.notOk((await proxy.settled(read)).error);
+    t.same(proxy.reachedSince(startedAt), ['c']);
+    t.ok(proxy.now - startedAt < 25, 'long before it would have given b up');
+  },
+);
+
+void t.test('a short bound leaves no time', (t) => {
+  const zones = new EvacuatedZones(2000, () => undefined);
+  zones.adopt({ evacuations: [{ zone: 'z1', begunAt: 1 }] }, 100);
+  t.equal(zones.stageOf('z1', 100), 'closed');
+  t.equal(zones.stageOf('z2', 100), undefined);
+  zones.adopt({ isWhole: true }, 100);
+  t.equal(zones.stageOf('z1', 100), undefined, 'a whole list without it ends the evacuation');
+  t.end();
+});
+
 void t.test('a primary in an evacuated zone is used for half of the bound at most', async (t) => {
   const proxy = await started({ a: 'z2', b: 'z1', c: 'z1' });
   const session = proxy.session('own');
