Evacuated zones: pools are looked at only while a zone is evacuated

Cause: each proxy went over all instances ten times a second for nothing. Change: it does so while a zone is evacuated and once after the last finish.

--- a/src/appointed/placement/evacuated_zones.ts
+++ b/src/appointed/placement/evacuated_zones.ts
@@ -56,6 +56,11 @@
     return [...this.notBefore.keys()];
   }
 
+  /** Whether any zone is evacuated. */
+  get isAny(): boolean {
+    return this.notBefore.size > 0;
+  }
+
   /**
    * Takes over orders of an update.
    * @param provenAt - when the newest request was sent whose reply did not tell of these orders; -Infinity without one
--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -44,6 +44,8 @@
 /** Instances of one proxy. */
 export class ProxyInstances implements SessionInstances {
   private readonly directory: InstanceDirectory;
+  /** Whether a zone was evacuated at the last look, so that pools may have to serve again. */
+  private wasEvacuating = false;
 
   constructor(private readonly surroundings: InstancesSurroundings) {
     const { runtime, ownAddress, connector, log, document, fleet, evacuatedZones } = surroundings;
@@ -139,6 +141,9 @@
   }
 
   private evacuate(): void {
+    const { isAny } = this.surroundings.evacuatedZones;
+    if (!isAny && !this.wasEvacuating) return;
+    this.wasEvacuating = isAny;
     this.directory.evacuate((instance, group) => this.primaryOf(group) === instance);
   }
 
