--- a/lab/appointed/appointed_faults.ts
+++ b/lab/appointed/appointed_faults.ts
@@ -41,12 +41,31 @@
   'restart-empty-behind-cut',
   'restart-empty-newest-replica',
 ] as const;
+/** Acts of operators that strike only where they are named: the others keep their seeds. */
+const OPERATOR_ACTS = ['evacuate-zone'] as const;
 
 /** Kind of a fault. */
 export type AppointedFaultKind =
   | (typeof APPOINTED_FAULTS)[number]
   | (typeof TENANT_FAULTS)[number]
-  | (typeof INCARNATION_FAULTS)[number];
+  | (typeof INCARNATION_FAULTS)[number]
+  | (typeof OPERATOR_ACTS)[number];
+
+/** Kinds that leave every proxy in touch with control; the judge holds proxies to time bounds meanwhile. */
+const KINDS_IN_TOUCH: ReadonlySet<AppointedFaultKind> = new Set<AppointedFaultKind>([
+  'crash-primary',
+  'dark-primary',
+  'cut-primary-from-replicas',
+  'cut-primary-from-proxies',
+  'crash-replica',
+  'lag-replicas',
+  'deaf-replica',
+  'lost-answers',
+  'leave-primary',
+  'leave-replica',
+  'change-configuration',
+  'evacuate-zone',
+]);
 
 /** Kinds of faults that may strike a deployment. */
 export function faultsOf(deployment: AppointedDeployment): readonly AppointedFaultKind[] {
@@ -56,6 +75,11 @@
   return kinds;
 }
 
+/** Kinds of faults that may be named for a deployment. */
+export function nameableFaultsOf(deployment: AppointedDeployment): readonly AppointedFaultKind[] {
+  return [...faultsOf(deployment), ...OPERATOR_ACTS];
+}
+
 /** Ends a fault. */
 export type EndFault = () => void;
 
@@ -225,6 +249,12 @@
     for (let count = 0; count < 3; count++) void world.submitDocument();
     return () => undefined;
   },
+  'evacuate-zone': (world, random) => {
+    const zone = pick(world.zones, random);
+    if (world.orderedZones.has(zone)) return undefined;
+    const begun = world.evacuate(zone);
+    return () => void begun.then(() => world.finishEvacuation(zone));
+  },
   'renew-credential': (world, random) => {
     const { tenancy } = world;
     if (!tenancy) return undefined;
@@ -296,5 +326,11 @@
   world: AppointedWorld,
   random: RandomSource,
 ): EndFault | undefined {
-  return STARTERS[kind](world, random);
+  const end = STARTERS[kind](world, random);
+  if (!end || KINDS_IN_TOUCH.has(kind)) return end;
+  world.judge.onDisturbed(1);
+  return () => {
+    end();
+    world.judge.onDisturbed(-1);
+  };
 }
--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -25,6 +25,7 @@
   disableEmptyPrimaryCheck,
   disableIncarnations,
   disableLease,
+  disableEvacuatedZones,
   disableQuota,
   disableReplicaLeases,
 } from './disabled_protections.js';
@@ -115,6 +116,7 @@
     if (surroundings.disabled.has('replica-witness')) disableReplicaLeases(core);
     if (surroundings.disabled.has('fleet-quota')) disableQuota(core);
     if (surroundings.disabled.has('instance-lives')) disableEmptyPrimaryCheck(core);
+    if (surroundings.disabled.has('evacuated-zones')) disableEvacuatedZones(core);
     this.core = core;
     core.start();
     process.onEnd(() => core.stop());
--- a/lab/appointed/disabled_protections.ts
+++ b/lab/appointed/disabled_protections.ts
@@ -24,6 +24,7 @@
   'fleet-quota',
   'instance-lives',
   'homes',
+  'evacuated-zones',
 ] as const;
 
 /** One protection. */
@@ -102,6 +103,11 @@
   leases.distrust = () => false;
 }
 
+/** Makes a proxy go on sending to zones that are evacuated. */
+export function disableEvacuatedZones(core: AppointedProxy): void {
+  core.evacuatedZones.adopt = () => undefined;
+}
+
 /** Makes a proxy run every operation of a tenant, whatever its limit. */
 export function disableQuota(core: AppointedProxy): void {
   core.allowances.take = () => ({ isGranted: true });
--- a/src/appointed/control/primary_position_cache.ts
+++ b/src/appointed/control/primary_position_cache.ts
@@ -8,6 +8,7 @@
  */
 import type { Catalog, GroupEntry } from '../catalog/catalog.js';
 import { targetOf } from '../failover/instance_target.js';
+import { isPrimaryStuck } from '../failover/primary_evacuation.js';
 import { isOfLaterIncarnation } from '../leases/epoch_primary.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { InstanceConnector } from '../instance/instance_connection.js';
@@ -93,6 +94,8 @@
 
   private isMissing(entry: GroupEntry, now: number): boolean {
     if (entry.phase === GroupPhase.CHANGING || this.asking.has(entry.group ?? '')) return false;
+    // No replica may be read, so its position would be of no use.
+    if (isPrimaryStuck(this.catalog, entry)) return false;
     const known = this.usable(entry, now);
     return known === undefined || now - known.askedAt > ASK_AGE_MS;
   }
--- a/src/appointed/failover/failover_controller.ts
+++ b/src/appointed/failover/failover_controller.ts
@@ -1,12 +1,14 @@
 /**
  * DECISION: when a primary is replaced. The steps of a change: `primary_changer.ts`.
  *
- * Answers: a primary that crashed, refuses, is cut off, stands still or leaves, and proxies that are cut off themselves.
+ * Answers: a primary that crashed, refuses, is cut off, stands still, leaves or is in an evacuated zone, and proxies that are
+ *   cut off themselves.
  * Inputs: the primary's state and incarnation in the catalog; opinions of the proxies (`primary_health_opinions.ts`), age of its
  *   newest heartbeat, what it answers to control itself (`direct_questions.ts`), milliseconds since its epoch began.
  * Rule: only with another ready instance in the group. A primary that leaves, is gone or started again is replaced at once; whether
- *   any other has failed is decided in `primary_trouble.ts`. One that is well is replaced as planned when homes of routes keep it
- *   from more of them than another instance (`placement/primary_homes.ts`).
+ *   any other has failed is decided in `primary_trouble.ts`. One that is well leaves an evacuated zone by a planned change
+ *   (`primary_evacuation.ts`), and is replaced as planned when homes of routes keep it from more of them than another instance
+ *   (`placement/primary_homes.ts`).
  * Constants: below. Tests: test/unit/failover.test.ts.
  *
  * Owns which groups this leader is changing. Relies on a majority for each step; a step that fails is logged and begun again
@@ -24,6 +26,7 @@
 import { targetOf } from './instance_target.js';
 import type { InstanceMonitor } from './instance_monitor.js';
 import { type ChangerContext, PrimaryChanger } from './primary_changer.js';
+import { PrimaryEvacuation } from './primary_evacuation.js';
 import type { PrimaryHealthOpinions } from './primary_health_opinions.js';
 import { troubleOf, wantsDirectAnswer } from './primary_trouble.js';
 
@@ -65,6 +68,7 @@
   private readonly knownEpochs = new Map<string, KnownEpoch>();
   private isAdopting = false;
   private readonly questions: DirectQuestions;
+  private readonly evacuation: PrimaryEvacuation;
 
   constructor(
     private readonly context: ChangerContext,
@@ -72,6 +76,7 @@
     private readonly opinions: PrimaryHealthOpinions,
   ) {
     this.questions = new DirectQuestions(context);
+    this.evacuation = new PrimaryEvacuation(context.catalog, context.log);
   }
 
   /** Starts to watch; does nothing while this machine does not lead. */
@@ -98,6 +103,7 @@
       else if (entry.phase === GroupPhase.CHANGING) this.resume(entry);
       else this.judge(entry);
     }
+    this.evacuation.report();
   }
 
   /** A group seen for the first time: the instance that leads it now becomes its primary. */
@@ -151,9 +157,9 @@
 
   private judge(entry: GroupEntry): void {
     this.noteEpoch(entry);
+    if (this.changing.has(entry.group ?? '')) return;
     const cause = this.causeOfChange(entry);
-    if (!cause || this.changing.has(entry.group ?? '')) return;
-    void this.begin(entry, cause.text, cause.isPlanned);
+    if (cause) void this.begin(entry, cause.text, cause.isPlanned);
   }
 
   private async begin(entry: GroupEntry, cause: string, isPlanned: boolean): Promise<void> {
@@ -188,7 +194,11 @@
     const isSame = (primary?.incarnation ?? 0) === (entry.primaryIncarnation ?? 0);
     if (primary && !isSame) return { text: 'the primary started again', isPlanned: false };
     if (primary?.state === InstanceState.READY) {
-      return this.causeByHealth(entry) ?? this.causeByHomes(entry, primary);
+      return (
+        this.causeByHealth(entry) ??
+        this.causeByEvacuation(entry) ??
+        this.causeByHomes(entry, primary)
+      );
     }
     return { text: 'the primary leaves', isPlanned: primary?.state === InstanceState.DRAINING };
   }
@@ -211,7 +221,9 @@
   private causeByHomes(entry: GroupEntry, primary: InstanceEntry): ChangeCause | undefined {
     if (this.steadyAge(entry, this.context.clock.now()) < HOMES_RETRY_MS) return undefined;
     const own = servedRoutes(primary, this.context);
-    const isBetter = (other: InstanceEntry): boolean => servedRoutes(other, this.context) > own;
+    const { catalog } = this.context;
+    const isBetter = (other: InstanceEntry): boolean =>
+      servedRoutes(other, this.context) > own && !catalog.isEvacuated(other.zone ?? '');
     if (!this.replacementsFor(entry).some(isBetter)) return undefined;
     return {
       text: `its region keeps it from routes that another instance may serve`,
@@ -219,6 +231,12 @@
     };
   }
 
+  private causeByEvacuation(entry: GroupEntry): ChangeCause | undefined {
+    const now = this.context.clock.now();
+    const text = this.evacuation.takeCause(entry, this.steadyAge(entry, now), now);
+    return text === undefined ? undefined : { text, isPlanned: true };
+  }
+
   /** An epoch that was there before this machine led began long ago, as far as it knows. */
   private noteEpoch(entry: GroupEntry): void {
     const group = entry.group ?? '';
--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -25,6 +25,7 @@
 import { targetOf } from './instance_target.js';
 import type { InstanceMonitor } from './instance_monitor.js';
 import type { LeaseLedger, RevocationState } from './lease_ledger.js';
+import { evacuatedZoneOf } from './primary_evacuation.js';
 import { PrimaryChangeLog } from './primary_change_log.js';
 import type { CaughtUpMembers } from './caught_up_members.js';
 import { type Position, covers } from '../../positions/position.js';
@@ -55,6 +56,12 @@
 /** A replica that could not be released for this long has crashed, which releases it, in milliseconds. A guess, not measured. */
 const RELEASE_TIMEOUT_MS = 10_000;
 
+/**
+ * An instance in an evacuated zone, or one that was to be replaced, leads only when no other one could be proven to hold
+ * everything for this time, in milliseconds: several tries. Its replicas receive again then. Guess, not measured.
+ */
+const LAST_RESORT_MS = 1500;
+
 /** What a change needs of its process. */
 export interface ChangerContext extends PrimaryPlacement {
   /** Time and timers of this process. */
@@ -232,10 +239,11 @@
     const { reports, missing } = this.evidence.weigh(replicas, held);
     // An old primary that is dark holds the change up only when its answer is needed.
     let old: CandidateReport | undefined;
-    let choice = this.choose(reports, missing, undefined);
+    const elsewhere = reports.map((report) => this.unlessEvacuated(report));
+    let choice = this.choose(elsewhere, missing, undefined);
     if (!choice) {
       old = await this.oldPrimaryReport(oldPrimary, stepDown, reports);
-      choice = this.choose(reports, missing, old);
+      choice = this.chooseWithOld(reports, missing, old);
     }
     const chosen = [...reports, ...(old ? [old] : [])].find(
       ({ instance }) => instance === choice?.instance,
@@ -259,6 +267,27 @@
     return Boolean(this.context.catalog.instance(instance)?.born);
   }
 
+  /** The old primary's answer may prove another one; after a while any ready instance may lead. */
+  private chooseWithOld(
+    reports: readonly CandidateReport[],
+    missing: number,
+    old: CandidateReport | undefined,
+  ): Choice | undefined {
+    const elsewhere = reports.map((report) => this.unlessEvacuated(report));
+    const oldElsewhere = old && this.unlessEvacuated(old);
+    const isPlanned = this.entry.planned ?? false;
+    const present =
+      oldElsewhere && isPlanned ? { ...oldElsewhere, isEligible: false } : oldElsewhere;
+    const choice = this.choose(elsewhere, missing, present);
+    if (choice || this.changeLog.elapsedMs < LAST_RESORT_MS) return choice;
+    return this.choose(reports, missing, old);
+  }
+
+  private unlessEvacuated(report: CandidateReport): CandidateReport {
+    const isEvacuated = evacuatedZoneOf(this.context.catalog, report.instance) !== undefined;
+    return isEvacuated ? { ...report, isEligible: false } : report;
+  }
+
   /** The old primary holds everything; it may lead again when no replica can, unless it has started again meanwhile. */
   private async oldPrimaryReport(
     old: InstanceEntry | undefined,
@@ -267,7 +296,7 @@
   ): Promise<CandidateReport | undefined> {
     const status = await stepDown;
     if (!old || !status || !this.evidence.countsOldPrimary(old, status, replicas)) return undefined;
-    const isEligible = old.state === InstanceState.READY && !this.entry.planned;
+    const isEligible = old.state === InstanceState.READY;
     return { instance: old.id ?? '', status, isEligible };
   }
 
--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -14,6 +14,7 @@
   InstanceConnector,
   InstanceTarget,
 } from '../instance/instance_connection.js';
+import type { EvacuatedZones, EvacuationStage } from '../placement/evacuated_zones.js';
 import type { ReadCandidate } from '../routing/replica_selector.js';
 import { distrustOtherIncarnation, distrustShorterLog } from '../trust/primary_incarnation.js';
 import type { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
@@ -40,14 +41,18 @@
   readonly leases: PrimaryLeases;
   readonly primaryHealth: PrimaryHealthTrackers;
   readonly positions: PrimaryPositions;
+  readonly evacuatedZones: EvacuatedZones;
 }
 
 /** Instances of one proxy. */
 export class ProxyInstances implements SessionInstances {
   private readonly directory: InstanceDirectory;
+  /** Whether a zone was evacuated at the last look, so that pools may have to serve again. */
+  private wasEvacuating = false;
 
   constructor(private readonly surroundings: InstancesSurroundings) {
     const { runtime, ownAddress, regionByZone, connector, log, document, fleet } = surroundings;
+    const { evacuatedZones } = surroundings;
     const { clock } = runtime;
     this.directory = new InstanceDirectory({
       runtime,
@@ -59,6 +64,7 @@
       table: () => document.table,
       hasTenants: () => document.table === undefined || document.table.tenants.size > 0,
       tenantRate: (tenant) => document.table?.tenants.named(tenant)?.limit?.ratePerSecond,
+      stageOf: (zone) => evacuatedZones.stageOf(zone, runtime.clock.now()),
       liveProxies: () => fleet.liveProxies,
       onConnectFailed: (target, error) => this.onConnectFailed(target, error),
       onStartedAgain: ({ id, group }, incarnation) =>
@@ -87,6 +93,16 @@
     return this.directory.access(instance)?.local;
   }
 
+  /** When this process last took a connection to an instance of a zone for a caller's statement; -Infinity: never. */
+  lastStatementIn(zone: string): number {
+    return this.directory.lastStatementIn(zone);
+  }
+
+  /** How far the evacuation of an instance's zone has come; undefined when it is not evacuated. */
+  evacuationStageOf(instance: string): EvacuationStage | undefined {
+    return this.directory.stageOf(instance);
+  }
+
   /** Instances of a group that take new work. */
   readCandidates(group: string): readonly ReadCandidate[] {
     return this.directory.readCandidates(group, this.primaryOf(group));
@@ -105,6 +121,7 @@
   /** Takes over what changed in the catalog. */
   adopt(update: whinyoke.ICatalogUpdate): void {
     this.directory.adopt(update);
+    this.evacuate();
   }
 
   /** Takes over which proxies may own connections, by zone. */
@@ -128,6 +145,7 @@
 
   /** Looks after all pools; called often. */
   maintain(): void {
+    this.evacuate();
     this.directory.maintain();
   }
 
@@ -136,6 +154,13 @@
     this.directory.close();
   }
 
+  private evacuate(): void {
+    const { isAny } = this.surroundings.evacuatedZones;
+    if (!isAny && !this.wasEvacuating) return;
+    this.wasEvacuating = isAny;
+    this.directory.evacuate((instance, group) => this.primaryOf(group) === instance);
+  }
+
   private primaryOf(group: string): string {
     return this.surroundings.leases.entryOf(group)?.primary ?? '';
   }
--- a/src/appointed/routing/retry_after.ts
+++ b/src/appointed/routing/retry_after.ts
@@ -22,8 +22,9 @@
  */
 const CONTROL_RETRY_MS = 300;
 /**
- * Only a newer document, another primary or a new instance helps, in milliseconds: callers that come back sooner are refused again.
- * Guess, not measured.
+/**
+ * Only a newer document, another primary or a new instance helps, or control must try a change again after a second, in
+ * milliseconds: callers that come back sooner are refused again. Guess, not measured.
  */
 const PLACEMENT_RETRY_MS = 1000;
 /** Usual duration of a change of primary, in milliseconds. Guess, not measured. */
@@ -51,6 +52,7 @@
     case 'tenantOverLimit':
       return cause.retryAfterMs;
     case 'outsideHomes':
+    case 'primaryEvacuated':
       return PLACEMENT_RETRY_MS;
     case 'noGrant':
     case 'credentialUnproven':
--- a/src/appointed/routing/target_planner.ts
+++ b/src/appointed/routing/target_planner.ts
@@ -7,7 +7,8 @@
  * newest commit of the session, the instances that were tried already.
  * Homes of the request (request_homes.ts) bind both: an instance outside them is never a target.
  * Rule: a read gets a position floor (position_floor.ts); replicas come in the order of replica_selector.ts, the trusted
- * primary at its place among them, or last. Without a floor only the primary may serve the read.
+ * primary at its place among them, or last. Without a floor only the primary may serve the read. An instance in an evacuated
+ * zone is no target; a primary there is one until the zone is closed, for a read only where nothing else is left.
  * Relies on: the lease on the primary (it may have ended: then the primary is no target), positions of the primary (they
  * may be missing or too old: then there is no floor), and the pools (an instance without one is left out).
  */
@@ -59,6 +60,7 @@
   const primary = context.leases.primaryOf(group, context.clock.now());
   const pool = primary && context.instances.connectionsTo(primary.instance);
   if (!primary || !pool) return undefined;
+  if (context.instances.evacuationStageOf(primary.instance) === 'closed') return undefined;
   return { instance: primary.instance, pool, group, primaryEpoch: primary.epoch };
 }
 
@@ -125,6 +127,8 @@
     if (pool) targets.push({ instance: id, pool, group, after, homes });
   }
   const isPrimaryListed = targets.some((target) => target.primaryEpoch !== undefined);
-  if (primary && !isPrimaryListed && !tried.has(primary.instance)) targets.push(primary);
+  if (!primary || isPrimaryListed || tried.has(primary.instance)) return targets;
+  const isEvacuated = context.instances.evacuationStageOf(primary.instance) !== undefined;
+  if (!isEvacuated || targets.length === 0) targets.push(primary);
   return targets;
 }
--- a/src/appointed/sessions/caller_transaction.ts
+++ b/src/appointed/sessions/caller_transaction.ts
@@ -10,6 +10,7 @@
 import type { Position } from '../../positions/position.js';
 import { type CallerReply, type CommittedReply, refused } from './caller_reply.js';
 import type { InstanceAnswer, InstanceError } from '../instance/instance_connection.js';
+import { causeWithoutPrimary } from '../routing/evacuated_primary.js';
 import { type RefusedRequest, inDoubt, logRetry, refuse } from '../routing/refusal.js';
 import type { AttemptFailure, RefusalCause } from '../routing/refusal_cause.js';
 import { ROLLBACK_TIMEOUT_MS, RequestDeadline } from '../routing/request_deadline.js';
@@ -20,6 +21,7 @@
   mayServe,
 } from '../routing/request_homes.js';
 import { RetryPause } from '../routing/retry_pause.js';
+import type { EvacuationStage } from '../placement/evacuated_zones.js';
 import type { Route } from '../catalog/route_table.js';
 import type { ProxyContext } from '../proxy/proxy_context.js';
 import type { AdmittedOperation } from '../tenancy/admitted_operation.js';
@@ -69,6 +71,7 @@
     const refusal = { id, deadline, state: 'failed' as const };
     const problem = await this.bind(id, deadline, content);
     if (problem !== undefined) return refuse(this.context, refusal, 'busy', problem);
+    if (this.isZoneClosed) return this.endEvacuated(refusal);
     if (!this.isWithinHomes()) {
       this.drop();
       return refuse(this.context, refusal, 'aborted', { kind: 'outsideHomes' });
@@ -79,8 +82,9 @@
     const limitMs = deadline.statementTimeout(this.held!.target.pool.load.slowAnswerThreshold);
     const attempt = await this.attempt(command, content, deadline, limitMs);
     if (attempt.outcome !== 'answered') {
+      const cause = this.causeOfFailure(attempt);
       this.drop();
-      return refuse(this.context, refusal, 'aborted', attempt.cause);
+      return refuse(this.context, refusal, 'aborted', cause);
     }
     const { answer } = attempt;
     if (answer.error) return this.failStatement(answer.error, refusal);
@@ -105,6 +109,7 @@
     if (problem !== undefined) {
       return { reply: refuse(this.context, refusal, 'aborted', problem) };
     }
+    if (this.isZoneClosed) return { reply: this.endEvacuated(refusal) };
     const obstacle = this.obstacleToCommit();
     if (obstacle) {
       this.drop();
@@ -144,10 +149,10 @@
   /** Decides whether a commit is kept, certainly not kept, or in doubt. */
   private judgeCommit(attempt: Attempt, refusal: RefusedRequest): CommittedReply {
     const held = this.held!;
+    const cause = this.causeOfFailure(attempt);
     this.held = undefined;
     const answer = attempt.outcome === 'answered' ? attempt.answer : undefined;
     this.runner.release(held, answer?.state === 'idle' ? answer : UNKNOWN_ANSWER);
-    const cause = causeOfFailure(attempt);
     if (attempt.outcome === 'notRun' || (answer?.error && isNotRun(answer.error.kind))) {
       return { reply: refuse(this.context, refusal, 'aborted', cause) };
     }
@@ -233,7 +238,7 @@
       logRetry(this.context, { id, deadline }, target, failure);
     }
     const { route, operation } = this;
-    const otherwise: RefusalCause = { kind: 'noTrustedPrimary' };
+    const otherwise = causeWithoutPrimary(this.context, route.group, { kind: 'noTrustedPrimary' });
     return cause ?? causeWithoutInstance(this.context, route, operation.tenant, otherwise);
   }
 
@@ -295,6 +300,31 @@
       : attempt.cause;
   }
 
+  /** Whether nothing may be sent to the instance any more, since its zone is evacuated. */
+  private get isZoneClosed(): boolean {
+    return this.evacuationStage === 'closed';
+  }
+
+  private get evacuationStage(): EvacuationStage | undefined {
+    const instance = this.held?.target.instance;
+    return instance === undefined ? undefined : this.context.instances.evacuationStageOf(instance);
+  }
+
+  /** Ends the transaction before its next statement is sent: nothing of it is kept. */
+  private endEvacuated(refusal: RefusedRequest): CallerReply {
+    this.drop();
+    return refuse(this.context, refusal, 'aborted', { kind: 'zoneEvacuated' });
+  }
+
+  /** Cause of an attempt that was not answered, or was answered with an error. Pools of evacuated zones end what rests. */
+  private causeOfFailure(attempt: Attempt): RefusalCause {
+    if (attempt.outcome === 'answered') {
+      return { kind: 'transactionAnswered', error: attempt.answer.error?.kind };
+    }
+    const isEnded = attempt.outcome === 'notRun' && this.evacuationStage !== undefined;
+    return isEnded ? { kind: 'zoneEvacuated' } : attempt.cause;
+  }
+
   private isTrusted(): boolean {
     return this.held !== undefined && isTargetTrusted(this.context, this.held.target);
   }
@@ -328,9 +358,3 @@
 
 /** Stands for an answer after which a connection can't be used again. */
 const UNKNOWN_ANSWER: InstanceAnswer = { rows: [], signature: '', state: 'failed' };
-
-/** Cause of a commit that was not answered, or was answered with an error. */
-function causeOfFailure(attempt: Attempt): RefusalCause {
-  if (attempt.outcome !== 'answered') return attempt.cause;
-  return { kind: 'transactionAnswered', error: attempt.answer.error?.kind };
-}
--- a/src/appointed/sessions/single_statement.ts
+++ b/src/appointed/sessions/single_statement.ts
@@ -10,6 +10,7 @@
 import { type CallerReply, type CommittedReply, refused } from './caller_reply.js';
 import type { InstanceAnswer, InstanceError } from '../instance/instance_connection.js';
 import { AcquireError } from '../connections/acquire_error.js';
+import { causeWithoutPrimary } from '../routing/evacuated_primary.js';
 import { inDoubt, logRetry, refuse } from '../routing/refusal.js';
 import type { AttemptFailure, RefusalCause } from '../routing/refusal_cause.js';
 import type { RequestDeadline } from '../routing/request_deadline.js';
@@ -87,7 +88,8 @@
       wasOffered ||= attempt.outcome !== 'notRun';
     }
     const refusal = { id: request.id, deadline, state: 'idle' as const };
-    cause ??= causeWithoutInstance(this.context, route, tenant, { kind: 'noInstanceForRead' });
+    const otherwise = causeWithoutPrimary(this.context, route.group, { kind: 'noInstanceForRead' });
+    cause ??= causeWithoutInstance(this.context, route, tenant, otherwise);
     return refuse(this.context, refusal, 'busy', cause);
   }
 
@@ -115,7 +117,8 @@
       logRetry(this.context, request, target, result.cause);
       await pause.wait();
     }
-    cause ??= causeWithoutInstance(this.context, route, tenant, { kind: 'noTrustedPrimary' });
+    const otherwise = causeWithoutPrimary(this.context, group, { kind: 'noTrustedPrimary' });
+    cause ??= causeWithoutInstance(this.context, route, tenant, otherwise);
     return { reply: refuse(this.context, refusal, 'busy', cause) };
   }
 
--- /dev/null
+++ b/test/unit/evacuation.test.ts
@@ -0,0 +1,301 @@
+/** Evacuated zones: orders in the catalog, what proxies do about them, primaries that move. Each test brings about one failure. */
+import { once } from 'node:events';
+import { type AddressInfo, connect } from 'node:net';
+import t, { type Test } from 'tap';
+import { DEFAULT_PLACEMENT_RULES } from '../../src/appointed/placement/placement_rules.js';
+import { ControlApi } from '../../platform/control_api.js';
+import { PlatformDocumentReader } from '../../platform/routing_document.js';
+import { AppointedControl } from '../../src/appointed/control/appointed_control.js';
+import { Catalog } from '../../src/appointed/catalog/catalog.js';
+import { CatalogUpdates } from '../../src/appointed/control/catalog_updates.js';
+import { ChangeNotifier } from '../../src/appointed/control/change_notifier.js';
+import { PrimaryPositionCache } from '../../src/appointed/control/primary_position_cache.js';
+import {
+  CatalogService,
+  type CatalogServiceSurroundings,
+} from '../../src/appointed/control/catalog_service.js';
+import { documentOf } from '../../src/appointed/catalog/document_source.js';
+import { whinyoke } from '../../src/protocol/generated/messages.js';
+import { RealClock } from '../../src/runtime/real_clock.js';
+import { RealFolder } from '../../src/runtime/real_folder.js';
+import { delay } from '../../src/runtime/runtime.js';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
+
+const { CatalogOutcome, GroupPhase, InstanceState } = whinyoke;
+
+/** A catalog and what applies commands to it. */
+class AppliedCatalog {
+  readonly catalog = new Catalog();
+  readonly commands: whinyoke.ICatalogCommand[] = [];
+
+  readonly apply = (command: whinyoke.ICatalogCommand): whinyoke.CatalogResult => {
+    this.commands.push(command);
+    const bytes = whinyoke.CatalogCommand.encode(command).finish();
+    return whinyoke.CatalogResult.decode(this.catalog.apply(this.commands.length, bytes));
+  };
+
+  order(zone: string, begins: boolean): whinyoke.CatalogResult {
+    return this.apply({ putEvacuation: { zone, begins } });
+  }
+}
+
+const noop = (): void => undefined;
+
+void t.test('orders of a zone take effect in the order of the log and survive a snapshot', (t) => {
+  const { catalog, ...applied } = withCatalog();
+  t.ok(applied.order('a', true).changed);
+  t.notOk(applied.order('a', true).changed, 'sent again');
+  t.same(catalog.evacuatedZones, ['a']);
+  applied.order('b', true);
+  t.ok(applied.order('a', false).changed);
+  t.notOk(applied.order('a', false).changed);
+  t.notOk(applied.order('c', false).changed, 'it was never evacuated');
+  const copy = new Catalog();
+  copy.restore(catalog.version, catalog.serialize());
+  t.same(copy.evacuatedZones, ['b']);
+  t.same(copy.evacuations, catalog.evacuations);
+  t.match(copy.evacuations, [
+    { zone: 'a', begunAt: 0 },
+    { zone: 'b', begunAt: 3 },
+  ]);
+  t.end();
+});
+
+function withCatalog(): {
+  catalog: Catalog;
+  apply: AppliedCatalog['apply'];
+  order: (zone: string, begins: boolean) => whinyoke.CatalogResult;
+} {
+  const applied = new AppliedCatalog();
+  const { catalog, apply } = applied;
+  return { catalog, apply, order: (zone, begins) => applied.order(zone, begins) };
+}
+
+void t.test(
+  'proxies hear of an order at once, and of all evacuated zones with a whole list',
+  (t) => {
+    const { catalog, apply, order } = withCatalog();
+    const updates = new CatalogUpdates(catalog);
+    const decode = (version: number): whinyoke.CatalogUpdate =>
+      whinyoke.CatalogUpdate.decode(updates.since(version, 0));
+    apply({ putGroup: { group: 'g', epoch: 1, phase: GroupPhase.STEADY } });
+    const notifier = new ChangeNotifier(new RealClock(), catalog);
+    order('a', true);
+    t.ok(notifier.hasNewsFor(1), 'held requests are answered without delay');
+    t.match(decode(1), { isWhole: false, evacuations: [{ zone: 'a', begunAt: 2 }] });
+    order('a', false);
+    t.match(decode(2), { evacuations: [{ zone: 'a', begunAt: 0, version: 3 }] });
+    order('b', true);
+    t.same(decode(4).evacuations, []);
+    t.match(decode(0), { isWhole: true, evacuations: [{ zone: 'a' }, { zone: 'b' }] });
+    t.end();
+  },
+);
+
+void t.test('a primary is not asked for its position where no replica may be read', async (t) => {
+  const { catalog, apply, order } = withCatalog();
+  for (const [id, zone] of [
+    ['p', 'a'],
+    ['r', 'b'],
+  ]) {
+    apply({ putInstance: { id: id!, group: 'g', zone: zone!, address: id! } });
+  }
+  apply({ putGroup: { group: 'g', epoch: 1, phase: GroupPhase.STEADY, primary: 'p', term: 1 } });
+  const asked: string[] = [];
+  const connect = ({ id }: { id: string }): Promise<never> => {
+    asked.push(id);
+    return Promise.reject(new Error('it refuses'));
+  };
+  const cache = new PrimaryPositionCache(new RealClock(), catalog, { connect }, () => true);
+  cache.noteWanted();
+  order('a', true);
+  order('b', true);
+  await cache.askMissing();
+  t.same(asked, []);
+  order('b', false);
+  await cache.askMissing();
+  t.same(asked, ['p']);
+});
+
+/** The service of a leader whose log is `propose`. */
+function serviceOf(
+  catalog: Catalog,
+  propose: (command: whinyoke.ICatalogCommand) => Promise<whinyoke.CatalogResult>,
+): CatalogService {
+  return new CatalogService({
+    node: { role: 'leader', leadsWithState: true, leaderAddress: '', address: '' },
+    catalog,
+    propose,
+    log: () => undefined,
+  } as unknown as CatalogServiceSurroundings);
+}
+
+void t.test(
+  'an order whose leader is lost after the commit is acknowledged when it comes again',
+  async (t) => {
+    const { catalog, apply } = withCatalog();
+    const evacuation = { zone: 'a', begins: true };
+    const lost = serviceOf(catalog, (command) => {
+      apply(command);
+      return Promise.reject(new Error('it leads no longer'));
+    });
+    t.match(await lost.handle({ evacuation }), { outcome: CatalogOutcome.UNAVAILABLE });
+    const version = catalog.version;
+    const next = serviceOf(catalog, (command) => Promise.resolve(apply(command)));
+    t.match(await next.handle({ evacuation }), { outcome: CatalogOutcome.DONE });
+    t.same(catalog.evacuations, [{ zone: 'a', begunAt: version, version }], 'it began once');
+    const alone = serviceOf(catalog, () => Promise.reject(new Error('no majority')));
+    const again = await alone.handle({ evacuation });
+    t.match(
+      again,
+      { outcome: CatalogOutcome.UNAVAILABLE },
+      'one that holds is acknowledged only by a leader',
+    );
+  },
+);
+
+void t.test('a finish behind a begin that is not committed yet is not lost', async (t) => {
+  const { catalog, apply } = withCatalog();
+  const waiting: (() => void)[] = [];
+  const service = serviceOf(
+    catalog,
+    (command) => new Promise((resolve) => waiting.push(() => resolve(apply(command)))),
+  );
+  const begun = service.handle({ evacuation: { zone: 'a', begins: true } });
+  const finished = service.handle({ evacuation: { zone: 'a', begins: false } });
+  for (const commit of waiting) commit();
+  t.match(await Promise.all([begun, finished]), [
+    { outcome: CatalogOutcome.DONE },
+    { outcome: CatalogOutcome.DONE },
+  ]);
+  t.same(catalog.evacuatedZones, []);
+});
+
+void t.test('an order and a configuration of the same moment both hold', (t) => {
+  const { catalog, apply, order } = withCatalog();
+  const before = catalog.version;
+  apply({ putDocument: documentOf(7, 'seven') });
+  order('a', true);
+  apply({ putInstance: { id: 'i', group: 'g', zone: 'a', state: InstanceState.READY } });
+  const update = whinyoke.CatalogUpdate.decode(new CatalogUpdates(catalog).since(before, 0));
+  t.match(update, { document: { version: 7 }, evacuations: [{ zone: 'a' }] });
+  t.equal(catalog.documentVersion, 7);
+  t.same(catalog.evacuatedZones, ['a']);
+  t.end();
+});
+
+/** Status of orders at a control machine that knows some zones, and answers in one way. */
+async function statusesOf(
+  t: Test,
+  zones: readonly string[],
+  reply: whinyoke.ICatalogReply,
+  paths: readonly string[],
+): Promise<{ statuses: readonly number[]; orders: whinyoke.ICatalogRequest[] }> {
+  const orders: whinyoke.ICatalogRequest[] = [];
+  const core = {
+    knownZones: new Set(zones),
+    submit: (request: whinyoke.ICatalogRequest) => {
+      orders.push(request);
+      return Promise.resolve(reply);
+    },
+  } as unknown as AppointedControl;
+  const api = new ControlApi(core, new PlatformDocumentReader(), noop, noop);
+  const server = await api.listen('127.0.0.1:0');
+  t.teardown(async () => {
+    server.closeAllConnections();
+    server.close();
+    await once(server, 'close');
+  });
+  const { port } = server.address() as AddressInfo;
+  const statuses: number[] = [];
+  for (const path of paths) {
+    const response = await fetch(`http://127.0.0.1:${port}${path}`, { method: 'POST' });
+    statuses.push(response.status);
+  }
+  return { statuses, orders };
+}
+
+void t.test('an operator is told what became of an order', async (t) => {
+  const done = { outcome: CatalogOutcome.DONE };
+  const paths = ['/evacuation/z%201/begin', '/evacuation/z%201/finish'];
+  const taken = await statusesOf(t, ['z 1'], done, paths);
+  t.same(taken.statuses, [200, 200]);
+  t.same(taken.orders, [
+    { evacuation: { zone: 'z 1', begins: true } },
+    { evacuation: { zone: 'z 1', begins: false } },
+  ]);
+  const wrong = ['/evacuation/b/begin', '/evacuation/%E0%A4%A/begin', '/evacuation/a/pause'];
+  const refused = await statusesOf(t, ['a'], done, wrong);
+  t.same(refused.statuses, [404, 400, 404]);
+  t.same(refused.orders, []);
+  const proper = ['/evacuation/a/begin'];
+  const unsure = await statusesOf(t, ['a'], { outcome: CatalogOutcome.UNAVAILABLE }, proper);
+  t.same(unsure.statuses, [503], 'no majority');
+  const unread = await statusesOf(t, [], done, proper);
+  t.same(unread.statuses, [503], 'a machine without any zone can not tell');
+  const older = await statusesOf(t, ['a'], { ...done, document: documentOf(1, 'one') }, proper);
+  t.same(older.statuses, [503], 'a leader of an older program read the document instead');
+});
+
+void t.test('an order whose operator gave the call up is not taken', async (t) => {
+  const orders: whinyoke.ICatalogRequest[] = [];
+  const core = {
+    knownZones: new Set(['a']),
+    submit: (request: whinyoke.ICatalogRequest) => {
+      orders.push(request);
+      return Promise.resolve({ outcome: CatalogOutcome.DONE });
+    },
+  } as unknown as AppointedControl;
+  const api = new ControlApi(core, new PlatformDocumentReader(), noop, noop);
+  const server = await api.listen('127.0.0.1:0');
+  const { port } = server.address() as AddressInfo;
+  const given = connect(port, '127.0.0.1');
+  given.end('POST /evacuation/a/begin HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n');
+  await once(given, 'close');
+  server.close();
+  await once(server, 'close');
+  await delay(new RealClock(), 100);
+  t.same(orders, []);
+});
+
+/** A control machine that stands alone on a folder, once it leads. */
+async function openAlone(t: Test, path: string, isFirstStart: boolean): Promise<AppointedControl> {
+  const folder = await RealFolder.open(path);
+  const nobody = (): Promise<never> => Promise.reject(new Error('nobody is there'));
+  const clock = new RealClock();
+  const messenger = { request: nobody, serve: () => undefined };
+  const runtime = { clock, random: new SeededRandom(1), messenger, folder };
+  const address = '127.0.0.1:7101';
+  const core = await AppointedControl.open(runtime, {
+    name: 'control-1',
+    address,
+    seeds: [address],
+    isFirstStart,
+    voters: 1,
+    connector: { connect: nobody },
+    appointer: { appoint: () => Promise.resolve(whinyoke.AppointOutcome.TRY_LATER) },
+    log: () => undefined,
+    documents: new PlatformDocumentReader(),
+    quotaRules: { windowMs: 5000, overage: 0.1, tolerance: 20 },
+    placementRules: { ...DEFAULT_PLACEMENT_RULES, regionByZone: new Map([['a', 'r']]) },
+  });
+  t.teardown(async () => {
+    core.stop();
+    await folder.close();
+  });
+  await core.start();
+  while (!core.node.leadsWithState) await delay(clock, 10);
+  return core;
+}
+
+void t.test('an order survives a restart of a control machine on its data folder', async (t) => {
+  const path = t.testdir({});
+  const first = await openAlone(t, path, true);
+  t.ok(first.knownZones.has('a'), 'a zone of the settings, without any instance');
+  const reply = await first.submit({ evacuation: { zone: 'a', begins: true } });
+  t.match(reply, { outcome: CatalogOutcome.DONE });
+  first.stop();
+  const { evacuations } = first.catalog;
+  const second = await openAlone(t, path, false);
+  t.same(second.catalog.evacuations, evacuations);
+});
--- a/test/unit/foreign_heartbeats.test.ts
+++ b/test/unit/foreign_heartbeats.test.ts
@@ -40,6 +40,7 @@
   const events: string[] = [];
   const core = {
     catalog: { documentVersion: 1 },
+    knownZones: new Set(['zone-a']),
     expectsHeartbeat: (_id: string, service: string) =>
       isHeartbeatExpected(service, undefined, TABLE),
     submit: (call: whinyoke.ICatalogRequest) => {
--- a/test/unit/incarnations_at_proxies.test.ts
+++ b/test/unit/incarnations_at_proxies.test.ts
@@ -6,6 +6,7 @@
 import { FleetDirectory } from '../../src/appointed/proxy/fleet_directory.js';
 import { PrimaryPositions } from '../../src/appointed/proxy/primary_positions.js';
 import type { ProxyContext } from '../../src/appointed/proxy/proxy_context.js';
+import { EvacuatedZones } from '../../src/appointed/placement/evacuated_zones.js';
 import { ProxyInstances } from '../../src/appointed/proxy/proxy_instances.js';
 import { TenantDirectory } from '../../src/appointed/tenancy/tenant.js';
 import { PrimaryHealthTrackers } from '../../src/appointed/trust/primary_health_trackers.js';
@@ -54,6 +55,7 @@
     log,
     document: { table } as unknown as DocumentInForce,
     fleet: new FleetDirectory(),
+    evacuatedZones: new EvacuatedZones(Infinity, () => undefined),
     leases,
     primaryHealth,
     positions: new PrimaryPositions(clock, leases),
