Control: a primary leaves its zone only for an instance that was heard of

Cause: an instance elsewhere that is dark but not gone counted as ready; the change began, failed after 1.5 s, and began anew. Change: its newest heartbeat must be younger than 3 s; a new leader counts from its election.

--- a/src/appointed/failover/failover_controller.ts
+++ b/src/appointed/failover/failover_controller.ts
@@ -67,7 +67,7 @@
     private readonly monitor: InstanceMonitor,
     private readonly opinions: PrimaryHealthOpinions,
   ) {
-    this.evacuation = new PrimaryEvacuation(context.catalog, context.log);
+    this.evacuation = new PrimaryEvacuation(context.catalog, monitor, context.log);
   }
 
   /** Starts to watch; does nothing while this machine does not lead. */
--- a/src/appointed/failover/primary_evacuation.ts
+++ b/src/appointed/failover/primary_evacuation.ts
@@ -2,8 +2,9 @@
  * DECISION: when the primary of a group leaves an evacuated zone. The change itself: `primary_changer.ts`.
  *
  * Answers: an operator evacuates a zone; what only a primary there can run is refused after a part of the bound.
- * Inputs: evacuated zones and instances of the catalog, the present primary, milliseconds since its epoch began.
- * Rule: as soon as another ready instance stands elsewhere, for all groups side by side, but no more begins in a second than
+ * Inputs: evacuated zones and instances of the catalog, the present primary, milliseconds since its epoch began, and since the
+ *   newest heartbeats of the others.
+ * Rule: as soon as another ready instance stands elsewhere and is heard of, for all groups side by side, but no more begins in a second than
  *   {@link MOST_BEGUN}. A primary that had to be appointed in such a zone, since no other one provably held everything, is
  *   replaced {@link FOLLOW_MS} later: by then the others have followed it. After the end of an evacuation nothing moves back.
  * Constants: below. Tests: test/unit/evacuation.test.ts.
@@ -14,6 +15,7 @@
 import { Events } from '../../observability/events.js';
 import type { DecisionLog } from '../../observability/decision_logger.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
+import type { InstanceMonitor } from './instance_monitor.js';
 import { MILLISECONDS_PER_SECOND } from '../../runtime/duration.js';
 
 const { InstanceState } = whinyoke;
@@ -25,6 +27,11 @@
 const MOST_BEGUN = 25;
 /** Time for replicas elsewhere to follow a primary that nothing is sent to, in milliseconds. Guess, not measured. */
 const FOLLOW_MS = 1000;
+/**
+ * An instance whose heartbeats are missing for longer can hardly lead, in milliseconds: two of them, which come about every
+ * 1.2 s. A new leader counts from its election. Guess, not measured.
+ */
+const SILENT_MS = 3000;
 
 /** A primary in an evacuated zone. */
 export interface EvacuatedPrimary {
@@ -58,12 +65,17 @@
   return !hasReadyElsewhere(catalog, group ?? '');
 }
 
-function hasReadyElsewhere(catalog: Catalog, group: string): boolean {
+function hasReadyElsewhere(
+  catalog: Catalog,
+  group: string,
+  isHeard: (instance: string) => boolean = () => true,
+): boolean {
   return catalog.presentInstances.some(
     (instance) =>
       instance.group === group &&
       instance.state === InstanceState.READY &&
-      !catalog.isEvacuated(instance.zone ?? ''),
+      !catalog.isEvacuated(instance.zone ?? '') &&
+      isHeard(instance.id ?? ''),
   );
 }
 
@@ -76,6 +88,7 @@
 
   constructor(
     private readonly catalog: Catalog,
+    private readonly monitor: Pick<InstanceMonitor, 'age'>,
     private readonly log: DecisionLog,
   ) {}
 
@@ -86,7 +99,8 @@
   takeCause(entry: GroupEntry, steadyMs: number, now: number): string | undefined {
     const zone = evacuatedZoneOf(this.catalog, entry.primary ?? '');
     if (zone === undefined || steadyMs < FOLLOW_MS) return undefined;
-    if (!hasReadyElsewhere(this.catalog, entry.group ?? '')) return undefined;
+    const isHeard = (instance: string): boolean => this.monitor.age(instance, now) < SILENT_MS;
+    if (!hasReadyElsewhere(this.catalog, entry.group ?? '', isHeard)) return undefined;
     return this.mayBegin(now) ? `zone ${zone} is evacuated` : undefined;
   }
 
--- a/test/unit/evacuation_primaries.test.ts
+++ b/test/unit/evacuation_primaries.test.ts
@@ -23,6 +23,7 @@
   readonly scheduler = new Scheduler();
   readonly catalog = new Catalog();
   readonly opinions = new PrimaryHealthOpinions();
+  readonly monitor = new InstanceMonitor();
   /** Number of commits that each instance received; undefined: it does not answer. */
   readonly received = new Map<string, number | undefined>();
   readonly appointed: string[] = [];
@@ -49,7 +50,7 @@
       },
       isLeading: () => true,
     } as unknown as ChangerContext;
-    this.controller = new FailoverController(context, new InstanceMonitor(), this.opinions);
+    this.controller = new FailoverController(context, this.monitor, this.opinions);
   }
 
   apply(command: whinyoke.ICatalogCommand): whinyoke.CatalogResult {
@@ -207,6 +208,24 @@
   },
 );
 
+void t.test(
+  'a primary is not taken from its zone for an instance that nobody hears of',
+  async (t) => {
+    const leader = new Leader();
+    leader.addGroup('g', ['z1', 'z2']);
+    await leader.run(3500);
+    leader.order('z1', true);
+    const beat = (id: string): void =>
+      leader.monitor.note({ instance: { id, sequence: 1 } }, leader.scheduler.now);
+    beat('g-0');
+    await leader.run(500);
+    t.equal(leader.primaryOf('g'), 'g-0');
+    beat('g-1');
+    await leader.run(500);
+    t.equal(leader.primaryOf('g'), 'g-1');
+  },
+);
+
 void t.test(
   'with draining: only one that stays is ready elsewhere, and one that leaves does so as planned',
   async (t) => {
