--- a/src/appointed/failover/failover_controller.ts
+++ b/src/appointed/failover/failover_controller.ts
@@ -76,7 +76,7 @@
     private readonly opinions: PrimaryHealthOpinions,
   ) {
     this.questions = new DirectQuestions(context);
-    this.evacuation = new PrimaryEvacuation(context.catalog, context.log);
+    this.evacuation = new PrimaryEvacuation(context.catalog, monitor, context.log);
   }
 
   /** Starts to watch; does nothing while this machine does not lead. */
--- a/test/tools/route_table.ts
+++ b/test/tools/route_table.ts
@@ -18,3 +18,9 @@
     tenants: new TenantDirectory([]),
   };
 }
+
+/** A document that names these groups, without routes. */
+export function tableNamingAll(groups: readonly string[]): RouteTable {
+  const limits = groups.map((group) => [group, { group, connectionLimit: 30 }] as const);
+  return { ...tableNaming(''), limitsByGroup: new Map(limits) };
+}
--- a/test/unit/evacuation_primaries.test.ts
+++ b/test/unit/evacuation_primaries.test.ts
@@ -1,5 +1,6 @@
 /** How primaries leave evacuated zones: when a change begins, and which instance may lead at its end. */
 import t from 'tap';
+import { tableNamingAll } from '../tools/route_table.js';
 import { Scheduler } from '../../lab/simulation/scheduler.js';
 import { VirtualProcess } from '../../lab/simulation/virtual_process.js';
 import { Catalog } from '../../src/appointed/catalog/catalog.js';
@@ -13,6 +14,7 @@
   InstanceStatus,
   InstanceTarget,
 } from '../../src/appointed/instance/instance_connection.js';
+import type { RouteTable } from '../../src/appointed/catalog/route_table.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 
@@ -23,9 +25,11 @@
   readonly scheduler = new Scheduler();
   readonly catalog = new Catalog();
   readonly opinions = new PrimaryHealthOpinions();
+  readonly monitor = new InstanceMonitor();
   /** Number of commits that each instance received; undefined: it does not answer. */
   readonly received = new Map<string, number | undefined>();
   readonly appointed: string[] = [];
+  private readonly groups: string[] = [];
   readonly causes: string[] = [];
   readonly progress: object[] = [];
   private readonly terms = new Map<string, number>();
@@ -40,6 +44,10 @@
       clock,
       catalog: this.catalog,
       ledger: new LeaseLedger(),
+      monitor: this.monitor,
+      caughtUp: { has: () => false },
+      document: this.document,
+      regionByZone: new Map(),
       administrator: { status: answer, pause: answer, stepDown: answer, resume: answer },
       appointmentLease: { appoint: (group: string, id: string) => this.appoint(group, id) },
       propose: (command: whinyoke.ICatalogCommand) => Promise.resolve(this.apply(command)),
@@ -49,7 +57,16 @@
       },
       isLeading: () => true,
     } as unknown as ChangerContext;
-    this.controller = new FailoverController(context, new InstanceMonitor(), this.opinions);
+    this.controller = new FailoverController(context, this.monitor, this.opinions);
+  }
+
+  private get document(): ChangerContext['document'] {
+    const table = (): RouteTable => tableNamingAll(this.groups);
+    return {
+      get table() {
+        return table();
+      },
+    };
   }
 
   apply(command: whinyoke.ICatalogCommand): whinyoke.CatalogResult {
@@ -64,6 +81,7 @@
 
   /** A group whose instances stand in these zones; the first one leads. */
   addGroup(group: string, zones: readonly string[]): void {
+    this.groups.push(group);
     for (const [place, zone] of zones.entries()) this.place(group, place, zone);
     this.terms.set(`${group}-0`, 1);
     const { STEADY: phase } = GroupPhase;
@@ -73,7 +91,7 @@
   place(group: string, place: number, zone: string, state = InstanceState.READY): void {
     const id = `${group}-${place}`;
     if (!this.received.has(id)) this.received.set(id, 10);
-    this.apply({ putInstance: { id, group, address: id, zone, state } });
+    this.apply({ putInstance: { id, group, address: `${id}:1`, zone, state } });
   }
 
   primaryOf(group: string): string {
@@ -207,6 +225,24 @@
   },
 );
 
+void t.test(
+  'a primary is not taken from its zone for an instance that nobody hears of',
+  async (t) => {
+    const leader = new Leader();
+    leader.addGroup('g', ['z1', 'z2']);
+    await leader.run(3500);
+    leader.order('z1', true);
+    const beat = (id: string): void =>
+      leader.monitor.note({ instance: { id, sequence: 1 } }, leader.scheduler.now);
+    beat('g-0');
+    await leader.run(500);
+    t.equal(leader.primaryOf('g'), 'g-0');
+    beat('g-1');
+    await leader.run(500);
+    t.equal(leader.primaryOf('g'), 'g-1');
+  },
+);
+
 void t.test(
   'with draining: only one that stays is ready elsewhere, and one that leaves does so as planned',
   async (t) => {
