Positions of a primary go back for nobody who does not tell born: the rule is for those that do

Change: positions are compared only where the epoch names a least position, on proxies and on the leader; a replica that left while it was asked is judged as before, one that started again is not believed. Six unit files 350 of 350.

--- a/src/appointed/control/primary_position_cache.ts
+++ b/src/appointed/control/primary_position_cache.ts
@@ -12,7 +12,7 @@
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { InstanceConnector } from '../instance/instance_connection.js';
 import type { Clock } from '../../runtime/runtime.js';
-import { type PrimaryPosition, START, covers } from '../../positions/position.js';
+import { type PrimaryPosition, START } from '../../positions/position.js';
 import { positionOf } from '../../positions/position_message.js';
 
 const { GroupPhase } = whinyoke;
@@ -109,8 +109,7 @@
       const target = targetOf(instance);
       const { connection, position } = await this.connector.connect(target, CONNECT_TIMEOUT_MS);
       connection.close();
-      const isLost = position && isOfLaterIncarnation(entry, position, undefined);
-      if (position && this.isLeading() && !isLost) {
+      if (position && this.isLeading()) {
         this.keep(group, { epoch: entry.epoch ?? 0, position, askedAt });
       }
     } catch {
@@ -126,7 +125,8 @@
     if (entry?.epoch !== item.epoch || entry.phase === GroupPhase.CHANGING) return;
     const known = this.positions.get(group);
     if (known && known.epoch === item.epoch && known.askedAt >= item.askedAt) return;
-    if (known?.epoch === item.epoch && !covers(item.position, known.position)) return;
+    const told = known?.epoch === item.epoch ? known.position : undefined;
+    if (isOfLaterIncarnation(entry, item.position, told)) return;
     if (item.askedAt > this.clock.now()) return;
     this.positions.set(group, item);
   }
--- a/src/appointed/proxy/primary_positions.ts
+++ b/src/appointed/proxy/primary_positions.ts
@@ -3,6 +3,7 @@
  * with other proxies. Relies on control for positions of primaries that this proxy does not hear from; without control
  * reads go to primaries until these have answered.
  */
+import { isOfLaterIncarnation } from '../leases/epoch_primary.js';
 import type { Position } from '../../positions/position.js';
 import type { whinyoke } from '../../protocol/generated/messages.js';
 import { type Clock, delay } from '../../runtime/runtime.js';
@@ -44,9 +45,8 @@
 
   /** Notes a position with which the leased primary of `epoch` answered a request that was sent at `askedAt`. */
   noteFromPrimary(group: string, epoch: number, askedAt: number, position: Position): void {
-    const floor = this.floorOf(group);
-    floor.note(epoch, askedAt, position);
-    if (floor.highestOf(epoch) !== position) return;
+    if (this.isOfLaterIncarnation(group, epoch, position)) return;
+    this.floorOf(group).note(epoch, askedAt, position);
     this.shared.noteOwn(group, epoch, askedAt, position);
   }
 
@@ -91,11 +91,22 @@
     this.shared.noteClock(reply, now);
   }
 
+  /**
+   * Whether a position may be that of an instance that started again, empty: a floor must not be lower than what was told. An
+   * answer that was overtaken is taken for one, too, and is not missed.
+   */
+  private isOfLaterIncarnation(group: string, epoch: number, position: Position): boolean {
+    const entry = this.leases.entryOf(group);
+    const known = this.floorOf(group).highestOf(epoch);
+    return entry !== undefined && isOfLaterIncarnation(entry, position, known);
+  }
+
   /** Takes over positions of other proxies from a reply to a request that was sent at `sentAt`. */
   adopt(reply: whinyoke.ISyncReply, sentAt: number): void {
     const positions = sharedPositionsOf(reply, this.leases.groupNames, sentAt);
     for (const { group, askedAt, position } of positions) {
       const { epoch } = this.leases.entryOf(group) ?? {};
+      if (this.isOfLaterIncarnation(group, epoch ?? 0, position)) continue;
       this.floorOf(group).note(epoch ?? 0, askedAt, position);
     }
     if (positions.length > 0) this.resolveFirst();
--- a/src/appointed/routing/position_floor.ts
+++ b/src/appointed/routing/position_floor.ts
@@ -8,7 +8,7 @@
  * to be right, and old enough that replicas have probably applied it. See docs/design/appointed-primaries.md.
  * Relies on nothing: no I/O; the caller vouches that the primary was trusted.
  */
-import { type Position, covers } from '../../positions/position.js';
+import { type Position, latest } from '../../positions/position.js';
 
 interface Sample {
   readonly sentAt: number;
@@ -30,9 +30,7 @@
   note(epoch: number, sentAt: number, position: Position): void {
     if (epoch < this.epoch) return;
     if (epoch > this.epoch) this.reset(epoch);
-    // An answer that was overtaken, or one of an instance that started again: a floor must not be lower than what was told.
-    if (this.highest && !covers(position, this.highest)) return;
-    this.highest = position;
+    this.highest = this.highest ? latest(this.highest, position) : position;
     const newest = this.samples.at(-1);
     if (newest && sentAt < newest.sentAt + SAMPLE_SPACING_MS) return;
     this.samples.push({ sentAt, position });
--- a/src/appointed/trust/replica_lease_confirmer.ts
+++ b/src/appointed/trust/replica_lease_confirmer.ts
@@ -165,14 +165,16 @@
     this.logOutcome(group, rounds, objection ?? CONFIRMED);
   }
 
-  /** Why the replicas that were asked are not, or no longer, those of the group. */
+  /** Why the replicas that were asked can't answer for the group now. */
   private objectionTo(group: string, asked: readonly ConfirmingReplica[]): string | undefined {
     if (asked.length === 0) return 'no replica is known';
     const present = new Map(
       this.surroundings.replicasOf(group).map(({ instance, pool }) => [instance, pool]),
     );
-    const changed = asked.find(({ instance, pool }) => present.get(instance) !== pool);
-    return changed && `${changed.instance} left or started again`;
+    const changed = asked.find(
+      ({ instance, pool }) => present.has(instance) && present.get(instance) !== pool,
+    );
+    return changed && `${changed.instance} started again`;
   }
 
   private async statusOf({ instance, pool }: ConfirmingReplica): Promise<ReplicaAnswer> {
