Slow start: coldness in the catalog, one leased holder for each cold instance, the bound under drawn schedules

Cause: an instance that warms up may get few requests from all proxies together, in touch with control or not. Change: the catalog tells which instance is cold and since which entry; the leader names the one proxy that may send to it and grants its lease in the answers of control; the proxy counts in a sliding window. A coldness ends by a heartbeat that was sent later only.

--- a/src/appointed/catalog/catalog.ts
+++ b/src/appointed/catalog/catalog.ts
@@ -198,6 +198,8 @@
         return this.proxyById.delete(command.removeProxy!);
       case 'putFloors':
         return this.putSuccessorReserves(command.putFloors!.floors ?? []);
+      case 'setSlowStartHolder':
+        return this.instanceTable.setHolder(index, command.setSlowStartHolder!);
       case 'takeDuty':
         return this.takeLease(command.takeDuty!);
       default:
@@ -238,7 +240,15 @@
   }
 }
 
+/** Kinds of commands that proxies have to know of. */
+const FOR_PROXIES: ReadonlySet<string> = new Set<NonNullable<whinyoke.CatalogCommand['kind']>>([
+  'putDocument',
+  'putInstance',
+  'putGroup',
+  'setSlowStartHolder',
+]);
+
 /** Whether proxies have to know of a command; registrations of proxies and the appointment lease concern control only. */
 function isForProxies(command: whinyoke.CatalogCommand): boolean {
-  return ['putDocument', 'putInstance', 'putGroup'].includes(command.kind ?? '');
+  return FOR_PROXIES.has(command.kind ?? '');
 }
--- a/src/appointed/catalog/instance_table.ts
+++ b/src/appointed/catalog/instance_table.ts
@@ -4,6 +4,7 @@
  * Owns the entries and up to which log index entries were forgotten. Relies on nothing that can fail.
  */
 import { whinyoke } from '../../protocol/generated/messages.js';
+import { coldnessAfter } from './coldness.js';
 
 const { InstanceState } = whinyoke;
 
@@ -60,12 +61,31 @@
     const isLate = (instance.sequence ?? 0) < (known?.sequence ?? 0);
     if (isLate || known?.state === InstanceState.GONE) return false;
     // Fields with default values are kept by the message's prototype only.
-    const entry = whinyoke.InstanceEntry.create({ ...instance, version: index });
+    const coldness = coldnessAfter(known, instance, index);
+    const entry = whinyoke.InstanceEntry.create({ ...instance, ...coldness, version: index });
     this.entries.set(instance.id ?? '', entry);
     this.forgetOldest();
     return true;
   }
 
+  /** The instances of a zone are cold from a log index on: its evacuation has ended. Returns whether there are any. */
+  cool(zone: string, index: number): boolean {
+    const cooled = this.present.filter((instance) => instance.zone === zone);
+    for (const instance of cooled) {
+      this.replace({ ...instance, isCold: true, coldSince: index, version: index });
+    }
+    return cooled.length > 0;
+  }
+
+  /** Names the proxy that may send to a cold instance; returns whether the one that it follows was the present one. */
+  setHolder(index: number, next: whinyoke.ISlowStartHolder): boolean {
+    const known = this.entries.get(next.instance ?? '');
+    if (!known || (known.holderIncarnation ?? '') !== (next.formerIncarnation ?? '')) return false;
+    const { holder, incarnation: holderIncarnation, address: holderAddress } = next;
+    this.replace({ ...known, holder, holderIncarnation, holderAddress, version: index });
+    return true;
+  }
+
   /** Replaces everything by the entries of a snapshot. */
   restore(instances: readonly whinyoke.IInstanceEntry[], forgottenVersion: number): void {
     this.forgottenIndex = forgottenVersion;
@@ -73,6 +93,10 @@
     for (const item of instances) this.entries.set(item.id ?? '', item);
   }
 
+  private replace(instance: whinyoke.IInstanceEntry): void {
+    this.entries.set(instance.id ?? '', whinyoke.InstanceEntry.create(instance));
+  }
+
   private forgetOldest(): void {
     const gone = this.all.filter((instance) => instance.state === InstanceState.GONE);
     const excess = gone.slice(0, Math.max(0, gone.length - MAXIMUM_REMEMBERED_GONE));
--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -39,6 +39,8 @@
 import { CatalogService } from './catalog_service.js';
 import { ClusterContact } from './cluster_contact.js';
 import { PrimaryPositionCache } from './primary_position_cache.js';
+import { NewestDocument } from './newest_document.js';
+import { SlowStartHolders } from './slow_start_holders.js';
 import { SyncService } from './sync_service.js';
 
 /** Identity and surroundings of a control machine. */
@@ -98,6 +100,7 @@
   private readonly health = new PrimaryHealthOpinions();
   private readonly contact: ClusterContact;
   private readonly positions: PrimaryPositionCache;
+  private readonly slowStarts: SlowStartHolders;
   private readonly syncService: SyncService;
   private readonly allowanceService: AllowanceService;
   private readonly catalogService: CatalogService;
@@ -125,7 +128,9 @@
     this.seeds = options.seeds;
     this.contact = new ClusterContact(node, clock);
     this.positions = new PrimaryPositionCache(clock, catalog, connector, isLeading);
-    this.syncService = new SyncService({ ...shared, ledger, health, positions: this.positions });
+    this.slowStarts = this.makeSlowStarts(shared);
+    const { positions, slowStarts } = this;
+    this.syncService = new SyncService({ ...shared, ledger, health, positions, slowStarts });
     this.allowanceService = new AllowanceService({ ...shared, documents }, options.quotaRules);
     this.catalogService = this.makeCatalogService(shared);
     this.appointmentLease = this.makeAppointmentLease(propose);
@@ -210,6 +215,16 @@
     return new CatalogService({ ...shared, messenger, monitor, claims });
   }
 
+  private makeSlowStarts(shared: SharedSurroundings): SlowStartHolders {
+    const { node, catalog } = shared;
+    const document = new NewestDocument(catalog, this.options.documents);
+    return new SlowStartHolders({
+      ...shared,
+      isLeading: () => node.leadsWithState,
+      slowStartOf: (group) => document.table?.limitsByGroup.get(group)?.slowStart,
+    });
+  }
+
   private makeAppointmentLease(propose: Proposer): AppointmentLease {
     const { catalog, contact, options } = this;
     const { name, address, appointer } = options;
@@ -234,6 +249,7 @@
     this.health.clear();
     this.positions.begin();
     this.allowanceService.begin();
+    this.slowStarts.begin();
     this.isServing = false;
   }
 
@@ -261,6 +277,7 @@
     this.upkeep = this.runtime.clock.setTimer(UPKEEP_MS, () => {
       // A removal that fails changes nothing; the next upkeep proposes it again, on the machine that leads then.
       if (this.node.leadsWithState) this.syncService.maintain().catch(() => undefined);
+      this.slowStarts.review();
       this.runUpkeep();
     });
   }
--- a/src/appointed/control/catalog_service.ts
+++ b/src/appointed/control/catalog_service.ts
@@ -15,6 +15,7 @@
 import { Events } from '../../observability/events.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { DecisionLog } from '../../observability/decision_logger.js';
+import { type TellsColdness, WarmUpMonitor } from './warm_up_monitor.js';
 import type { Clock, Messenger } from '../../runtime/runtime.js';
 
 const { CatalogOutcome, InstanceState } = whinyoke;
@@ -45,7 +46,12 @@
 
 /** Service of one control machine. */
 export class CatalogService {
-  constructor(private readonly surroundings: CatalogServiceSurroundings) {}
+  private readonly warmUps: WarmUpMonitor;
+
+  constructor(private readonly surroundings: CatalogServiceSurroundings) {
+    const { clock, catalog, log } = surroundings;
+    this.warmUps = new WarmUpMonitor(clock, catalog, log);
+  }
 
   /** Takes a request here or at the leader. */
   async submit(request: whinyoke.ICatalogRequest): Promise<whinyoke.ICatalogReply> {
@@ -128,14 +134,21 @@
       if (claim !== 'granted') return this.refuseClaim(instance, claim);
     }
     this.surroundings.monitor.note(heartbeat, this.surroundings.clock.now());
+    const told = { ...instance, ...this.coldnessTold(heartbeat) };
     const isLate = (instance.sequence ?? 0) < (known?.sequence ?? 0);
-    if (!isLate && !isSame(known, instance)) {
-      await this.surroundings.propose({ putInstance: instance });
+    if (!isLate && !isSame(known, told)) {
+      await this.surroundings.propose({ putInstance: told });
       await this.removeFormerHolders(instance);
     }
     return { outcome: CatalogOutcome.DONE };
   }
 
+  private coldnessTold({ instance, warmupMs }: whinyoke.IInstanceBeat): TellsColdness {
+    const told = instance ?? {};
+    const newest = this.surroundings.monitor.newestSequenceOf(told.id ?? '');
+    return this.warmUps.opinionOn(told, warmupMs ?? 0, newest === (told.sequence ?? 0));
+  }
+
   /** A heartbeat of one that is gone needs no answer that makes anybody try again; one that is unclear does. */
   private refuseClaim(
     instance: whinyoke.IInstanceEntry,
@@ -161,6 +174,7 @@
     known.address === told.address &&
     known.zone === told.zone &&
     known.slots === told.slots &&
+    (known.isCold ?? false) === (told.isCold ?? false) &&
     (known.state ?? InstanceState.READY) === (told.state ?? InstanceState.READY)
   );
 }
--- /dev/null
+++ b/src/appointed/control/slow_start_holders.ts
@@ -0,0 +1,157 @@
+/**
+ * Names, on the leader, the proxy that alone may send requests to a cold instance (its holder), and grants that run its lease.
+ * When another may follow: `src/appointed/placement/slow_start_budget.ts`.
+ *
+ * Owns, for one leadership, when each run of a proxy was heard, and which holders get no lease any more since others are being
+ * named. Relies on a majority to name one: without it the instance gets no requests, a line is logged, and upkeep tries again.
+ */
+import type { Catalog, InstanceEntry, ProxyEntry } from '../catalog/catalog.js';
+import type { SlowStart } from '../catalog/route_table.js';
+import { messageOf } from '../../errors/errors.js';
+import type { Proposer } from '../failover/appointment_lease.js';
+import { RendezvousTable } from '../../hashing/rendezvous.js';
+import { stableHash } from '../../hashing/stable_hash.js';
+import { LEASE_MS, STALE_LEADER_MS } from '../leases/lease_times.js';
+import { Events } from '../../observability/events.js';
+import type { DecisionLog } from '../../observability/decision_logger.js';
+import { type RunContact, successorFrom } from '../placement/slow_start_budget.js';
+import type { Clock } from '../../runtime/runtime.js';
+
+/** What the service needs of its control machine. */
+export interface HoldersSurroundings {
+  readonly clock: Clock;
+  readonly catalog: Catalog;
+  readonly propose: Proposer;
+  readonly log: DecisionLog;
+  /** Whether this machine leads, and has applied all that was committed before. */
+  isLeading(): boolean;
+  /** Slow start of a group in the newest document. */
+  slowStartOf(group: string): SlowStart | undefined;
+}
+
+/** Holders, as one leader names them. */
+export class SlowStartHolders {
+  private readonly contacts = new Map<string, RunContact>();
+  /** Runs that get no lease, by the instance for which another is being named. */
+  private readonly withheld = new Map<string, string>();
+  /** Instances whose new holder is proposed now. */
+  private readonly proposing = new Set<string>();
+  private holders: ReadonlySet<string> = new Set();
+  private begunAt = -Infinity;
+  private isDue = false;
+
+  constructor(private readonly surroundings: HoldersSurroundings) {
+    surroundings.catalog.onChange(() => this.onChange());
+  }
+
+  /** Begins a leadership. */
+  begin(): void {
+    this.begunAt = this.surroundings.clock.now();
+    this.contacts.clear();
+    this.withheld.clear();
+    this.onChange();
+  }
+
+  /** A run of a proxy sent a request. */
+  noteContact({ incarnation }: ProxyEntry, hasLeft: boolean): void {
+    this.contacts.set(incarnation ?? '', { at: this.surroundings.clock.now(), hasLeft });
+  }
+
+  /** Lease that an answer grants to a run, in milliseconds from when its request was sent; 0 for none. */
+  leaseFor({ incarnation }: ProxyEntry): number {
+    const run = incarnation ?? '';
+    const isGranted = this.holders.has(run) && ![...this.withheld.values()].includes(run);
+    return isGranted ? LEASE_MS : 0;
+  }
+
+  /** Names holders where one is missing; called now and then, and after changes. */
+  review(): void {
+    if (!this.surroundings.isLeading()) return;
+    for (const instance of this.surroundings.catalog.presentInstances) {
+      if (this.needsHolder(instance) && this.mayBeFollowed(instance)) this.nameHolder(instance);
+    }
+  }
+
+  private onChange(): void {
+    const { clock, catalog } = this.surroundings;
+    const runs = catalog.instances.map(({ holderIncarnation }) => holderIncarnation ?? '');
+    this.holders = new Set(runs.filter((run) => run !== ''));
+    if (this.isDue) return;
+    this.isDue = true;
+    // Not from within the change: a proposal would begin while an entry is being applied.
+    clock.setTimer(0, () => {
+      this.isDue = false;
+      this.review();
+    });
+  }
+
+  /** One whose new holder may or may not have been committed gets one in any case, so that the former may have leases again. */
+  private needsHolder({ id, group, isCold }: InstanceEntry): boolean {
+    if (this.withheld.has(id ?? '')) return true;
+    return isCold === true && this.surroundings.slowStartOf(group ?? '') !== undefined;
+  }
+
+  /** Whether nobody holds an instance, or whoever did has sent its last request for it. */
+  private mayBeFollowed({ id, holderIncarnation }: InstanceEntry): boolean {
+    if (this.proposing.has(id ?? '')) return false;
+    const run = holderIncarnation ?? '';
+    if (run === '' || this.withheld.get(id ?? '') === run) return true;
+    return this.surroundings.clock.now() >= successorFrom(this.contactOf(run));
+  }
+
+  /** One that this leader never heard may have been heard by a former leader as long as that could answer. */
+  private contactOf(run: string): RunContact {
+    return this.contacts.get(run) ?? { at: this.begunAt + STALE_LEADER_MS, hasLeft: false };
+  }
+
+  private nameHolder(instance: InstanceEntry): void {
+    const { catalog, log, clock } = this.surroundings;
+    const id = instance.id ?? '';
+    const former = instance.holderIncarnation ?? '';
+    const next = this.choose(instance);
+    if (!next) return;
+    this.withheld.set(id, former);
+    this.proposing.add(id);
+    const silentMs = former === '' ? 0 : clock.now() - this.contactOf(former).at;
+    const { id: holder, incarnation, address } = next;
+    const command = { instance: id, holder, incarnation, address, formerIncarnation: former };
+    this.surroundings
+      .propose({ setSlowStartHolder: command })
+      .then(
+        () => {
+          log(Events.slowStartHolderNamed, {
+            instance: id,
+            holder: holder ?? '',
+            former: instance.holder ?? '',
+            silent_ms: Math.round(silentMs),
+          });
+        },
+        (error: unknown) =>
+          log(Events.catalogChangeFailed, { kind: 'holder', reason: messageOf(error) }),
+      )
+      .finally(() => {
+        this.proposing.delete(id);
+        // An entry that is not certain to have failed may still be committed: the former holder gets no lease before it is.
+        const present = catalog.instance(id)?.holderIncarnation ?? '';
+        if (present !== former) this.withheld.delete(id);
+      });
+  }
+
+  /** The first by rendezvous hashing among the live proxies of the instance's zone, or of all where it has none. */
+  private choose({ id, zone }: InstanceEntry): ProxyEntry | undefined {
+    const live = this.surroundings.catalog.proxies.filter((proxy) => this.isLive(proxy));
+    const near = live.filter((proxy) => proxy.zone === zone);
+    const candidates = near.length > 0 ? near : live;
+    const table = new RendezvousTable(1, stableHash);
+    table.setNodes(new Set(candidates.map(({ address }) => address ?? '')));
+    const [first] = table.top(id ?? '');
+    return candidates.find(({ address }) => address === first);
+  }
+
+  private isLive({ incarnation }: ProxyEntry): boolean {
+    const run = incarnation ?? '';
+    const contact = this.contacts.get(run);
+    if (!contact || contact.hasLeft || [...this.withheld.values()].includes(run)) return false;
+    return this.surroundings.clock.now() - contact.at < LEASE_MS;
+  }
+}
--- a/src/appointed/control/sync_service.ts
+++ b/src/appointed/control/sync_service.ts
@@ -18,6 +18,7 @@
 import type { PrimaryPositionCache } from './primary_position_cache.js';
 import { ProxyDirectory } from './proxy_directory.js';
 import { ProxyRegistrar } from './proxy_registrar.js';
+import type { SlowStartHolders } from './slow_start_holders.js';
 
 const { GroupPhase } = whinyoke;
 
@@ -39,6 +40,8 @@
   readonly health: PrimaryHealthOpinions;
   /** Newest known positions of primaries. */
   readonly positions: PrimaryPositionCache;
+  /** Proxies that send to cold instances. */
+  readonly slowStarts: SlowStartHolders;
   /** Proposes a command to the replicated log. */
   readonly propose: Proposer;
 }
@@ -120,10 +123,11 @@
 
   /** Takes over what a request reports. */
   private take(request: whinyoke.ISyncRequest, proxy: ProxyEntry): void {
-    const { clock, node, ledger, health, positions } = this.surroundings;
+    const { clock, node, ledger, health, positions, slowStarts } = this.surroundings;
     const now = clock.now();
     this.directory.noteContact(proxy);
     ledger.noteContact(proxy, request.knownVersion ?? 0, now);
+    slowStarts.noteContact(proxy, request.leaving ?? false);
     for (const revocation of request.revocations ?? []) ledger.confirm(proxy, revocation);
     health.note(proxy.id ?? '', request.reports ?? [], now);
     if (request.clockTerm === node.currentTerm) positions.note(request.positions ?? []);
@@ -131,7 +135,7 @@
   }
 
   private reply(request: whinyoke.ISyncRequest, proxy: ProxyEntry): whinyoke.ISyncReply {
-    const { clock, node, catalog, positions } = this.surroundings;
+    const { clock, node, catalog, positions, slowStarts } = this.surroundings;
     this.grantLeases(proxy);
     return {
       accepted: true,
@@ -142,6 +146,7 @@
       term: node.currentTerm,
       clockMs: Math.floor(clock.now()),
       positions: request.wantsPositions ? positions.newest() : undefined,
+      slowStartLeaseMs: slowStarts.leaseFor(proxy),
     };
   }
 
--- a/src/appointed/failover/instance_monitor.ts
+++ b/src/appointed/failover/instance_monitor.ts
@@ -45,6 +45,11 @@
     return now - (this.heartbeats.get(instance)?.at ?? this.begunAt);
   }
 
+  /** Sequence of the instance's newest heartbeat; undefined when there was none. */
+  newestSequenceOf(instance: string): number | undefined {
+    return this.heartbeats.get(instance)?.sequence;
+  }
+
   /** Role that the instance's newest heartbeat names. */
   roleOf(instance: string): whinyoke.InstanceRole {
     return this.heartbeats.get(instance)?.role ?? whinyoke.InstanceRole.UNKNOWN;
--- /dev/null
+++ b/src/appointed/placement/slow_start_gate.ts
@@ -0,0 +1,133 @@
+/**
+ * A proxy's check before it sends a request to a cold instance. Only the holder that the catalog names sends, under a lease of
+ * control, what its window has room for (slow_start_budget.ts); all other proxies relay to it.
+ *
+ * Owns the lease and the windows of one run; they are never cleared, so that an instance that turns cold again goes on with its
+ * window. Relies on control for the lease: unheard, it ends, and nothing is sent.
+ */
+import type { InstanceEntry } from '../catalog/catalog.js';
+import type { SlowStart } from '../catalog/route_table.js';
+import { Events } from '../../observability/events.js';
+import type { DecisionLog } from '../../observability/decision_logger.js';
+import type { Clock } from '../../runtime/runtime.js';
+import { RequestWindow } from './request_window.js';
+import {
+  type SlowStartRules,
+  WINDOW_MS,
+  mostRequests,
+  usableRequests,
+} from './slow_start_budget.js';
+
+/** Refusals at one instance are reported once in this time, in milliseconds: one line a second can be read. */
+const REPORT_SPACING_MS = 1000;
+
+/** What the gate needs of its proxy. */
+export interface GateSurroundings {
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  /** Identifier of this run among the runs of all proxies. */
+  readonly incarnation: string;
+  readonly rules: SlowStartRules;
+  /** Slow start of a group; undefined where its instances may be fully used from their start. */
+  slowStartOf(group: string): SlowStart | undefined;
+  /** Whether this proxy said to control that it leaves: from then on it sends nothing. */
+  isLeaving(): boolean;
+}
+
+/** Way of the requests for a cold instance. */
+export interface ColdRoute {
+  /** Address of the proxy that sends them; empty when none is known. */
+  readonly holder: string;
+  /** Whether they may go that way now, as far as this proxy knows. */
+  readonly isOpen: boolean;
+}
+
+/** Gate of one proxy. */
+export class SlowStartGate {
+  /** Requests to cold instances since the start: sent by this proxy, and refused. */
+  readonly counts = { sent: 0, refused: 0 };
+  private leaseUntil = -Infinity;
+  private readonly windows = new Map<string, RequestWindow>();
+  private readonly reportedAt = new Map<string, number>();
+
+  constructor(private readonly surroundings: GateSurroundings) {}
+
+  /** Control granted the lease until then. */
+  extend(until: number): void {
+    this.leaseUntil = Math.max(this.leaseUntil, until);
+  }
+
+  /** Whether an instance may get few requests only. */
+  isCold(instance: InstanceEntry): boolean {
+    return this.slowStartOf(instance) !== undefined;
+  }
+
+  /** Way of a request for an instance; undefined for a warm one. */
+  routeTo(instance: InstanceEntry, isUrgent: boolean): ColdRoute | undefined {
+    const slowStart = this.slowStartOf(instance);
+    if (!slowStart) return undefined;
+    const holder = instance.holderAddress ?? '';
+    if (!this.isHolder(instance)) return { holder, isOpen: holder !== '' };
+    const now = this.surroundings.clock.now();
+    const most = this.usable(slowStart, isUrgent);
+    return { holder, isOpen: this.maySend(now) && this.windowOf(instance).hasRoom(most, now) };
+  }
+
+  /** Counts a request that is sent to an instance now; false when it must not be sent. */
+  admit(instance: InstanceEntry, isUrgent: boolean): boolean {
+    const slowStart = this.slowStartOf(instance);
+    if (!slowStart) return true;
+    const now = this.surroundings.clock.now();
+    const mayBeSent = this.isHolder(instance) && this.maySend(now);
+    const most = this.usable(slowStart, isUrgent);
+    if (mayBeSent && this.windowOf(instance).take(most, now)) {
+      this.counts.sent++;
+      return true;
+    }
+    this.noteRefused(instance);
+    return false;
+  }
+
+  /** Counts a request that was refused, and reports it now and then. */
+  noteRefused(instance: InstanceEntry): void {
+    const { clock, log } = this.surroundings;
+    const now = clock.now();
+    const id = instance.id ?? '';
+    this.counts.refused++;
+    if (now - (this.reportedAt.get(id) ?? -Infinity) < REPORT_SPACING_MS) return;
+    this.reportedAt.set(id, now);
+    log(Events.coldInstanceRefused, {
+      instance: id,
+      group: instance.group ?? '',
+      holder: instance.holder ?? '',
+      is_holder: this.isHolder(instance),
+      leased: this.maySend(now),
+      refused: this.counts.refused,
+    });
+  }
+
+  private slowStartOf({ isCold, group }: InstanceEntry): SlowStart | undefined {
+    return isCold ? this.surroundings.slowStartOf(group ?? '') : undefined;
+  }
+
+  private isHolder({ holderIncarnation }: InstanceEntry): boolean {
+    return holderIncarnation === this.surroundings.incarnation;
+  }
+
+  private maySend(now: number): boolean {
+    return now < this.leaseUntil && !this.surroundings.isLeaving();
+  }
+
+  private usable(slowStart: SlowStart, isUrgent: boolean): number {
+    return usableRequests(mostRequests(slowStart, this.surroundings.rules), isUrgent);
+  }
+
+  private windowOf({ id }: InstanceEntry): RequestWindow {
+    let window = this.windows.get(id ?? '');
+    if (!window) {
+      window = new RequestWindow(WINDOW_MS);
+      this.windows.set(id ?? '', window);
+    }
+    return window;
+  }
+}
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -207,6 +207,13 @@
     'a request that waited for a full instance will not be served in time, since more urgent ones came',
     'It did not run, and its caller is told at once. `waiting` requests wait on; look for a burst or a missing replica.',
   ),
+  coldInstanceRefused: define(
+    256,
+    'cold_instance_refused',
+    'info',
+    'a request for an instance that warms up was refused',
+    'Its callers are told when to come back. `refused` since the start. Without a `holder`, or a lease of the one that `is_holder`, nobody may send to the instance: look for event 340 and the holder. Otherwise its rate is used up.',
+  ),
   settingsReloaded: define(
     234,
     'settings_reloaded',
@@ -235,6 +242,20 @@
     'the leader knows all reserves of operations',
     'From `after_ms` after its election on it adds to reserves again.',
   ),
+  slowStartHolderNamed: define(
+    340,
+    'slow_start_holder_named',
+    'info',
+    'a proxy alone may send requests to an instance that warms up',
+    '`holder` in place of `former`, after which `silent_ms` passed. Frequent lines for an instance: its holders are cut off from control.',
+  ),
+  instanceColdnessChanged: define(
+    341,
+    'instance_coldness_changed',
+    'info',
+    'an instance warms up from now on, or is warm',
+    '`cold_since` is the log index of the begin. A cold one whose heartbeats tell no end of its warm-up stays cold.',
+  ),
   primaryChangeBegun: define(
     311,
     'primary_change_begun',
--- /dev/null
+++ b/test/tools/slow_start_play.ts
@@ -0,0 +1,305 @@
+/**
+ * Plays the slow start of one instance in drawn schedules: leaders that change, proxies that are cut off, frozen, restarted or
+ * leave, entries that are not certain to be committed. Every proxy sends all that its gate lets through, whenever its turn comes.
+ */
+import { Catalog, type ProxyEntry } from '../../src/appointed/catalog/catalog.js';
+import { SlowStartHolders } from '../../src/appointed/control/slow_start_holders.js';
+import { LEASE_MS, STALE_LEADER_MS } from '../../src/appointed/leases/lease_times.js';
+import { WINDOW_MS } from '../../src/appointed/placement/slow_start_budget.js';
+import { SlowStartGate } from '../../src/appointed/placement/slow_start_gate.js';
+import { whinyoke } from '../../src/protocol/generated/messages.js';
+import type { Clock } from '../../src/runtime/runtime.js';
+
+/** What a play can do without, to show that the bound then breaks. */
+export type Omission =
+  | 'lease-from-sending'
+  | 'window-between-holders'
+  | 'lease-withheld'
+  | 'former-leader-awaited'
+  | 'window-kept'
+  | 'leaving-stops';
+
+/** One step of a schedule. */
+export interface Step {
+  readonly action:
+    | 'wait'
+    | 'newLeader'
+    | 'cut'
+    | 'freeze'
+    | 'restart'
+    | 'leave'
+    | 'warm'
+    | 'cool'
+    | 'uncertain'
+    | 'certain';
+  /** Proxy that it concerns, and a number from 0 to 1 for its delays. */
+  readonly proxy: number;
+  readonly drawn: number;
+  readonly durationMs: number;
+}
+
+const TICK_MS = 25;
+const PROXIES = 3;
+const LONGEST_TRIP_MS = 300;
+/** Trips to the instance are shorter than this. */
+const LONGEST_INSTANCE_TRIP_MS = 100;
+const LONGEST_HOLD_MS = 2000;
+const SLOW_START = { warmupMs: 10_000, requestsPerSecond: 6 };
+const RULES = { slowStartOverage: 1.5, slowStartTolerance: 2 };
+/** Requests that the instance may get in any second: 6 x 1.5 + 2. */
+export const MOST = 11;
+const INSTANCE = 'i';
+
+class PlayedLeader {
+  readonly catalog = new Catalog();
+  readonly holders: SlowStartHolders;
+  deposedAt = Infinity;
+
+  constructor(play: SlowStartPlay, log: readonly Uint8Array[]) {
+    for (const [index, command] of log.entries()) this.catalog.apply(index + 1, command);
+    this.holders = new SlowStartHolders({
+      clock: play.clock,
+      catalog: this.catalog,
+      propose: (command) => play.propose(this, command),
+      log: () => undefined,
+      isLeading: () => this.deposedAt === Infinity,
+      slowStartOf: () => SLOW_START,
+    });
+    this.holders.begin();
+  }
+}
+
+class PlayedProxy {
+  readonly self: ProxyEntry;
+  readonly gate: SlowStartGate;
+  version = 0;
+  instance: whinyoke.IInstanceEntry = {};
+  cutUntil = 0;
+  frozenUntil = 0;
+  isLeaving = false;
+  isWaiting = false;
+
+  constructor(play: SlowStartPlay, place: number, run: number) {
+    const address = `p${place}:1`;
+    this.self = { id: `p${place}`, incarnation: `p${place}.${run}`, address, zone: 'z' };
+    this.gate = new SlowStartGate({
+      clock: play.clock,
+      log: () => undefined,
+      incarnation: this.self.incarnation ?? '',
+      rules: RULES,
+      slowStartOf: () => SLOW_START,
+      isLeaving: () => this.isLeaving && !play.omits('leaving-stops'),
+    });
+  }
+}
+
+/** One play. */
+export class SlowStartPlay {
+  /** When each request reached the instance. */
+  private readonly arrivals: number[] = [];
+  readonly clock: Clock;
+  private now = 0;
+  private readonly timers: { at: number; run: () => void }[] = [];
+  private readonly log: Uint8Array[] = [];
+  private leaders: PlayedLeader[] = [];
+  private readonly proxies: PlayedProxy[];
+  private runs = 0;
+  private isCertain = true;
+
+  constructor(private readonly omission?: Omission) {
+    this.clock = {
+      now: () => this.now,
+      setTimer: (delayMs, run) => {
+        this.timers.push({ at: this.now + delayMs, run });
+        return { cancel: () => undefined };
+      },
+    };
+    this.proxies = Array.from({ length: PROXIES }, (_, place) => this.newProxy(place));
+    this.leaders = [new PlayedLeader(this, [])];
+    const instance = { id: INSTANCE, zone: 'z', isCold: true, sequence: 1 };
+    this.append({ putInstance: instance });
+  }
+
+  omits(omission: Omission): boolean {
+    return this.omission === omission;
+  }
+
+  /** Plays a schedule. */
+  async run(steps: readonly Step[]): Promise<void> {
+    for (const step of steps) {
+      this.act(step);
+      const until = this.now + step.durationMs;
+      while (this.now < until) await this.tick(step);
+    }
+  }
+
+  /** Most requests that reached the instance in any one second. */
+  get mostInASecond(): number {
+    let most = 0;
+    let first = 0;
+    const arrivals = this.arrivals.toSorted((left, right) => left - right);
+    for (const [last, time] of arrivals.entries()) {
+      while (arrivals[first]! <= time - 1000) first++;
+      most = Math.max(most, last - first + 1);
+    }
+    return most;
+  }
+
+  /** A leader proposes an entry: it is committed now, or later, when the leader was told that it failed. */
+  propose(
+    leader: PlayedLeader,
+    command: whinyoke.ICatalogCommand,
+  ): Promise<whinyoke.CatalogResult> {
+    if (leader.deposedAt < Infinity) return Promise.reject(new Error('deposed'));
+    if (this.isCertain) {
+      this.append(command);
+      return Promise.resolve(whinyoke.CatalogResult.create({ changed: true }));
+    }
+    this.clock.setTimer(LONGEST_HOLD_MS, () => {
+      if (leader.deposedAt === Infinity) this.append(command);
+    });
+    return Promise.reject(new Error('uncertain'));
+  }
+
+  private get leader(): PlayedLeader {
+    return this.leaders.at(-1)!;
+  }
+
+  private newProxy(place: number): PlayedProxy {
+    return new PlayedProxy(this, place, ++this.runs);
+  }
+
+  private append(command: whinyoke.ICatalogCommand): void {
+    const bytes = whinyoke.CatalogCommand.encode(command).finish();
+    this.log.push(bytes);
+    this.leader.catalog.apply(this.log.length, bytes);
+  }
+
+  private act({ action, proxy: place, durationMs }: Step): void {
+    const proxy = this.proxies[place]!;
+    if (action === 'newLeader') this.changeLeader();
+    if (action === 'cut') proxy.cutUntil = this.now + 3 * durationMs;
+    if (action === 'freeze') proxy.frozenUntil = this.now + 3 * durationMs;
+    if (action === 'restart') this.proxies[place] = this.newProxy(place);
+    if (action === 'leave') proxy.isLeaving = true;
+    if (action === 'uncertain') this.isCertain = false;
+    if (action === 'certain') this.isCertain = true;
+    if (action === 'warm') this.tell(false);
+    if (action === 'cool') this.tell(true);
+  }
+
+  private tell(isCold: boolean): void {
+    const known = this.leader.catalog.instance(INSTANCE)!;
+    this.append({ putInstance: { ...known, isCold, sequence: (known.sequence ?? 0) + 1 } });
+  }
+
+  private changeLeader(): void {
+    this.leader.deposedAt = this.now;
+    const isAwaited = !this.omits('former-leader-awaited');
+    const present = this.now;
+    if (!isAwaited) this.now -= LEASE_MS + STALE_LEADER_MS + LONGEST_HOLD_MS;
+    this.leaders = [this.leader, new PlayedLeader(this, this.log)];
+    this.now = present;
+  }
+
+  private async tick(step: Step): Promise<void> {
+    this.now += TICK_MS;
+    for (const timer of this.timers.splice(0)) {
+      if (timer.at <= this.now) timer.run();
+      else this.timers.push(timer);
+    }
+    this.leader.holders.review();
+    await new Promise((resolve) => setImmediate(resolve));
+    for (const proxy of this.proxies) {
+      if (proxy.frozenUntil > this.now) continue;
+      this.send(proxy, step);
+      if (!proxy.isWaiting && proxy.cutUntil <= this.now) this.synchronise(proxy, step);
+    }
+  }
+
+  /** Sends all that the gate lets through, in the second half of a step only, so that it comes together. */
+  private send(proxy: PlayedProxy, { drawn }: Step): void {
+    const isTurn = Math.floor(this.now / (TICK_MS + drawn * LONGEST_HOLD_MS)) % 2 === 0;
+    if (!isTurn || !proxy.instance.isCold) return;
+    while (proxy.gate.admit(proxy.instance, true)) this.arrive();
+  }
+
+  /** Trips differ, so that requests may come closer together than they were sent. */
+  private arrive(): void {
+    const tripMs = (this.arrivals.length * 61) % LONGEST_INSTANCE_TRIP_MS;
+    this.arrivals.push(this.now + tripMs);
+  }
+
+  /** A request to a leader, which may be a former one that does not know it yet. */
+  private synchronise(proxy: PlayedProxy, { drawn }: Step): void {
+    const sentAt = this.now;
+    const tripMs = drawn * LONGEST_TRIP_MS;
+    const leaving = proxy.isLeaving;
+    proxy.isWaiting = true;
+    const [former] = this.leaders;
+    this.clock.setTimer(tripMs, () => {
+      const isStale =
+        former!.deposedAt < Infinity && this.now < former!.deposedAt + STALE_LEADER_MS;
+      const leader = isStale && drawn < 0.5 ? former! : this.leader;
+      this.noteContact(leader, proxy, leaving);
+      this.register(proxy);
+      this.clock.setTimer(drawn * LONGEST_HOLD_MS, () =>
+        this.answer(leader, proxy, sentAt, tripMs),
+      );
+    });
+  }
+
+  private noteContact({ holders }: PlayedLeader, { self }: PlayedProxy, leaving: boolean): void {
+    const early = this.omits('window-between-holders') ? WINDOW_MS : 0;
+    this.now -= early;
+    holders.noteContact(self, leaving);
+    this.now += early;
+  }
+
+  private register({ self }: PlayedProxy): void {
+    const known = this.leader.catalog.proxy(self.id ?? '');
+    const isPresent = this.proxies.some((proxy) => proxy.self === self);
+    if (isPresent && known?.incarnation !== self.incarnation) this.append({ putProxy: self });
+  }
+
+  private answer(leader: PlayedLeader, proxy: PlayedProxy, sentAt: number, tripMs: number): void {
+    const isSilent = this.now >= leader.deposedAt + STALE_LEADER_MS;
+    const { version } = leader.catalog;
+    const instance = leader.catalog.instance(INSTANCE)!;
+    const granted = leader.holders.leaseFor(proxy.self);
+    const leaseMs = this.omits('lease-withheld') ? LEASE_MS : granted;
+    this.clock.setTimer(tripMs, () =>
+      this.deliver(proxy, { version, instance, leaseMs, sentAt, isSilent }),
+    );
+  }
+
+  private deliver(
+    proxy: PlayedProxy,
+    reply: {
+      readonly version: number;
+      readonly instance: whinyoke.IInstanceEntry;
+      readonly leaseMs: number;
+      readonly sentAt: number;
+      readonly isSilent: boolean;
+    },
+  ): void {
+    if (proxy.frozenUntil > this.now) {
+      this.clock.setTimer(TICK_MS, () => this.deliver(proxy, reply));
+      return;
+    }
+    proxy.isWaiting = false;
+    if (reply.isSilent) return;
+    if (reply.version > proxy.version) this.adopt(proxy, reply.version, reply.instance);
+    if (reply.version !== proxy.version) return;
+    const from = this.omits('lease-from-sending') ? this.now : reply.sentAt;
+    proxy.gate.extend(from + reply.leaseMs);
+  }
+
+  private adopt(proxy: PlayedProxy, version: number, instance: whinyoke.IInstanceEntry): void {
+    const hasTurned = (instance.coldSince ?? 0) !== (proxy.instance.coldSince ?? 0);
+    proxy.version = version;
+    proxy.instance = instance;
+    // What a gate that forgets its window of a former coldness does.
+    if (hasTurned && this.omits('window-kept')) Reflect.set(proxy.gate, 'windows', new Map());
+  }
+}
