Slow start: a proxy sends to a cold instance as its holder or through its holder, and refuses what finds no room

Cause: the bound on cold instances has to hold at the last step before a request leaves the process. Change: StatementRunner asks the gate right before sending; ways to a cold instance lead to its holder; reads take warm instances first; a refusal has a cause and a time to come back of its own. Ruled out: queueing at the holder, since callers that wait for a rate miss their objective; a quarter of the rate is left to urgent requests and to transactions under way instead.

--- a/src/appointed/connections/acquire_error.ts
+++ b/src/appointed/connections/acquire_error.ts
@@ -7,10 +7,11 @@
  * - `displaced`: while it waited, since more urgent requests came before it;
  * - `unreachable`: the instance could not be reached;
  * - `wrongInstance`: another instance has its address;
- * - `closed`: the pool has ended.
+ * - `closed`: the pool has ended;
+ * - `slowStart`: the instance is cold, and no more may be sent to it now.
  */
 export type AcquireFailure =
-  'timeout' | 'full' | 'displaced' | 'unreachable' | 'wrongInstance' | 'closed';
+  'timeout' | 'full' | 'displaced' | 'unreachable' | 'wrongInstance' | 'closed' | 'slowStart';
 
 /**
  * A pool had no connection for a request. A plain error, unlike all others: a full queue makes one for each statement that
--- a/src/appointed/connections/instance_directory.ts
+++ b/src/appointed/connections/instance_directory.ts
@@ -20,6 +20,7 @@
   InstanceConnector,
   InstanceTarget,
 } from '../instance/instance_connection.js';
+import type { ColdRoute, SlowStartGate } from '../placement/slow_start_gate.js';
 import { InstanceLoad } from './instance_load.js';
 import { InstancePool } from './instance_pool.js';
 import type { PoolListener, PoolOptions } from './pool_options.js';
@@ -41,6 +42,8 @@
   readonly ownAddress: string;
   readonly connector: InstanceConnector;
   readonly log: DecisionLog;
+  /** Bounds what cold instances get. */
+  readonly slowStarts: SlowStartGate;
   /** Connections that an instance of a group takes from all proxies together. */
   connectionLimitOf(group: string): number;
   /** Whether a connection serves only the tenant for whom it was opened. */
@@ -112,12 +115,22 @@
       const access = this.accesses.get(id);
       const isUsable = instance.group === group && instance.state === InstanceState.READY;
       if (!access || !isUsable) continue;
+      const coldRoute = this.surroundings.slowStarts.routeTo(instance, false);
+      if (coldRoute && !coldRoute.isOpen) continue;
       const { load } = access;
-      candidates.push({ id, zone: instance.zone ?? '', load, isPrimary: id === primary });
+      const zone = instance.zone ?? '';
+      const isCold = coldRoute !== undefined;
+      candidates.push({ id, zone, load, isPrimary: id === primary, isCold });
     }
     return candidates;
   }
 
+  /** Counts a request that this process sends to an instance now; false when the instance is cold and must not get it. */
+  admit(id: string, isUrgent: boolean): boolean {
+    const instance = this.entries.get(id);
+    return instance === undefined || this.surroundings.slowStarts.admit(instance, isUrgent);
+  }
+
   /** All instances of a group but its primary, whatever their state. */
   replicasOf(group: string, primary: string): readonly ConfirmingReplica[] {
     return [...this.entries]
@@ -137,9 +150,22 @@
 
   private createAccess(instance: InstanceEntry): InstanceAccess {
     const pool = this.createPool(instance);
-    return new InstanceAccess(pool, this.surroundings.ownAddress, this.relaying, (tenant) =>
-      this.owners.of(this.ownedInstance(instance), tenant),
-    );
+    const ways = {
+      ownersFor: (tenant: string) => this.owners.of(this.ownedInstance(instance), tenant),
+      coldRoute: (isUrgent: boolean) => this.coldRoute(pool.target.id, isUrgent),
+      noteRefused: () => this.noteRefused(pool.target.id),
+    };
+    return new InstanceAccess(pool, this.surroundings.ownAddress, this.relaying, ways);
+  }
+
+  private coldRoute(id: string, isUrgent: boolean): ColdRoute | undefined {
+    const instance = this.entries.get(id);
+    return instance && this.surroundings.slowStarts.routeTo(instance, isUrgent);
+  }
+
+  private noteRefused(id: string): void {
+    const instance = this.entries.get(id);
+    if (instance) this.surroundings.slowStarts.noteRefused(instance);
   }
 
   private ownedInstance({ id, zone, group }: InstanceEntry): OwnedInstance {
--- a/src/appointed/instance/instance_connection.ts
+++ b/src/appointed/instance/instance_connection.ts
@@ -13,8 +13,8 @@
 export type TransactionState = 'idle' | 'open' | 'failed';
 
 /**
- * Kinds of errors that an instance answers. All up to `connectionLimit` promise that the statement did not
- * run; the others promise nothing.
+ * Kinds of errors that an instance answers. All up to `slowStart` promise that the statement did not run; the others promise
+ * nothing. `slowStart` is the answer of the proxy that holds a cold instance: it sent nothing.
  */
 export type InstanceErrorKind =
   | 'busy'
@@ -23,6 +23,7 @@
   | 'readOnly'
   | 'wrongInstance'
   | 'connectionLimit'
+  | 'slowStart'
   | 'malformed'
   | 'failed'
   | 'timeout'
--- a/src/appointed/proxy/appointed_proxy.ts
+++ b/src/appointed/proxy/appointed_proxy.ts
@@ -18,6 +18,7 @@
 import { RoutedSession } from '../sessions/routed_session.js';
 import { Admission } from '../tenancy/admission.js';
 import { AllowanceClient } from '../tenancy/allowance_client.js';
+import { SlowStartGate } from '../placement/slow_start_gate.js';
 import type { PlacementRules } from '../placement/placement_rules.js';
 import type { QuotaRules } from '../tenancy/operation_budget.js';
 import { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
@@ -83,6 +84,8 @@
   readonly admission: Admission;
   /** Limits on the operations of tenants. */
   readonly allowances: AllowanceClient;
+  /** Bounds what cold instances get. */
+  readonly slowStarts: SlowStartGate;
   private readonly document: DocumentInForce;
   private readonly contact: ControlContact;
   private readonly synchronisation: ControlSynchronisation;
@@ -104,6 +107,7 @@
     this.document = new DocumentInForce(this.clock, this.log, options.reader);
     this.contact = new ControlContact(this.clock, this.log);
     this.positions = new PrimaryPositions(this.clock, this.leases);
+    this.slowStarts = this.createSlowStarts(incarnation);
     this.instances = this.createInstances(fleet);
     this.synchronisation = this.createSynchronisation(fleet);
     const leaderAddress = (): string => this.synchronisation.leaderAddress;
@@ -219,7 +223,7 @@
   }
 
   private createInstances(fleet: FleetDirectory): ProxyInstances {
-    const { runtime, document, leases, primaryHealth, positions, log } = this;
+    const { runtime, document, leases, primaryHealth, positions, log, slowStarts } = this;
     const { address: ownAddress, connector } = this.options;
     return new ProxyInstances({
       runtime,
@@ -231,11 +235,24 @@
       leases,
       primaryHealth,
       positions,
+      slowStarts,
+    });
+  }
+
+  private createSlowStarts(incarnation: string): SlowStartGate {
+    return new SlowStartGate({
+      clock: this.clock,
+      log: this.log,
+      incarnation,
+      rules: this.options.placementRules,
+      slowStartOf: (group) => this.table?.limitsByGroup.get(group)?.slowStart,
+      isLeaving: () => this.isLeaving,
     });
   }
 
   private createSynchronisation(fleet: FleetDirectory): ControlSynchronisation {
     const { self, log, contact, document, leases, primaryHealth, positions, instances } = this;
+    const { slowStarts } = this;
     const parts = {
       self,
       log,
@@ -246,6 +263,7 @@
       primaryHealth,
       positions,
       instances,
+      slowStarts,
     };
     return new ControlSynchronisation(this.runtime, parts, this.options.seeds);
   }
--- a/src/appointed/proxy/control_synchronisation.ts
+++ b/src/appointed/proxy/control_synchronisation.ts
@@ -6,6 +6,7 @@
 import type { DecisionLog } from '../../observability/decision_logger.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { Runtime } from '../../runtime/runtime.js';
+import type { SlowStartGate } from '../placement/slow_start_gate.js';
 import type { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
 import type { PrimaryLeases } from '../trust/primary_leases.js';
 import { ControlClient } from './control_client.js';
@@ -29,6 +30,7 @@
   readonly primaryHealth: PrimaryHealthTrackers;
   readonly positions: PrimaryPositions;
   readonly instances: ProxyInstances;
+  readonly slowStarts: SlowStartGate;
 }
 
 /** Synchronisation of one proxy. */
@@ -133,7 +135,7 @@
 
   /** Takes over a reply to a request that was sent at `sentAt`. */
   onSync(reply: whinyoke.ISyncReply, content: SyncContent, sentAt: number): void {
-    const { contact, document, leases, positions } = this.parts;
+    const { contact, document, leases, positions, slowStarts } = this.parts;
     const now = this.runtime.clock.now();
     contact.noteReply(now);
     for (const { group, epoch } of content.revocations) leases.confirmed(group ?? '', epoch ?? 0);
@@ -148,6 +150,7 @@
     // A reply that was overtaken grants leases on epochs that may be over.
     if (version === this.catalogVersion) {
       leases.extendAll(sentAt + (reply.leaseMs ?? 0));
+      slowStarts.extend(sentAt + (reply.slowStartLeaseMs ?? 0));
       positions.adopt(reply, sentAt);
     }
     if (leases.hasDueRevocation(now)) void this.client.syncNow();
--- a/src/appointed/proxy/proxy_context.ts
+++ b/src/appointed/proxy/proxy_context.ts
@@ -47,6 +47,8 @@
   connectionsTo(instance: string): ConnectionSource | undefined;
   /** Instances of a group that take new work. */
   readCandidates(group: string): readonly ReadCandidate[];
+  /** Counts a request that this process sends to an instance now; false when the instance is cold and must not get it. */
+  admit(instance: string, isUrgent: boolean): boolean;
 }
 
 /** Surroundings of a session. */
--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -14,6 +14,7 @@
   InstanceConnector,
   InstanceTarget,
 } from '../instance/instance_connection.js';
+import type { SlowStartGate } from '../placement/slow_start_gate.js';
 import type { ReadCandidate } from '../routing/replica_selector.js';
 import type { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
 import type { PrimaryLeases } from '../trust/primary_leases.js';
@@ -37,6 +38,7 @@
   readonly leases: PrimaryLeases;
   readonly primaryHealth: PrimaryHealthTrackers;
   readonly positions: PrimaryPositions;
+  readonly slowStarts: SlowStartGate;
 }
 
 /** Instances of one proxy. */
@@ -44,12 +46,13 @@
   private readonly directory: InstanceDirectory;
 
   constructor(private readonly surroundings: InstancesSurroundings) {
-    const { runtime, ownAddress, connector, log, document, fleet } = surroundings;
+    const { runtime, ownAddress, connector, log, document, fleet, slowStarts } = surroundings;
     this.directory = new InstanceDirectory({
       runtime,
       ownAddress,
       connector,
       log,
+      slowStarts,
       connectionLimitOf: (group) => document.table?.limitsByGroup.get(group)?.connectionLimit ?? 0,
       hasTenants: () => document.table === undefined || document.table.tenants.size > 0,
       tenantRate: (tenant) => document.table?.tenants.named(tenant)?.limit?.ratePerSecond,
@@ -84,6 +87,11 @@
     return this.directory.readCandidates(group, this.primaryOf(group));
   }
 
+  /** Counts a request that this process sends to an instance now; false when the instance is cold and must not get it. */
+  admit(instance: string, isUrgent: boolean): boolean {
+    return this.directory.admit(instance, isUrgent);
+  }
+
   /** All instances of a group but its primary, whatever their state. */
   replicasOf(group: string): readonly ConfirmingReplica[] {
     return this.directory.replicasOf(group, this.primaryOf(group));
--- a/src/appointed/relay/instance_access.ts
+++ b/src/appointed/relay/instance_access.ts
@@ -4,13 +4,26 @@
  * Owns the list of relayed connections in use. Relies on the pool and on the health of owners; where no owner may be tried,
  * the pool is.
  */
+import { AcquireError } from '../connections/acquire_error.js';
 import type { ConnectionSource } from '../connections/connection_source.js';
 import type { InstanceLoad } from '../connections/instance_load.js';
 import type { InstancePool } from '../connections/instance_pool.js';
 import { type ConnectionRequest, PooledConnection } from '../connections/pooled_connection.js';
+import type { ColdRoute } from '../placement/slow_start_gate.js';
+import { isUrgent } from '../placement/slow_start_budget.js';
 import { NO_TENANT } from '../tenancy/tenant.js';
 import { RelayedConnection, type RelaySurroundings } from './relayed_connection.js';
 
+/** Ways to one instance but for own connections. */
+export interface InstanceWays {
+  /** Connection owners for a tenant, in order; empty where this proxy has connections of its own. */
+  ownersFor(tenant: string): readonly string[];
+  /** The way of requests for a cold instance; undefined for a warm one. */
+  coldRoute(isUrgent: boolean): ColdRoute | undefined;
+  /** A request for the instance, which is cold, was refused. */
+  noteRefused(): void;
+}
+
 /** Most owners (a count) that one request tries. Guess, not measured. */
 const MOST_TRIED = 3;
 
@@ -24,13 +37,12 @@
     readonly local: InstancePool,
     private readonly ownAddress: string,
     private readonly surroundings: RelaySurroundings,
-    /** Connection owners for a tenant, in order; empty where this proxy has connections of its own. */
-    private readonly ownersFor: (tenant: string) => readonly string[],
+    private readonly ways: InstanceWays,
   ) {}
 
   /** Whether requests queue at a connection owner. */
   get queuesAtOwner(): boolean {
-    return this.ownersFor(NO_TENANT).length > 0;
+    return this.ways.ownersFor(NO_TENANT).length > 0;
   }
 
   /** What the answers of the instance say of it. */
@@ -40,27 +52,54 @@
 
   /** A connection of the pool where this proxy is the first owner or no owner may be tried; a relayed one otherwise. */
   acquire(request: ConnectionRequest, timeoutMs: number): Promise<PooledConnection> {
-    const owners = this.ownersFor(request.tenant ?? NO_TENANT).filter((address) =>
-      this.surroundings.health.mayTry(address),
-    );
+    const isOfCaller = request.tenant !== undefined;
+    const cold = isOfCaller ? this.ways.coldRoute(isUrgent(request.priority)) : undefined;
+    if (cold) return this.acquireCold(cold, request, timeoutMs);
+    const owners = this.ways
+      .ownersFor(request.tenant ?? NO_TENANT)
+      .filter((address) => this.surroundings.health.mayTry(address));
     const [first] = owners;
     if (first === undefined || first === this.ownAddress) {
       return this.local.acquire(request, timeoutMs);
     }
     const others = owners.filter((address) => address !== this.ownAddress);
+    return Promise.resolve(this.relayVia(others, request, timeoutMs));
+  }
+
+  /** Requests for a cold instance go through its holder only; one that finds no room there is refused before it waits. */
+  private acquireCold(
+    { holder, isOpen }: ColdRoute,
+    request: ConnectionRequest,
+    timeoutMs: number,
+  ): Promise<PooledConnection> {
+    const isOwn = holder === this.ownAddress;
+    const mayTry = isOpen && (isOwn || this.surroundings.health.mayTry(holder));
+    if (!mayTry) {
+      this.ways.noteRefused();
+      return Promise.reject(new AcquireError('slowStart'));
+    }
+    if (isOwn) return this.local.acquire(request, timeoutMs);
+    return Promise.resolve(this.relayVia([holder], request, timeoutMs));
+  }
+
+  private relayVia(
+    owners: readonly string[],
+    request: ConnectionRequest,
+    timeoutMs: number,
+  ): PooledConnection {
     const route = {
       instance: this.local.target.id,
       tenant: request.tenant,
       priority: request.priority,
       usefulMs: request.usefulMs,
       waitMs: timeoutMs,
-      owners: others.slice(0, MOST_TRIED),
+      owners: owners.slice(0, MOST_TRIED),
     };
     const connection = new RelayedConnection(route, this.surroundings);
     const pooled = new PooledConnection(connection, request.tenant ?? NO_TENANT, true);
     this.relayed.add(pooled);
     connection.onClosed = () => this.relayed.delete(pooled);
-    return Promise.resolve(pooled);
+    return pooled;
   }
 
   /** Gives a connection back to where it came from. */
--- a/src/appointed/routing/refusal_cause.ts
+++ b/src/appointed/routing/refusal_cause.ts
@@ -24,6 +24,8 @@
   | { readonly kind: 'sessionNotLoaded' }
   /** This proxy may no longer trust the answers of the primary. */
   | { readonly kind: 'leaseEnded' }
+  /** The instance is cold, and no more may be sent to it now. */
+  | { readonly kind: 'slowStart' }
   /** The instance answered BEGIN with an error. */
   | { readonly kind: 'beginAnswered'; readonly error: InstanceErrorKind };
 
@@ -65,6 +67,12 @@
   /** A read outside a transaction: how its attempt ended, or the error that the instance answered. */
   | { readonly kind: 'readAttempt'; readonly ending: 'notRun' | 'lost' | InstanceErrorKind };
 
+/** Whether a cold instance could be sent no more. */
+export function isSlowStart(cause: RefusalCause): boolean {
+  if (cause.kind === 'attemptFailed') return cause.failure.kind === 'slowStart';
+  return cause.kind === 'slowStart';
+}
+
 /** Text of a cause on the wire, in log lines and in metrics. */
 export function textOf(cause: RetryCause): string {
   switch (cause.kind) {
@@ -76,6 +84,8 @@
       return 'the session could not be loaded';
     case 'leaseEnded':
       return 'the lease on the primary ended';
+    case 'slowStart':
+      return 'the instance is warming up';
     case 'beginAnswered':
       return `answered ${cause.error}`;
     case 'attemptFailed':
--- a/src/appointed/routing/replica_selector.ts
+++ b/src/appointed/routing/replica_selector.ts
@@ -21,6 +21,8 @@
   readonly load: InstanceLoad;
   /** Whether it leads its group. */
   readonly isPrimary: boolean;
+  /** Whether it warms up, so that it may get few requests only. */
+  readonly isCold?: boolean;
 }
 
 /**
@@ -30,6 +32,8 @@
 const PRIMARY_FACTOR = 6;
 /** Traffic to another zone costs latency and bytes. Guess, not measured by itself: set in the same round. */
 const OTHER_ZONE_FACTOR = 4;
+/** A cold instance comes after all warm ones that are not avoided. Guess, not measured. */
+const COLD_FACTOR = 500;
 /** An instance that is avoided after a broken connection or a missing answer comes last. Guess, not measured. */
 const AVOIDED_FACTOR = 1000;
 /**
@@ -54,6 +58,7 @@
   result *= 1 + FAILING_FACTOR * load.failingFraction(context.now);
   if (candidate.isPrimary) result *= PRIMARY_FACTOR;
   if (candidate.zone !== context.zone) result *= OTHER_ZONE_FACTOR;
+  if (candidate.isCold) result *= COLD_FACTOR;
   if (load.isEjected(context.now)) result *= AVOIDED_FACTOR;
   return result;
 }
--- a/src/appointed/routing/retry_after.ts
+++ b/src/appointed/routing/retry_after.ts
@@ -4,12 +4,12 @@
  * Situation: callers that were refused come back. Too early, they load instances and control machines that can't serve
  * them yet; too late, their deadline has passed.
  * Inputs: the cause of the refusal; the situation of the group that the request is for (ages in milliseconds).
- * Rule: a cause that names its own time decides. Where control must be reached first, the time of an election is told.
+ * Rule: a cause that names its own time decides. A cold instance has room again in a part of a second. Where control must be reached first, the time of an election is told.
  * Otherwise the group decides: the rest of a change of primary, a short time while a primary is trusted, the time of an
  * election while this proxy has no lease.
  * Relies on nothing: pure functions.
  */
-import type { RefusalCause } from './refusal_cause.js';
+import { type RefusalCause, isSlowStart } from './refusal_cause.js';
 
 /**
  * The request may be served at once, by another proxy or after a short queue; milliseconds. Guess, not measured;
@@ -21,6 +21,8 @@
  * an election. Guess, not measured (docs/design/quota.md tells that it is used for grants).
  */
 const CONTROL_RETRY_MS = 300;
+/** A cold instance may be sent more after a part of its window of 1.1 s, in milliseconds. Guess, not measured. */
+const SLOW_START_RETRY_MS = 400;
 /** Usual duration of a change of primary, in milliseconds. Guess, not measured. */
 export const USUAL_CHANGE_MS = 800;
 /**
@@ -42,6 +44,7 @@
  * @param situation - left out where nothing is known of a group
  */
 export function retryAfterMs(cause: RefusalCause, situation?: GroupSituation): number {
+  if (isSlowStart(cause)) return SLOW_START_RETRY_MS;
   switch (cause.kind) {
     case 'tenantOverLimit':
       return cause.retryAfterMs;
--- a/src/appointed/sessions/caller_transaction.ts
+++ b/src/appointed/sessions/caller_transaction.ts
@@ -9,9 +9,14 @@
  */
 import type { Position } from '../../positions/position.js';
 import { type CallerReply, type CommittedReply, refused } from './caller_reply.js';
-import type { InstanceAnswer, InstanceError } from '../instance/instance_connection.js';
+import type {
+  InstanceAnswer,
+  InstanceError,
+  InstanceErrorKind,
+} from '../instance/instance_connection.js';
 import { type RefusedRequest, inDoubt, logRetry, refuse } from '../routing/refusal.js';
 import type { AttemptFailure, RefusalCause } from '../routing/refusal_cause.js';
+import { AcquireError } from '../connections/acquire_error.js';
 import { ROLLBACK_TIMEOUT_MS, RequestDeadline } from '../routing/request_deadline.js';
 import { RetryPause } from '../routing/retry_pause.js';
 import type { Route } from '../catalog/route_table.js';
@@ -182,8 +187,7 @@
     if (error.kind === 'malformed' || error.kind === 'unknownName') {
       return refused(error.kind, error.text, 'failed');
     }
-    const cause = { kind: 'transactionAnswered' as const, error: error.kind };
-    return refuse(this.context, refusal, 'aborted', cause);
+    return refuse(this.context, refusal, 'aborted', transactionAnswered(error.kind));
   }
 
   /** Begins at an instance, unless done already; returns the cause when none could begin. Nothing ran then. */
@@ -218,6 +222,8 @@
       if (failure === undefined) return undefined;
       cause = { kind: 'attemptFailed', instance: target.instance, failure };
       logRetry(this.context, { id, deadline }, target, failure);
+      // The primary is the last choice, so nothing else is left that could take it sooner.
+      if (failure.kind === 'slowStart' && target.primaryEpoch !== undefined) break;
     }
     return cause;
   }
@@ -255,7 +261,9 @@
       const usefulMs = deadline.usefulRemaining;
       const needed = { tenant, values: content.values, priority, usefulMs };
       held = await this.runner.hold(target, needed, deadline.connectionWait(false));
-    } catch {
+    } catch (error) {
+      if (error instanceof AcquireError && error.failure === 'slowStart')
+        return { kind: 'slowStart' };
       // Nothing ran. The pool counts its refusals by reason; the text of this cause names none.
       return { kind: 'noConnection' };
     }
@@ -296,5 +304,10 @@
 /** Cause of a commit that was not answered, or was answered with an error. */
 function causeOfFailure(attempt: Attempt): RefusalCause {
   if (attempt.outcome !== 'answered') return attempt.cause;
-  return { kind: 'transactionAnswered', error: attempt.answer.error?.kind };
+  return transactionAnswered(attempt.answer.error?.kind);
+}
+
+/** Cause of an error in a transaction, of its instance or of the holder of a cold one. */
+function transactionAnswered(error: InstanceErrorKind | undefined): RefusalCause {
+  return error === 'slowStart' ? { kind: 'slowStart' } : { kind: 'transactionAnswered', error };
 }
--- a/src/appointed/sessions/single_statement.ts
+++ b/src/appointed/sessions/single_statement.ts
@@ -8,10 +8,14 @@
  */
 import { type Position } from '../../positions/position.js';
 import { type CallerReply, type CommittedReply, refused } from './caller_reply.js';
-import type { InstanceAnswer, InstanceError } from '../instance/instance_connection.js';
+import type {
+  InstanceAnswer,
+  InstanceError,
+  InstanceErrorKind,
+} from '../instance/instance_connection.js';
 import { AcquireError } from '../connections/acquire_error.js';
 import { inDoubt, logRetry, refuse } from '../routing/refusal.js';
-import type { AttemptFailure, RefusalCause } from '../routing/refusal_cause.js';
+import { type AttemptFailure, type RefusalCause, isSlowStart } from '../routing/refusal_cause.js';
 import type { RequestDeadline } from '../routing/request_deadline.js';
 import { RetryPause } from '../routing/retry_pause.js';
 import type { ProxyContext } from '../proxy/proxy_context.js';
@@ -81,6 +85,7 @@
       const result = this.judgeRead(request, target, attempt);
       if ('reply' in result) return result.reply;
       cause = result.cause;
+      if (isSlowStart(cause) && targets.length === 1) break;
       wasOffered ||= attempt.outcome !== 'notRun';
     }
     const refusal = { id: request.id, deadline, state: 'idle' as const };
@@ -105,7 +110,7 @@
       if ('reply' in result) return result;
       cause = result.cause;
       wasOffered ||= result.wasOffered;
-      if (!deadline.allowsRetry(wasOffered)) break;
+      if (isSlowStart(cause) || !deadline.allowsRetry(wasOffered)) break;
       logRetry(this.context, request, target, result.cause);
       await pause.wait();
     }
@@ -145,7 +150,7 @@
     const { kind: error } = answer.error;
     if (error === 'malformed') return { reply: fail(answer.error) };
     logRetry(this.context, request, target, { kind: 'readAttempt', ending: error });
-    return { cause: { kind: 'instanceAnswered', instance: target.instance, error } };
+    return { cause: answered(target, error) };
   }
 
   /** Tries a read at one instance, and judges whether its answer counts. */
@@ -208,8 +213,7 @@
     const { answer } = attempt;
     if (answer.error && isNotRun(answer.error.kind)) {
       const { kind: error } = answer.error;
-      const cause = { kind: 'instanceAnswered' as const, instance: target.instance, error };
-      return { cause, wasOffered: true };
+      return { cause: answered(target, error), wasOffered: true };
     }
     if (answer.error) return { reply: fail(answer.error) };
     if (!isTargetTrusted(this.context, target) || !answer.position) {
@@ -241,6 +245,7 @@
     } catch (error) {
       // The cause of the attempt carries the reason; the pool counts its refusals.
       const failure = error instanceof AcquireError ? error.failure : 'no connection';
+      if (failure === 'slowStart') return { outcome: 'notRun', cause: { kind: 'slowStart' } };
       return { outcome: 'notRun', cause: { kind: 'noConnection', failure } };
     }
   }
@@ -267,6 +272,12 @@
   if (!isHarmless) operation.noteRun();
 }
 
+/** Cause of an error that an instance answered, or the holder of a cold one in its place. */
+function answered({ instance }: Target, error: InstanceErrorKind): RefusalCause {
+  if (error === 'slowStart') return { kind: 'slowStart' };
+  return { kind: 'instanceAnswered', instance, error };
+}
+
 function attemptFailed({ instance }: Target, failure: AttemptFailure): RefusalCause {
   return { kind: 'attemptFailed', instance, failure };
 }
--- a/src/appointed/sessions/statement_runner.ts
+++ b/src/appointed/sessions/statement_runner.ts
@@ -14,6 +14,7 @@
 import type { ProxyContext } from '../proxy/proxy_context.js';
 import { type SessionContent, loadingSteps, recordLoaded } from './session_loader.js';
 import type { InstanceCommand } from '../instance/statement.js';
+import { isUrgent } from '../placement/slow_start_budget.js';
 import type { AttemptFailure } from '../routing/refusal_cause.js';
 import type { Target } from '../routing/target_planner.js';
 
@@ -27,6 +28,7 @@
   'readOnly',
   'wrongInstance',
   'connectionLimit',
+  'slowStart',
 ]);
 
 /** Errors that count as failures of the instance; others are due to the request or to a replica's lag. */
@@ -42,6 +44,7 @@
   'timeout',
   'full',
   'displaced',
+  'slowStart',
 ]);
 
 /** Whether an error promises that the statement did not run. */
@@ -55,6 +58,10 @@
   readonly target: Target;
   /** The connection. */
   readonly pooled: PooledConnection;
+  /** Whether its requests may use what the rate of a cold instance leaves to urgent ones. */
+  readonly isUrgent: boolean;
+  /** Whether a transaction has begun on it. */
+  inTransaction: boolean;
 }
 
 /** The statement certainly did not run. */
@@ -83,7 +90,8 @@
     const { load } = target.pool;
     load.outstanding++;
     try {
-      return { target, pooled: await target.pool.acquire(request, timeoutMs) };
+      const pooled = await target.pool.acquire(request, timeoutMs);
+      return { target, pooled, isUrgent: isUrgent(request.priority), inTransaction: false };
     } catch (error) {
       if (error instanceof AcquireError && !LOAD_FAILURES.has(error.failure)) {
         load.noteFailure(this.context.clock.now());
@@ -161,6 +169,8 @@
     const { target, pooled } = held;
     const { load } = target.pool;
     const { group, primaryEpoch: epoch } = target;
+    // Nothing may be awaited between this check and the sending: the request is counted in the window of this very moment.
+    if (!this.maySend(held, command)) return refusedByGate(held);
     const sentAt = clock.now();
     const isObserved = epoch !== undefined && !pooled.isRelayed;
     const observer = isObserved ? this.context.primaryHealth.of(group, epoch) : undefined;
@@ -172,6 +182,7 @@
       const now = clock.now();
       ended?.(true, now);
       this.reportAnswer(held, answer, sentAt, command.kind === 'data');
+      if (command.kind === 'begin' && !answer.error) held.inTransaction = true;
       return answer;
     } catch (error) {
       ended?.(false, clock.now());
@@ -182,6 +193,15 @@
     }
   }
 
+  /** Whether a command may be sent here and now; its relay asks where it does not leave this process's own connections. */
+  private maySend(held: HeldConnection, { kind }: InstanceCommand): boolean {
+    const isCounted = kind === 'data' || kind === 'commit';
+    if (held.pooled.isRelayed || !isCounted) return true;
+    // A transaction that has begun should end: it goes before requests that begin.
+    const goesFirst = held.isUrgent || held.inTransaction;
+    return this.context.instances.admit(held.target.instance, goesFirst);
+  }
+
   /** Reports an answer to the load of the instance, and, from a primary, to trust and positions. */
   private reportAnswer(
     held: HeldConnection,
@@ -219,6 +239,12 @@
   return !isOfOwner && error instanceof BackendConnectionLostError && error.sent;
 }
 
+/** Answer in place of a cold instance's: nothing was sent. A transaction can't go on then. */
+function refusedByGate({ target, inTransaction }: HeldConnection): InstanceAnswer {
+  const error = { kind: 'slowStart' as const, text: target.instance };
+  return { rows: [], signature: '', error, state: inTransaction ? 'failed' : 'idle' };
+}
+
 /** How an attempt ended whose connection failed. */
 function failedAttempt(reason: unknown): Attempt {
   const message = reason instanceof Error ? reason.message : 'connection lost';
