Slow start: simulator, metrics, and refusals before a request waits at the holder

Cause: requests for a cold primary waited for a connection at its holder, and were refused only then. Change: the holder lets in no more than it can send, and counts again when it sends. The simulator has a deployment whose instances are cold at the begin, and a rule that counts requests that were sent and arrived in one second. Gauges of cold instances and of requests given to them.

--- a/lab/appointed/appointed_deployment.ts
+++ b/lab/appointed/appointed_deployment.ts
@@ -1,4 +1,6 @@
 /** Sizes of simulated deployments whose primaries are appointed. */
+import type { SlowStart } from '../../src/appointed/catalog/route_table.js';
+import type { SlowStartRules } from '../../src/appointed/placement/slow_start_budget.js';
 import type { QuotaRules } from '../../src/appointed/tenancy/operation_budget.js';
 
 /** One deployment. */
@@ -18,6 +20,8 @@
   readonly callers: number;
   /** Tenants of the callers; undefined where callers need no credential. */
   readonly tenancy?: TenancyOfDeployment;
+  /** Slow start of its instances, which are cold from the begin of the run on; undefined where they are warm at once. */
+  readonly slowStart?: SlowStart & SlowStartRules;
 }
 
 /** Tenants of a deployment, and how strictly their limits are judged. */
@@ -85,7 +89,22 @@
   },
 };
 
+/** Instances that warm up for the first half of the faults, at a rate below what callers ask for. */
+export const APPOINTED_SLOW_START: AppointedDeployment = {
+  ...APPOINTED_QUETZAL,
+  name: 'appointed-slow-start',
+  slowStart: {
+    warmupMs: 15_000,
+    requestsPerSecond: 20,
+    slowStartOverage: 1.5,
+    slowStartTolerance: 5,
+  },
+};
+
 /** All, by name. */
 export const APPOINTED_DEPLOYMENTS: ReadonlyMap<string, AppointedDeployment> = new Map(
-  [APPOINTED_QUETZAL, APPOINTED_TOPLINA, APPOINTED_TENANTS].map((item) => [item.name, item]),
+  [APPOINTED_QUETZAL, APPOINTED_TOPLINA, APPOINTED_TENANTS, APPOINTED_SLOW_START].map((item) => [
+    item.name,
+    item,
+  ]),
 );
--- a/lab/appointed/appointed_judge.ts
+++ b/lab/appointed/appointed_judge.ts
@@ -4,6 +4,9 @@
  */
 import type { CallerErrorKind } from '../../src/appointed/sessions/caller_reply.js';
 import type { PreparedShape } from '../../src/appointed/instance/statement.js';
+import { MILLISECONDS_PER_SECOND } from '../../src/runtime/duration.js';
+import { mostRequests } from '../../src/appointed/placement/slow_start_budget.js';
+import type { AppointedDeployment } from './appointed_deployment.js';
 import type { SimulatedTenancy } from './simulated_tenancy.js';
 import type {
   CommitReport,
@@ -27,7 +30,8 @@
   | 'configuration'
   | 'shared-fence'
   | 'tenant'
-  | 'quota';
+  | 'quota'
+  | 'slow-start';
 
 /** A broken promise. */
 export interface AppointedViolation {
@@ -109,6 +113,12 @@
   /** Tenants of the run; undefined where callers need no credential. */
   tenancy: SimulatedTenancy | undefined;
 
+  /** Slow start of the instances; undefined where they are warm at once. */
+  slowStart: AppointedDeployment['slowStart'];
+  private readonly warm = new Set<string>();
+  /** When requests were sent that have reached each cold instance. */
+  private readonly arrivals = new Map<string, readonly number[]>();
+
   constructor(private readonly now: () => number) {}
 
   /** A caller sends a request. */
@@ -116,6 +126,21 @@
     this.expectations.set(id, expectation);
   }
 
+  /** An instance tells from now on that it is warm. */
+  onWarm(instance: string): void {
+    this.warm.add(instance);
+  }
+
+  /** A request has reached an instance. A cold one must not get more than its rate that were sent and arrived in one second. */
+  onArrival({ options: { id } }: EmulatedInstance, sentAt: number): void {
+    if (!this.slowStart || this.warm.has(id)) return;
+    const oldest = this.now() - MILLISECONDS_PER_SECOND;
+    const recent = [...(this.arrivals.get(id) ?? []), sentAt].filter((time) => time > oldest);
+    this.arrivals.set(id, recent);
+    const most = mostRequests(this.slowStart, this.slowStart);
+    if (recent.length > most) this.add('slow-start', `${id} got ${recent.length} of ${most}`);
+  }
+
   onRun(report: RunReport): void {
     this.counts.runs++;
     const { storage, appliedLength } = report.instance;
--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -21,6 +21,7 @@
   disableLease,
   disableQuota,
   disableReplicaLeases,
+  disableSlowStart,
 } from './disabled_protections.js';
 import type { VirtualProcess } from '../simulation/virtual_process.js';
 
@@ -107,6 +108,7 @@
     if (surroundings.disabled.has('lease')) disableLease(core);
     if (surroundings.disabled.has('replica-witness')) disableReplicaLeases(core);
     if (surroundings.disabled.has('fleet-quota')) disableQuota(core);
+    if (surroundings.disabled.has('slow-start')) disableSlowStart(core);
     this.core = core;
     core.start();
     process.onEnd(() => core.stop());
--- a/lab/appointed/appointed_world.ts
+++ b/lab/appointed/appointed_world.ts
@@ -76,6 +76,8 @@
   private acknowledgedVersion = 0;
   /** Tenants and their present credentials; undefined where callers need none. */
   readonly tenancy: SimulatedTenancy | undefined;
+  /** Slow start that the next document gives all groups. */
+  slowStart: AppointedDeployment['slowStart'];
   private nextVersion = 1;
   private nextSequence = 1;
 
@@ -93,6 +95,8 @@
     this.judge = new AppointedJudge(() => this.scheduler.now);
     this.tenancy = deployment.tenancy && new SimulatedTenancy(deployment.tenancy);
     this.judge.tenancy = this.tenancy;
+    this.slowStart = deployment.slowStart;
+    this.judge.slowStart = deployment.slowStart;
     this.outside = new VirtualProcess(CALLERS_HOST, this.scheduler, this.random, 0);
     this.groups = this.createGroups();
     const controlAddresses = Array.from(
@@ -109,7 +113,7 @@
       lines: this.lines,
       disabled,
       tenancy: deployment.tenancy,
-      placementRules: DEFAULT_PLACEMENT_RULES,
+      placementRules: { ...DEFAULT_PLACEMENT_RULES, ...deployment.slowStart },
       connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
       connectorFor: (process) =>
         new VirtualInstanceConnector(
@@ -235,10 +239,11 @@
         return [database, route];
       }),
     );
+    const { slowStart } = this;
     const { connectionLimit } = this.deployment;
     const limits = this.groups.map(({ name: group }): [string, GroupLimits] => [
       group,
-      { group, connectionLimit },
+      { group, connectionLimit, slowStart },
     ]);
     return { version, transactionIdleMs: TRANSACTION_IDLE_MS, routes, limits };
   }
@@ -273,6 +278,8 @@
 
   private beatOf(machine: InstanceMachine): whinyoke.IInstanceBeat {
     const { options, host } = machine.site;
+    const warmupMs = this.warmupLeft;
+    if (warmupMs === 0) this.judge.onWarm(options.id);
     const instance = machine.running;
     return {
       instance: {
@@ -285,9 +292,15 @@
         sequence: this.nextSequence++,
       },
       role: machine.storage.role === 'primary' ? InstanceRole.PRIMARY : InstanceRole.REPLICA,
+      warmupMs,
     };
   }
 
+  private get warmupLeft(): number {
+    const { warmupMs = 0 } = this.deployment.slowStart ?? {};
+    return Math.ceil(Math.max(0, warmupMs - this.scheduler.now));
+  }
+
   private beat(machine: InstanceMachine): void {
     if (machine.running?.process.running) {
       void this.callControl({ beat: this.beatOf(machine) }, machine.site.host);
--- a/lab/appointed/disabled_protections.ts
+++ b/lab/appointed/disabled_protections.ts
@@ -21,6 +21,7 @@
   'tenant-binding',
   'credential-freshness',
   'fleet-quota',
+  'slow-start',
 ] as const;
 
 /** One protection. */
@@ -89,6 +90,13 @@
   core.allowances.take = () => ({ isGranted: true });
 }
 
+/** Makes a proxy send to cold instances as to warm ones. */
+export function disableSlowStart({ slowStarts }: AppointedProxy): void {
+  slowStarts.routeTo = () => undefined;
+  slowStarts.enter = () => () => undefined;
+  slowStarts.admit = () => true;
+}
+
 /** Makes a proxy extend its leases while control is out of reach without asking the replicas. */
 export function disableReplicaLeases(core: AppointedProxy): void {
   const { leases, clock } = core;
--- a/lab/appointed/emulated_instance.ts
+++ b/lab/appointed/emulated_instance.ts
@@ -87,6 +87,7 @@
 
 /** Hears of what instances do. */
 export interface InstanceJournal {
+  onArrival(instance: EmulatedInstance, sentAt: number): void;
   onRun(report: RunReport): void;
   onCommit(report: CommitReport): void;
   onAppended(record: LogRecord): void;
@@ -147,6 +148,11 @@
     return new EmulatedSession(tenant, () => this.connections--);
   }
 
+  /** A command that was sent at `sentAt` has come; it waits for those before it on its connection. */
+  receive({ kind }: InstanceCommand, sentAt: number): void {
+    if (kind === 'data' || kind === 'commit') this.journal.onArrival(this, sentAt);
+  }
+
   /** Runs a command; the fate tells whether its answer is sent. */
   async run(
     session: EmulatedSession,
--- a/lab/appointed/virtual_instances.ts
+++ b/lab/appointed/virtual_instances.ts
@@ -28,6 +28,12 @@
   | { readonly kind: 'opened'; readonly position: Position }
   | { readonly kind: 'refused'; readonly failure: ConnectFailure };
 
+/** A command on its way, with the time of the simulation at which it was sent. */
+interface SentCommand {
+  readonly command: InstanceCommand;
+  readonly sentAt: number;
+}
+
 interface PendingRun {
   resolve(answer: InstanceAnswer): void;
   reject(error: Error): void;
@@ -61,8 +67,10 @@
   );
   let previous: Promise<void> = Promise.resolve();
   end.onMessage = (message) => {
+    const { command, sentAt } = message as SentCommand;
+    instance.receive(command, sentAt);
     previous = previous.then(async () => {
-      const { answer, fate } = await instance.run(session, message as InstanceCommand);
+      const { answer, fate } = await instance.run(session, command);
       if (fate === 'sent' && instance.process.alive) end.send(answer);
     });
   };
@@ -108,7 +116,8 @@
           reject(error);
         },
       });
-      this.end.send(command);
+      const sentAt = this.process.scheduler.now;
+      this.end.send({ command, sentAt } satisfies SentCommand);
     });
   }
 
--- a/src/appointed/connections/instance_directory.ts
+++ b/src/appointed/connections/instance_directory.ts
@@ -20,7 +20,7 @@
   InstanceConnector,
   InstanceTarget,
 } from '../instance/instance_connection.js';
-import type { ColdRoute, SlowStartGate } from '../placement/slow_start_gate.js';
+import type { ColdRoute, EndWait, SlowStartGate } from '../placement/slow_start_gate.js';
 import { InstanceLoad } from './instance_load.js';
 import { InstancePool } from './instance_pool.js';
 import type { PoolListener, PoolOptions } from './pool_options.js';
@@ -125,10 +125,16 @@
     return candidates;
   }
 
+  /** Begins the wait of a request for a connection to an instance; undefined when that is cold and has no room for it. */
+  enter(id: string, isUrgent: boolean): EndWait | undefined {
+    const instance = this.entries.get(id);
+    return this.surroundings.slowStarts.enter(instance ?? {}, isUrgent);
+  }
+
   /** Counts a request that this process sends to an instance now; false when the instance is cold and must not get it. */
   admit(id: string, isUrgent: boolean): boolean {
     const instance = this.entries.get(id);
-    return instance === undefined || this.surroundings.slowStarts.admit(instance, isUrgent);
+    return this.surroundings.slowStarts.admit(instance ?? {}, isUrgent);
   }
 
   /** All instances of a group but its primary, whatever their state. */
--- a/src/appointed/control/catalog_service.ts
+++ b/src/appointed/control/catalog_service.ts
@@ -49,8 +49,10 @@
   private readonly warmUps: WarmUpMonitor;
 
   constructor(private readonly surroundings: CatalogServiceSurroundings) {
-    const { clock, catalog, log } = surroundings;
-    this.warmUps = new WarmUpMonitor(clock, catalog, log);
+    const { clock, catalog, node, log } = surroundings;
+    // All machines apply the entry; the one that leads tells of it.
+    const logAsLeader: DecisionLog = (event, fields) => node.leadsWithState && log(event, fields);
+    this.warmUps = new WarmUpMonitor(clock, catalog, logAsLeader);
   }
 
   /** Takes a request here or at the leader. */
--- a/src/appointed/daemon/control_daemon.ts
+++ b/src/appointed/daemon/control_daemon.ts
@@ -128,6 +128,9 @@
     'Fencing token of the appointment duty',
     () => catalog.duty.token ?? 0,
   );
+  gauge('whinyoke_cold_instances', 'Instances that warm up', () => {
+    return catalog.presentInstances.filter(({ isCold }) => isCold).length;
+  });
   addGroupEpochs(registry, core);
   return registry;
 }
--- a/src/appointed/daemon/proxy_metrics.ts
+++ b/src/appointed/daemon/proxy_metrics.ts
@@ -56,6 +56,7 @@
     this.addSynchronisation(core);
     this.addTenantOperations(core);
     this.addRelayedRequests(core);
+    this.addColdRequests(core);
     this.addPoolConnections(core);
     this.addPoolRefusals(core);
     this.addPrimaryEpochs(core);
@@ -104,6 +105,20 @@
     });
   }
 
+  private addColdRequests(core: AppointedProxy): void {
+    const cold = new Gauge({
+      name: 'whinyoke_cold_instance_requests',
+      help: 'Requests for instances that warm up since the start: sent by this proxy as their holder, and refused here',
+      labelNames: ['outcome'],
+      registers: [this.registry],
+      collect: () => {
+        for (const [outcome, count] of Object.entries(core.slowStarts.counts)) {
+          cold.set({ outcome }, count);
+        }
+      },
+    });
+  }
+
   private addPoolConnections(core: AppointedProxy): void {
     const pool = new Gauge({
       name: 'whinyoke_pool_connections',
--- a/src/appointed/placement/slow_start_gate.ts
+++ b/src/appointed/placement/slow_start_gate.ts
@@ -42,6 +42,11 @@
   readonly isOpen: boolean;
 }
 
+/** Ends the wait of a request for a connection. */
+export type EndWait = () => void;
+
+const NO_WAIT: EndWait = () => undefined;
+
 /** Gate of one proxy. */
 export class SlowStartGate {
   /** Requests to cold instances since the start: sent by this proxy, and refused. */
@@ -57,8 +62,7 @@
     this.leaseUntil = Math.max(this.leaseUntil, until);
   }
 
-  /** Whether an instance may get few requests only. */
-  isCold(instance: InstanceEntry): boolean {
+  private isCold(instance: InstanceEntry): boolean {
     return this.slowStartOf(instance) !== undefined;
   }
 
@@ -73,6 +77,22 @@
     return { holder, isOpen: this.maySend(now) && this.windowOf(instance).hasRoom(most, now) };
   }
 
+  /**
+   * Begins the wait of a request for a connection to an instance; undefined when the holder could not send it by then. Requests
+   * that others have to send, or that a warm instance gets, wait here for nothing.
+   */
+  enter(instance: InstanceEntry, isUrgent: boolean): EndWait | undefined {
+    const isHeldHere = this.isCold(instance) && this.isHolder(instance);
+    if (!isHeldHere) return NO_WAIT;
+    if (this.routeTo(instance, isUrgent)?.isOpen !== true) {
+      this.noteRefused(instance);
+      return undefined;
+    }
+    const window = this.windowOf(instance);
+    window.waiting++;
+    return () => window.waiting--;
+  }
+
   /** Counts a request that is sent to an instance now; false when it must not be sent. */
   admit(instance: InstanceEntry, isUrgent: boolean): boolean {
     const slowStart = this.slowStartOf(instance);
--- a/src/appointed/proxy/proxy_context.ts
+++ b/src/appointed/proxy/proxy_context.ts
@@ -9,6 +9,7 @@
 import type { ConnectionSource } from '../connections/connection_source.js';
 import type { PrimaryHealthTracker } from '../trust/primary_health_tracker.js';
 import type { PrimaryLeases } from '../trust/primary_leases.js';
+import type { EndWait } from '../placement/slow_start_gate.js';
 import type { ReadCandidate } from '../routing/replica_selector.js';
 import type { RouteTable } from '../catalog/route_table.js';
 import type { PrimaryPositions } from './primary_positions.js';
@@ -47,6 +48,8 @@
   connectionsTo(instance: string): ConnectionSource | undefined;
   /** Instances of a group that take new work. */
   readCandidates(group: string): readonly ReadCandidate[];
+  /** Begins the wait of a request for a connection to an instance; undefined when that is cold and has no room for it. */
+  enter(instance: string, isUrgent: boolean): EndWait | undefined;
   /** Counts a request that this process sends to an instance now; false when the instance is cold and must not get it. */
   admit(instance: string, isUrgent: boolean): boolean;
 }
--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -14,7 +14,7 @@
   InstanceConnector,
   InstanceTarget,
 } from '../instance/instance_connection.js';
-import type { SlowStartGate } from '../placement/slow_start_gate.js';
+import type { EndWait, SlowStartGate } from '../placement/slow_start_gate.js';
 import type { ReadCandidate } from '../routing/replica_selector.js';
 import type { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
 import type { PrimaryLeases } from '../trust/primary_leases.js';
@@ -87,6 +87,11 @@
     return this.directory.readCandidates(group, this.primaryOf(group));
   }
 
+  /** Begins the wait of a request for a connection to an instance; undefined when that is cold and has no room for it. */
+  enter(instance: string, isUrgent: boolean): EndWait | undefined {
+    return this.directory.enter(instance, isUrgent);
+  }
+
   /** Counts a request that this process sends to an instance now; false when the instance is cold and must not get it. */
   admit(instance: string, isUrgent: boolean): boolean {
     return this.directory.admit(instance, isUrgent);
--- a/src/appointed/relay/instance_access.ts
+++ b/src/appointed/relay/instance_access.ts
@@ -66,20 +66,18 @@
     return Promise.resolve(this.relayVia(others, request, timeoutMs));
   }
 
-  /** Requests for a cold instance go through its holder only; one that finds no room there is refused before it waits. */
+  /** Requests for a cold instance go through its holder only. Where that is this proxy, room for them was found already. */
   private acquireCold(
     { holder, isOpen }: ColdRoute,
     request: ConnectionRequest,
     timeoutMs: number,
   ): Promise<PooledConnection> {
-    const isOwn = holder === this.ownAddress;
-    const mayTry = isOpen && (isOwn || this.surroundings.health.mayTry(holder));
-    if (!mayTry) {
-      this.ways.noteRefused();
-      return Promise.reject(new AcquireError('slowStart'));
+    if (holder === this.ownAddress) return this.local.acquire(request, timeoutMs);
+    if (isOpen && this.surroundings.health.mayTry(holder)) {
+      return Promise.resolve(this.relayVia([holder], request, timeoutMs));
     }
-    if (isOwn) return this.local.acquire(request, timeoutMs);
-    return Promise.resolve(this.relayVia([holder], request, timeoutMs));
+    this.ways.noteRefused();
+    return Promise.reject(new AcquireError('slowStart'));
   }
 
   private relayVia(
--- a/src/appointed/relay/relay_server.ts
+++ b/src/appointed/relay/relay_server.ts
@@ -8,6 +8,7 @@
 import { messageOf } from '../../errors/errors.js';
 import { Events } from '../../observability/events.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
+import { AcquireError } from '../connections/acquire_error.js';
 import type { InstancePool } from '../connections/instance_pool.js';
 import type { ProxyContext } from '../proxy/proxy_context.js';
 import type { SessionContent } from '../sessions/session_loader.js';
@@ -15,6 +16,7 @@
   type Attempt,
   type HeldConnection,
   StatementRunner,
+  slowStartAnswer,
 } from '../sessions/statement_runner.js';
 import { textOf } from '../routing/refusal_cause.js';
 import { type Target } from '../routing/target_planner.js';
@@ -142,6 +144,9 @@
     try {
       held = await this.runner.hold(target, needed, waitMs);
     } catch (error) {
+      if (error instanceof AcquireError && error.failure === 'slowStart') {
+        return replyTo({ outcome: 'answered', answer: slowStartAnswer(target, false) }, '');
+      }
       return notRun(`no connection: ${messageOf(error)}`);
     }
     return this.run(held, '', content, command, timeoutMs);
--- a/src/appointed/sessions/caller_transaction.ts
+++ b/src/appointed/sessions/caller_transaction.ts
@@ -277,9 +277,9 @@
       return undefined;
     }
     this.runner.release(held, attempt.outcome === 'answered' ? attempt.answer : undefined);
-    return attempt.outcome === 'answered'
-      ? { kind: 'beginAnswered', error: attempt.answer.error!.kind }
-      : attempt.cause;
+    if (attempt.outcome !== 'answered') return attempt.cause;
+    const { kind: error } = attempt.answer.error!;
+    return error === 'slowStart' ? { kind: 'slowStart' } : { kind: 'beginAnswered', error };
   }
 
   private isTrusted(): boolean {
--- a/src/appointed/sessions/statement_runner.ts
+++ b/src/appointed/sessions/statement_runner.ts
@@ -14,6 +14,7 @@
 import type { ProxyContext } from '../proxy/proxy_context.js';
 import { type SessionContent, loadingSteps, recordLoaded } from './session_loader.js';
 import type { InstanceCommand } from '../instance/statement.js';
+import type { EndWait } from '../placement/slow_start_gate.js';
 import { isUrgent } from '../placement/slow_start_budget.js';
 import type { AttemptFailure } from '../routing/refusal_cause.js';
 import type { Target } from '../routing/target_planner.js';
@@ -88,6 +89,7 @@
     timeoutMs: number,
   ): Promise<HeldConnection> {
     const { load } = target.pool;
+    const endWait = this.enter(target, request);
     load.outstanding++;
     try {
       const pooled = await target.pool.acquire(request, timeoutMs);
@@ -99,9 +101,21 @@
       throw error;
     } finally {
       load.outstanding--;
+      endWait?.();
     }
   }
 
+  /** Refuses a request at once that a cold instance could not be sent; the system's own go there as to any. */
+  private enter(
+    { instance }: Target,
+    { tenant, priority }: ConnectionRequest,
+  ): EndWait | undefined {
+    if (tenant === undefined) return undefined;
+    const endWait = this.context.instances.enter(instance, isUrgent(priority));
+    if (!endWait) throw new AcquireError('slowStart');
+    return endWait;
+  }
+
   /** Gives a connection back after an answer that left it idle; closes it otherwise. */
   release(held: HeldConnection, answer?: InstanceAnswer): void {
     const { pool } = held.target;
@@ -170,7 +184,7 @@
     const { load } = target.pool;
     const { group, primaryEpoch: epoch } = target;
     // Nothing may be awaited between this check and the sending: the request is counted in the window of this very moment.
-    if (!this.maySend(held, command)) return refusedByGate(held);
+    if (!this.maySend(held, command)) return slowStartAnswer(held.target, held.inTransaction);
     const sentAt = clock.now();
     const isObserved = epoch !== undefined && !pooled.isRelayed;
     const observer = isObserved ? this.context.primaryHealth.of(group, epoch) : undefined;
@@ -240,8 +254,8 @@
 }
 
 /** Answer in place of a cold instance's: nothing was sent. A transaction can't go on then. */
-function refusedByGate({ target, inTransaction }: HeldConnection): InstanceAnswer {
-  const error = { kind: 'slowStart' as const, text: target.instance };
+export function slowStartAnswer({ instance }: Target, inTransaction: boolean): InstanceAnswer {
+  const error = { kind: 'slowStart' as const, text: instance };
   return { rows: [], signature: '', error, state: inTransaction ? 'failed' : 'idle' };
 }
 
--- /dev/null
+++ b/test/simulation/slow_start.test.ts
@@ -0,0 +1,98 @@
+/**
+ * Slow start over a simulated fleet whose instances are all cold at the begin.
+ *
+ * Failure that each test holds, and the parts of the emulation that it needs:
+ * - mixed faults: a cold instance that gets more than its rate in a second; needs the generator with all kinds of faults, the
+ *   rule slow-start, and its switch, which shows that the rule can fail.
+ * - a cold primary: writes that wait for a rate that is used up, or are refused without a cause of their own; needs the world
+ *   alone.
+ * - a document that takes the rate away, or brings one: proxies that go on as before; needs the world alone.
+ */
+import t from 'tap';
+import { APPOINTED_SLOW_START } from '../../lab/appointed/appointed_deployment.js';
+import { runAppointed } from '../../lab/appointed/appointed_simulation.js';
+import { AppointedWorld, databaseOf } from '../../lab/appointed/appointed_world.js';
+import type { CallerReply } from '../../src/appointed/sessions/caller_reply.js';
+
+const SEEDS = 4;
+const CAUGHT_WITHIN = 2;
+const SETTLED_MS = 2000;
+/** More than an instance may get in a second: 20 x 1.5 + 5. */
+const BURST = 60;
+const MOST = 35;
+/** Far less than what a write may wait for a connection, more than some trips. */
+const AT_ONCE_MS = 100;
+
+void t.test('mixed faults while all instances are cold', async (t) => {
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const report = await runAppointed({ deployment: APPOINTED_SLOW_START, seed });
+    t.same(report.violations, [], `seed ${seed}: ${report.faults.join('; ')}`);
+    t.same(report.unwritable, [], `seed ${seed}: ${report.faults.join('; ')}`);
+    t.ok(report.counts['acknowledged']! > 500, 'callers were served');
+  }
+});
+
+void t.test('without slow-start the checks report it', async (t) => {
+  for (let seed = 1; seed <= CAUGHT_WITHIN; seed++) {
+    const disabled = ['slow-start'] as const;
+    const report = await runAppointed({ deployment: APPOINTED_SLOW_START, seed, disabled });
+    t.ok(
+      report.violations.some(({ kind }) => kind === 'slow-start'),
+      `seed ${seed}`,
+    );
+  }
+});
+
+/** Writes through all proxies at the same moment; resolves with what came back within a short time. */
+async function burst(world: AppointedWorld, name: string): Promise<readonly CallerReply[]> {
+  const { name: group } = world.groups[0]!;
+  const replies: CallerReply[] = [];
+  for (let number = 0; number < BURST; number++) {
+    const router = world.routers[number % world.routers.length]!;
+    const session = router.running!.core.openSession(databaseOf(group, { kind: 'primary' }))!;
+    const id = `${name}-${number}`;
+    world.judge.expect(id, {
+      group,
+      values: new Map(),
+      prepared: undefined,
+      transaction: undefined,
+    });
+    void session.execute(id, { kind: 'write', argument: 'x' }).then((reply) => replies.push(reply));
+  }
+  await world.run(AT_ONCE_MS);
+  return replies;
+}
+
+function refusedSlow(replies: readonly CallerReply[]): readonly CallerReply[] {
+  return replies.filter(({ error }) => error?.text.includes('warming up; retry after 400 ms'));
+}
+
+void t.test('a cold primary gets its rate, and the rest is refused at once', async (t) => {
+  const world = new AppointedWorld(APPOINTED_SLOW_START, 1);
+  await world.start();
+  await world.run(SETTLED_MS);
+  const refused = refusedSlow(await burst(world, 'first'));
+  t.equal(refused.length, BURST - MOST);
+  t.ok(
+    refused.every(({ error }) => error?.kind === 'busy'),
+    'which promises that they did not run',
+  );
+  t.same(world.judge.violations, []);
+});
+
+void t.test('a document takes the rate away, and brings it back', async (t) => {
+  const world = new AppointedWorld(APPOINTED_SLOW_START, 2);
+  await world.start();
+  const { slowStart } = world;
+  const put = async (next: typeof slowStart): Promise<void> => {
+    world.slowStart = next;
+    world.judge.slowStart = next;
+    void world.submitUntilTaken();
+    await world.run(SETTLED_MS);
+  };
+  await put(undefined);
+  t.same(refusedSlow(await burst(world, 'without')), []);
+  await put(slowStart);
+  t.equal(refusedSlow(await burst(world, 'with')).length, BURST - MOST);
+  t.same(world.judge.violations, []);
+});
--- a/test/unit/slow_start.test.ts
+++ b/test/unit/slow_start.test.ts
@@ -1,6 +1,13 @@
 /** Slow start: the bound on what a cold instance gets, which instances are cold, who may send to them, and who is refused. */
 import fc from 'fast-check';
 import t from 'tap';
+import { Catalog } from '../../src/appointed/catalog/catalog.js';
+import { InstanceTable } from '../../src/appointed/catalog/instance_table.js';
+import type { SlowStart } from '../../src/appointed/catalog/route_table.js';
+import { SlowStartHolders } from '../../src/appointed/control/slow_start_holders.js';
+import { WarmUpMonitor } from '../../src/appointed/control/warm_up_monitor.js';
+import { SlowStartGate } from '../../src/appointed/placement/slow_start_gate.js';
+import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { MOST, type Omission, SlowStartPlay, type Step } from '../tools/slow_start_play.js';
 
 const ACTIONS: readonly Step['action'][] = [
@@ -52,3 +59,240 @@
     t.ok(result.failed, `${result.numRuns} schedules`);
   });
 }
+
+const SLOW_START = { warmupMs: 9000, requestsPerSecond: 6 };
+const RULES = { slowStartOverage: 1.5, slowStartTolerance: 2 };
+const COLD = { id: 'i', group: 'g', isCold: true, holderIncarnation: 'run', holderAddress: 'p:1' };
+
+/** The gate of one run, on a clock that the test moves. */
+function gateOf(incarnation: string): {
+  readonly gate: SlowStartGate;
+  readonly state: { now: number; slowStart: SlowStart | undefined };
+  readonly sendAll: (isUrgent: boolean) => number;
+} {
+  const state = { now: 0, slowStart: SLOW_START as SlowStart | undefined };
+  const gate = new SlowStartGate({
+    clock: { now: () => state.now, setTimer: () => ({ cancel: () => undefined }) },
+    log: () => undefined,
+    incarnation,
+    rules: RULES,
+    slowStartOf: () => state.slowStart,
+    isLeaving: () => false,
+  });
+  const sendAll = (isUrgent: boolean): number => {
+    let sent = 0;
+    while (sent < 100 && gate.admit(COLD, isUrgent)) sent++;
+    return sent;
+  };
+  return { gate, state, sendAll };
+}
+
+void t.test('the holder sends the rate, and leaves a quarter of it to urgent requests', (t) => {
+  const { gate, state, sendAll } = gateOf('run');
+  t.equal(sendAll(true), 0, 'no lease');
+  gate.extend(3000);
+  t.equal(sendAll(false), 8);
+  t.same(gate.routeTo(COLD, false), { holder: 'p:1', isOpen: false });
+  t.same(gate.routeTo(COLD, true), { holder: 'p:1', isOpen: true });
+  t.equal(sendAll(true), 3);
+  state.now = 1099;
+  t.equal(sendAll(true), 0);
+  state.now = 1100;
+  t.equal(sendAll(true), 11);
+  t.match(gate.counts, { sent: 22 });
+  state.now = 2200;
+  const waits = Array.from({ length: 12 }, () => gate.enter(COLD, true));
+  t.equal(waits.filter(Boolean).length, 11, 'no more wait for a connection than can be sent');
+  waits[0]!();
+  t.ok(gate.enter(COLD, true), 'one of them was given up');
+  t.end();
+});
+
+void t.test('a holder that is cut off from control sends nothing once its lease has ended', (t) => {
+  const { gate, state, sendAll } = gateOf('run');
+  gate.extend(3000);
+  state.now = 2999;
+  t.equal(sendAll(true), 11);
+  state.now = 5000;
+  t.equal(sendAll(true), 0);
+  gate.extend(2000);
+  t.equal(sendAll(true), 0, 'an answer that comes late brings none');
+  t.end();
+});
+
+void t.test('a proxy that does not hold the instance sends it nothing, and knows who does', (t) => {
+  const { gate, sendAll } = gateOf('other');
+  gate.extend(3000);
+  t.equal(sendAll(true), 0);
+  t.same(gate.routeTo(COLD, true), { holder: 'p:1', isOpen: true });
+  t.same(gate.routeTo({ ...COLD, holderAddress: '' }, true), { holder: '', isOpen: false });
+  t.end();
+});
+
+void t.test('an instance that turns warm, or whose group has no rate, gets all', (t) => {
+  const { gate, state, sendAll } = gateOf('other');
+  t.equal(gate.routeTo({ ...COLD, isCold: false }, false), undefined);
+  t.ok(gate.admit({ ...COLD, isCold: false }, false));
+  state.slowStart = undefined;
+  t.equal(sendAll(false), 100, 'the document takes the rate away');
+  state.slowStart = SLOW_START;
+  t.equal(sendAll(false), 0, 'and brings it back');
+  t.end();
+});
+
+/** A leader with a catalog of two proxies and a cold instance, whose proposals are committed at once. */
+function leaderOf(): {
+  readonly catalog: Catalog;
+  readonly state: { now: number };
+  readonly warmUps: WarmUpMonitor;
+  readonly newHolders: () => SlowStartHolders;
+  readonly apply: (command: whinyoke.ICatalogCommand) => void;
+  readonly beat: (instance: whinyoke.IInstanceEntry, warmupMs: number, isNewest?: boolean) => void;
+} {
+  const catalog = new Catalog();
+  const state = { now: 0 };
+  let index = 0;
+  const clock = { now: () => state.now, setTimer: () => ({ cancel: () => undefined }) };
+  const apply = (command: whinyoke.ICatalogCommand): void => {
+    catalog.apply(++index, whinyoke.CatalogCommand.encode(command).finish());
+  };
+  const warmUps = new WarmUpMonitor(clock, catalog, () => undefined);
+  const beat = (instance: whinyoke.IInstanceEntry, warmupMs: number, isNewest = true): void =>
+    apply({ putInstance: { ...instance, ...warmUps.opinionOn(instance, warmupMs, isNewest) } });
+  const newHolders = (): SlowStartHolders => {
+    const holders = new SlowStartHolders({
+      clock,
+      catalog,
+      propose: (command) => {
+        apply(command);
+        return Promise.resolve(whinyoke.CatalogResult.create());
+      },
+      log: () => undefined,
+      isLeading: () => true,
+      slowStartOf: () => SLOW_START,
+    });
+    holders.begin();
+    return holders;
+  };
+  return { catalog, state, warmUps, newHolders, apply, beat };
+}
+
+const PROXIES = ['a', 'b'].map((id) => ({
+  id,
+  incarnation: `${id}1`,
+  address: `${id}:1`,
+  zone: 'z',
+}));
+const NEW = { id: 'i', group: 'g', zone: 'z', sequence: 1, born: 500 };
+const settled = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+
+/** A leader that has named the holder of a cold instance. */
+async function heldInstance() {
+  const leader = leaderOf();
+  leader.apply({ putProxies: { proxies: PROXIES } });
+  leader.beat(NEW, 9000);
+  const holders = leader.newHolders();
+  for (const proxy of PROXIES) holders.noteContact(proxy, false);
+  holders.review();
+  await settled();
+  const { holder } = leader.catalog.instance('i')!;
+  const [first, second] = holder === 'a' ? PROXIES : PROXIES.toReversed();
+  return { ...leader, holders, first: first!, second: second! };
+}
+
+void t.test('a holder that died is followed once its lease and its window are over', async (t) => {
+  const { catalog, state, holders, first, second } = await heldInstance();
+  t.equal(catalog.instance('i')?.holderIncarnation, first.incarnation);
+  t.equal(holders.leaseFor(first), 3000);
+  t.equal(holders.leaseFor(second), 0);
+  for (const at of [1500, 3000, 4199]) {
+    state.now = at;
+    holders.noteContact(second, false);
+    holders.review();
+    t.equal(catalog.instance('i')?.holder, first.id, `not after ${at} ms`);
+  }
+  state.now = 4200;
+  holders.review();
+  t.equal(holders.leaseFor(first), 0, 'the former gets no lease while the next is being named');
+  await settled();
+  t.equal(catalog.instance('i')?.holder, second.id);
+  t.equal(holders.leaseFor(second), 3000);
+});
+
+void t.test('a holder that leaves is followed after a window', async (t) => {
+  const { catalog, state, holders, first, second } = await heldInstance();
+  holders.noteContact(first, true);
+  state.now = 1200;
+  holders.noteContact(second, false);
+  holders.review();
+  await settled();
+  t.equal(catalog.instance('i')?.holder, second.id);
+});
+
+void t.test('a new leader renews at once, and counts on leases of its predecessor', async (t) => {
+  const { catalog, state, newHolders, first, second } = await heldInstance();
+  state.now = 100;
+  const successor = newHolders();
+  t.equal(successor.leaseFor(first), 3000);
+  for (const at of [4300, 5299]) {
+    state.now = at;
+    successor.noteContact(second, false);
+    successor.review();
+    t.equal(catalog.instance('i')?.holder, first.id, `not after ${at} ms`);
+  }
+  state.now = 5300;
+  successor.review();
+  await settled();
+  t.equal(catalog.instance('i')?.holder, second.id);
+});
+
+void t.test('an instance is cold from its first heartbeat until one that tells the end', (t) => {
+  const { catalog, beat } = leaderOf();
+  beat(NEW, 9000);
+  t.match(catalog.instance('i'), { isCold: true, coldSince: 1 });
+  beat({ ...NEW, sequence: 2 }, 10);
+  t.match(catalog.instance('i'), { isCold: true, coldSince: 1 });
+  beat({ ...NEW, sequence: 3 }, 0);
+  t.match(catalog.instance('i'), { isCold: false, coldSince: 0 });
+  beat({ ...NEW, sequence: 4, born: 900 }, 9000);
+  t.match(catalog.instance('i'), { isCold: true, coldSince: 4 }, 'born again');
+  beat({ id: 'j', group: 'g', zone: 'z', sequence: 1 }, 0);
+  t.match(catalog.instance('j'), { isCold: false }, 'it tells no warm-up');
+  t.end();
+});
+
+void t.test('a heartbeat from before an evacuation ended does not end the coldness', (t) => {
+  const { catalog, state, beat } = leaderOf();
+  beat(NEW, 0);
+  beat({ ...NEW, sequence: 2 }, 500);
+  t.match(catalog.instance('i'), { isCold: true, coldSince: 2 }, 'cold without a new incarnation');
+  state.now = 2999;
+  beat({ ...NEW, sequence: 3 }, 0);
+  t.ok(catalog.instance('i')?.isCold, 'it may have been sent before');
+  state.now = 3000;
+  beat({ ...NEW, sequence: 3 }, 0, false);
+  t.ok(catalog.instance('i')?.isCold, 'a newer one was heard');
+  beat({ ...NEW, sequence: 4 }, 0);
+  t.notOk(catalog.instance('i')?.isCold);
+  t.end();
+});
+
+void t.test(
+  'the end of an evacuation cools a zone, and an opinion of before changes nothing',
+  (t) => {
+    const table = new InstanceTable();
+    table.put(1, NEW);
+    table.put(2, { ...NEW, id: 'j', zone: 'y' });
+    t.ok(table.cool('z', 7));
+    t.match(table.get('i'), { isCold: true, coldSince: 7, version: 7 });
+    t.notOk(table.get('j')?.isCold);
+    t.ok(table.setHolder(8, { instance: 'i', holder: 'a', incarnation: 'a1', address: 'a:1' }));
+    t.notOk(table.setHolder(9, { instance: 'i', incarnation: 'b1' }), 'it follows nobody');
+    table.put(10, { ...NEW, isCold: false, coldSince: 0 });
+    t.match(table.get('i'), { isCold: true, coldSince: 7, holder: 'a' });
+    table.put(11, { ...NEW, isCold: false, coldSince: 7 });
+    t.match(table.get('i'), { isCold: false, coldSince: 0, holder: 'a' }, 'the holder stays');
+    t.notOk(table.cool('x', 12));
+    t.end();
+  },
+);
