--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -217,10 +217,12 @@
 
   private makeSlowStarts(shared: SharedSurroundings): SlowStartHolders {
     const { node, catalog } = shared;
-    const document = new NewestDocument(catalog, this.options.documents);
+    const { documents, placementRules } = this.options;
+    const document = new NewestDocument(catalog, documents);
     return new SlowStartHolders({
       ...shared,
       isLeading: () => node.leadsWithState,
+      regionOf: (zone) => placementRules.regionByZone.get(zone),
       slowStartOf: (group) => document.table?.limitsByGroup.get(group)?.slowStart,
     });
   }
--- a/src/appointed/control/slow_start_holders.ts
+++ b/src/appointed/control/slow_start_holders.ts
@@ -25,6 +25,8 @@
   readonly log: DecisionLog;
   /** Whether this machine leads, and has applied all that was committed before. */
   isLeading(): boolean;
+  /** Region of a zone; undefined where the settings name none. */
+  readonly regionOf: (zone: string) => string | undefined;
   /** Slow start of a group in the newest document. */
   slowStartOf(group: string): SlowStart | undefined;
 }
@@ -137,9 +139,16 @@
       });
   }
 
-  /** The first by rendezvous hashing among the live proxies of the instance's zone, or of all where it has none. */
+  /**
+   * The first by rendezvous hashing among the live proxies of the instance's zone, or of its region where the zone has none: in
+   * another region requests that must not leave theirs would be lost to it.
+   */
   private choose({ id, zone }: InstanceEntry): ProxyEntry | undefined {
-    const live = this.surroundings.catalog.proxies.filter((proxy) => this.isLive(proxy));
+    const { catalog, regionOf } = this.surroundings;
+    const region = regionOf(zone ?? '');
+    const live = catalog.proxies.filter(
+      (proxy) => this.isLive(proxy) && regionOf(proxy.zone ?? '') === region,
+    );
     const near = live.filter((proxy) => proxy.zone === zone);
     const candidates = near.length > 0 ? near : live;
     const table = new RendezvousTable(1, stableHash);
--- a/test/tools/slow_start_play.ts
+++ b/test/tools/slow_start_play.ts
@@ -63,6 +63,7 @@
       propose: (command) => play.propose(this, command),
       log: () => undefined,
       isLeading: () => this.deposedAt === Infinity,
+      regionOf: () => undefined,
       slowStartOf: () => SLOW_START,
     });
     this.holders.begin();
--- a/test/unit/refusals.test.ts
+++ b/test/unit/refusals.test.ts
@@ -39,6 +39,7 @@
     [{ kind: 'credentialUnknown' }, 'no tenant holds the credential'],
     [{ kind: 'credentialUnproven' }, 'whether the credential still holds is not known'],
     [{ kind: 'noConfiguration' }, 'no configuration yet'],
+    [{ kind: 'slowStart' }, 'the instance is warming up'],
     [{ kind: 'readAttempt', ending: 'lost' }, 'lost'],
   ];
   for (const [cause, text] of expected) t.equal(textOf(cause), text, cause.kind);
@@ -57,6 +58,9 @@
   }
   t.equal(retryAfterMs({ kind: 'noConfiguration' }), 300, 'no group is known');
   t.equal(retryAfterMs({ kind: 'tenantOverLimit', retryAfterMs: 71 }, steady), 71);
+  const failure = { kind: 'slowStart' as const };
+  t.equal(retryAfterMs(failure, steady), 400, 'a cold instance has room again');
+  t.equal(retryAfterMs({ kind: 'attemptFailed', instance: 'a-1', failure }, steady), 400);
   t.equal(overLimitRetryMs(100, 0), 100);
   t.equal(overLimitRetryMs(100, 0.5), 175, 'spread over one and a half times the wait');
   t.end();
--- a/test/unit/slow_start.test.ts
+++ b/test/unit/slow_start.test.ts
@@ -169,6 +169,7 @@
       },
       log: () => undefined,
       isLeading: () => true,
+      regionOf: (zone) => REGIONS[zone],
       slowStartOf: () => SLOW_START,
     });
     holders.begin();
@@ -183,6 +184,7 @@
   address: `${id}:1`,
   zone: 'z',
 }));
+const REGIONS: Readonly<Record<string, string>> = { z: 'here', y: 'here', x: 'elsewhere' };
 const NEW = { id: 'i', group: 'g', zone: 'z', sequence: 1, born: 500 };
 const settled = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
 
@@ -219,6 +221,23 @@
   t.equal(holders.leaseFor(second), 3000);
 });
 
+void t.test('an instance has a holder of its own region, or none', async (t) => {
+  const leader = leaderOf();
+  const far = { id: 'far', incarnation: 'far1', address: 'far:1', zone: 'x' };
+  const near = { id: 'near', incarnation: 'near1', address: 'near:1', zone: 'y' };
+  leader.apply({ putProxies: { proxies: [far, near] } });
+  leader.beat(NEW, 9000);
+  const holders = leader.newHolders();
+  holders.noteContact(far, false);
+  holders.review();
+  await settled();
+  t.equal(leader.catalog.instance('i')?.holder, '');
+  holders.noteContact(near, false);
+  holders.review();
+  await settled();
+  t.equal(leader.catalog.instance('i')?.holder, 'near');
+});
+
 void t.test('a holder that leaves is followed after a window', async (t) => {
   const { catalog, state, holders, first, second } = await heldInstance();
   holders.noteContact(first, true);
@@ -252,6 +271,9 @@
   t.match(catalog.instance('i'), { isCold: true, coldSince: 1 });
   beat({ ...NEW, sequence: 2 }, 10);
   t.match(catalog.instance('i'), { isCold: true, coldSince: 1 });
+  const restored = new Catalog();
+  restored.restore(1, catalog.serialize());
+  t.match(restored.instance('i'), { isCold: true, coldSince: 1 }, 'snapshots hold it');
   beat({ ...NEW, sequence: 3 }, 0);
   t.match(catalog.instance('i'), { isCold: false, coldSince: 0 });
   beat({ ...NEW, sequence: 4, born: 900 }, 9000);
