--- a/lab/appointed/appointed_judge.ts
+++ b/lab/appointed/appointed_judge.ts
@@ -115,7 +115,10 @@
 
   /** Slow start of the instances; undefined where they are warm at once. */
   slowStart: AppointedDeployment['slowStart'];
-  private readonly warm = new Set<string>();
+  /** Whether an instance is cold, and all proxies that run know it. */
+  isCold: (instance: string) => boolean = () => false;
+  /** Since when that is so. */
+  private readonly coldFrom = new Map<string, number>();
   /** When requests were sent that have reached each cold instance. */
   private readonly arrivals = new Map<string, readonly number[]>();
 
@@ -126,15 +129,17 @@
     this.expectations.set(id, expectation);
   }
 
-  /** An instance tells from now on that it is warm. */
-  onWarm(instance: string): void {
-    this.warm.add(instance);
-  }
-
   /** A request has reached an instance. A cold one must not get more than its rate that were sent and arrived in one second. */
   onArrival({ options: { id } }: EmulatedInstance, sentAt: number): void {
-    if (!this.slowStart || this.warm.has(id)) return;
-    const oldest = this.now() - MILLISECONDS_PER_SECOND;
+    if (!this.slowStart || !this.isCold(id)) {
+      this.coldFrom.delete(id);
+      return;
+    }
+    const now = this.now();
+    // Before its first request an instance was never warm.
+    const coldFrom = this.coldFrom.get(id) ?? (this.arrivals.has(id) ? now : 0);
+    this.coldFrom.set(id, coldFrom);
+    const oldest = Math.max(now - MILLISECONDS_PER_SECOND, coldFrom);
     const recent = [...(this.arrivals.get(id) ?? []), sentAt].filter((time) => time > oldest);
     this.arrivals.set(id, recent);
     const most = mostRequests(this.slowStart, this.slowStart);
--- a/lab/appointed/appointed_world.ts
+++ b/lab/appointed/appointed_world.ts
@@ -61,6 +61,15 @@
   return `${group}-${policy.kind}`;
 }
 
+/** A start of an instance. */
+interface InstanceStart {
+  readonly instance: InstanceMachine['current'];
+  readonly at: number;
+  readonly isFirst: boolean;
+  /** Whether it has told that it is warm. */
+  isWarm: boolean;
+}
+
 /** One simulated deployment. */
 export class AppointedWorld {
   readonly scheduler = new Scheduler();
@@ -78,6 +87,8 @@
   readonly tenancy: SimulatedTenancy | undefined;
   /** Slow start that the next document gives all groups. */
   slowStart: AppointedDeployment['slowStart'];
+  /** Newest start of each instance that sent a heartbeat. */
+  private readonly starts = new Map<string, InstanceStart>();
   private nextVersion = 1;
   private nextSequence = 1;
 
@@ -97,6 +108,7 @@
     this.judge.tenancy = this.tenancy;
     this.slowStart = deployment.slowStart;
     this.judge.slowStart = deployment.slowStart;
+    this.judge.isCold = (instance) => this.isKnownCold(instance);
     this.outside = new VirtualProcess(CALLERS_HOST, this.scheduler, this.random, 0);
     this.groups = this.createGroups();
     const controlAddresses = Array.from(
@@ -278,8 +290,7 @@
 
   private beatOf(machine: InstanceMachine): whinyoke.IInstanceBeat {
     const { options, host } = machine.site;
-    const warmupMs = this.warmupLeft;
-    if (warmupMs === 0) this.judge.onWarm(options.id);
+    const warmupMs = this.warmupLeft(machine);
     const instance = machine.running;
     return {
       instance: {
@@ -296,9 +307,29 @@
     };
   }
 
-  private get warmupLeft(): number {
+  /** Warm-up that an instance tells now: it begins anew with each start. */
+  private warmupLeft({ site, current }: InstanceMachine): number {
     const { warmupMs = 0 } = this.deployment.slowStart ?? {};
-    return Math.ceil(Math.max(0, warmupMs - this.scheduler.now));
+    const { now } = this.scheduler;
+    const known = this.starts.get(site.options.id);
+    const isSame = known?.instance === current;
+    const start = isSame ? known! : { instance: current, at: now, isFirst: !known, isWarm: false };
+    this.starts.set(site.options.id, start);
+    start.isWarm ||= now - start.at >= warmupMs;
+    return start.isWarm ? 0 : Math.ceil(warmupMs - (now - start.at));
+  }
+
+  /** Whether an instance is cold and all proxies know it: at its first start they knew nothing of it before. */
+  private isKnownCold(instance: string): boolean {
+    const start = this.starts.get(instance);
+    if (!start || start.isWarm) return false;
+    if (start.isFirst) return true;
+    const entries = this.coordinators.flatMap(
+      ({ running }) => running?.catalog.instance(instance) ?? [],
+    );
+    const since = Math.max(...entries.map(({ coldSince }) => coldSince ?? 0));
+    const versions = this.routers.flatMap(({ running }) => running?.core.knownVersion ?? []);
+    return since > 0 && versions.every((version) => version === 0 || version >= since);
   }
 
   private beat(machine: InstanceMachine): void {
--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -216,9 +216,9 @@
   }
 
   private makeSlowStarts(shared: SharedSurroundings): SlowStartHolders {
-    const { node, catalog } = shared;
+    const { node, catalog, log } = shared;
     const { documents, placementRules } = this.options;
-    const document = new NewestDocument(catalog, documents);
+    const document = new NewestDocument(catalog, documents, log);
     return new SlowStartHolders({
       ...shared,
       isLeading: () => node.leadsWithState,
