Slow start: a holder is not kept from leases for an instance that is gone

Cause: a holder whose follower was not certain to be committed got no lease for the rest of the leadership when the instance left. Change: what is withheld for an instance ends when that is gone; entries proposed before are applied or lost by then. Ruled out: ending it with the failure of the proposal: the entry may still be committed.

--- a/src/appointed/control/slow_start_holders.ts
+++ b/src/appointed/control/slow_start_holders.ts
@@ -15,8 +15,11 @@
 import { Events } from '../../observability/events.js';
 import type { DecisionLog } from '../../observability/decision_logger.js';
 import { type RunContact, successorFrom } from '../placement/slow_start_budget.js';
+import { whinyoke } from '../../protocol/generated/messages.js';
 import type { Clock } from '../../runtime/runtime.js';
 
+const { InstanceState } = whinyoke;
+
 /** What the service needs of its control machine. */
 export interface HoldersSurroundings {
   readonly clock: Clock;
@@ -24,7 +27,7 @@
   readonly propose: Proposer;
   readonly log: DecisionLog;
   /** Whether this machine leads, and has applied all that was committed before. */
-  isLeading(): boolean;
+  readonly isLeading: () => boolean;
   /** Region of a zone; undefined where the settings name none. */
   readonly regionOf: (zone: string) => string | undefined;
   /** Slow start of a group in the newest document. */
@@ -68,12 +71,22 @@
 
   /** Names holders where one is missing; called now and then, and after changes. */
   review(): void {
-    if (!this.surroundings.isLeading()) return;
-    for (const instance of this.surroundings.catalog.presentInstances) {
+    const { catalog, isLeading } = this.surroundings;
+    if (!isLeading()) return;
+    this.forgetGone();
+    for (const instance of catalog.presentInstances) {
       if (this.needsHolder(instance) && this.mayBeFollowed(instance)) this.nameHolder(instance);
     }
   }
 
+  /** Whoever has a later catalog in force, as leases require, sends nothing to an instance that is gone. */
+  private forgetGone(): void {
+    for (const id of this.withheld.keys()) {
+      const instance = this.surroundings.catalog.instance(id);
+      if (!instance || instance.state === InstanceState.GONE) this.withheld.delete(id);
+    }
+  }
+
   private onChange(): void {
     const { clock, catalog } = this.surroundings;
     const runs = catalog.instances.map(({ holderIncarnation }) => holderIncarnation ?? '');
--- a/test/unit/slow_start.test.ts
+++ b/test/unit/slow_start.test.ts
@@ -144,7 +144,7 @@
 function leaderOf(): {
   readonly catalog: Catalog;
   readonly state: { now: number };
-  readonly warmUps: WarmUpMonitor;
+  readonly proposals: { fail: boolean };
   readonly newHolders: () => SlowStartHolders;
   readonly apply: (command: whinyoke.ICatalogCommand) => void;
   readonly beat: (instance: whinyoke.IInstanceEntry, warmupMs: number, isNewest?: boolean) => void;
@@ -159,11 +159,13 @@
   const warmUps = new WarmUpMonitor(clock, catalog, () => undefined);
   const beat = (instance: whinyoke.IInstanceEntry, warmupMs: number, isNewest = true): void =>
     apply({ putInstance: { ...instance, ...warmUps.opinionOn(instance, warmupMs, isNewest) } });
+  const proposals = { fail: false };
   const newHolders = (): SlowStartHolders => {
     const holders = new SlowStartHolders({
       clock,
       catalog,
       propose: (command) => {
+        if (proposals.fail) return Promise.reject(new Error('no majority'));
         apply(command);
         return Promise.resolve(whinyoke.CatalogResult.create());
       },
@@ -175,7 +177,7 @@
     holders.begin();
     return holders;
   };
-  return { catalog, state, warmUps, newHolders, apply, beat };
+  return { catalog, state, proposals, newHolders, apply, beat };
 }
 
 const PROXIES = ['a', 'b'].map((id) => ({
@@ -238,6 +240,38 @@
   t.equal(leader.catalog.instance('i')?.holder, 'near');
 });
 
+void t.test(
+  'a new holder that may or may not be committed costs the former its lease until it is',
+  async (t) => {
+    const { catalog, state, holders, first, second, proposals, apply } = await heldInstance();
+    state.now = 4200;
+    holders.noteContact(second, false);
+    proposals.fail = true;
+    holders.review();
+    await settled();
+    holders.noteContact(first, false);
+    t.equal(holders.leaseFor(first), 0, 'although it is back');
+    proposals.fail = false;
+    holders.review();
+    await settled();
+    t.equal(catalog.instance('i')?.holder, second.id);
+    proposals.fail = true;
+    state.now = 8400;
+    holders.noteContact(first, false);
+    holders.review();
+    await settled();
+    holders.noteContact(second, false);
+    t.equal(holders.leaseFor(second), 0);
+    apply({ putInstance: { ...catalog.instance('i'), state: whinyoke.InstanceState.GONE } });
+    holders.review();
+    t.equal(
+      holders.leaseFor(second),
+      3000,
+      'the instance is gone: nothing is left to be taken over',
+    );
+  },
+);
+
 void t.test('a holder that leaves is followed after a window', async (t) => {
   const { catalog, state, holders, first, second } = await heldInstance();
   holders.noteContact(first, true);
