--- a/lab/appointed/appointed_deployment.ts
+++ b/lab/appointed/appointed_deployment.ts
@@ -1,4 +1,6 @@
 /** Sizes of simulated deployments whose primaries are appointed. */
+import type { SlowStart } from '../../src/appointed/catalog/route_table.js';
+import type { SlowStartRules } from '../../src/appointed/placement/slow_start_budget.js';
 import type { QuotaRules } from '../../src/appointed/tenancy/operation_budget.js';
 
 /** One deployment. */
@@ -20,6 +22,8 @@
   readonly tellsBorn?: boolean;
   /** Tenants of the callers; undefined where callers need no credential. */
   readonly tenancy?: TenancyOfDeployment;
+  /** Slow start of its instances, which are cold from the begin of the run on; undefined where they are warm at once. */
+  readonly slowStart?: SlowStart & SlowStartRules;
   /** A group all of whose routes are bound to some regions; undefined where nothing is bound. */
   readonly residency?: ResidencyOfDeployment;
 }
@@ -121,6 +125,18 @@
   },
 };
 
+/** Instances that warm up for the first half of the faults, at a rate below what callers ask for. */
+export const APPOINTED_SLOW_START: AppointedDeployment = {
+  ...APPOINTED_QUETZAL,
+  name: 'appointed-slow-start',
+  slowStart: {
+    warmupMs: 15_000,
+    requestsPerSecond: 20,
+    slowStartOverage: 1.5,
+    slowStartTolerance: 5,
+  },
+};
+
 /** All, by name. */
 export const APPOINTED_DEPLOYMENTS: ReadonlyMap<string, AppointedDeployment> = new Map(
   [
@@ -129,5 +145,6 @@
     APPOINTED_TENANTS,
     APPOINTED_INCARNATIONS,
     APPOINTED_REGIONS,
+    APPOINTED_SLOW_START,
   ].map((item) => [item.name, item]),
 );
--- a/lab/appointed/appointed_judge.ts
+++ b/lab/appointed/appointed_judge.ts
@@ -5,6 +5,9 @@
 import type { CallerErrorKind } from '../../src/appointed/sessions/caller_reply.js';
 import type { PreparedShape } from '../../src/appointed/instance/statement.js';
 import type { ResidencyOfDeployment } from './appointed_deployment.js';
+import { MILLISECONDS_PER_SECOND } from '../../src/runtime/duration.js';
+import { mostRequests } from '../../src/appointed/placement/slow_start_budget.js';
+import type { AppointedDeployment } from './appointed_deployment.js';
 import type { SimulatedTenancy } from './simulated_tenancy.js';
 import type {
   CommitReport,
@@ -30,7 +33,8 @@
   | 'shared-fence'
   | 'tenant'
   | 'quota'
-  | 'homes';
+  | 'homes'
+  | 'slow-start';
 
 /** A broken promise. */
 export interface AppointedViolation {
@@ -122,6 +126,15 @@
   /** What is bound to regions; undefined where nothing is. */
   residency: ResidencyOfDeployment | undefined;
 
+  /** Slow start of the instances; undefined where they are warm at once. */
+  slowStart: AppointedDeployment['slowStart'];
+  /** Whether an instance is cold, and all proxies that run know it. */
+  isCold: (instance: string) => boolean = () => false;
+  /** Since when that is so. */
+  private readonly coldFrom = new Map<string, number>();
+  /** When requests were sent that have reached each cold instance. */
+  private readonly arrivals = new Map<string, readonly number[]>();
+
   constructor(private readonly now: () => number) {}
 
   /** A caller sends a request. */
@@ -129,6 +142,23 @@
     this.expectations.set(id, expectation);
   }
 
+  /** A request has reached an instance. A cold one must not get more than its rate that were sent and arrived in one second. */
+  onArrival({ options: { id } }: EmulatedInstance, sentAt: number): void {
+    if (!this.slowStart || !this.isCold(id)) {
+      this.coldFrom.delete(id);
+      return;
+    }
+    const now = this.now();
+    // Before its first request an instance was never warm.
+    const coldFrom = this.coldFrom.get(id) ?? (this.arrivals.has(id) ? now : 0);
+    this.coldFrom.set(id, coldFrom);
+    const oldest = Math.max(now - MILLISECONDS_PER_SECOND, coldFrom);
+    const recent = [...(this.arrivals.get(id) ?? []), sentAt].filter((time) => time > oldest);
+    this.arrivals.set(id, recent);
+    const most = mostRequests(this.slowStart, this.slowStart);
+    if (recent.length > most) this.add('slow-start', `${id} got ${recent.length} of ${most}`);
+  }
+
   onRun(report: RunReport): void {
     this.counts.runs++;
     const { storage, appliedLength } = report.instance;
--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -28,6 +28,7 @@
   disableEvacuatedZones,
   disableQuota,
   disableReplicaLeases,
+  disableSlowStart,
 } from './disabled_protections.js';
 import type { VirtualProcess } from '../simulation/virtual_process.js';
 
@@ -117,6 +118,7 @@
     if (surroundings.disabled.has('fleet-quota')) disableQuota(core);
     if (surroundings.disabled.has('instance-lives')) disableEmptyPrimaryCheck(core);
     if (surroundings.disabled.has('evacuated-zones')) disableEvacuatedZones(core);
+    if (surroundings.disabled.has('slow-start')) disableSlowStart(core);
     this.core = core;
     core.start();
     process.onEnd(() => core.stop());
--- a/lab/appointed/appointed_world.ts
+++ b/lab/appointed/appointed_world.ts
@@ -67,9 +67,18 @@
   return `${group}-${policy.kind}`;
 }
 
-function placementRulesOf({ residency }: AppointedDeployment): PlacementRules {
+function placementRulesOf({ residency, slowStart }: AppointedDeployment): PlacementRules {
   const { regionByZone } = residency ?? DEFAULT_PLACEMENT_RULES;
-  return { ...DEFAULT_PLACEMENT_RULES, regionByZone };
+  return { ...DEFAULT_PLACEMENT_RULES, ...slowStart, regionByZone };
+}
+
+/** A start of an instance. */
+interface InstanceStart {
+  readonly instance: InstanceMachine['current'];
+  readonly at: number;
+  readonly isFirst: boolean;
+  /** Whether it has told that it is warm. */
+  isWarm: boolean;
 }
 
 /** One simulated deployment. */
@@ -89,6 +98,10 @@
   readonly tenancy: SimulatedTenancy | undefined;
   /** Zones that the operator evacuates, until the end of that is acknowledged. */
   readonly orderedZones = new Set<string>();
+  /** Slow start that the next document gives all groups. */
+  slowStart: AppointedDeployment['slowStart'];
+  /** Newest start of each instance that sent a heartbeat. */
+  private readonly starts = new Map<string, InstanceStart>();
   private nextVersion = 1;
   private nextSequence = 1;
 
@@ -107,6 +120,9 @@
     this.tenancy = deployment.tenancy && new SimulatedTenancy(deployment.tenancy);
     this.judge.tenancy = this.tenancy;
     this.judge.residency = deployment.residency;
+    this.slowStart = deployment.slowStart;
+    this.judge.slowStart = deployment.slowStart;
+    this.judge.isCold = (instance) => this.isKnownCold(instance);
     this.outside = new VirtualProcess(CALLERS_HOST, this.scheduler, this.random, 0);
     this.groups = this.createGroups();
     const controlAddresses = Array.from(
@@ -282,10 +298,11 @@
         return [database, route];
       }),
     );
+    const { slowStart } = this;
     const { connectionLimit } = this.deployment;
     const limits = this.groups.map(({ name: group }): [string, GroupLimits] => [
       group,
-      { group, connectionLimit },
+      { group, connectionLimit, slowStart },
     ]);
     return { version, transactionIdleMs: TRANSACTION_IDLE_MS, routes, limits };
   }
@@ -321,6 +338,7 @@
 
   private beatOf(machine: InstanceMachine): whinyoke.IInstanceBeat {
     const { options, host } = machine.site;
+    const warmupMs = this.warmupLeft(machine);
     const instance = machine.running;
     return {
       instance: {
@@ -334,9 +352,35 @@
         born: machine.storage.born,
       },
       role: machine.storage.role === 'primary' ? InstanceRole.PRIMARY : InstanceRole.REPLICA,
+      warmupMs,
     };
   }
 
+  /** Warm-up that an instance tells now: it begins anew with each start. */
+  private warmupLeft({ site, current }: InstanceMachine): number {
+    const { warmupMs = 0 } = this.deployment.slowStart ?? {};
+    const { now } = this.scheduler;
+    const known = this.starts.get(site.options.id);
+    const isSame = known?.instance === current;
+    const start = isSame ? known! : { instance: current, at: now, isFirst: !known, isWarm: false };
+    this.starts.set(site.options.id, start);
+    start.isWarm ||= now - start.at >= warmupMs;
+    return start.isWarm ? 0 : Math.ceil(warmupMs - (now - start.at));
+  }
+
+  /** Whether an instance is cold and all proxies know it: at its first start they knew nothing of it before. */
+  private isKnownCold(instance: string): boolean {
+    const start = this.starts.get(instance);
+    if (!start || start.isWarm) return false;
+    if (start.isFirst) return true;
+    const entries = this.coordinators.flatMap(
+      ({ running }) => running?.catalog.instance(instance) ?? [],
+    );
+    const since = Math.max(...entries.map(({ coldSince }) => coldSince ?? 0));
+    const versions = this.routers.flatMap(({ running }) => running?.core.knownVersion ?? []);
+    return since > 0 && versions.every((version) => version === 0 || version >= since);
+  }
+
   private beat(machine: InstanceMachine): void {
     if (machine.running?.process.running) {
       void this.callControl({ beat: this.beatOf(machine) }, machine.site.host);
--- a/src/appointed/catalog/catalog.ts
+++ b/src/appointed/catalog/catalog.ts
@@ -231,6 +231,8 @@
         return this.putSuccessorReserves(command.putFloors!.floors ?? []);
       case 'putEvacuation':
         return this.putEvacuation(index, command.putEvacuation!);
+      case 'setSlowStartHolder':
+        return this.instanceTable.setHolder(index, command.setSlowStartHolder!);
       case 'takeDuty':
         return this.takeLease(command.takeDuty!);
       default:
@@ -263,6 +265,7 @@
   /** After a `finished` order the instances of its zone are used again; entry `index` is the one since which they are. */
   private putEvacuation(index: number, order: whinyoke.IEvacuationOrder): boolean {
     const change = this.evacuationTable.put(index, order);
+    if (change === 'finished') this.instanceTable.cool(order.zone ?? '', index);
     return change !== 'none';
   }
 
@@ -277,7 +280,16 @@
   }
 }
 
+/** Kinds of commands that proxies have to know of. */
+const FOR_PROXIES: ReadonlySet<string> = new Set<NonNullable<whinyoke.CatalogCommand['kind']>>([
+  'putDocument',
+  'putInstance',
+  'putGroup',
+  'putEvacuation',
+  'setSlowStartHolder',
+]);
+
 /** Whether proxies have to know of a command; registrations of proxies and the appointment lease concern control only. */
 function isForProxies(command: whinyoke.CatalogCommand): boolean {
-  return ['putDocument', 'putInstance', 'putGroup', 'putEvacuation'].includes(command.kind ?? '');
+  return FOR_PROXIES.has(command.kind ?? '');
 }
--- a/src/appointed/catalog/instance_table.ts
+++ b/src/appointed/catalog/instance_table.ts
@@ -6,6 +6,7 @@
  */
 import { whinyoke } from '../../protocol/generated/messages.js';
 import { orderOf } from './incarnation_order.js';
+import { coldnessAfter } from './coldness.js';
 
 const { InstanceState } = whinyoke;
 
@@ -88,12 +89,31 @@
     }
     const born = instance.born || known?.born || 0;
     // Fields with default values are kept by the message's prototype only.
-    const told = { ...instance, version: index, born, incarnation };
+    const coldness = coldnessAfter(known, instance, index);
+    const told = { ...instance, ...coldness, version: index, born, incarnation };
     this.entries.set(id, whinyoke.InstanceEntry.create(told));
     this.forgetOldest();
     return true;
   }
 
+  /** The instances of a zone are cold from a log index on: its evacuation has ended. Returns whether there are any. */
+  cool(zone: string, index: number): boolean {
+    const cooled = this.present.filter((instance) => instance.zone === zone);
+    for (const instance of cooled) {
+      this.replace({ ...instance, isCold: true, coldSince: index, version: index });
+    }
+    return cooled.length > 0;
+  }
+
+  /** Names the proxy that may send to a cold instance; returns whether the one that it follows was the present one. */
+  setHolder(index: number, next: whinyoke.ISlowStartHolder): boolean {
+    const known = this.entries.get(next.instance ?? '');
+    if (!known || (known.holderIncarnation ?? '') !== (next.formerIncarnation ?? '')) return false;
+    const { holder, incarnation: holderIncarnation, address: holderAddress } = next;
+    this.replace({ ...known, holder, holderIncarnation, holderAddress, version: index });
+    return true;
+  }
+
   /** Replaces everything by the entries of a snapshot. */
   restore(
     instances: readonly whinyoke.IInstanceEntry[],
@@ -112,6 +132,10 @@
     return formerGroup === group && (beganAt ?? 0) > version;
   }
 
+  private replace(instance: whinyoke.IInstanceEntry): void {
+    this.entries.set(instance.id ?? '', whinyoke.InstanceEntry.create(instance));
+  }
+
   private forgetOldest(): void {
     const gone = this.all.filter((instance) => instance.state === InstanceState.GONE);
     const excess = gone.slice(0, Math.max(0, gone.length - MAXIMUM_REMEMBERED_GONE));
--- a/src/appointed/connections/acquire_error.ts
+++ b/src/appointed/connections/acquire_error.ts
@@ -8,10 +8,18 @@
  * - `unreachable`: the instance could not be reached;
  * - `wrongInstance`: another instance has its address;
  * - `evacuated`: the instance is in an evacuated zone;
- * - `closed`: the pool has ended.
+ * - `closed`: the pool has ended;
+ * - `slowStart`: the instance is cold, and no more may be sent to it now.
  */
 export type AcquireFailure =
-  'timeout' | 'full' | 'displaced' | 'unreachable' | 'wrongInstance' | 'evacuated' | 'closed';
+  | 'timeout'
+  | 'full'
+  | 'displaced'
+  | 'unreachable'
+  | 'wrongInstance'
+  | 'evacuated'
+  | 'closed'
+  | 'slowStart';
 
 /**
  * A pool had no connection for a request. A plain error, unlike all others: a full queue makes one for each statement that
--- a/src/appointed/connections/instance_directory.ts
+++ b/src/appointed/connections/instance_directory.ts
@@ -12,7 +12,7 @@
 import { whinyoke } from '../../protocol/generated/messages.js';
 import { ConnectionOwners, type OwnedInstance } from '../relay/connection_owners.js';
 import { OwnerHealth } from '../relay/owner_health.js';
-import { InstanceAccess } from '../relay/instance_access.js';
+import { InstanceAccess, type InstanceWays } from '../relay/instance_access.js';
 import type { RelaySurroundings } from '../relay/relayed_connection.js';
 import type { Runtime } from '../../runtime/runtime.js';
 import type { Position } from '../../positions/position.js';
@@ -22,6 +22,7 @@
   InstanceConnector,
   InstanceTarget,
 } from '../instance/instance_connection.js';
+import type { ColdRoute, EndWait, SlowStartGate } from '../placement/slow_start_gate.js';
 import { InstanceLoad } from './instance_load.js';
 import { InstancePool } from './instance_pool.js';
 import type { PoolListener, PoolOptions } from './pool_options.js';
@@ -48,6 +49,8 @@
   readonly regionByZone: ReadonlyMap<string, string>;
   readonly connector: InstanceConnector;
   readonly log: DecisionLog;
+  /** Bounds what cold instances get. */
+  readonly slowStarts: SlowStartGate;
   /** Connections that an instance of a group takes from all proxies together. */
   connectionLimitOf(group: string): number;
   /** Whether a connection serves only the tenant for whom it was opened. */
@@ -156,8 +159,12 @@
       const access = this.accesses.get(id);
       const isUsable = instance.group === group && instance.state === InstanceState.READY;
       if (!access || !isUsable || this.stageOf(id) !== undefined) continue;
+      const coldRoute = this.surroundings.slowStarts.routeTo(instance, false);
+      if (coldRoute && !coldRoute.isOpen) continue;
       const { load } = access;
-      candidates.push({ id, zone: instance.zone ?? '', load, isPrimary: id === primary });
+      const zone = instance.zone ?? '';
+      const isCold = coldRoute !== undefined;
+      candidates.push({ id, zone, load, isPrimary: id === primary, isCold });
     }
     return candidates;
   }
@@ -168,6 +175,18 @@
     return entry && (entry.zone ?? '');
   }
 
+  /** Begins the wait of a request for a connection to an instance; undefined when that is cold and has no room for it. */
+  enter(id: string, isUrgent: boolean): EndWait | undefined {
+    const instance = this.entries.get(id);
+    return this.surroundings.slowStarts.enter(instance ?? {}, isUrgent);
+  }
+
+  /** Counts a request that this process sends to an instance now; false when the instance is cold and must not get it. */
+  admit(id: string, isUrgent: boolean): boolean {
+    const instance = this.entries.get(id);
+    return this.surroundings.slowStarts.admit(instance ?? {}, isUrgent);
+  }
+
   /** All instances of a group but its primary, whatever their state. */
   replicasOf(group: string, primary: string): readonly ConfirmingReplica[] {
     return [...this.entries]
@@ -220,10 +239,23 @@
   private createAccess(instance: InstanceEntry): InstanceAccess {
     const pool = this.createPool(instance);
     const { ownAddress, regionByZone } = this.surroundings;
-    return new InstanceAccess(pool, ownAddress, this.relaying, {
+    const ways: InstanceWays = {
       ownersFor: (tenant) => this.owners.of(this.ownedInstance(instance), tenant),
       maySee: (address, homes) => isWithinHomes(homes, this.owners.zoneOf(address), regionByZone),
-    });
+      coldRoute: (isUrgent) => this.coldRoute(pool.target.id, isUrgent),
+      noteRefused: () => this.noteRefused(pool.target.id),
+    };
+    return new InstanceAccess(pool, ownAddress, this.relaying, ways);
+  }
+
+  private coldRoute(id: string, isUrgent: boolean): ColdRoute | undefined {
+    const instance = this.entries.get(id);
+    return instance && this.surroundings.slowStarts.routeTo(instance, isUrgent);
+  }
+
+  private noteRefused(id: string): void {
+    const instance = this.entries.get(id);
+    if (instance) this.surroundings.slowStarts.noteRefused(instance);
   }
 
   private ownedInstance({ id, zone, group }: InstanceEntry): OwnedInstance {
--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -43,6 +43,7 @@
 import { CatalogService } from './catalog_service.js';
 import { ClusterContact } from './cluster_contact.js';
 import { PrimaryPositionCache } from './primary_position_cache.js';
+import { SlowStartHolders } from './slow_start_holders.js';
 import { SyncService } from './sync_service.js';
 
 /** Identity and surroundings of a control machine. */
@@ -103,6 +104,7 @@
   private readonly contact: ClusterContact;
   private readonly document: NewestDocument;
   private readonly positions: PrimaryPositionCache;
+  private readonly slowStarts: SlowStartHolders;
   private readonly syncService: SyncService;
   private readonly allowanceService: AllowanceService;
   private readonly catalogService: CatalogService;
@@ -132,7 +134,10 @@
     this.seeds = options.seeds;
     this.contact = new ClusterContact(node, clock);
     this.positions = new PrimaryPositionCache(clock, catalog, connector, isLeading);
-    this.syncService = new SyncService({ ...shared, ledger, health, positions: this.positions });
+    this.document = new NewestDocument(catalog, documents, log);
+    this.slowStarts = this.makeSlowStarts(shared);
+    const { positions, slowStarts } = this;
+    this.syncService = new SyncService({ ...shared, ledger, health, positions, slowStarts });
     this.allowanceService = new AllowanceService({ ...shared, documents }, options.quotaRules);
     this.catalogService = this.makeCatalogService(shared);
     this.appointmentLease = this.makeAppointmentLease(propose);
@@ -140,7 +145,6 @@
     this.standing = new StandingConnections({ clock, catalog, connector, isLeading });
     const administrator = new InstanceAdministrator(connector, this.standing);
     this.caughtUp = new CaughtUpMembers({ ...shared, administrator, isLeading });
-    this.document = new NewestDocument(catalog, documents, log);
     const { caughtUp, document } = this;
     const { regionByZone } = options.placementRules;
     const duties = { administrator, appointmentLease, isLeading };
@@ -241,6 +245,18 @@
     return new CatalogService({ ...shared, messenger, monitor, claims });
   }
 
+  private makeSlowStarts(shared: SharedSurroundings): SlowStartHolders {
+    const { node } = shared;
+    const { document } = this;
+    const { placementRules } = this.options;
+    return new SlowStartHolders({
+      ...shared,
+      isLeading: () => node.leadsWithState,
+      regionOf: (zone) => placementRules.regionByZone.get(zone),
+      slowStartOf: (group) => document.table?.limitsByGroup.get(group)?.slowStart,
+    });
+  }
+
   private makeAppointmentLease(propose: Proposer): AppointmentLease {
     const { catalog, contact, options } = this;
     const { name, address, appointer } = options;
@@ -265,6 +281,7 @@
     this.health.clear();
     this.positions.begin();
     this.allowanceService.begin();
+    this.slowStarts.begin();
     this.isServing = false;
   }
 
@@ -292,6 +309,7 @@
     this.upkeep = this.runtime.clock.setTimer(UPKEEP_MS, () => {
       // A removal that fails changes nothing; the next upkeep proposes it again, on the machine that leads then.
       if (this.node.leadsWithState) this.syncService.maintain().catch(() => undefined);
+      this.slowStarts.review();
       this.runUpkeep();
     });
   }
--- a/src/appointed/control/catalog_service.ts
+++ b/src/appointed/control/catalog_service.ts
@@ -16,6 +16,7 @@
 import { Events } from '../../observability/events.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { DecisionLog } from '../../observability/decision_logger.js';
+import { type TellsColdness, WarmUpMonitor } from './warm_up_monitor.js';
 import type { Clock, Messenger } from '../../runtime/runtime.js';
 
 const { CatalogOutcome, InstanceState } = whinyoke;
@@ -46,7 +47,14 @@
 
 /** Service of one control machine. */
 export class CatalogService {
-  constructor(private readonly surroundings: CatalogServiceSurroundings) {}
+  private readonly warmUps: WarmUpMonitor;
+
+  constructor(private readonly surroundings: CatalogServiceSurroundings) {
+    const { clock, catalog, node, log } = surroundings;
+    // All machines apply the entry; the one that leads tells of it.
+    const logAsLeader: DecisionLog = (event, fields) => node.leadsWithState && log(event, fields);
+    this.warmUps = new WarmUpMonitor(clock, catalog, logAsLeader);
+  }
 
   /** Takes a request here or at the leader. */
   async submit(request: whinyoke.ICatalogRequest): Promise<whinyoke.ICatalogReply> {
@@ -141,8 +149,9 @@
       if (claim !== 'granted') return this.refuseClaim(instance, claim);
     }
     this.surroundings.monitor.note(heartbeat, this.surroundings.clock.now());
-    if (order !== 'late' && !isSame(known, instance)) {
-      await this.putInstance(known, instance);
+    const told = { ...instance, ...this.coldnessTold({ ...heartbeat, instance }) };
+    if (order !== 'late' && !isSame(known, told)) {
+      await this.putInstance(known, told);
       await this.removeFormerHolders(instance);
     }
     return { outcome: CatalogOutcome.DONE };
@@ -202,6 +211,12 @@
     });
   }
 
+  private coldnessTold({ instance, warmupMs }: whinyoke.IInstanceBeat): TellsColdness {
+    const told = instance ?? {};
+    const newest = this.surroundings.monitor.newestSequenceOf(told.id ?? '');
+    return this.warmUps.opinionOn(told, warmupMs ?? 0, newest === (told.sequence ?? 0));
+  }
+
   /** A heartbeat of one that is gone needs no answer that makes anybody try again; one that is unclear does. */
   private refuseClaim(
     instance: whinyoke.IInstanceEntry,
@@ -238,6 +253,7 @@
     known.address === told.address &&
     known.zone === told.zone &&
     known.slots === told.slots &&
+    (known.isCold ?? false) === (told.isCold ?? false) &&
     (known.state ?? InstanceState.READY) === (told.state ?? InstanceState.READY)
   );
 }
--- a/src/appointed/failover/instance_monitor.ts
+++ b/src/appointed/failover/instance_monitor.ts
@@ -62,6 +62,11 @@
     return newest !== undefined && newest.born === born && newest.at >= since;
   }
 
+  /** Sequence of the instance's newest heartbeat; undefined when there was none. */
+  newestSequenceOf(instance: string): number | undefined {
+    return this.heartbeats.get(instance)?.sequence;
+  }
+
   /** Role that the instance's newest heartbeat names. */
   roleOf(instance: string): whinyoke.InstanceRole {
     return this.heartbeats.get(instance)?.role ?? whinyoke.InstanceRole.UNKNOWN;
--- a/src/appointed/proxy/appointed_proxy.ts
+++ b/src/appointed/proxy/appointed_proxy.ts
@@ -19,6 +19,7 @@
 import { Admission } from '../tenancy/admission.js';
 import { AllowanceClient } from '../tenancy/allowance_client.js';
 import { EvacuatedZones } from '../placement/evacuated_zones.js';
+import { SlowStartGate } from '../placement/slow_start_gate.js';
 import type { PlacementRules } from '../placement/placement_rules.js';
 import type { QuotaRules } from '../tenancy/operation_budget.js';
 import { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
@@ -88,6 +89,8 @@
   readonly allowances: AllowanceClient;
   /** Evacuated zones, as far as control told of them. */
   readonly evacuatedZones: EvacuatedZones;
+  /** Bounds what cold instances get. */
+  readonly slowStarts: SlowStartGate;
   private readonly document: DocumentInForce;
   private readonly contact: ControlContact;
   private readonly synchronisation: ControlSynchronisation;
@@ -111,6 +114,7 @@
     this.contact = new ControlContact(this.clock, this.log);
     this.positions = new PrimaryPositions(this.clock, this.leases);
     this.evacuatedZones = new EvacuatedZones(options.placementRules.evacuationMs, this.log);
+    this.slowStarts = this.createSlowStarts(incarnation);
     this.instances = this.createInstances(fleet);
     this.synchronisation = this.createSynchronisation(fleet);
     const leaderAddress = (): string => this.synchronisation.leaderAddress;
@@ -226,7 +230,8 @@
   }
 
   private createInstances(fleet: FleetDirectory): ProxyInstances {
-    const { runtime, document, leases, primaryHealth, positions, log, evacuatedZones } = this;
+    const { runtime, document, leases, primaryHealth, positions, log } = this;
+    const { evacuatedZones, slowStarts } = this;
     const { address: ownAddress, connector } = this.options;
     return new ProxyInstances({
       runtime,
@@ -240,12 +245,24 @@
       primaryHealth,
       positions,
       evacuatedZones,
+      slowStarts,
+    });
+  }
+
+  private createSlowStarts(incarnation: string): SlowStartGate {
+    return new SlowStartGate({
+      clock: this.clock,
+      log: this.log,
+      incarnation,
+      rules: this.options.placementRules,
+      slowStartOf: (group) => this.table?.limitsByGroup.get(group)?.slowStart,
+      isLeaving: () => this.isLeaving,
     });
   }
 
   private createSynchronisation(fleet: FleetDirectory): ControlSynchronisation {
     const { self, log, contact, document, leases, primaryHealth, positions, instances } = this;
-    const { evacuatedZones } = this;
+    const { evacuatedZones, slowStarts } = this;
     const parts = {
       self,
       log,
@@ -257,6 +274,7 @@
       positions,
       instances,
       evacuatedZones,
+      slowStarts,
     };
     return new ControlSynchronisation(this.runtime, parts, this.options.seeds);
   }
--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -15,6 +15,7 @@
   InstanceTarget,
 } from '../instance/instance_connection.js';
 import type { EvacuatedZones, EvacuationStage } from '../placement/evacuated_zones.js';
+import type { EndWait, SlowStartGate } from '../placement/slow_start_gate.js';
 import type { ReadCandidate } from '../routing/replica_selector.js';
 import { distrustOtherIncarnation, distrustShorterLog } from '../trust/primary_incarnation.js';
 import type { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
@@ -42,6 +43,7 @@
   readonly primaryHealth: PrimaryHealthTrackers;
   readonly positions: PrimaryPositions;
   readonly evacuatedZones: EvacuatedZones;
+  readonly slowStarts: SlowStartGate;
 }
 
 /** Instances of one proxy. */
@@ -52,7 +54,7 @@
 
   constructor(private readonly surroundings: InstancesSurroundings) {
     const { runtime, ownAddress, regionByZone, connector, log, document, fleet } = surroundings;
-    const { evacuatedZones } = surroundings;
+    const { evacuatedZones, slowStarts } = surroundings;
     const { clock } = runtime;
     this.directory = new InstanceDirectory({
       runtime,
@@ -60,6 +62,7 @@
       regionByZone,
       connector,
       log,
+      slowStarts,
       connectionLimitOf: (group) => document.table?.limitsByGroup.get(group)?.connectionLimit ?? 0,
       table: () => document.table,
       hasTenants: () => document.table === undefined || document.table.tenants.size > 0,
@@ -113,6 +116,16 @@
     return this.directory.zoneOf(instance);
   }
 
+  /** Begins the wait of a request for a connection to an instance; undefined when that is cold and has no room for it. */
+  enter(instance: string, isUrgent: boolean): EndWait | undefined {
+    return this.directory.enter(instance, isUrgent);
+  }
+
+  /** Counts a request that this process sends to an instance now; false when the instance is cold and must not get it. */
+  admit(instance: string, isUrgent: boolean): boolean {
+    return this.directory.admit(instance, isUrgent);
+  }
+
   /** All instances of a group but its primary, whatever their state. */
   replicasOf(group: string): readonly ConfirmingReplica[] {
     return this.directory.replicasOf(group, this.primaryOf(group));
--- a/src/appointed/relay/instance_access.ts
+++ b/src/appointed/relay/instance_access.ts
@@ -4,20 +4,27 @@
  * Owns the list of relayed connections in use. Relies on the pool and on the health of owners; where no owner may be tried,
  * the pool is.
  */
+import { AcquireError } from '../connections/acquire_error.js';
 import type { ConnectionSource } from '../connections/connection_source.js';
 import type { InstanceLoad } from '../connections/instance_load.js';
 import type { InstancePool } from '../connections/instance_pool.js';
 import { type ConnectionRequest, PooledConnection } from '../connections/pooled_connection.js';
+import type { ColdRoute } from '../placement/slow_start_gate.js';
 import type { Homes } from '../placement/data_residency.js';
+import { isUrgent } from '../placement/slow_start_budget.js';
 import { NO_TENANT } from '../tenancy/tenant.js';
 import { RelayedConnection, type RelaySurroundings } from './relayed_connection.js';
 
-/** Connection owners of one instance, as its proxy knows them. */
-export interface OwnersOfInstance {
+/** Ways to one instance but for own connections. */
+export interface InstanceWays {
   /** Connection owners for a tenant, in order; empty where this proxy has connections of its own. */
   ownersFor(tenant: string): readonly string[];
   /** Whether another proxy may get the body of a statement with these homes. */
   maySee(address: string, homes: Homes): boolean;
+  /** The way of requests for a cold instance; undefined for a warm one. */
+  coldRoute(isUrgent: boolean): ColdRoute | undefined;
+  /** A request for the instance, which is cold, was refused. */
+  noteRefused(): void;
 }
 
 /** Most owners (a count) that one request tries. Guess, not measured. */
@@ -33,7 +40,7 @@
     readonly local: InstancePool,
     private readonly ownAddress: string,
     private readonly surroundings: RelaySurroundings,
-    private readonly owners: OwnersOfInstance,
+    private readonly ways: InstanceWays,
   ) {}
 
   /** Number of the incarnation that it leads to. */
@@ -43,7 +50,7 @@
 
   /** Whether requests queue at a connection owner. */
   get queuesAtOwner(): boolean {
-    return this.owners.ownersFor(NO_TENANT).length > 0;
+    return this.ways.ownersFor(NO_TENANT).length > 0;
   }
 
   /** What the answers of the instance say of it. */
@@ -56,7 +63,10 @@
    * the homes of the request may not.
    */
   acquire(request: ConnectionRequest, timeoutMs: number): Promise<PooledConnection> {
-    const owners = this.owners
+    const isOfCaller = request.tenant !== undefined;
+    const cold = isOfCaller ? this.ways.coldRoute(isUrgent(request.priority)) : undefined;
+    if (cold) return this.acquireCold(cold, request, timeoutMs);
+    const owners = this.ways
       .ownersFor(request.tenant ?? NO_TENANT)
       .filter((address) => this.maySee(address, request.homes))
       .filter((address) => this.surroundings.health.mayTry(address));
@@ -65,6 +75,29 @@
       return this.local.acquire(request, timeoutMs);
     }
     const others = owners.filter((address) => address !== this.ownAddress);
+    return Promise.resolve(this.relayVia(others, request, timeoutMs));
+  }
+
+  /** Requests for a cold instance go through its holder only. Where that is this proxy, room for them was found already. */
+  private acquireCold(
+    { holder, isOpen }: ColdRoute,
+    request: ConnectionRequest,
+    timeoutMs: number,
+  ): Promise<PooledConnection> {
+    if (holder === this.ownAddress) return this.local.acquire(request, timeoutMs);
+    const mayGo = isOpen && this.maySee(holder, request.homes);
+    if (mayGo && this.surroundings.health.mayTry(holder)) {
+      return Promise.resolve(this.relayVia([holder], request, timeoutMs));
+    }
+    this.ways.noteRefused();
+    return Promise.reject(new AcquireError('slowStart'));
+  }
+
+  private relayVia(
+    owners: readonly string[],
+    request: ConnectionRequest,
+    timeoutMs: number,
+  ): PooledConnection {
     const route = {
       instance: this.local.target.id,
       incarnation: this.incarnation,
@@ -72,14 +105,14 @@
       priority: request.priority,
       usefulMs: request.usefulMs,
       waitMs: timeoutMs,
-      owners: others.slice(0, MOST_TRIED),
+      owners: owners.slice(0, MOST_TRIED),
       homes: request.homes,
     };
     const connection = new RelayedConnection(route, this.surroundings);
     const pooled = new PooledConnection(connection, request.tenant ?? NO_TENANT, true);
     this.relayed.add(pooled);
     connection.onClosed = () => this.relayed.delete(pooled);
-    return Promise.resolve(pooled);
+    return pooled;
   }
 
   /** Whether the next statement on a connection may have these homes. */
@@ -128,6 +161,6 @@
   }
 
   private maySee(address: string, homes: Homes): boolean {
-    return address === this.ownAddress || this.owners.maySee(address, homes);
+    return address === this.ownAddress || this.ways.maySee(address, homes);
   }
 }
--- a/src/appointed/relay/relay_server.ts
+++ b/src/appointed/relay/relay_server.ts
@@ -8,6 +8,7 @@
 import { messageOf } from '../../errors/errors.js';
 import { Events } from '../../observability/events.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
+import { AcquireError } from '../connections/acquire_error.js';
 import type { InstancePool } from '../connections/instance_pool.js';
 import type { InstanceTarget } from '../instance/instance_connection.js';
 import type { ProxyContext } from '../proxy/proxy_context.js';
@@ -16,6 +17,7 @@
   type Attempt,
   type HeldConnection,
   StatementRunner,
+  slowStartAnswer,
 } from '../sessions/statement_runner.js';
 import { isWithinHomes } from '../placement/data_residency.js';
 import { textOf } from '../routing/refusal_cause.js';
@@ -166,6 +168,9 @@
     try {
       held = await this.runner.hold(target, needed, waitMs);
     } catch (error) {
+      if (error instanceof AcquireError && error.failure === 'slowStart') {
+        return replyTo({ outcome: 'answered', answer: slowStartAnswer(target, false) }, '');
+      }
       return notRun(`no connection: ${messageOf(error)}`);
     }
     return this.run(held, '', content, command, timeoutMs);
--- a/src/appointed/routing/refusal_cause.ts
+++ b/src/appointed/routing/refusal_cause.ts
@@ -26,6 +26,8 @@
   | { readonly kind: 'leaseEnded' }
   /** The zone of the instance of a transaction was evacuated. */
   | { readonly kind: 'zoneEvacuated' }
+  /** The instance is cold, and no more may be sent to it now. */
+  | { readonly kind: 'slowStart' }
   /** The instance answered BEGIN with an error. */
   | { readonly kind: 'beginAnswered'; readonly error: InstanceErrorKind };
 
@@ -71,6 +73,12 @@
   /** A read outside a transaction: how its attempt ended, or the error that the instance answered. */
   | { readonly kind: 'readAttempt'; readonly ending: 'notRun' | 'lost' | InstanceErrorKind };
 
+/** Whether a cold instance could be sent no more. */
+export function isSlowStart(cause: RefusalCause): boolean {
+  if (cause.kind === 'attemptFailed') return cause.failure.kind === 'slowStart';
+  return cause.kind === 'slowStart';
+}
+
 /** Text of a cause on the wire, in log lines and in metrics. */
 export function textOf(cause: RetryCause): string {
   switch (cause.kind) {
@@ -84,6 +92,8 @@
       return 'the lease on the primary ended';
     case 'zoneEvacuated':
       return 'the zone of its instance is evacuated';
+    case 'slowStart':
+      return 'the instance is warming up';
     case 'beginAnswered':
       return `answered ${cause.error}`;
     case 'attemptFailed':
--- a/src/appointed/sessions/caller_transaction.ts
+++ b/src/appointed/sessions/caller_transaction.ts
@@ -9,10 +9,15 @@
  */
 import type { Position } from '../../positions/position.js';
 import { type CallerReply, type CommittedReply, refused } from './caller_reply.js';
-import type { InstanceAnswer, InstanceError } from '../instance/instance_connection.js';
+import type {
+  InstanceAnswer,
+  InstanceError,
+  InstanceErrorKind,
+} from '../instance/instance_connection.js';
 import { causeWithoutPrimary } from '../routing/evacuated_primary.js';
 import { type RefusedRequest, inDoubt, logRetry, refuse } from '../routing/refusal.js';
 import type { AttemptFailure, RefusalCause } from '../routing/refusal_cause.js';
+import { AcquireError } from '../connections/acquire_error.js';
 import { ROLLBACK_TIMEOUT_MS, RequestDeadline } from '../routing/request_deadline.js';
 import {
   awaitFloorWithin,
@@ -200,8 +205,7 @@
     if (error.kind === 'malformed' || error.kind === 'unknownName') {
       return refused(error.kind, error.text, 'failed');
     }
-    const cause = { kind: 'transactionAnswered' as const, error: error.kind };
-    return refuse(this.context, refusal, 'aborted', cause);
+    return refuse(this.context, refusal, 'aborted', transactionAnswered(error.kind));
   }
 
   /** Begins at an instance, unless done already; returns the cause when none could begin. Nothing ran then. */
@@ -236,6 +240,8 @@
       if (failure === undefined) return undefined;
       cause = { kind: 'attemptFailed', instance: target.instance, failure };
       logRetry(this.context, { id, deadline }, target, failure);
+      // The primary is the last choice, so nothing else is left that could take it sooner.
+      if (failure.kind === 'slowStart' && target.primaryEpoch !== undefined) break;
     }
     const { route, operation } = this;
     const otherwise = causeWithoutPrimary(this.context, route.group, { kind: 'noTrustedPrimary' });
@@ -281,7 +287,9 @@
       const { homes } = target;
       const needed = { tenant, values: content.values, priority, usefulMs, homes };
       held = await this.runner.hold(target, needed, deadline.connectionWait(false));
-    } catch {
+    } catch (error) {
+      if (error instanceof AcquireError && error.failure === 'slowStart')
+        return { kind: 'slowStart' };
       // Nothing ran. The pool counts its refusals by reason; the text of this cause names none.
       return { kind: 'noConnection' };
     }
@@ -295,9 +303,9 @@
       return undefined;
     }
     this.runner.release(held, attempt.outcome === 'answered' ? attempt.answer : undefined);
-    return attempt.outcome === 'answered'
-      ? { kind: 'beginAnswered', error: attempt.answer.error!.kind }
-      : attempt.cause;
+    if (attempt.outcome !== 'answered') return attempt.cause;
+    const { kind: error } = attempt.answer.error!;
+    return error === 'slowStart' ? { kind: 'slowStart' } : { kind: 'beginAnswered', error };
   }
 
   /** Whether nothing may be sent to the instance any more, since its zone is evacuated. */
@@ -319,7 +327,7 @@
   /** Cause of an attempt that was not answered, or was answered with an error. Pools of evacuated zones end what rests. */
   private causeOfFailure(attempt: Attempt): RefusalCause {
     if (attempt.outcome === 'answered') {
-      return { kind: 'transactionAnswered', error: attempt.answer.error?.kind };
+      return transactionAnswered(attempt.answer.error?.kind);
     }
     const isEnded = attempt.outcome === 'notRun' && this.evacuationStage !== undefined;
     return isEnded ? { kind: 'zoneEvacuated' } : attempt.cause;
@@ -358,3 +366,8 @@
 
 /** Stands for an answer after which a connection can't be used again. */
 const UNKNOWN_ANSWER: InstanceAnswer = { rows: [], signature: '', state: 'failed' };
+
+/** Cause of an error in a transaction, of its instance or of the holder of a cold one. */
+function transactionAnswered(error: InstanceErrorKind | undefined): RefusalCause {
+  return error === 'slowStart' ? { kind: 'slowStart' } : { kind: 'transactionAnswered', error };
+}
--- a/src/appointed/sessions/statement_runner.ts
+++ b/src/appointed/sessions/statement_runner.ts
@@ -15,6 +15,8 @@
 import type { ProxyContext } from '../proxy/proxy_context.js';
 import { type SessionContent, loadingSteps, recordLoaded } from './session_loader.js';
 import type { InstanceCommand } from '../instance/statement.js';
+import type { EndWait } from '../placement/slow_start_gate.js';
+import { isUrgent } from '../placement/slow_start_budget.js';
 import type { AttemptFailure } from '../routing/refusal_cause.js';
 import { distrustShorterLog } from '../trust/primary_incarnation.js';
 import type { Target } from '../routing/target_planner.js';
@@ -29,6 +31,7 @@
   'readOnly',
   'wrongInstance',
   'connectionLimit',
+  'slowStart',
 ]);
 
 /** Errors that count as failures of the instance; others are due to the request or to a replica's lag. */
@@ -45,6 +48,7 @@
   'full',
   'displaced',
   'evacuated',
+  'slowStart',
 ]);
 
 /** Whether an error promises that the statement did not run. */
@@ -58,6 +62,10 @@
   readonly target: Target;
   /** The connection. */
   readonly pooled: PooledConnection;
+  /** Whether its requests may use what the rate of a cold instance leaves to urgent ones. */
+  readonly isUrgent: boolean;
+  /** Whether a transaction has begun on it. */
+  inTransaction: boolean;
 }
 
 /** When an instance was asked, and what was known of it then. */
@@ -91,9 +99,11 @@
     timeoutMs: number,
   ): Promise<HeldConnection> {
     const { load } = target.pool;
+    const endWait = this.enter(target, request);
     load.outstanding++;
     try {
-      return { target, pooled: await target.pool.acquire(request, timeoutMs) };
+      const pooled = await target.pool.acquire(request, timeoutMs);
+      return { target, pooled, isUrgent: isUrgent(request.priority), inTransaction: false };
     } catch (error) {
       if (error instanceof AcquireError && !LOAD_FAILURES.has(error.failure)) {
         load.noteFailure(this.context.clock.now());
@@ -101,9 +111,21 @@
       throw error;
     } finally {
       load.outstanding--;
+      endWait?.();
     }
   }
 
+  /** Refuses a request at once that a cold instance could not be sent; the system's own go there as to any. */
+  private enter(
+    { instance }: Target,
+    { tenant, priority }: ConnectionRequest,
+  ): EndWait | undefined {
+    if (tenant === undefined) return undefined;
+    const endWait = this.context.instances.enter(instance, isUrgent(priority));
+    if (!endWait) throw new AcquireError('slowStart');
+    return endWait;
+  }
+
   /** Gives a connection back after an answer that left it idle; closes it otherwise. */
   release(held: HeldConnection, answer?: InstanceAnswer): void {
     const { pool } = held.target;
@@ -171,6 +193,8 @@
     const { target, pooled } = held;
     const { load } = target.pool;
     const { group, primaryEpoch: epoch } = target;
+    // Nothing may be awaited between this check and the sending: the request is counted in the window of this very moment.
+    if (!this.maySend(held, command)) return slowStartAnswer(held.target, held.inTransaction);
     const sentAt = clock.now();
     const known = this.context.positions.floorOf(group).highestOf(epoch);
     const asked = { at: sentAt, known };
@@ -184,6 +208,7 @@
       ended?.(true, now);
       if (pooled.isRelayed) tracker?.ownerAnswered();
       this.reportAnswer(held, answer, asked, command.kind === 'data');
+      if (command.kind === 'begin' && !answer.error) held.inTransaction = true;
       return answer;
     } catch (error) {
       ended?.(false, clock.now());
@@ -195,6 +220,15 @@
     }
   }
 
+  /** Whether a command may be sent here and now; its relay asks where it does not leave this process's own connections. */
+  private maySend(held: HeldConnection, { kind }: InstanceCommand): boolean {
+    const isCounted = kind === 'data' || kind === 'commit';
+    if (held.pooled.isRelayed || !isCounted) return true;
+    // A transaction that has begun should end: it goes before requests that begin.
+    const goesFirst = held.isUrgent || held.inTransaction;
+    return this.context.instances.admit(held.target.instance, goesFirst);
+  }
+
   /** Reports an answer to the load of the instance, and, from a primary, to trust and positions. */
   private reportAnswer(
     held: HeldConnection,
@@ -243,6 +277,12 @@
   return !isOfOwner && error instanceof BackendConnectionLostError && error.sent;
 }
 
+/** Answer in place of a cold instance's: nothing was sent. A transaction can't go on then. */
+export function slowStartAnswer({ instance }: Target, inTransaction: boolean): InstanceAnswer {
+  const error = { kind: 'slowStart' as const, text: instance };
+  return { rows: [], signature: '', error, state: inTransaction ? 'failed' : 'idle' };
+}
+
 /** How an attempt ended whose connection failed. */
 function failedAttempt(reason: unknown): Attempt {
   const message = reason instanceof Error ? reason.message : 'connection lost';
--- a/test/unit/incarnations_at_proxies.test.ts
+++ b/test/unit/incarnations_at_proxies.test.ts
@@ -6,6 +6,8 @@
 import { FleetDirectory } from '../../src/appointed/proxy/fleet_directory.js';
 import { PrimaryPositions } from '../../src/appointed/proxy/primary_positions.js';
 import type { ProxyContext } from '../../src/appointed/proxy/proxy_context.js';
+import { DEFAULT_PLACEMENT_RULES } from '../../src/appointed/placement/placement_rules.js';
+import { SlowStartGate } from '../../src/appointed/placement/slow_start_gate.js';
 import { EvacuatedZones } from '../../src/appointed/placement/evacuated_zones.js';
 import { ProxyInstances } from '../../src/appointed/proxy/proxy_instances.js';
 import { TenantDirectory } from '../../src/appointed/tenancy/tenant.js';
@@ -15,7 +17,7 @@
 import type { InstanceAnswer } from '../../src/appointed/instance/instance_connection.js';
 import { type Position, START } from '../../src/positions/position.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
-import type { Runtime } from '../../src/runtime/runtime.js';
+import type { Clock, Runtime } from '../../src/runtime/runtime.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 import { FakeConnection } from '../tools/fake_connection.js';
 import { logUpTo } from '../tools/changed_group.js';
@@ -55,6 +57,7 @@
     log,
     document: { table } as unknown as DocumentInForce,
     fleet: new FleetDirectory(),
+    slowStarts: warmGate(clock),
     evacuatedZones: new EvacuatedZones(Infinity, () => undefined),
     leases,
     primaryHealth,
@@ -74,6 +77,18 @@
   return { clock, connections, events, instances, leases, primaryHealth, lead, tell, log };
 }
 
+/** A gate before instances that are warm at once. */
+function warmGate(clock: Clock): SlowStartGate {
+  return new SlowStartGate({
+    clock,
+    log: () => undefined,
+    incarnation: 'run',
+    rules: DEFAULT_PLACEMENT_RULES,
+    slowStartOf: () => undefined,
+    isLeaving: () => false,
+  });
+}
+
 void t.test('connections and load of an incarnation end with it', async (t) => {
   const { events, instances, leases, tell } = proxyAt({ term: 3, sequence: 95 });
   const former = instances.connectionsTo('b')!;
