--- a/test/tools/placed_proxy.ts
+++ b/test/tools/placed_proxy.ts
@@ -70,6 +70,8 @@
   readonly core: AppointedProxy;
   readonly passed: Passed[] = [];
   readonly clock = new RealClock();
+  /** Whether control tells positions of the primary. */
+  tellsPositions = true;
   private version = 1;
   private handler: RequestHandler | undefined;
   private document: string;
@@ -145,6 +147,8 @@
 
   private synchronise(): whinyoke.ISyncReply {
     const { instances, primary, proxies = [], zone } = this.placement;
+    // Age 0 stands for a position that is not known.
+    const age = this.tellsPositions ? 1 : 0;
     const group = { group: 'g', epoch: 1, primary, term: 1, version: 1 };
     const entries = instances.map((item) => ({
       group: 'g',
@@ -168,7 +172,7 @@
       update: whinyoke.CatalogUpdate.encode(update).finish(),
       directory: { version: 1, liveProxies: fleet.length, zones: mergeZones(zones) },
       term: 1,
-      positions: { terms: [POSITION.term], sequences: [POSITION.sequence], agesMs: [1] },
+      positions: { terms: [POSITION.term], sequences: [POSITION.sequence], agesMs: [age] },
     };
   }
 
--- a/test/unit/data_residency.test.ts
+++ b/test/unit/data_residency.test.ts
@@ -83,6 +83,19 @@
   t.ok(await isRefusedAtOnce(proxy, session, WRITE), 'in a transaction');
 });
 
+void t.test('a bound read waits for a position of a primary outside its homes', async (t) => {
+  const proxy = new PlacedProxy(MIXED, { route: ['south'] });
+  t.teardown(() => proxy.core.stop());
+  proxy.tellsPositions = false;
+  const session = await proxy.start();
+  // Until then the first positions are waited for anyway.
+  await new Promise((resolve) => setTimeout(resolve, 400));
+  proxy.clock.setTimer(60, () => (proxy.tellsPositions = true));
+  t.equal((await run(proxy, session, READ)).way, 'far');
+  await session.execute('b', { kind: 'begin', readOnly: true });
+  t.equal((await run(proxy, session, READ)).way, 'far', 'in a transaction for reads');
+});
+
 void t.test('route and tenant with disjoint homes: nothing serves the request', async (t) => {
   const homes = { route: ['south'], tenant: ['north'] };
   const { proxy, session } = await withProxy(t, MIXED, homes);
