--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -19,6 +19,7 @@
   type AppointedProtection,
   WeakenedConnector,
   disableLease,
+  disableIssuerLease,
   disableQuota,
   disableReplicaLeases,
 } from './disabled_protections.js';
@@ -107,6 +108,7 @@
     if (surroundings.disabled.has('lease')) disableLease(core);
     if (surroundings.disabled.has('replica-witness')) disableReplicaLeases(core);
     if (surroundings.disabled.has('fleet-quota')) disableQuota(core);
+    if (surroundings.disabled.has('issuer-lease')) disableIssuerLease(core);
     this.core = core;
     core.start();
     process.onEnd(() => core.stop());
--- a/lab/appointed/disabled_protections.ts
+++ b/lab/appointed/disabled_protections.ts
@@ -21,6 +21,7 @@
   'tenant-binding',
   'credential-freshness',
   'fleet-quota',
+  'issuer-lease',
 ] as const;
 
 /** One protection. */
@@ -89,6 +90,11 @@
   core.allowances.take = () => ({ isGranted: true });
 }
 
+/** Makes an issuer use its reserves and leased rates on after their end. */
+export function disableIssuerLease(core: AppointedProxy): void {
+  core.allowances.allowances.lease = { endsAt: () => Infinity };
+}
+
 /** Makes a proxy extend its leases while control is out of reach without asking the replicas. */
 export function disableReplicaLeases(core: AppointedProxy): void {
   const { leases, clock } = core;
--- a/src/appointed/control/allowance_service.ts
+++ b/src/appointed/control/allowance_service.ts
@@ -22,6 +22,7 @@
   OperationLedger,
 } from '../tenancy/operation_ledger.js';
 import { type OperationLimit, TenantDirectory } from '../tenancy/tenant.js';
+import { leasedRate, perSecondOf } from '../tenancy/wire_rate.js';
 
 const REFUSED: whinyoke.IAllowanceReply = { accepted: false };
 /** A first change lets a successor keep a part of a bucket, a second one gives that up too. */
@@ -58,6 +59,9 @@
    * this leader was asked.
    */
   private unaccounted: Map<string, string> | undefined;
+  /** When each run began that no leader had granted anything before, on the clock of this machine. */
+  private readonly freshSince = new Map<string, number>();
+  private hasNotedFresh = false;
   private begunAt = 0;
   private committing: Promise<void> | undefined;
   private tenants = new TenantDirectory([]);
@@ -76,6 +80,8 @@
     this.begunAt = this.surroundings.clock.now();
     this.ledger.begin(this.begunAt);
     this.sequences.clear();
+    this.freshSince.clear();
+    this.hasNotedFresh = false;
     this.unaccounted = undefined;
   }
 
@@ -84,7 +90,7 @@
     const { node } = this.surroundings;
     const proxy = request.proxy ?? '';
     const incarnation = request.incarnation ?? '';
-    const run = `${proxy}\n${incarnation}`;
+    const run = runOf({ id: proxy, incarnation });
     if (!node.leadsWithState || !this.isRegistered(proxy, incarnation)) return REFUSED;
     const sequence = request.sequence ?? 0;
     if (sequence <= (this.sequences.get(run) ?? 0)) return REFUSED;
@@ -95,6 +101,7 @@
     await this.lowerSuccessorReserves(demands);
     if (!node.leadsWithState || node.currentTerm !== term) return REFUSED;
     this.account(proxy, incarnation, request.complete ?? false);
+    if (request.freshMs) this.noteFresh(run, request.freshMs);
     const now = this.surroundings.clock.now();
     const isWaitingOnly = request.waitingOnly ?? false;
     const allowances = demands.map((demand) => {
@@ -102,7 +109,7 @@
       const allowance = isWaitingOnly
         ? this.ledger.answerWaiting(tenant, limit, demand.waiting, now)
         : this.ledger.answer(run, tenant, limit, demand, now);
-      return { tenant, ...allowance };
+      return { tenant, ...allowance, rate: leasedRate(allowance.rate) };
     });
     void this.commitSuccessorReserves();
     const needsAll = this.unaccounted?.get(proxy) === incarnation;
@@ -142,12 +149,29 @@
     });
   }
 
+  /** Once all runs began without anything granted, as after a loss of all power, only this leader's grants count since then. */
+  private noteFresh(run: string, ageMs: number): void {
+    const { catalog, clock, log, node } = this.surroundings;
+    if (this.hasNotedFresh) return;
+    this.freshSince.set(run, clock.now() - ageMs);
+    const begins = catalog.proxies.map((entry) => this.freshSince.get(runOf(entry)));
+    if (begins.includes(undefined)) return;
+    this.hasNotedFresh = true;
+    const since = Math.max(...begins.map((begin) => begin ?? Infinity));
+    this.ledger.noteOnlyOwnSince(since);
+    log(Events.allowancesFresh, {
+      term: node.currentTerm,
+      runs: begins.length,
+      before_ms: Math.round(this.begunAt - since),
+    });
+  }
+
   private limited(demand: whinyoke.ITenantDemand): LimitedDemand[] {
     const tenant = demand.tenant ?? '';
     const limit = this.tenants.named(tenant)?.limit;
     // The proxy knows a document that this machine doesn't, or the other way round: it asks again.
     if (!limit) return [];
-    const { waiting, returned, held, wantedReserve } = demand;
+    const { waiting, returned, held, wantedReserve, heldRate, wantedRate, heldMost } = demand;
     return [
       {
         tenant,
@@ -156,6 +180,9 @@
         returned: returned ?? 0,
         held: held ?? 0,
         wantedReserve: wantedReserve ?? 0,
+        heldRate: perSecondOf(heldRate),
+        wantedRate: perSecondOf(wantedRate),
+        heldMost: heldMost ?? 0,
       },
     ];
   }
@@ -201,3 +228,8 @@
     this.tenantsVersion = documentVersion;
   }
 }
+
+/** Name of one run of a proxy. */
+function runOf({ id, incarnation }: whinyoke.IProxyEntry): string {
+  return `${id ?? ''}\n${incarnation ?? ''}`;
+}
--- a/src/appointed/proxy/appointed_proxy.ts
+++ b/src/appointed/proxy/appointed_proxy.ts
@@ -18,6 +18,7 @@
 import { RoutedSession } from '../sessions/routed_session.js';
 import { Admission } from '../tenancy/admission.js';
 import { AllowanceClient } from '../tenancy/allowance_client.js';
+import { IssuerChoice } from '../tenancy/issuer_choice.js';
 import type { PlacementRules } from '../placement/placement_rules.js';
 import type { QuotaRules } from '../tenancy/operation_budget.js';
 import { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
@@ -105,7 +106,8 @@
     this.contact = new ControlContact(this.clock, this.log);
     this.positions = new PrimaryPositions(this.clock, this.leases);
     this.instances = this.createInstances(fleet);
-    this.synchronisation = this.createSynchronisation(fleet);
+    const issuers = new IssuerChoice(options.address, options.zone);
+    this.synchronisation = this.createSynchronisation(fleet, issuers);
     const leaderAddress = (): string => this.synchronisation.leaderAddress;
     this.forwarder = new RequestForwarder(runtime.messenger, leaderAddress);
     const localPool = (instance: string): InstancePool | undefined =>
@@ -118,6 +120,8 @@
       rules: options.quotaRules,
       proxy: options.id,
       incarnation,
+      issuers,
+      limitOf: (tenant) => this.table?.tenants.named(tenant)?.limit,
       leaderAddress,
     });
     this.leaseConfirmer = new ReplicaLeaseConfirmer({
@@ -146,6 +150,7 @@
   /** Tells control that this proxy takes no new callers. */
   beginLeave(): void {
     this.synchronisation.beginLeave();
+    this.allowances.leave();
   }
 
   /** Takes over control machines of changed settings. */
@@ -234,7 +239,10 @@
     });
   }
 
-  private createSynchronisation(fleet: FleetDirectory): ControlSynchronisation {
+  private createSynchronisation(
+    fleet: FleetDirectory,
+    issuers: IssuerChoice,
+  ): ControlSynchronisation {
     const { self, log, contact, document, leases, primaryHealth, positions, instances } = this;
     const parts = {
       self,
@@ -246,6 +254,7 @@
       primaryHealth,
       positions,
       instances,
+      issuers,
     };
     return new ControlSynchronisation(this.runtime, parts, this.options.seeds);
   }
@@ -272,11 +281,19 @@
     this.synchronisation.noteSilence();
     this.leaseConfirmer.maintain(now - this.contact.provenAt);
     this.synchronisation.sendNews(now);
+    this.allowances.noteLeader();
     this.maintenance = this.clock.setTimer(MAINTENANCE_MS, () => this.maintain());
   }
 
-  /** Runs a statement of another proxy, or forwards a request of one that is cut off from control to the leader. */
-  private async handle({ syncRequest, relayRequest }: MessageBody): Promise<MessageBody> {
+  /**
+   * Runs a statement of another proxy, grants it operations, or forwards a request of one that is cut off from control to the
+   * leader.
+   */
+  private async handle(body: MessageBody): Promise<MessageBody> {
+    const { syncRequest, relayRequest, allowanceRequest } = body;
+    if (allowanceRequest) {
+      return { allowanceReply: this.allowances.issuer.answer(allowanceRequest) };
+    }
     if (!relayRequest) return this.forwarder.forward(syncRequest);
     return { relayReply: await this.relayServer.handle(relayRequest, this.isLeaving) };
   }
--- a/src/appointed/proxy/control_synchronisation.ts
+++ b/src/appointed/proxy/control_synchronisation.ts
@@ -6,6 +6,7 @@
 import type { DecisionLog } from '../../observability/decision_logger.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { Runtime } from '../../runtime/runtime.js';
+import type { IssuerChoice } from '../tenancy/issuer_choice.js';
 import type { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
 import type { PrimaryLeases } from '../trust/primary_leases.js';
 import { ControlClient } from './control_client.js';
@@ -29,6 +30,7 @@
   readonly primaryHealth: PrimaryHealthTrackers;
   readonly positions: PrimaryPositions;
   readonly instances: ProxyInstances;
+  readonly issuers: IssuerChoice;
 }
 
 /** Synchronisation of one proxy. */
@@ -159,8 +161,10 @@
   }
 
   private adoptDirectory(directory: whinyoke.IProxyDirectory): void {
-    this.parts.fleet.adopt(directory);
-    this.parts.instances.adoptOwners(directory);
+    const { fleet, instances, issuers } = this.parts;
+    fleet.adopt(directory);
+    instances.adoptOwners(fleet.zones);
+    issuers.update(fleet.zones);
   }
 
   private adoptCatalog(version: number, update: whinyoke.CatalogUpdate): void {
--- a/src/appointed/proxy/fleet_directory.ts
+++ b/src/appointed/proxy/fleet_directory.ts
@@ -3,12 +3,14 @@
  * the newest description; relies on nothing that may fail.
  */
 import type { whinyoke } from '../../protocol/generated/messages.js';
+import type { ZoneProxies } from '../relay/connection_owners.js';
 
 /** Directory of one proxy. */
 export class FleetDirectory {
   private knownVersion = 0;
   private knownForwarders: readonly string[] = [];
   private knownLiveProxies = 1;
+  private knownZones: readonly ZoneProxies[] = [];
 
   /** Version of the description; 0 before the first one. */
   get version(): number {
@@ -25,10 +27,19 @@
     return this.knownLiveProxies;
   }
 
+  /** Live proxies by zone. */
+  get zones(): readonly ZoneProxies[] {
+    return this.knownZones;
+  }
+
   /** Takes over a newer description. */
   adopt(directory: whinyoke.IProxyDirectory): void {
     this.knownVersion = directory.version ?? 0;
     this.knownForwarders = directory.relays ?? [];
     this.knownLiveProxies = Math.max(1, directory.liveProxies ?? 1);
+    this.knownZones = (directory.zones ?? []).map(({ zone, addresses }) => ({
+      zone: zone ?? '',
+      addresses: addresses ?? [],
+    }));
   }
 }
--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -15,6 +15,7 @@
   InstanceTarget,
 } from '../instance/instance_connection.js';
 import type { ReadCandidate } from '../routing/replica_selector.js';
+import type { ZoneProxies } from '../relay/connection_owners.js';
 import type { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
 import type { PrimaryLeases } from '../trust/primary_leases.js';
 import type { ConfirmingReplica } from '../trust/replica_lease_confirmer.js';
@@ -95,11 +96,7 @@
   }
 
   /** Takes over which proxies may own connections, by zone. */
-  adoptOwners(directory: whinyoke.IProxyDirectory): void {
-    const zones = (directory.zones ?? []).map(({ zone, addresses }) => ({
-      zone: zone ?? '',
-      addresses: addresses ?? [],
-    }));
+  adoptOwners(zones: readonly ZoneProxies[]): void {
     this.directory.owners.update(zones);
   }
 
--- a/src/appointed/tenancy/allowance_exchange.ts
+++ b/src/appointed/tenancy/allowance_exchange.ts
@@ -7,22 +7,9 @@
 import { Events } from '../../observability/events.js';
 import type { whinyoke } from '../../protocol/generated/messages.js';
 import type { AllowanceSurroundings } from './allowance_surroundings.js';
+import { AnswerTime } from './answer_time.js';
 import { LEADER_OVERLAP_MS, RESERVE_LIFE_MS, WAITING_ALLOWANCE_MS } from './operation_budget.js';
 
-/**
- * A request for operations that callers wait for is sent a second time, on another connection, when it is not answered
- * within so many times the usual time of an answer: the transport sends a lost packet again after 200 ms only, and callers
- * wait for a quarter of their objective. Guess, not measured.
- */
-const SECOND_WAY_FACTOR = 4;
-/** Shortest time until then, in milliseconds: a pause of a busy leader. Guess, not measured. */
-const LEAST_SECOND_WAY_MS = 12;
-/** Longest time until then, in milliseconds: more than an answer between two regions takes. Guess, not measured. */
-const MOST_SECOND_WAY_MS = 150;
-/** Weight of the newest answer in the usual time of an answer. Guess, not measured. */
-const ANSWER_WEIGHT = 0.1;
-/** Usual time of an answer before one was measured, in milliseconds. Guess, not measured. */
-const FIRST_ANSWER_MS = 10;
 /** Connection of usual requests. */
 const USUAL_LANE = 0;
 /** Connection of requests that are sent a second time. */
@@ -40,16 +27,20 @@
   private leader = '';
   private term = 0;
   private isLeaderUnaware = false;
-  /** Smoothed time of an answer, in milliseconds. */
-  private answerMs = FIRST_ANSWER_MS;
+  private readonly answerTime = new AnswerTime();
   /** When machines were sent all that is held, where no answer came: they may count on it. */
   private readonly unansweredAt = new Map<string, number>();
   private sequence = 0;
+  private readonly begunAt: number;
+  /** Which machine was told last, and when, that no leader has granted this run anything. */
+  private freshTold = { address: '', at: -Infinity };
 
   constructor(
     private readonly surroundings: AllowanceSurroundings,
     private readonly receive: ReplyReceiver,
-  ) {}
+  ) {
+    this.begunAt = surroundings.runtime.clock.now();
+  }
 
   /** Whether the next request names all that is held, since the leader may not know it. */
   get mustReportAll(): boolean {
@@ -58,8 +49,7 @@
 
   /** Time without an answer after which callers' requests are sent a second time, in milliseconds. */
   get secondWayMs(): number {
-    const waitMs = this.answerMs * SECOND_WAY_FACTOR;
-    return Math.min(MOST_SECOND_WAY_MS, Math.max(LEAST_SECOND_WAY_MS, waitMs));
+    return this.answerTime.lateAfterMs;
   }
 
   /** Whether another machine leads than the one that was asked last; it is asked from now on. */
@@ -81,7 +71,9 @@
   async send(content: whinyoke.IAllowanceRequest, askedAt: number): Promise<boolean> {
     const { runtime, proxy, incarnation, log } = this.surroundings;
     const address = this.leader;
-    const allowanceRequest = { ...content, proxy, incarnation, sequence: ++this.sequence };
+    const freshMs = content.complete ? this.tellFresh(address, askedAt) : 0;
+    const identity = { proxy, incarnation, sequence: ++this.sequence };
+    const allowanceRequest = { ...content, ...identity, freshMs };
     const lane = content.waitingOnly ? SECOND_LANE : USUAL_LANE;
     if (content.complete) this.unansweredAt.set(address, askedAt);
     try {
@@ -92,7 +84,8 @@
         lane,
       );
       this.unansweredAt.delete(address);
-      this.answerMs += (runtime.clock.now() - askedAt - this.answerMs) * ANSWER_WEIGHT;
+      this.answerTime.note(runtime.clock.now() - askedAt);
+      if (this.mayBreakPromise(address, askedAt)) return false;
       return this.takeReply(answer.allowanceReply, content, askedAt);
     } catch (error) {
       log(Events.controlRequestFailed, { address, reason: messageOf(error) });
@@ -100,6 +93,23 @@
     }
   }
 
+  /** Age of this run where no leader has granted it anything yet, in whole milliseconds; 0 otherwise. */
+  private tellFresh(address: string, askedAt: number): number {
+    if (this.term > 0) return 0;
+    this.freshTold = { address, at: askedAt };
+    return Math.floor(askedAt - this.begunAt);
+  }
+
+  /**
+   * Whether a reply may be that of a former leader, while another machine was told that this run has been granted nothing: it
+   * may add what former leaders could have granted to what it grants itself.
+   */
+  private mayBreakPromise(address: string, askedAt: number): boolean {
+    const { address: told, at } = this.freshTold;
+    if (askedAt < at) return true;
+    return address !== told && askedAt - at < LEADER_OVERLAP_MS;
+  }
+
   private takeReply(
     reply: whinyoke.IAllowanceReply | null | undefined,
     content: whinyoke.IAllowanceRequest,
--- a/src/appointed/tenancy/allowance_requests.ts
+++ b/src/appointed/tenancy/allowance_requests.ts
@@ -9,7 +9,9 @@
 import type { AllowanceSurroundings, OperationCounts } from './allowance_surroundings.js';
 import type { LimitRefusals } from './limit_refusals.js';
 import { GATHER_MS, WAITING_ALLOWANCE_MS } from './operation_budget.js';
+import type { TenantAllowance } from './tenant_allowance.js';
 import type { TenantAllowances } from './tenant_allowances.js';
+import { perSecondOf, reportedRate } from './wire_rate.js';
 
 /** Pause after a request that failed, in milliseconds: several tries within the wait of a caller. Guess, not measured. */
 const RETRY_PAUSE_MS = 25;
@@ -82,10 +84,7 @@
     const complete = this.exchange.mustReportAll;
     const asked = this.allowances.toAsk(askedAt, complete);
     if (asked.length === 0 && !complete) return true;
-    const demands = asked.map((allowance) => ({
-      tenant: allowance.tenant,
-      ...allowance.ask(askedAt),
-    }));
+    const demands = asked.map((allowance) => demandOf(allowance, askedAt));
     const second = clock.setTimer(this.exchange.secondWayMs, () => void this.askSecondWay());
     try {
       return await this.exchange.send({ demands, complete }, askedAt);
@@ -112,15 +111,29 @@
     // What was granted to waiting requests may not be used any more; the reserves hold on.
     const isLate = now - askedAt > WAITING_ALLOWANCE_MS;
     const mayAdd = !this.exchange.mayCountElsewhere(now);
-    for (const { tenant, granted, added, retryAfterMs } of reply.allowances ?? []) {
+    for (const { tenant, granted, added, rate, most, retryAfterMs } of reply.allowances ?? []) {
       const allowance = this.allowances.find(tenant ?? '');
       if (!allowance) continue;
       const waitMs = retryAfterMs ?? 0;
-      allowance.settle(isLate ? 0 : (granted ?? 0));
-      if (!isWaitingOnly) allowance.addReserve(mayAdd ? (added ?? 0) : 0, askedAt, now);
+      this.counts.granted += allowance.settle(isLate ? 0 : (granted ?? 0));
+      if (!isWaitingOnly && mayAdd) {
+        const leased = { added: added ?? 0, rate: perSecondOf(rate), most: most ?? 0 };
+        allowance.addReserve(leased, askedAt, now);
+      }
+      if (!isWaitingOnly && !mayAdd) allowance.renewReserve(askedAt, now);
       if (waitMs === 0) continue;
       allowance.noteExhausted(now + waitMs);
       this.refusals.refuseWaiting(allowance, waitMs);
     }
   }
 }
+
+function demandOf(allowance: TenantAllowance, askedAt: number): whinyoke.ITenantDemand {
+  const { heldRate, wantedRate, ...counts } = allowance.ask(askedAt);
+  return {
+    ...counts,
+    tenant: allowance.tenant,
+    heldRate: reportedRate(heldRate ?? 0),
+    wantedRate: reportedRate(wantedRate ?? 0),
+  };
+}
--- a/src/appointed/tenancy/limit_refusals.ts
+++ b/src/appointed/tenancy/limit_refusals.ts
@@ -28,8 +28,7 @@
 
   /** Refuses all operations that wait for an allowance of a tenant. */
   refuseWaiting(allowance: TenantAllowance, waitMs: number): void {
-    for (const operation of allowance.waiting) {
-      allowance.waiting.delete(operation);
+    for (const operation of [...allowance.waiting]) {
       operation.settle(this.refuse(allowance, waitMs));
     }
   }
--- a/src/appointed/tenancy/operation_budget.ts
+++ b/src/appointed/tenancy/operation_budget.ts
@@ -51,17 +51,27 @@
  * adds nothing for it (test/unit/tenancy.test.ts: 350 operations a second allowed, 220 used, none refused).
  */
 const RESERVE_FRACTION = 0.5;
+/**
+ * Fraction of a tenant's rate that may be leased to issuers, where its reserves don't last for a lease. A successor that doesn't know
+ * who has leased what gets the rest only: with 0.5 a new leader refuses a tenant that uses 220 of 350 operations a second
+ * (test/unit/tenancy.test.ts).
+ */
+const LEASABLE_FRACTION = 0.3;
 /** Operations that the bound keeps for rounding: the proof ends at the tolerance less one. */
 const ROUNDING_OPERATIONS = 1;
 
 /** How the bucket of a tenant is divided. */
 export interface QuotaBudget {
-  /** Operations that the leader's part of the bucket holds. */
+  /** Operations of the leader's part and of all reserves together. */
+  readonly size: number;
+  /** Operations of the leader's part while reserves of former leaders are unknown, and most that a successor is left. */
   readonly bucket: number;
   /** Operations that may lie with all proxies together as reserves. */
   readonly reserves: number;
   /** For how long the reserves last when the tenant uses all of its rate, in milliseconds. */
   readonly reserveMs: number;
+  /** Most of the rate that may be leased to all issuers together, in operations a second. */
+  readonly leasableRate: number;
 }
 
 /** Budget of one tenant. */
@@ -74,7 +84,9 @@
   const size = Math.floor(burst + headroom);
   const reserves = Math.floor(size * RESERVE_FRACTION);
   const lastsMs = (reserves / ratePerSecond) * MILLISECONDS_PER_SECOND;
-  return { bucket: size - reserves, reserves, reserveMs: Math.min(RESERVE_LIFE_MS, lastsMs) };
+  const reserveMs = Math.min(RESERVE_LIFE_MS, lastsMs);
+  const leasableRate = reserveMs < RESERVE_LIFE_MS ? ratePerSecond * LEASABLE_FRACTION : 0;
+  return { size, bucket: size - reserves, reserves, reserveMs, leasableRate };
 }
 
 /** Whether an operation that was counted `ageMs` milliseconds ago and did not run reaches the leader in time. */
--- a/src/appointed/tenancy/operation_ledger.ts
+++ b/src/appointed/tenancy/operation_ledger.ts
@@ -31,6 +31,12 @@
   readonly held: number;
   /** Reserve that it would like to hold. */
   readonly wantedReserve: number;
+  /** Leased rate that it keeps, in operations a second. */
+  readonly heldRate?: number;
+  /** Rate that it would like to have leased, in operations a second. */
+  readonly wantedRate?: number;
+  /** Operations up to which a leased rate that it keeps fills the reserve. */
+  readonly heldMost?: number;
 }
 
 /** What a proxy may do. */
@@ -41,6 +47,10 @@
   readonly added: number;
   /** When those that were not granted should come back, in milliseconds; 0 when all were granted. */
   readonly retryAfterMs: number;
+  /** Rate that fills the reserve up again until it ends, in operations a second. */
+  readonly rate: number;
+  /** Operations up to which it does. */
+  readonly most: number;
 }
 
 /** A successor's reserve that the log should hold. */
@@ -59,6 +69,8 @@
 export class OperationLedger {
   private readonly accounts = new Map<string, TenantAccount>();
   private begunAt = 0;
+  /** From when on the rate adds to the buckets. */
+  private addsFrom = 0;
   /** Whether former leaders may have granted reserves that this one does not know. */
   private hasUnknownReserves = false;
   private readonly wantedChanges = new Map<string, number>();
@@ -76,6 +88,8 @@
     this.accounts.clear();
     this.wantedChanges.clear();
     this.begunAt = now;
+    // A former leader may go on for a moment, with what it has above the reserve and what the rate brings meanwhile.
+    this.addsFrom = now + LEADER_OVERLAP_MS;
     this.hasUnknownReserves = true;
   }
 
@@ -84,6 +98,16 @@
     this.hasUnknownReserves = false;
   }
 
+  /**
+   * Only operations that this leader granted ran since `since`: all proxies have started after that, and none was granted anything by
+   * another leader. So the rate adds from then on.
+   */
+  noteOnlyOwnSince(since: number): void {
+    const gainedMs = Math.max(0, this.addsFrom - since);
+    this.addsFrom -= gainedMs;
+    for (const account of this.accounts.values()) account.refillFor(gainedMs);
+  }
+
   /** Whether a demand has to wait until the successor's reserve of its tenant is lower. */
   needsLowerSuccessorReserve(
     tenant: string,
@@ -94,7 +118,7 @@
     const budget = quotaBudget(limit, this.rules);
     const account = this.refilled(tenant, limit, budget, now);
     if (account.successorReserve === 0 || account.free >= waiting) return false;
-    this.wantedChanges.set(tenant, loweredReserve(account, budget.bucket));
+    this.wantedChanges.set(tenant, loweredReserve(account, waiting, budget.bucket));
     return true;
   }
 
@@ -122,12 +146,15 @@
   ): Allowance {
     const budget = quotaBudget(limit, this.rules);
     const account = this.refilled(tenant, limit, budget, now);
-    account.putBack(demand.returned, budget);
-    const grant = this.grant(account, limit, demand.waiting);
+    account.add(demand.returned, this.mostAtLeader(account, budget, now));
+    const grant = this.grant(account, demand.waiting);
     const added = this.addReserve(account, run, demand, budget, now);
-    account.hold(run, demand.held + added, now);
+    const rate = this.leaseRate(account, run, demand, budget, now);
+    const most = this.mostHeld(account, run, demand, added, rate, budget, now);
+    account.hold(run, { count: most, rate }, now);
+    account.setRate(this.ownRate(account, limit, budget, now));
     this.reviewSuccessorReserve(tenant, account, budget);
-    return { ...grant, added };
+    return { ...grant, added, rate, most };
   }
 
   /**
@@ -137,17 +164,16 @@
   answerWaiting(tenant: string, limit: OperationLimit, waiting: number, now: number): Allowance {
     const budget = quotaBudget(limit, this.rules);
     const account = this.refilled(tenant, limit, budget, now);
-    return { ...this.grant(account, limit, waiting), added: 0 };
+    return { ...this.grant(account, waiting), added: 0, rate: 0, most: 0 };
   }
 
   private grant(
     account: TenantAccount,
-    limit: OperationLimit,
     waiting: number,
-  ): Omit<Allowance, 'added'> {
+  ): Pick<Allowance, 'granted' | 'retryAfterMs'> {
     const granted = account.take(waiting);
     const isShort = granted < waiting;
-    const retryAfterMs = isShort ? Math.ceil(account.nextAfter(limit.ratePerSecond)) : 0;
+    const retryAfterMs = isShort ? Math.ceil(account.nextAfter()) : 0;
     return { granted, retryAfterMs };
   }
 
@@ -159,19 +185,44 @@
   ): TenantAccount {
     let account = this.accounts.get(tenant);
     if (!account) {
-      account = this.openAccount(tenant, budget);
+      account = this.openAccount(tenant, limit, budget);
       this.accounts.set(tenant, account);
     }
-    account.refill(limit.ratePerSecond, budget, now);
+    account.refill(this.mostAtLeader(account, budget, now), now);
+    account.setRate(this.ownRate(account, limit, budget, now));
     return account;
   }
 
-  private openAccount(tenant: string, { bucket }: QuotaBudget): TenantAccount {
+  /** The part of the rate that is not leased, in operations a second; no more than that while leases are unknown. */
+  private ownRate(
+    account: TenantAccount,
+    { ratePerSecond }: OperationLimit,
+    { leasableRate }: QuotaBudget,
+    now: number,
+  ): number {
+    if (!this.knowsAllReserves(now)) return ratePerSecond - leasableRate;
+    return Math.max(0, ratePerSecond - account.heldBeside(undefined, now).rate);
+  }
+
+  /** Once all reserves are known, the leader's part may grow into what no proxy holds. */
+  private mostAtLeader(account: TenantAccount, { size, bucket }: QuotaBudget, now: number): number {
+    return this.knowsAllReserves(now) ? size - account.heldBeside(undefined, now).count : bucket;
+  }
+
+  private knowsAllReserves(now: number): boolean {
+    const unknownUntil = this.begunAt + LEADER_OVERLAP_MS + RESERVE_LIFE_MS;
+    return !this.hasUnknownReserves || now >= unknownUntil;
+  }
+
+  private openAccount(
+    tenant: string,
+    { ratePerSecond }: OperationLimit,
+    { bucket, leasableRate }: QuotaBudget,
+  ): TenantAccount {
     // Nothing was ever granted to a tenant without a successor's reserve, so its bucket is full; but the log must hold one
     // before the first grant.
     const reserve = Math.min(this.committedReserve(tenant) ?? Infinity, bucket);
-    // A former leader may go on for a moment, with what it has above the reserve and what the rate brings meanwhile.
-    return new TenantAccount(reserve, this.begunAt + LEADER_OVERLAP_MS, reserve);
+    return new TenantAccount(reserve, this.addsFrom, reserve, ratePerSecond - leasableRate);
   }
 
   /**
@@ -185,12 +236,44 @@
     { bucket, reserves }: QuotaBudget,
     now: number,
   ): number {
-    const unknownUntil = this.begunAt + LEADER_OVERLAP_MS + RESERVE_LIFE_MS;
-    if (this.hasUnknownReserves && now < unknownUntil) return 0;
-    const most = reserves - account.heldByOthers(run, now) - held;
+    if (!this.knowsAllReserves(now)) return 0;
+    const most = reserves - account.heldBeside(run, now).count - held;
     return account.take(Math.min(wantedReserve - held, most), bucket * KEPT_FRACTION);
   }
 
+  /** What a run has leased is never taken away before its end; more is leased only once all leases are known. */
+  private leaseRate(
+    account: TenantAccount,
+    run: string,
+    { heldRate = 0, wantedRate = 0 }: AllowanceDemand,
+    { leasableRate }: QuotaBudget,
+    now: number,
+  ): number {
+    if (!this.knowsAllReserves(now)) return heldRate;
+    const most = leasableRate - account.heldBeside(run, now).rate;
+    return Math.max(heldRate, Math.min(wantedRate, most));
+  }
+
+  /**
+   * Operations up to which a run's reserve counts. A leased rate that finds no room in the reserve is lost, so there is room
+   * beside what the leader has left, also where that is nothing.
+   */
+  private mostHeld(
+    account: TenantAccount,
+    run: string,
+    demand: AllowanceDemand,
+    added: number,
+    rate: number,
+    { size, reserves }: QuotaBudget,
+    now: number,
+  ): number {
+    const least = Math.max(demand.held + added, demand.heldMost ?? 0);
+    if (rate === 0 || !this.knowsAllReserves(now)) return least;
+    const { count } = account.heldBeside(run, now);
+    const room = Math.min(reserves - count, Math.floor(size - count - account.operations));
+    return Math.max(least, Math.min(demand.wantedReserve, room));
+  }
+
   /** A higher successor's reserve is in force at once, a lower one when it is committed. */
   private reviewSuccessorReserve(
     tenant: string,
--- a/src/appointed/tenancy/successor_reserve.ts
+++ b/src/appointed/tenancy/successor_reserve.ts
@@ -4,21 +4,20 @@
  *
  * Answers: a leader stops while tenants go on. The replicated log holds the successor's reserve of each tenant;
  * a successor begins with it, so it grants at once and needs to know nothing of what was granted before.
- * Inputs: operations in the bucket, the reserve in force, size of the leader's part of the bucket (operations).
- * Rule: the usual reserve is {@link USUAL_FRACTION} of the bucket. It falls, to the usual one or to none, before requests have
- * to wait for that, and rises again when the bucket is nearly full.
+ * Inputs: operations in the bucket, the reserve in force, the most that may be left, half of the bucket (operations).
+ * Rule: the reserve follows the operations in the bucket at a distance, in {@link STEPS} steps. It falls before requests have to
+ * wait for that, only as far as they need, and rises when the bucket has filled up. So a successor of a leader that had little
+ * left begins with a part of that.
  * Shown by: docs/design/quota.md; test/unit/tenancy.test.ts fails when the reserves are ignored.
  */
 
-/**
- * Fraction of the leader's bucket that a successor finds as long as the tenant is below its limit: enough for the time in
- * which its rate adds nothing, since the former leader may go on (LEADER_OVERLAP_MS; test/unit/tenancy.test.ts:
- * 350 operations a second allowed, 220 used, none refused).
- */
-const USUAL_FRACTION = 0.6;
-/** A bucket that is filled above this fraction gets its usual reserve back. Guess, not measured. */
-const FULL_FRACTION = 0.9;
-/** Fraction of the bucket: with less than this free above the reserve, the reserve falls. Guess, not measured. */
+/** Steps in which the reserve changes (a count): each change is an entry in the log. Guess, not measured. */
+const STEPS = 5;
+/** Fraction of the most that a rising reserve leaves free. Guess, not measured. */
+const FREE_AFTER_RISE = 0.4;
+/** Fraction of the most that a falling reserve leaves free. Guess, not measured. */
+const FREE_AFTER_FALL = 0.3;
+/** Fraction of the most: with less than this free above the reserve, the reserve falls. Guess, not measured. */
 const EARLY_FRACTION = 0.1;
 
 /** State of a tenant's bucket. */
@@ -29,23 +28,24 @@
   readonly successorReserve: number;
 }
 
-function usualReserve(bucket: number): number {
-  return Math.floor(bucket * USUAL_FRACTION);
+function reserveOf(operations: number, most: number): number {
+  const step = most / STEPS;
+  const steps = Math.floor(operations / step);
+  return Math.floor(Math.min(STEPS, Math.max(0, steps)) * step);
 }
 
-/** The reserve that makes operations free: the usual one where the bucket holds enough above it, none otherwise. */
-export function loweredReserve(state: BucketState, bucket: number): number {
-  const usual = usualReserve(bucket);
-  const isAmple = state.operations - usual >= bucket * EARLY_FRACTION;
-  return isAmple && state.successorReserve > usual ? usual : 0;
+/** The reserve that frees operations for `waiting` requests. */
+export function loweredReserve(state: BucketState, waiting: number, most: number): number {
+  const { operations, successorReserve } = state;
+  const left = operations - waiting - most * FREE_AFTER_FALL;
+  return Math.min(successorReserve, reserveOf(left, most));
 }
 
 /** The reserve that the log should hold after an answer; undefined when the present one is right. */
-export function reviewedReserve(state: BucketState, bucket: number): number | undefined {
+export function reviewedReserve(state: BucketState, most: number): number | undefined {
   const { operations, successorReserve } = state;
-  const isNearlyEmpty = operations - successorReserve < bucket * EARLY_FRACTION;
-  if (successorReserve > 0 && isNearlyEmpty) return loweredReserve(state, bucket);
-  const usual = usualReserve(bucket);
-  const isNearlyFull = operations >= bucket * FULL_FRACTION;
-  return successorReserve < usual && isNearlyFull ? usual : undefined;
+  const isNearlyEmpty = operations - successorReserve < most * EARLY_FRACTION;
+  if (successorReserve > 0 && isNearlyEmpty) return loweredReserve(state, 0, most);
+  const risen = reserveOf(operations - most * FREE_AFTER_RISE, most);
+  return risen > successorReserve ? risen : undefined;
 }
--- a/src/appointed/tenancy/tenant_account.ts
+++ b/src/appointed/tenancy/tenant_account.ts
@@ -1,5 +1,5 @@
 /**
- * DECISION: the leader's part of one tenant's bucket, and the reserves that lie with proxies. Owns both, in memory only; relies on
+ * DECISION: the leader's part of one tenant's bucket, and the reserves and rates that lie with proxies. Owns both, in memory only; relies on
  * nothing that may fail.
  *
  * Inputs: rate (operations/s), demands (operations), the leader's clock (ms).
@@ -7,27 +7,35 @@
  * reserve. A proxy's reserve counts until {@link RESERVE_LIFE_MS} after the leader last renewed it.
  */
 import { MILLISECONDS_PER_SECOND } from '../../runtime/duration.js';
-import { type QuotaBudget, RESERVE_LIFE_MS } from './operation_budget.js';
+import { RESERVE_LIFE_MS } from './operation_budget.js';
 
-/** Reserve that one run of a proxy holds. */
+/** What one run of a proxy may hold. */
 interface HeldReserve {
+  /** Most operations in its reserve. */
   readonly count: number;
+  /** Rate that fills the reserve up to that again, in operations a second. */
+  readonly rate: number;
+}
+
+interface RecordedReserve extends HeldReserve {
   readonly until: number;
 }
 
 /** Account of one tenant. Times are those of the leader's clock, in milliseconds. */
 export class TenantAccount {
-  private readonly reserves = new Map<string, HeldReserve>();
+  private readonly reserves = new Map<string, RecordedReserve>();
 
   /**
    * @param level - operations in the bucket
    * @param filledAt - from when on the rate adds to them
    * @param reserve - operations that may not be granted, since a successor will grant them
+   * @param rate - operations that are added in a second
    */
   constructor(
     private level: number,
     private filledAt: number,
     private reserve: number,
+    private rate: number,
   ) {}
 
   /** Operations that must stay in the bucket for a successor. */
@@ -50,16 +58,26 @@
     this.reserve = operations;
   }
 
-  /** Adds what the rate brought since the last call. */
-  refill(ratePerSecond: number, { bucket }: QuotaBudget, now: number): void {
-    const earned = (ratePerSecond * Math.max(0, now - this.filledAt)) / MILLISECONDS_PER_SECOND;
-    this.level = Math.min(bucket, this.level + earned);
+  /** Changes the rate that adds to the bucket from the last refill on. */
+  setRate(ratePerSecond: number): void {
+    this.rate = ratePerSecond;
+  }
+
+  /** Adds what the rate brought since the last call, up to `most` operations. */
+  refill(most: number, now: number): void {
+    const earned = (this.rate * Math.max(0, now - this.filledAt)) / MILLISECONDS_PER_SECOND;
+    this.add(earned, most);
     this.filledAt = Math.max(this.filledAt, now);
   }
 
-  /** Puts back what was taken and never ran. */
-  putBack(count: number, { bucket }: QuotaBudget): void {
-    this.level = Math.min(bucket, this.level + count);
+  /** Has the next refill add for so many milliseconds more. */
+  refillFor(moreMs: number): void {
+    this.filledAt -= moreMs;
+  }
+
+  /** Puts operations back that were taken and never ran, up to `most` in the bucket. */
+  add(count: number, most: number): void {
+    this.level = Math.max(0, Math.min(most, this.level + count));
   }
 
   /** Takes up to `wanted` whole operations, and leaves `kept` in the bucket. */
@@ -71,23 +89,26 @@
   }
 
   /** Time until the rate brings a whole operation that may be granted, in milliseconds. */
-  nextAfter(ratePerSecond: number): number {
-    return ((1 - this.free) / ratePerSecond) * MILLISECONDS_PER_SECOND;
+  nextAfter(): number {
+    return ((1 - this.free) / this.rate) * MILLISECONDS_PER_SECOND;
   }
 
-  /** Reserves of all runs of proxies but one. */
-  heldByOthers(run: string, now: number): number {
-    let total = 0;
-    for (const [holder, { count, until }] of this.reserves) {
-      if (until <= now) this.reserves.delete(holder);
-      else if (holder !== run) total += count;
+  /** What all runs of proxies may hold together, but for `run`. */
+  heldBeside(run: string | undefined, now: number): HeldReserve {
+    let [count, rate] = [0, 0];
+    for (const [holder, held] of this.reserves) {
+      if (held.until <= now) this.reserves.delete(holder);
+      if (held.until <= now || holder === run) continue;
+      count += held.count;
+      rate += held.rate;
     }
-    return total;
+    return { count, rate };
   }
 
   /** Notes what a run may hold from now on. */
-  hold(run: string, count: number, now: number): void {
-    if (count > 0) this.reserves.set(run, { count, until: now + RESERVE_LIFE_MS });
+  hold(run: string, held: HeldReserve, now: number): void {
+    const until = now + RESERVE_LIFE_MS;
+    if (held.count > 0 || held.rate > 0) this.reserves.set(run, { ...held, until });
     else this.reserves.delete(run);
   }
 }
--- a/src/appointed/tenancy/tenant_allowance.ts
+++ b/src/appointed/tenancy/tenant_allowance.ts
@@ -4,13 +4,13 @@
  *
  * Answers: operations of one tenant at one proxy, none of which should wait for a trip to the leader.
  * Inputs: times of operations (ms), the tenant's budget (operations, ms), grants of the leader (operations).
- * Rule: the reserve should last for the budget's `reserveMs` at the smoothed rate of operations; it is renewed when half of
- * it is used or half of its life is over. What nobody expects to use goes back to the leader.
+ * Rule: the reserve should last for the budget's `reserveMs` at the smoothed rate of operations; it is renewed when a quarter of
+ * it is used or half of its life is over. An issuer's is larger, and a leased rate fills it up again until its end. What nobody expects to use goes back to the leader.
  */
 import { MILLISECONDS_PER_SECOND } from '../../runtime/duration.js';
 import type { RefusalCause } from '../routing/refusal_cause.js';
 import { type QuotaRules, RESERVE_LIFE_MS, quotaBudget } from './operation_budget.js';
-import type { AllowanceDemand } from './operation_ledger.js';
+import type { Allowance, AllowanceDemand } from './operation_ledger.js';
 import type { OperationLimit } from './tenant.js';
 
 /** How a request for an operation ended. */
@@ -20,11 +20,29 @@
   | { readonly isGranted: false; readonly cause: RefusalCause };
 
 /** A request that waits for an allowance. */
-interface WaitingOperation {
-  /** Ends the wait. */
+export interface WaitingOperation {
+  /** Whether it still waits. */
+  readonly isOpen: boolean;
+  /** Ends the wait; a second end changes nothing. */
   settle(verdict: OperationVerdict): void;
 }
 
+/** Until when a reserve, and a leased rate, may be used. */
+export interface ReserveLease {
+  /** End, on the clock of the proxy that sent the request at `askedAt` by which it was renewed. */
+  endsAt(askedAt: number): number;
+}
+
+/** What the leader adds to a reserve, and how it is filled up again. */
+type LeasedReserve = Pick<Allowance, 'added' | 'rate' | 'most'>;
+
+/** Operations that are asked for at one time. */
+interface NotedOperations {
+  readonly count: number;
+  /** Whether this proxy is the issuer of the tenant, which holds the reserve of its zone. */
+  readonly isIssuer: boolean;
+}
+
 /** The operation may run. */
 export const GRANTED: OperationVerdict = { isGranted: true };
 
@@ -32,10 +50,33 @@
 const RATE_WINDOW_MS = 2000;
 /** A reserve is renewed when less than this fraction of its life is left. Guess, not measured. */
 const RENEWAL_FRACTION = 0.5;
-/** A reserve is filled up when at most this fraction of the wanted operations is left. Guess, not measured. */
-const LOW_FRACTION = 0.5;
-/** Below so many expected operations nothing is kept in reserve. Guess, not measured. */
+/**
+ * A reserve is filled up when at most this fraction of the wanted operations is left. Of 0.5 and 0.75 the second refuses less without a
+ * leader, for a tenth more requests (docs/design/issuers.md).
+ */
+const LOW_FRACTION = 0.75;
+/** Below so many expected operations an issuer keeps nothing in reserve. Guess, not measured. */
 const LEAST_EXPECTED = 0.3;
+/**
+ * Below so many expected operations a proxy that is not the issuer keeps nothing in reserve: the reserves of many proxies
+ * would leave too little to the issuers. Guess, not measured.
+ */
+const LEAST_EXPECTED_BESIDE_ISSUER = 1.5;
+/**
+ * Fraction of the rate that is sure to come which an issuer has leased: a leased rate that finds the reserve full is lost to the
+ * other zones. Guess, not measured.
+ */
+const LEASED_FRACTION = 0.9;
+/**
+ * By so many standard deviations the rate that is sure to come is less than the smoothed one, and an issuer's reserve more than what is
+ * expected. The smoothed rate of random arrivals has the variance rate / (2 x window), with the window of 2 s a quarter of the
+ * rate; two of those are its square root.
+ */
+const DEVIATIONS = 1;
+/** An issuer's reserve should last so many times longer, since few tenants use all of their rate. Guess, not measured. */
+const ISSUER_HORIZON_FACTOR = 1.5;
+const RESERVE_LEASE: ReserveLease = { endsAt: (askedAt) => askedAt + RESERVE_LIFE_MS };
+const ONE_AT_ISSUER: NotedOperations = { count: 1, isIssuer: true };
 
 /** Allowance of one tenant at one proxy. */
 export class TenantAllowance {
@@ -43,6 +84,13 @@
   readonly waiting = new Set<WaitingOperation>();
   private reserve = 0;
   private reserveUntil = -Infinity;
+  /** Most that the reserve may hold, as the leader counts it. */
+  private reserveMost = 0;
+  /** Rate that fills the reserve up to that again until it ends, in operations a second. */
+  private leasedRate = 0;
+  private filledAt = 0;
+  /** Most of the tenant's rate that may be leased to all. */
+  private leasableRate = 0;
   private operationsPerSecond = 0;
   private notedAt = 0;
   /** When a log line last reported that the tenant is over its limit. */
@@ -53,6 +101,7 @@
   private mostHeld = 0;
   /** For how long a reserve should last, in milliseconds. */
   private horizonMs = 0;
+  private isIssuer = true;
   /** Operations that were counted, or held, and will not run; the leader takes them back. */
   private unused = 0;
 
@@ -61,28 +110,37 @@
     readonly tenant: string,
     /** When an operation was asked for last. */
     public usedAt: number,
+    private readonly lease: ReserveLease = RESERVE_LEASE,
   ) {}
 
-  /** Notes an operation, with the limit in force. */
-  note(limit: OperationLimit, rules: QuotaRules, now: number): void {
+  /** Notes operations that are asked for, with the limit in force. */
+  note(
+    limit: OperationLimit,
+    rules: QuotaRules,
+    now: number,
+    { count, isIssuer }: NotedOperations = ONE_AT_ISSUER,
+  ): void {
     this.usedAt = now;
+    this.isIssuer = isIssuer;
     this.decay(now);
-    this.operationsPerSecond += MILLISECONDS_PER_SECOND / RATE_WINDOW_MS;
-    const { reserves, reserveMs } = quotaBudget(limit, rules);
+    this.operationsPerSecond += (count * MILLISECONDS_PER_SECOND) / RATE_WINDOW_MS;
+    const { reserves, reserveMs, leasableRate } = quotaBudget(limit, rules);
+    this.leasableRate = leasableRate;
     this.mostHeld = reserves;
-    this.horizonMs = reserveMs;
+    const factor = isIssuer ? ISSUER_HORIZON_FACTOR : 1;
+    this.horizonMs = Math.min(RESERVE_LIFE_MS, reserveMs * factor);
   }
 
   /** Takes one operation out of the reserve; false when there is none. */
   takeReserve(now: number): boolean {
-    if (this.reserve === 0 || now >= this.reserveUntil) return false;
+    if (this.heldReserve(now) < 1) return false;
     this.reserve--;
     return true;
   }
 
   /** Whether a reserve is held that has not ended. */
   holdsReserve(now: number): boolean {
-    return this.heldReserve(now) > 0;
+    return this.heldReserve(now) > 0 || this.heldRate(now) > 0;
   }
 
   /** Notes an operation that did not run. It can't be used here, since the leader counts it as used. */
@@ -108,28 +166,48 @@
   /** Content of a request that is sent now. What it gives up may not be used any more, whether the request arrives or not. */
   ask(now: number): AllowanceDemand {
     const wantedReserve = this.wantedReserve(now);
-    const held = Math.min(this.heldReserve(now), wantedReserve);
-    const returned = this.unused + this.heldReserve(now) - held;
-    this.reserve = held;
+    const available = this.heldReserve(now);
+    const held = Math.min(Math.ceil(available), wantedReserve);
+    const returned = this.unused + Math.max(0, Math.floor(available - held));
+    this.reserve = Math.min(available, held);
     this.unused = 0;
-    return { waiting: this.waiting.size, returned, held, wantedReserve };
+    const wantedRate = this.wantedRate;
+    const heldRate = Math.min(this.heldRate(now), wantedRate);
+    this.leasedRate = heldRate;
+    // Without a leased rate the reserve only falls.
+    const heldMost =
+      heldRate > 0 ? Math.max(held, Math.min(this.reserveMost, wantedReserve)) : held;
+    this.reserveMost = heldMost;
+    const { size: waiting } = this.waiting;
+    return { waiting, returned, held, wantedReserve, heldRate, wantedRate, heldMost };
   }
 
-  /** Lets waiting requests run. */
-  settle(granted: number): void {
-    let left = granted;
-    for (const operation of this.waiting) {
-      // What is left over is lost: those who waited have gone, or were served by the answer to another request.
-      if (left-- === 0) return;
-      this.waiting.delete(operation);
-      operation.settle(GRANTED);
-    }
+  /** Lets waiting requests run; returns how many. */
+  settle(granted: number): number {
+    // What is left over is lost: those who waited have gone, or were served by the answer to another request.
+    const served = [...this.waiting].slice(0, granted);
+    for (const operation of served) operation.settle(GRANTED);
+    return served.length;
+  }
+
+  /** Expects no more operations, so that the reserve goes back to the leader. */
+  forgetDemand(): void {
+    this.operationsPerSecond = 0;
   }
 
   /** Adds to the reserve, and renews it, after a request that was sent at `askedAt`. */
-  addReserve(added: number, askedAt: number, now: number): void {
+  addReserve({ added, rate, most }: LeasedReserve, askedAt: number, now: number): void {
     this.reserve = this.heldReserve(now) + added;
-    this.reserveUntil = askedAt + RESERVE_LIFE_MS;
+    // A leader of an earlier version leases nothing, and tells no most.
+    this.reserveMost = Math.max(most, Math.ceil(this.reserve));
+    this.leasedRate = rate;
+    this.reserveUntil = this.lease.endsAt(askedAt);
+  }
+
+  /** Renews the reserve without adding to it: another leader may count on what this proxy told it. */
+  renewReserve(askedAt: number, now: number): void {
+    const { reserveMost: most } = this;
+    this.addReserve({ added: 0, rate: this.heldRate(now), most }, askedAt, now);
   }
 
   /** Notes that the leader has nothing for this tenant until then. */
@@ -137,14 +215,32 @@
     this.exhaustedUntil = until;
   }
 
+  /** The reserve, with what the leased rate brought. */
   private heldReserve(now: number): number {
-    return now < this.reserveUntil ? this.reserve : 0;
+    const earned = (this.leasedRate * (now - this.filledAt)) / MILLISECONDS_PER_SECOND;
+    this.filledAt = now;
+    if (now >= this.reserveUntil) this.reserveMost = 0;
+    this.reserve = Math.min(this.reserveMost, this.reserve + earned);
+    return this.reserve;
+  }
+
+  private heldRate(now: number): number {
+    return now < this.reserveUntil ? this.leasedRate : 0;
+  }
+
+  private get wantedRate(): number {
+    if (!this.isIssuer) return 0;
+    const { operationsPerSecond } = this;
+    const sure = operationsPerSecond - DEVIATIONS * Math.sqrt(operationsPerSecond);
+    return Math.min(this.leasableRate, Math.max(0, sure) * LEASED_FRACTION);
   }
 
   private wantedReserve(now: number): number {
     this.decay(now);
     const expected = (this.operationsPerSecond * this.horizonMs) / MILLISECONDS_PER_SECOND;
-    return expected < LEAST_EXPECTED ? 0 : Math.min(this.mostHeld, Math.ceil(expected));
+    const least = this.isIssuer ? LEAST_EXPECTED : LEAST_EXPECTED_BESIDE_ISSUER;
+    const more = this.isIssuer ? DEVIATIONS * Math.sqrt(expected) : 0;
+    return expected < least ? 0 : Math.min(this.mostHeld, Math.ceil(expected + more));
   }
 
   private decay(now: number): void {
--- a/src/appointed/tenancy/tenant_allowances.ts
+++ b/src/appointed/tenancy/tenant_allowances.ts
@@ -1,5 +1,5 @@
 /** The allowances of all tenants that were used lately at one proxy. Owns them; relies on nothing that may fail. */
-import { TenantAllowance } from './tenant_allowance.js';
+import { type ReserveLease, TenantAllowance } from './tenant_allowance.js';
 
 /**
  * Tenants that nobody asked for are forgotten after this time, in milliseconds: longer than any reserve lasts. Guess, not
@@ -9,13 +9,15 @@
 
 /** Allowances of one proxy. */
 export class TenantAllowances {
+  /** Until when reserves may be used; a simulation takes it away. */
+  lease: ReserveLease | undefined;
   private readonly byTenant = new Map<string, TenantAllowance>();
 
   /** Allowance of a tenant; a new one where the tenant was not used lately. */
   of(tenant: string, now: number): TenantAllowance {
     let allowance = this.byTenant.get(tenant);
     if (!allowance) {
-      allowance = new TenantAllowance(tenant, now);
+      allowance = new TenantAllowance(tenant, now, this.lease);
       this.byTenant.set(tenant, allowance);
     }
     return allowance;
@@ -41,6 +43,11 @@
     return [...this.byTenant.values()].filter(({ waiting }) => waiting.size > 0);
   }
 
+  /** All of them. */
+  get all(): Iterable<TenantAllowance> {
+    return this.byTenant.values();
+  }
+
   /** Drops those that nobody asked for lately. */
   forgetUnused(now: number): void {
     for (const [tenant, { usedAt }] of this.byTenant) {
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -221,6 +221,20 @@
     'changed settings could not be taken over',
     'The process goes on with those that it has; `reason` names the field. Correct the settings file.',
   ),
+  issuerPassedOver: define(
+    263,
+    'issuer_passed_over',
+    'warn',
+    'an issuer of operations did not answer',
+    'Operations of `waiting` requests are asked of the leader, for 1 s those that follow of another proxy of the zone.',
+  ),
+  issuerLeft: define(
+    264,
+    'issuer_left',
+    'info',
+    'this proxy hands over its reserves of operations, since it is to stop',
+    'The leader gets what the zone does not use; another proxy of the zone becomes the issuer.',
+  ),
   allowancesBegun: define(
     325,
     'allowances_begun',
@@ -235,6 +249,13 @@
     'the leader knows all reserves of operations',
     'From `after_ms` after its election on it adds to reserves again.',
   ),
+  allowancesFresh: define(
+    350,
+    'allowances_fresh',
+    'info',
+    'all proxies have started anew, so nothing that former leaders granted is in use',
+    'After a loss of all power: the rates of tenants add since the last proxy started, `before_ms` before the election.',
+  ),
   primaryChangeBegun: define(
     311,
     'primary_change_begun',
--- a/test/unit/allowance_client.test.ts
+++ b/test/unit/allowance_client.test.ts
@@ -6,6 +6,7 @@
 import type { Messenger } from '../../src/runtime/runtime.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 import { AllowanceClient } from '../../src/appointed/tenancy/allowance_client.js';
+import { IssuerChoice } from '../../src/appointed/tenancy/issuer_choice.js';
 import type { OperationVerdict } from '../../src/appointed/tenancy/tenant_allowance.js';
 
 const RULES = { windowMs: 5000, overage: 0.1, tolerance: 20 };
@@ -50,6 +51,8 @@
       rules: RULES,
       proxy: 'p',
       incarnation: 'run-1',
+      issuers: new IssuerChoice('p', 'zone-1'),
+      limitOf: () => TENANT.limit,
       leaderAddress: () => this.address,
     });
   }
--- a/test/unit/tenancy.test.ts
+++ b/test/unit/tenancy.test.ts
@@ -10,19 +10,20 @@
 } from '../../src/appointed/connections/pooled_connection.js';
 import { IdleConnections } from '../../src/appointed/connections/idle_connections.js';
 import { FakeConnection } from '../tools/fake_connection.js';
+import {
+  PlayedFleet,
+  PlayedLeader,
+  type PlayedStep,
+  PROXIES,
+  RULES,
+} from '../tools/played_fleet.js';
 import { CountingConnector, poolOf } from '../tools/instance_pool.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 import { freshnessWithin } from '../../src/appointed/tenancy/admission.js';
 import {
   LEADER_OVERLAP_MS,
   RESERVE_LIFE_MS,
-  WAITING_ALLOWANCE_MS,
 } from '../../src/appointed/tenancy/operation_budget.js';
-import {
-  type Allowance,
-  type AllowanceDemand,
-  OperationLedger,
-} from '../../src/appointed/tenancy/operation_ledger.js';
 import { TenantAllowance } from '../../src/appointed/tenancy/tenant_allowance.js';
 import { type OperationLimit, TenantDirectory } from '../../src/appointed/tenancy/tenant.js';
 
@@ -82,103 +83,38 @@
   t.end();
 });
 
-const RULES = { windowMs: 5000, overage: 0.1, tolerance: 20 };
-const PROXIES = 5;
-
-/** The replicated floor of one tenant, and a leader that writes it. */
-class PlayedLeader {
-  readonly ledger: OperationLedger;
-  readonly told = new Set<number>();
-
-  constructor(
-    private readonly log: Map<string, number>,
-    readonly begunAt: number,
-  ) {
-    this.ledger = new OperationLedger(RULES, (tenant) => log.get(tenant));
-    this.ledger.begin(begunAt);
-  }
-
-  /** Answers as the service does; a change of the floor that is not committed is as if it had not been tried. */
-  answer(
-    proxy: number,
-    limit: OperationLimit,
-    demand: AllowanceDemand,
-    now: number,
-    commits: boolean,
-  ): Allowance {
-    if (this.ledger.needsLowerSuccessorReserve('ana', limit, demand.waiting, now))
-      this.write(commits);
-    const allowance = this.ledger.answer(`p${proxy}`, 'ana', limit, demand, now);
-    this.write(commits);
-    return allowance;
-  }
-
-  noteTold(proxy: number): void {
-    this.told.add(proxy);
-    if (this.told.size === PROXIES) this.ledger.noteAllKnown();
-  }
-
-  private write(commits: boolean): void {
-    const changes = this.ledger.takeSuccessorReserveChanges();
-    if (!commits) return;
-    for (const { tenant, operations } of changes) this.log.set(tenant, operations);
-    this.ledger.noteCommitted(changes);
-  }
-}
+const limits = fc.record({
+  ratePerSecond: fc.integer({ min: 1, max: 200 }),
+  burst: fc.integer({ min: 0, max: 200 }),
+});
 
 void t.test('no schedule of demands and leaders runs more than the limit of a window', (t) => {
+  const oneIn = (count: number): fc.Arbitrary<boolean> =>
+    fc.integer({ min: 1, max: count }).map((drawn) => drawn === 1);
   const step = fc.record({
     proxy: fc.integer({ min: 0, max: PROXIES - 1 }),
     waitMs: fc.integer({ min: 0, max: 900 }),
     waiting: fc.integer({ min: 0, max: 60 }),
     wantedReserve: fc.integer({ min: 0, max: 60 }),
+    wantedRate: fc.integer({ min: 0, max: 100 }),
     isSpent: fc.boolean(),
-    isNewLeader: fc.integer({ min: 0, max: 9 }).map((drawn) => drawn < 2),
+    isUsedUp: fc.boolean(),
+    isNewLeader: oneIn(5),
+    isPowerLost: oneIn(20),
     asksFormer: fc.boolean(),
+    isReplyLost: oneIn(8),
     commits: fc.integer({ min: 0, max: 9 }).map((drawn) => drawn > 0),
   });
-  const limits = fc.record({
-    ratePerSecond: fc.integer({ min: 1, max: 200 }),
-    burst: fc.integer({ min: 0, max: 200 }),
-  });
   fc.assert(
     fc.property(limits, fc.array(step, { maxLength: 120 }), (limit, steps) => {
-      const runs: number[] = [];
-      const reserves = new Map<number, { count: number; until: number }>();
-      const log = new Map<string, number>();
-      let now = 10_000;
-      let leader = new PlayedLeader(log, now);
-      let former: PlayedLeader | undefined;
-      for (const { proxy, waitMs, waiting, wantedReserve, isSpent, ...drawn } of steps) {
-        now += waitMs;
-        if (drawn.isNewLeader) {
-          former = leader;
-          leader = new PlayedLeader(log, now);
-        }
-        // A former leader goes on for a moment, but commits nothing, and nobody who told the new one asks it.
-        const mayAskFormer = now - leader.begunAt < LEADER_OVERLAP_MS && !leader.told.has(proxy);
-        const asked = drawn.asksFormer && mayAskFormer && former ? former : leader;
-        const own = reserves.get(proxy);
-        const available = own && own.until > now ? own.count : 0;
-        const held = Math.min(available, wantedReserve);
-        const demand = { waiting, returned: available - held, held, wantedReserve };
-        if (asked === leader) leader.noteTold(proxy);
-        const commits = drawn.commits && asked === leader;
-        const answer = asked.answer(proxy, limit, demand, now, commits);
-        // Granted ones run as late as they may; a reserve may be spent all at once.
-        for (let count = 0; count < answer.granted; count++) {
-          runs.push(now + (count % 2) * WAITING_ALLOWANCE_MS);
-        }
-        const reserve = held + answer.added;
-        for (let count = 0; isSpent && count < reserve; count++) runs.push(now);
-        reserves.set(proxy, { count: isSpent ? 0 : reserve, until: now + RESERVE_LIFE_MS });
+      const fleet = new PlayedFleet(limit);
+      for (const { waitMs, isNewLeader, isPowerLost, ...drawn } of steps) {
+        if (isPowerLost) fleet.losePower(waitMs);
+        else fleet.now += waitMs;
+        if (isNewLeader) fleet.elect();
+        fleet.ask(drawn);
       }
-      const most = (limit.ratePerSecond * 5 + limit.burst) * 1.1 + 20;
-      const times = runs.sort((left, right) => left - right);
-      return times.every((begin, index) => {
-        const end = times.findLastIndex((time) => time < begin + RULES.windowMs);
-        return end - index + 1 <= most;
-      });
+      return !fleet.exceedsLimit;
     }),
     { numRuns: 1000, seed: 7 },
   );
@@ -186,13 +122,84 @@
   t.end();
 });
 
+/** Requests of an issuer that wants all that it may get. */
+const GREEDY: PlayedStep = {
+  proxy: 0,
+  waiting: 0,
+  wantedReserve: 200,
+  wantedRate: 200,
+  isSpent: false,
+  isUsedUp: false,
+  asksFormer: true,
+  isReplyLost: false,
+  commits: true,
+};
+const CALM_MS = 9000;
+const RUSH_MS = 7000;
+const SPACING_MS = 50;
+
+/** A rush of a tenant, and what happens around its begin. */
+interface Rush {
+  readonly change: 'none' | 'leader' | 'power' | 'cut';
+  readonly changeAtMs: number;
+  readonly leaderlessMs: number;
+  /** Issuers that reach no leader after a cut, and when they use what they have. */
+  readonly cutOff: number;
+  readonly cutSpendMs: number;
+  /** For how long most issuers ask for nothing, since their leases hold. */
+  readonly silentMs: number;
+}
+
+/** One request in a rush, or what an issuer uses without one. */
+function rush(fleet: PlayedFleet, proxy: number, sinceRush: number, drawn: Rush): void {
+  const sinceChange = drawn.change === 'none' ? -Infinity : sinceRush - drawn.changeAtMs;
+  const isCutOff = drawn.change === 'cut' && sinceChange >= 0 && proxy < drawn.cutOff;
+  const isSilent = sinceRush >= 0 && proxy > 1 && sinceRush < drawn.silentMs;
+  if (isSilent || (isCutOff && sinceChange >= drawn.cutSpendMs)) fleet.spend(proxy);
+  if (isSilent || isCutOff) return;
+  const isRush = sinceRush >= 0;
+  const waiting = isRush ? 400 : 0;
+  fleet.ask({ ...GREEDY, proxy, waiting, isSpent: isRush, isUsedUp: isRush });
+}
+
+void t.test('nor does a rush at the worst moment of a change of leader or a cut', (t) => {
+  const drawnRush: fc.Arbitrary<Rush> = fc.record({
+    change: fc.constantFrom('none', 'leader', 'power', 'cut'),
+    changeAtMs: fc.integer({ min: -3500, max: 5000 }),
+    leaderlessMs: fc.integer({ min: 0, max: 2000 }),
+    cutOff: fc.integer({ min: 0, max: 3 }),
+    cutSpendMs: fc.integer({ min: 0, max: 4000 }),
+    silentMs: fc.integer({ min: 0, max: RESERVE_LIFE_MS }),
+  });
+  fc.assert(
+    fc.property(limits, drawnRush, (limit, drawn) => {
+      const fleet = new PlayedFleet(limit);
+      const rushAt = fleet.now + CALM_MS;
+      let isChanged = drawn.change === 'none';
+      for (let turn = 0; fleet.now < rushAt + RUSH_MS; turn++) {
+        fleet.now += SPACING_MS;
+        const isDue = !isChanged && fleet.now >= rushAt + drawn.changeAtMs;
+        if (isDue && drawn.change === 'power') fleet.losePower(drawn.leaderlessMs);
+        if (isDue && drawn.change !== 'power') fleet.elect();
+        isChanged ||= isDue;
+        rush(fleet, turn % PROXIES, fleet.now - rushAt, drawn);
+      }
+      return !fleet.exceedsLimit;
+    }),
+    { numRuns: 500, seed: 7 },
+  );
+  t.pass('500 rushes');
+  t.end();
+});
+
 void t.test(
   'reserves take nothing from requests that wait, and go back when nobody wants them',
   (t) => {
     const leader = new PlayedLeader(new Map(), 0);
     leader.ledger.noteAllKnown();
     const limit = { ratePerSecond: 4, burst: 4 };
-    const now = 20_000;
+    // The rate has added nothing yet.
+    const now = LEADER_OVERLAP_MS;
     const nothing = { waiting: 0, returned: 0, held: 0, wantedReserve: 0 };
     // The first request is what gives the tenant a floor in the log.
     leader.answer(1, limit, nothing, now, true);
@@ -279,7 +286,7 @@
     const allowance = allowances[proxy]!;
     const demand = { ...allowance.ask(now), waiting };
     const answer = leader.answer(proxy, limit, demand, now, true);
-    allowance.addReserve(answer.added, now, now);
+    allowance.addReserve(answer, now, now);
     return answer.granted;
   };
   for (let now = 0; now < 60_000; now += 5) {
