--- a/src/appointed/tenancy/tenant_allowance.ts
+++ b/src/appointed/tenancy/tenant_allowance.ts
@@ -5,7 +5,7 @@
  * Answers: operations of one tenant at one proxy, none of which should wait for a trip to the leader.
  * Inputs: times of operations (ms), the tenant's budget (operations, ms), grants of the leader (operations).
  * Rule: the reserve should last for the budget's `reserveMs` at the smoothed rate of operations; it is renewed when a quarter of
- * it is used or half of its life is over. An issuer's is larger, and a leased rate fills it up again until its end. What nobody expects to use goes back to the leader.
+ * it is used or a fifth of its life is over. An issuer's is larger, and a leased rate fills it up again until its end. What nobody expects to use goes back to the leader.
  */
 import { MILLISECONDS_PER_SECOND } from '../../runtime/duration.js';
 import type { RefusalCause } from '../routing/refusal_cause.js';
@@ -48,8 +48,11 @@
 
 /** Time over which the rate of operations is smoothed, in milliseconds. Guess, not measured. */
 const RATE_WINDOW_MS = 2000;
-/** A reserve is renewed when less than this fraction of its life is left. Guess, not measured. */
-const RENEWAL_FRACTION = 0.5;
+/**
+ * A reserve is renewed when less than this fraction of its life is left: it should outlast a leader by more than two seconds. With 0.5
+ * as many requests were sent (docs/design/issuers.md).
+ */
+const RENEWAL_FRACTION = 0.8;
 /**
  * A reserve is filled up when at most this fraction of the wanted operations is left. Of 0.5 and 0.75 the second refuses less without a
  * leader, for a tenth more requests (docs/design/issuers.md).
@@ -61,7 +64,7 @@
  * Below so many expected operations a proxy that is not the issuer keeps nothing in reserve: the reserves of many proxies
  * would leave too little to the issuers. Guess, not measured.
  */
-const LEAST_EXPECTED_BESIDE_ISSUER = 1.5;
+const LEAST_EXPECTED_BESIDE_ISSUER = 4;
 /**
  * Fraction of the rate that is sure to come which an issuer has leased: a leased rate that finds the reserve full is lost to the
  * other zones. Guess, not measured.
