--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -73,7 +73,8 @@
   constructor(
     name: string,
     private readonly address: string,
-    private readonly zone: string,
+    /** Zone of the proxy. */
+    readonly zone: string,
     surroundings: AppointedSurroundings,
   ) {
     super(name, address, surroundings);
--- a/test/simulation/tenancy.test.ts
+++ b/test/simulation/tenancy.test.ts
@@ -10,12 +10,16 @@
  *   callers.
  * - connections that fall silent cost no more than a patience, each once: primaries replaced for connections that
  *   fell silent; needs the generator with mute-connections alone.
+ * - an issuer that is cut off uses its reserve and its leased rate no longer than its lease: a tenant that runs
+ *   more than its limit; needs the world, a cut, the rule quota and the switches issuer-lease and
+ *   credential-freshness, no callers.
  * - without a protection the checks report it: a judge that cannot fail; needs the switches tenant-binding and
  *   fleet-quota with the generator.
  */
 import t from 'tap';
 import { APPOINTED_TENANTS } from '../../lab/appointed/appointed_deployment.js';
 import { runAppointed } from '../../lab/appointed/appointed_simulation.js';
+import type { SimulatedRouter } from '../../lab/appointed/appointed_nodes.js';
 import { AppointedWorld, databaseOf } from '../../lab/appointed/appointed_world.js';
 import type { AppointedProtection } from '../../lab/appointed/disabled_protections.js';
 
@@ -25,6 +29,13 @@
 /** Longer than the bound on revoked credentials, less than the time for which replicas confirm leases. */
 const SILENCE_MS = 9000;
 const CAUGHT_WITHIN = 10;
+/** Number of the tenant whose limit is the least, 15 operations a second. */
+const LEAST_TENANT = 3;
+const USUAL_SPACING_MS = 80;
+const RUSH_SPACING_MS = 10;
+const RUSH_MS = 4600;
+/** The lease of 3 s, and the time in which the leader's part of the bucket is full again. */
+const LEASE_OVER_MS = 4400;
 
 void t.test('mixed faults, changes of credentials among them', async (t) => {
   for (let seed = 1; seed <= SEEDS; seed++) {
@@ -99,6 +110,60 @@
   t.ok(changes <= SEEDS, `${changes} primaries replaced in ${2 * SEEDS} such moments`);
 });
 
+/** Reads of the tenant with the least limit through some proxies, at a pace, whatever becomes of them. */
+async function readThrough(
+  world: AppointedWorld,
+  routers: readonly SimulatedRouter[],
+  spacingMs: number,
+  forMs: number,
+): Promise<void> {
+  const { name: group } = world.groups[0]!;
+  const credential = world.tenancy!.credentialFor(LEAST_TENANT);
+  const database = databaseOf(group, { kind: 'primary' });
+  const content = { group, values: new Map(), prepared: undefined, transaction: undefined };
+  for (let elapsed = 0; elapsed < forMs; elapsed += spacingMs) {
+    const sentAt = world.scheduler.now;
+    for (const router of routers) {
+      const id = `read-${router.name}-${sentAt}`;
+      world.judge.expect(id, { ...content, credential, sentAt });
+      const session = router.openSession(database, credential);
+      void session?.execute(id, { kind: 'read', argument: 'x' });
+    }
+    await world.run(spacingMs);
+  }
+}
+
+/** A zone is cut off from control with what its issuer holds, waits until the lease is over, and then asks for all that it may get. */
+async function playCutZone(
+  seed: number,
+  disabled: readonly AppointedProtection[],
+): Promise<readonly string[]> {
+  const world = new AppointedWorld(APPOINTED_TENANTS, seed, new Set(disabled));
+  await world.start();
+  // The owners of the primary's connections are in its zone.
+  const { zone: primaryZone } = world.groups[0]!.leader!.options;
+  const inside = world.routers.filter(({ zone }) => zone === primaryZone);
+  const outside = world.routers.filter((router) => !inside.includes(router));
+  await readThrough(world, inside.slice(0, 1), USUAL_SPACING_MS, SETTLED_MS * 2);
+  const controls = world.coordinators.map(({ host }) => host);
+  const own = inside.map(({ host }) => host);
+  world.network.cut(own, controls);
+  world.network.cut(controls, own);
+  await world.run(LEASE_OVER_MS);
+  await readThrough(world, [inside[0]!, outside[0]!], RUSH_SPACING_MS, RUSH_MS);
+  await world.run(SETTLED_MS);
+  world.judge.checkQuotas();
+  return world.judge.violations.map(({ kind }) => kind);
+}
+
+void t.test('an issuer that is cut off grants nothing after its lease', async (t) => {
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    t.same(await playCutZone(seed, ['credential-freshness']), [], `seed ${seed}`);
+    const violations = await playCutZone(seed, ['credential-freshness', 'issuer-lease']);
+    t.ok(violations.includes('quota'), `seed ${seed}: without the protection it goes on`);
+  }
+});
+
 void t.test('without a protection the checks report it', async (t) => {
   const find = async (disabled: AppointedProtection): Promise<string> => {
     for (let seed = 1; seed <= CAUGHT_WITHIN; seed++) {
