Issuers: nothing is sent or logged for it where no tenant has a limit

A proxy told each new leader what it holds, also where the document names no tenants; a proxy that is to stop logged a hand-over of nothing; addresses of proxies that are gone stayed in the list of those passed over.

--- a/src/appointed/proxy/appointed_proxy.ts
+++ b/src/appointed/proxy/appointed_proxy.ts
@@ -281,7 +281,7 @@
     this.synchronisation.noteSilence();
     this.leaseConfirmer.maintain(now - this.contact.provenAt);
     this.synchronisation.sendNews(now);
-    this.allowances.noteLeader();
+    if (this.table && this.table.tenants.size > 0) this.allowances.noteLeader();
     this.maintenance = this.clock.setTimer(MAINTENANCE_MS, () => this.maintain());
   }
 
--- a/src/appointed/tenancy/allowance_client.ts
+++ b/src/appointed/tenancy/allowance_client.ts
@@ -66,8 +66,11 @@
   leave(): void {
     this.surroundings.issuers.leave();
     this.issuer.leave();
-    for (const allowance of this.allowances.all) allowance.forgetDemand();
-    this.surroundings.log(Events.issuerLeft, {});
+    const now = this.surroundings.runtime.clock.now();
+    const held = [...this.allowances.all].filter((allowance) => allowance.holdsReserve(now));
+    if (held.length === 0) return;
+    for (const allowance of held) allowance.forgetDemand();
+    this.surroundings.log(Events.issuerLeft, { tenants: held.length });
     this.requests.askSoon();
   }
 
--- a/src/appointed/tenancy/issuer_choice.ts
+++ b/src/appointed/tenancy/issuer_choice.ts
@@ -35,7 +35,11 @@
   /** Takes over the live proxies of all zones. */
   update(zones: readonly ZoneProxies[]): void {
     const own = zones.find(({ zone }) => zone === this.zone);
-    this.table.setNodes(new Set(own?.addresses));
+    const addresses = new Set(own?.addresses);
+    this.table.setNodes(addresses);
+    for (const address of this.passedOverUntil.keys()) {
+      if (!addresses.has(address)) this.passedOverUntil.delete(address);
+    }
   }
 
   /** This proxy is an issuer no more. */
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -233,7 +233,7 @@
     'issuer_left',
     'info',
     'this proxy hands over its reserves of operations, since it is to stop',
-    'The leader gets what the zone does not use; another proxy of the zone becomes the issuer.',
+    'The leader gets the reserves of `tenants` back; other proxies of the zone become their issuers.',
   ),
   allowancesBegun: define(
     325,
