--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -26,6 +26,7 @@
   disableIncarnations,
   disableLease,
   disableEvacuatedZones,
+  disableIssuerLease,
   disableQuota,
   disableReplicaLeases,
   disableSlowStart,
@@ -81,7 +82,8 @@
   constructor(
     name: string,
     private readonly address: string,
-    private readonly zone: string,
+    /** Zone of the proxy. */
+    readonly zone: string,
     surroundings: AppointedSurroundings,
   ) {
     super(name, address, surroundings);
@@ -119,6 +121,7 @@
     if (surroundings.disabled.has('instance-lives')) disableEmptyPrimaryCheck(core);
     if (surroundings.disabled.has('evacuated-zones')) disableEvacuatedZones(core);
     if (surroundings.disabled.has('slow-start')) disableSlowStart(core);
+    if (surroundings.disabled.has('issuer-lease')) disableIssuerLease(core);
     this.core = core;
     core.start();
     process.onEnd(() => core.stop());
--- a/lab/appointed/disabled_protections.ts
+++ b/lab/appointed/disabled_protections.ts
@@ -26,6 +26,7 @@
   'homes',
   'evacuated-zones',
   'slow-start',
+  'issuer-lease',
 ] as const;
 
 /** One protection. */
@@ -121,6 +122,11 @@
   slowStarts.admit = () => true;
 }
 
+/** Makes an issuer use its reserves and leased rates on after their end. */
+export function disableIssuerLease(core: AppointedProxy): void {
+  core.allowances.allowances.lease = { endsAt: () => Infinity };
+}
+
 /** Makes a proxy extend its leases while control is out of reach without asking the replicas. */
 export function disableReplicaLeases(core: AppointedProxy): void {
   const { leases, clock } = core;
--- a/src/appointed/proxy/appointed_proxy.ts
+++ b/src/appointed/proxy/appointed_proxy.ts
@@ -20,6 +20,7 @@
 import { AllowanceClient } from '../tenancy/allowance_client.js';
 import { EvacuatedZones } from '../placement/evacuated_zones.js';
 import { SlowStartGate } from '../placement/slow_start_gate.js';
+import { IssuerChoice } from '../tenancy/issuer_choice.js';
 import type { PlacementRules } from '../placement/placement_rules.js';
 import type { QuotaRules } from '../tenancy/operation_budget.js';
 import { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
@@ -116,7 +117,8 @@
     this.evacuatedZones = new EvacuatedZones(options.placementRules.evacuationMs, this.log);
     this.slowStarts = this.createSlowStarts(incarnation);
     this.instances = this.createInstances(fleet);
-    this.synchronisation = this.createSynchronisation(fleet);
+    const issuers = new IssuerChoice(options.address, options.zone);
+    this.synchronisation = this.createSynchronisation(fleet, issuers);
     const leaderAddress = (): string => this.synchronisation.leaderAddress;
     this.forwarder = new RequestForwarder(runtime.messenger, leaderAddress);
     const localPool = (instance: string): InstancePool | undefined =>
@@ -129,6 +131,8 @@
       rules: options.quotaRules,
       proxy: options.id,
       incarnation,
+      issuers,
+      limitOf: (tenant) => this.table?.tenants.named(tenant)?.limit,
       leaderAddress,
     });
     this.leaseConfirmer = new ReplicaLeaseConfirmer({
@@ -157,6 +161,7 @@
   /** Tells control that this proxy takes no new callers. */
   beginLeave(): void {
     this.synchronisation.beginLeave();
+    this.allowances.leave();
   }
 
   /** Takes over control machines of changed settings. */
@@ -260,7 +265,10 @@
     });
   }
 
-  private createSynchronisation(fleet: FleetDirectory): ControlSynchronisation {
+  private createSynchronisation(
+    fleet: FleetDirectory,
+    issuers: IssuerChoice,
+  ): ControlSynchronisation {
     const { self, log, contact, document, leases, primaryHealth, positions, instances } = this;
     const { evacuatedZones, slowStarts } = this;
     const parts = {
@@ -275,6 +283,7 @@
       instances,
       evacuatedZones,
       slowStarts,
+      issuers,
     };
     return new ControlSynchronisation(this.runtime, parts, this.options.seeds);
   }
@@ -301,11 +310,19 @@
     this.synchronisation.noteSilence();
     this.leaseConfirmer.maintain(now - this.contact.provenAt);
     this.synchronisation.sendNews(now);
+    if (this.table && this.table.tenants.size > 0) this.allowances.noteLeader();
     this.maintenance = this.clock.setTimer(MAINTENANCE_MS, () => this.maintain());
   }
 
-  /** Runs a statement of another proxy, or forwards a request of one that is cut off from control to the leader. */
-  private async handle({ syncRequest, relayRequest }: MessageBody): Promise<MessageBody> {
+  /**
+   * Runs a statement of another proxy, grants it operations, or forwards a request of one that is cut off from control to the
+   * leader.
+   */
+  private async handle(body: MessageBody): Promise<MessageBody> {
+    const { syncRequest, relayRequest, allowanceRequest } = body;
+    if (allowanceRequest) {
+      return { allowanceReply: this.allowances.issuer.answer(allowanceRequest) };
+    }
     if (!relayRequest) return this.forwarder.forward(syncRequest);
     return { relayReply: await this.relayServer.handle(relayRequest, this.isLeaving) };
   }
--- a/src/appointed/proxy/control_synchronisation.ts
+++ b/src/appointed/proxy/control_synchronisation.ts
@@ -7,6 +7,7 @@
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { Runtime } from '../../runtime/runtime.js';
 import type { SlowStartGate } from '../placement/slow_start_gate.js';
+import type { IssuerChoice } from '../tenancy/issuer_choice.js';
 import type { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
 import type { PrimaryLeases } from '../trust/primary_leases.js';
 import { ControlClient } from './control_client.js';
@@ -33,6 +34,7 @@
   readonly instances: ProxyInstances;
   readonly evacuatedZones: EvacuatedZones;
   readonly slowStarts: SlowStartGate;
+  readonly issuers: IssuerChoice;
 }
 
 /** Synchronisation of one proxy. */
@@ -165,8 +167,10 @@
   }
 
   private adoptDirectory(directory: whinyoke.IProxyDirectory): void {
-    this.parts.fleet.adopt(directory);
-    this.parts.instances.adoptOwners(directory);
+    const { fleet, instances, issuers } = this.parts;
+    fleet.adopt(directory);
+    instances.adoptOwners(fleet.zones);
+    issuers.update(fleet.zones);
   }
 
   private adoptCatalog(
--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -18,6 +18,7 @@
 import type { EndWait, SlowStartGate } from '../placement/slow_start_gate.js';
 import type { ReadCandidate } from '../routing/replica_selector.js';
 import { distrustOtherIncarnation, distrustShorterLog } from '../trust/primary_incarnation.js';
+import type { ZoneProxies } from '../relay/connection_owners.js';
 import type { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
 import type { PrimaryLeases } from '../trust/primary_leases.js';
 import type { ConfirmingReplica } from '../trust/replica_lease_confirmer.js';
@@ -138,11 +139,7 @@
   }
 
   /** Takes over which proxies may own connections, by zone. */
-  adoptOwners(directory: whinyoke.IProxyDirectory): void {
-    const zones = (directory.zones ?? []).map(({ zone, addresses }) => ({
-      zone: zone ?? '',
-      addresses: addresses ?? [],
-    }));
+  adoptOwners(zones: readonly ZoneProxies[]): void {
     this.directory.owners.update(zones);
   }
 
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -284,6 +284,20 @@
     'the newest routing document can not be read',
     'Another version of the program accepted it. Primaries are placed by the document before it. Send a configuration that this version reads.',
   ),
+  issuerPassedOver: define(
+    263,
+    'issuer_passed_over',
+    'warn',
+    'an issuer of operations did not answer',
+    'Operations of `waiting` requests are asked of the leader, for 1 s those that follow of another proxy of the zone.',
+  ),
+  issuerLeft: define(
+    264,
+    'issuer_left',
+    'info',
+    'this proxy hands over its reserves of operations, since it is to stop',
+    'The leader gets the reserves of `tenants` back; other proxies of the zone become their issuers.',
+  ),
   allowancesBegun: define(
     325,
     'allowances_begun',
@@ -312,6 +326,13 @@
     'an instance warms up from now on, or is warm',
     '`cold_since` is the log index of the begin. A cold one whose heartbeats tell no end of its warm-up stays cold.',
   ),
+  allowancesFresh: define(
+    350,
+    'allowances_fresh',
+    'info',
+    'all proxies have started anew, so nothing that former leaders granted is in use',
+    'After a loss of all power: the rates of tenants add since the last proxy started, `before_ms` before the election.',
+  ),
   primaryChangeBegun: define(
     311,
     'primary_change_begun',
