--- a/test/unit/incarnations_at_proxies.test.ts
+++ b/test/unit/incarnations_at_proxies.test.ts
@@ -145,7 +145,7 @@
   pool.release(await pool.acquire(ANYBODY, WAIT_MS));
   let reply: (given: InstanceAnswer) => void = () => undefined;
   const answered = new Promise<InstanceAnswer>((resolve) => (reply = resolve));
-  connections[0]!.run = () => answered as Promise<never>;
+  connections[0]!.run = () => answered;
   confirmer.maintain(2000);
   await new Promise(setImmediate);
   tell('b', 1);
