--- a/lab/appointed/appointed_deployment.ts
+++ b/lab/appointed/appointed_deployment.ts
@@ -137,6 +137,13 @@
   },
 };
 
+/** The same where statements pass through connection owners. */
+export const APPOINTED_INCARNATIONS_RELAYED: AppointedDeployment = {
+  ...APPOINTED_TENANTS,
+  name: 'appointed-incarnations-relayed',
+  tellsBorn: true,
+};
+
 /** All, by name. */
 export const APPOINTED_DEPLOYMENTS: ReadonlyMap<string, AppointedDeployment> = new Map(
   [
@@ -146,5 +153,6 @@
     APPOINTED_INCARNATIONS,
     APPOINTED_REGIONS,
     APPOINTED_SLOW_START,
+    APPOINTED_INCARNATIONS_RELAYED,
   ].map((item) => [item.name, item]),
 );
