A release of a replica does not end the hold of a later change

Cause: a command to receive again that had no answer on the standing connection was sent a second time on a new one up to 1.5 s later, without a look at whether a later change of the group had begun; and a hold could overtake one that was under way. A replica that receives again beside a change lets a proxy without control extend its lease on the old primary, whose commits the chosen replica lacks. Change: the release is looked at again before its second send, and a hold waits for a release under way (1.5 s at most, of a replica that does not answer). Not covered: a command that a former leader sent before it lost its leadership.

--- a/src/appointed/failover/instance_administrator.ts
+++ b/src/appointed/failover/instance_administrator.ts
@@ -1,7 +1,8 @@
 /**
  * Administrative commands to instances: state, stop and resume of receiving, end of a leadership.
  *
- * Owns no connection beyond one command. Relies on the instance, which may not answer: the result is undefined then.
+ * Owns no connection beyond one command, and which commands to receive again are under way: one that is sent by an earlier change
+ * of primary must not end the hold of a later one. Relies on the instance, which may not answer: the result is undefined then.
  */
 import {
   ConnectError,
@@ -28,6 +29,9 @@
 
 /** Administrator of one control machine. Opens a connection for each command where there is no standing one. */
 export class InstanceAdministrator {
+  /** Commands to receive again that are under way, by instance. */
+  private readonly resuming = new Map<string, Promise<unknown>>();
+
   constructor(
     private readonly connector: InstanceConnector,
     private readonly standing: Pick<StandingConnections, 'of'>,
@@ -38,14 +42,27 @@
     return this.run(target, { kind: 'status' });
   }
 
-  /** Stops a replica from receiving from primaries below `term`. */
-  pause(target: InstanceTarget, term: number): Promise<InstanceStatus | undefined> {
+  /** Stops a replica from receiving from primaries below `term`, after any command to receive again that is under way. */
+  async pause(target: InstanceTarget, term: number): Promise<InstanceStatus | undefined> {
+    await this.resuming.get(target.id);
     return this.run(target, { kind: 'pause', term });
   }
 
-  /** Lets a replica receive again. */
-  resume(target: InstanceTarget): Promise<InstanceStatus | undefined> {
-    return this.run(target, { kind: 'resume' });
+  /**
+   * Lets a replica receive again.
+   * @param isWanted - whether that is still to be: looked at before it is sent a second time
+   */
+  async resume(
+    target: InstanceTarget,
+    isWanted: () => boolean,
+  ): Promise<InstanceStatus | undefined> {
+    const resuming = this.run(target, { kind: 'resume' }, isWanted);
+    this.resuming.set(target.id, resuming);
+    try {
+      return await resuming;
+    } finally {
+      if (this.resuming.get(target.id) === resuming) this.resuming.delete(target.id);
+    }
   }
 
   /** Makes a primary of a term below `term` a replica. */
@@ -78,20 +95,24 @@
   private async run(
     target: InstanceTarget,
     command: InstanceCommand,
+    isWanted: () => boolean = () => true,
   ): Promise<InstanceStatus | undefined> {
     const standing = this.standing.of(target);
     const answer = standing && (await exchange(standing.connection, command));
     if (standing && answer) return statusOf(answer, standing.openedAt);
-    return this.runAnew(target, command);
+    return this.runAnew(target, command, isWanted);
   }
 
   private async runAnew(
     target: InstanceTarget,
     command: InstanceCommand,
+    isWanted: () => boolean,
   ): Promise<InstanceStatus | undefined> {
+    if (!isWanted()) return undefined;
     try {
       const { connection } = await this.connector.connect(target, TIMEOUT_MS);
       try {
+        if (!isWanted()) return undefined;
         const answer = await exchange(connection, command);
         return answer && statusOf(answer, undefined);
       } finally {
--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -414,7 +414,7 @@
     const { clock, administrator } = this.context;
     const giveUpAt = clock.now() + RELEASE_TIMEOUT_MS;
     while (clock.now() < giveUpAt && this.isLatestChange()) {
-      if (await administrator.resume(targetOf(instance))) return;
+      if (await administrator.resume(targetOf(instance), () => this.isLatestChange())) return;
       await delay(clock, RELEASE_SPACING_MS);
     }
     this.changeLog.step('not_released', instance.id ?? '');
--- /dev/null
+++ b/test/unit/instance_administrator.test.ts
@@ -0,0 +1,72 @@
+/** Order of administrative commands of two changes of primary to one instance. */
+import t from 'tap';
+import { InstanceAdministrator } from '../../src/appointed/failover/instance_administrator.js';
+import type {
+  InstanceAnswer,
+  InstanceConnection,
+  InstanceConnector,
+} from '../../src/appointed/instance/instance_connection.js';
+
+const REPLICA = { id: 'i-2', group: 'g', address: 'i-2:1' };
+const STATUS = {
+  role: 'replica',
+  term: 3,
+  received: { term: 3, sequence: 5 },
+  heldTerm: 0,
+  lagMs: 0,
+} as const;
+const ANSWER: InstanceAnswer = { rows: [], signature: '-', state: 'idle', status: STATUS };
+
+/** A replica with a standing connection; `answer` decides what becomes of the first command on it. */
+function replica(answer: Promise<InstanceAnswer>): {
+  sent: string[];
+  administrator: InstanceAdministrator;
+} {
+  const sent: string[] = [];
+  const connection = (isStanding: boolean): InstanceConnection => ({
+    run: ({ kind }) => {
+      sent.push(kind);
+      return isStanding && sent.length === 1 ? answer : Promise.resolve(ANSWER);
+    },
+    close: () => undefined,
+    closed: false,
+    onClosed: undefined,
+  });
+  const connector: InstanceConnector = {
+    connect: () => Promise.resolve({ connection: connection(false) }),
+  };
+  const standing = { of: () => ({ connection: connection(true), openedAt: 0 }) };
+  return { sent, administrator: new InstanceAdministrator(connector, standing) };
+}
+
+void t.test(
+  'a release that had no answer is not sent anew once a later change began',
+  async (t) => {
+    let isWanted = true;
+    let fail: (reason: Error) => void = () => undefined;
+    const answer = new Promise<InstanceAnswer>((_resolve, reject) => {
+      fail = reject;
+    });
+    const { sent, administrator } = replica(answer);
+    const released = administrator.resume(REPLICA, () => isWanted);
+    isWanted = false;
+    fail(new Error('no answer in time'));
+    t.equal(await released, undefined);
+    t.same(sent, ['resume'], 'not on a second connection');
+  },
+);
+
+void t.test('a replica is held only after a release that is under way has ended', async (t) => {
+  let end: (answer: InstanceAnswer) => void = () => undefined;
+  const answer = new Promise<InstanceAnswer>((resolve) => {
+    end = resolve;
+  });
+  const { sent, administrator } = replica(answer);
+  const released = administrator.resume(REPLICA, () => true);
+  const held = administrator.pause(REPLICA, 5);
+  await new Promise(setImmediate);
+  t.same(sent, ['resume'], 'a release that arrives later would end the hold');
+  end(ANSWER);
+  await Promise.all([released, held]);
+  t.same(sent, ['resume', 'pause']);
+});
