A change of primary beside a proxy out of reach does not wait for news of coldness

Cause: the fence takes the newest change of the replica's entry for the moment since which proxies know it. Holders of cold instances and coldness change entries now: a proxy that is cut off and held a cold replica is replaced as its holder, so the version is beyond what the proxy knows, and the change waits until the proxy stops to ask replicas, up to 12.8 s.

--- a/src/appointed/catalog/catalog.ts
+++ b/src/appointed/catalog/catalog.ts
@@ -87,6 +87,11 @@
     return this.instanceTable.incarnationBegan(id);
   }
 
+  /** Log index since which whoever knows the catalog finds an instance; later than that after a restored snapshot. */
+  placedSince(id: string): number {
+    return this.instanceTable.placedSince(id);
+  }
+
   /** Groups whose epoch changed after a version. */
   groupsSince(version: number): readonly GroupEntry[] {
     return this.groupTable.since(version);
--- a/src/appointed/catalog/instance_table.ts
+++ b/src/appointed/catalog/instance_table.ts
@@ -24,6 +24,11 @@
   private readonly entries = new Map<string, InstanceEntry>();
   /** Instances that are not in their first incarnation. */
   private readonly begun = new Map<string, IncarnationEntry>();
+  /**
+   * Since which log index each instance is where it is, as far as this process has seen; what control appoints beside proxies
+   * out of reach depends on it, no replicated state does.
+   */
+  private readonly placed = new Map<string, number>();
   private forgottenIndex = 0;
 
   /** Newest version of an entry that was forgotten. */
@@ -57,6 +62,14 @@
     return this.begun.get(id)?.beganAt ?? 0;
   }
 
+  /**
+   * Log index since which whoever knows the catalog finds an instance: other changes of its entry, as of coldness, come later.
+   * Later than it was where this process has restored a snapshot since; Infinity for an unknown one.
+   */
+  placedSince(id: string): number {
+    return this.placed.get(id) ?? this.entries.get(id)?.version ?? Infinity;
+  }
+
   /** Instances that are not in their first incarnation. */
   get incarnations(): readonly IncarnationEntry[] {
     return [...this.begun.values()];
@@ -87,6 +100,8 @@
       incarnation++;
       this.begun.set(id, { instance: id, beganAt: index, formerGroup: known?.group ?? '' });
     }
+    const isMoved = order === 'next' || !known || !isAtSamePlace(known, instance);
+    this.placed.set(id, isMoved ? index : this.placedSince(id));
     const born = instance.born || known?.born || 0;
     // Fields with default values are kept by the message's prototype only.
     const coldness = coldnessAfter(known, instance, index);
@@ -122,6 +137,7 @@
   ): void {
     this.forgottenIndex = forgottenVersion;
     this.entries.clear();
+    this.placed.clear();
     for (const item of instances) this.entries.set(item.id ?? '', item);
     this.begun.clear();
     for (const item of incarnations) this.begun.set(item.instance ?? '', item);
@@ -133,6 +149,7 @@
   }
 
   private replace(instance: whinyoke.IInstanceEntry): void {
+    this.placed.set(instance.id ?? '', this.placedSince(instance.id ?? ''));
     this.entries.set(instance.id ?? '', whinyoke.InstanceEntry.create(instance));
   }
 
@@ -143,6 +160,11 @@
       this.forgottenIndex = Math.max(this.forgottenIndex, instance.version ?? 0);
       this.entries.delete(instance.id ?? '');
       this.begun.delete(instance.id ?? '');
+      this.placed.delete(instance.id ?? '');
     }
   }
 }
+
+function isAtSamePlace(known: InstanceEntry, told: whinyoke.IInstanceEntry): boolean {
+  return known.group === told.group && known.address === told.address;
+}
--- a/src/appointed/failover/appointment_fence.ts
+++ b/src/appointed/failover/appointment_fence.ts
@@ -28,8 +28,8 @@
 
 /** What is known of the chosen replica. */
 export interface FencedReplica {
-  /** Version of its newest change in the catalog. */
-  readonly version: number;
+  /** Version of the catalog since which it is where it is; it may be cold, or have another holder, since a later one. */
+  readonly placedSince: number;
   /** Since when it has been held, or has followed a newer term, without a break; undefined when it has not. */
   readonly heldSince: number | undefined;
 }
@@ -42,7 +42,7 @@
 ): string | undefined {
   if (now > proxies.trustUntil) return undefined;
   if (replica.heldSince === undefined) return 'it is not held';
-  if (replica.version > proxies.knownVersion) return 'a proxy out of reach may not know it';
+  if (replica.placedSince > proxies.knownVersion) return 'a proxy out of reach may not know it';
   const heldMs = now - replica.heldSince;
   const isLongEnough = heldMs > REPLICA_LEASE_MS + CLOCK_MARGIN_MS;
   return isLongEnough ? undefined : `it has been held for ${Math.round(heldMs)} ms only`;
--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -331,7 +331,7 @@
     const { catalog, clock } = this.context;
     const entry = catalog.instance(instance);
     const replica = {
-      version: entry?.version ?? Infinity,
+      placedSince: catalog.placedSince(instance),
       heldSince: entry && this.hold.heldSince(entry),
     };
     // A proxy that trusts the old primary knows at least the catalog in which that one's epoch began.
--- a/test/unit/failover.test.ts
+++ b/test/unit/failover.test.ts
@@ -140,13 +140,13 @@
 void t.test('a replica is appointed beside proxies out of reach only when they can tell', (t) => {
   const proxies = { knownVersion: 20, trustUntil: 50_000 };
   const objection = (replica: Partial<FencedReplica>, now: number): string | undefined =>
-    appointmentObjection({ version: 20, heldSince: 1000, ...replica }, proxies, now);
+    appointmentObjection({ placedSince: 20, heldSince: 1000, ...replica }, proxies, now);
   const longEnough = 1000 + REPLICA_LEASE_MS + 200;
   t.equal(objection({}, longEnough), undefined);
   t.match(objection({}, 1000 + REPLICA_LEASE_MS), /only/, 'a lease that it confirmed may hold');
   t.match(objection({ heldSince: undefined }, longEnough), /not held/);
-  t.match(objection({ version: 21 }, longEnough), /not know/, 'nobody would ask it');
-  t.equal(objection({ version: 21 }, 50_001), undefined, 'they have stopped to ask');
+  t.match(objection({ placedSince: 21 }, longEnough), /not know/, 'nobody would ask it');
+  t.equal(objection({ placedSince: 21 }, 50_001), undefined, 'they have stopped to ask');
   t.end();
 });
 
