Control: a primary moves for the sake of homes only to an instance that was heard of

Cause: an evacuation asks whether the other instance was heard of within 3 s, homes did not: a ready entry whose instance is dead made a planned change of a healthy primary each 30 s, without a primary for up to 1.5 s each time. Change: the same question for both. The test of the 30 s was wrong: nothing was heard of the primary either, so the change that it saw was for missing heartbeats, not for homes. It hears of both now and asks for a planned change.

--- a/src/appointed/failover/failover_controller.ts
+++ b/src/appointed/failover/failover_controller.ts
@@ -26,7 +26,7 @@
 import { targetOf } from './instance_target.js';
 import type { InstanceMonitor } from './instance_monitor.js';
 import { type ChangerContext, PrimaryChanger } from './primary_changer.js';
-import { PrimaryEvacuation } from './primary_evacuation.js';
+import { PrimaryEvacuation, isHeard } from './primary_evacuation.js';
 import type { PrimaryHealthOpinions } from './primary_health_opinions.js';
 import { troubleOf, wantsDirectAnswer } from './primary_trouble.js';
 
@@ -219,11 +219,14 @@
 
   /** A primary that may serve fewer routes than another instance is replaced as planned. */
   private causeByHomes(entry: GroupEntry, primary: InstanceEntry): ChangeCause | undefined {
-    if (this.steadyAge(entry, this.context.clock.now()) < HOMES_RETRY_MS) return undefined;
+    const { catalog, clock } = this.context;
+    const now = clock.now();
+    if (this.steadyAge(entry, now) < HOMES_RETRY_MS) return undefined;
     const own = servedRoutes(primary, this.context);
-    const { catalog } = this.context;
     const isBetter = (other: InstanceEntry): boolean =>
-      servedRoutes(other, this.context) > own && !catalog.isEvacuated(other.zone ?? '');
+      servedRoutes(other, this.context) > own &&
+      !catalog.isEvacuated(other.zone ?? '') &&
+      isHeard(this.monitor, other.id ?? '', now);
     if (!this.replacementsFor(entry).some(isBetter)) return undefined;
     return {
       text: `its region keeps it from routes that another instance may serve`,
--- a/src/appointed/failover/primary_evacuation.ts
+++ b/src/appointed/failover/primary_evacuation.ts
@@ -33,6 +33,15 @@
  */
 const SILENT_MS = 3000;
 
+/** Whether an instance was heard of so lately that a primary that is well may be replaced for it. */
+export function isHeard(
+  monitor: Pick<InstanceMonitor, 'age'>,
+  instance: string,
+  now: number,
+): boolean {
+  return monitor.age(instance, now) < SILENT_MS;
+}
+
 /** A primary in an evacuated zone. */
 export interface EvacuatedPrimary {
   readonly group: string;
@@ -68,14 +77,14 @@
 function hasReadyElsewhere(
   catalog: Catalog,
   group: string,
-  isHeard: (instance: string) => boolean = () => true,
+  mayLead: (instance: string) => boolean = () => true,
 ): boolean {
   return catalog.presentInstances.some(
     (instance) =>
       instance.group === group &&
       instance.state === InstanceState.READY &&
       !catalog.isEvacuated(instance.zone ?? '') &&
-      isHeard(instance.id ?? ''),
+      mayLead(instance.id ?? ''),
   );
 }
 
@@ -99,8 +108,8 @@
   takeCause(entry: GroupEntry, steadyMs: number, now: number): string | undefined {
     const zone = evacuatedZoneOf(this.catalog, entry.primary ?? '');
     if (zone === undefined || steadyMs < FOLLOW_MS) return undefined;
-    const isHeard = (instance: string): boolean => this.monitor.age(instance, now) < SILENT_MS;
-    if (!hasReadyElsewhere(this.catalog, entry.group ?? '', isHeard)) return undefined;
+    const mayLead = (instance: string): boolean => isHeard(this.monitor, instance, now);
+    if (!hasReadyElsewhere(this.catalog, entry.group ?? '', mayLead)) return undefined;
     return this.mayBegin(now) ? `zone ${zone} is evacuated` : undefined;
   }
 
--- a/test/unit/primary_homes.test.ts
+++ b/test/unit/primary_homes.test.ts
@@ -90,6 +90,8 @@
   setNow: (time: number) => void;
   setTable: (next: RouteTable) => void;
   apply: (command: whinyoke.ICatalogCommand) => void;
+  /** A heartbeat of an instance comes. */
+  hear: (id: string) => void;
 } {
   const document = { table };
   let now = 0;
@@ -117,13 +119,11 @@
     document,
     regionByZone: REGIONS,
   } as unknown as ChangerContext;
-  const controller = new FailoverController(
-    context,
-    new InstanceMonitor(),
-    new PrimaryHealthOpinions(),
-  );
+  const monitor = new InstanceMonitor();
+  const hear = (id: string): void => monitor.note({ instance: { id, sequence: now } }, now);
+  const controller = new FailoverController(context, monitor, new PrimaryHealthOpinions());
   const setTable = (next: RouteTable): void => void (document.table = next);
-  return { controller, proposed, setNow: (time) => (now = time), setTable, apply };
+  return { controller, proposed, setNow: (time) => (now = time), setTable, apply, hear };
 }
 
 void t.test('a primary that is well is moved, as planned, to where more routes may go', (t) => {
@@ -139,7 +139,8 @@
 });
 
 void t.test('a move that ended outside the homes again is not tried anew at once', (t) => {
-  const { controller, proposed, setNow, setTable, apply } = leaderOf(tableNaming('g', undefined));
+  const leader = leaderOf(tableNaming('g', undefined));
+  const { controller, proposed, setNow, setTable, apply, hear } = leader;
   controller.tick();
   const { CHANGING, STEADY } = GroupPhase;
   apply({ putGroup: { group: 'g', epoch: 2, phase: CHANGING, primary: 'p', term: 1 } });
@@ -147,10 +148,15 @@
   controller.tick();
   setTable(tableNaming('g', SOUTH));
   setNow(4900);
+  hear('r');
   controller.tick();
   t.equal(proposed.length, 0);
   setNow(30_100);
+  hear('p');
+  controller.tick();
+  t.equal(proposed.length, 0, 'not to an instance of which nothing was heard for long');
+  hear('r');
   controller.tick();
-  t.equal(proposed.length, 1);
+  t.match(proposed, [{ putGroup: { epoch: 4, phase: CHANGING, planned: true } }]);
   t.end();
 });
