Since when an instance is where it is: a change of state counts, too

Cause: a program that does not know a state leaves the instance out of those that it asks for a lease, so the version at which the state became a known one decides.

--- a/src/appointed/catalog/instance_table.ts
+++ b/src/appointed/catalog/instance_table.ts
@@ -165,6 +165,8 @@
   }
 }
 
+/** Whether whoever knows the one entry finds the instance of the other: an older program may not use one in a state that it lacks. */
 function isAtSamePlace(known: InstanceEntry, told: whinyoke.IInstanceEntry): boolean {
-  return known.group === told.group && known.address === told.address;
+  const isSameState = (known.state ?? InstanceState.READY) === (told.state ?? InstanceState.READY);
+  return isSameState && known.group === told.group && known.address === told.address;
 }
--- a/src/appointed/connections/instance_directory.ts
+++ b/src/appointed/connections/instance_directory.ts
@@ -137,7 +137,6 @@
     return usable;
   }
 
-  /** Instances of a group that take new work. */
   /** How far the evacuation of an instance's zone has come; undefined when it is not evacuated. */
   stageOf(instance: string): EvacuationStage | undefined {
     const zone = this.entries.get(instance)?.zone;
--- a/test/unit/fenced_replicas.test.ts
+++ b/test/unit/fenced_replicas.test.ts
@@ -1,7 +1,11 @@
 /** What a change of primary waits for beside a proxy that is out of reach. */
 import t from 'tap';
+import { Catalog } from '../../src/appointed/catalog/catalog.js';
+import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { ChangedGroup, logUpTo } from '../tools/changed_group.js';
 
+const { InstanceState } = whinyoke;
+
 void t.test('a change beside a proxy out of reach waits for no news of coldness', async (t) => {
   const group = new ChangedGroup();
   group.states.set('b', logUpTo(100));
@@ -28,3 +32,25 @@
   await group.run(2000);
   t.same(group.appointed, [], 'the proxy asks at the former address');
 });
+
+void t.test('other changes of an entry do not move its instance', (t) => {
+  const { catalog, apply } = fleet();
+  const since = catalog.placedSince('b');
+  const known = catalog.instance('b')!;
+  apply({ putInstance: { ...known, sequence: 51, isCold: true } });
+  t.equal(catalog.placedSince('b'), since, 'it is cold');
+  apply({ putInstance: { ...known, sequence: 52, state: InstanceState.DRAINING } });
+  t.ok(catalog.placedSince('b') > since, 'it may have been in a state that a proxy does not know');
+  apply({ putInstance: { ...known, sequence: 1, born: 2000 } });
+  t.equal(catalog.placedSince('b'), catalog.instance('b')!.version, 'it started again');
+  const copy = new Catalog();
+  copy.restore(9, catalog.serialize());
+  t.equal(copy.placedSince('b'), catalog.instance('b')!.version, 'no more is known');
+  t.equal(copy.placedSince('unknown'), Infinity);
+  t.end();
+});
+
+function fleet(): { catalog: Catalog; apply: (command: whinyoke.ICatalogCommand) => void } {
+  const group = new ChangedGroup();
+  return { catalog: group.catalog, apply: (command) => void group.apply(command) };
+}
