Homes: a cold instance without room for now is not counted as none

A request whose homes leave only cold instances was refused at once as outside its homes, with a retry after 1 s, as long as no holder was named or its window was full: the list of instances that may be sent a read now, from which slow start takes those, was also asked whether any instance is left at all. The two questions have lists of their own now. ROLLBACK of a transaction that an owner keeps was sent to an instance of a closed zone, as homes were asked and the zone was not; its connection is closed instead, which rolls back too. An owner that has not heard of the order would have passed it on.

--- a/src/appointed/connections/instance_directory.ts
+++ b/src/appointed/connections/instance_directory.ts
@@ -137,7 +137,6 @@
     return usable;
   }
 
-  /** Instances of a group that take new work. */
   /** How far the evacuation of an instance's zone has come; undefined when it is not evacuated. */
   stageOf(instance: string): EvacuationStage | undefined {
     const zone = this.entries.get(instance)?.zone;
@@ -152,13 +151,18 @@
     );
   }
 
-  /** Instances of a group that take new work, none in an evacuated zone. */
+  /** Instances of a group that take new work, none in an evacuated zone; cold ones without room for more included. */
+  takingNewWork(group: string): readonly string[] {
+    const taking = [...this.entries.values()].filter((instance) => this.takesNew(instance, group));
+    return taking.map(({ id }) => id ?? '');
+  }
+
+  /** Instances of a group that may be sent a read now: cold ones only where there is room for it. */
   readCandidates(group: string, primary: string): readonly ReadCandidate[] {
     const candidates: ReadCandidate[] = [];
     for (const [id, instance] of this.entries) {
       const access = this.accesses.get(id);
-      const isUsable = instance.group === group && instance.state === InstanceState.READY;
-      if (!access || !isUsable || this.stageOf(id) !== undefined) continue;
+      if (!access || !this.takesNew(instance, group)) continue;
       const coldRoute = this.surroundings.slowStarts.routeTo(instance, false);
       if (coldRoute && !coldRoute.isOpen) continue;
       const { load } = access;
@@ -223,6 +227,11 @@
     for (const { local } of this.accesses.values()) local.close();
   }
 
+  private takesNew({ id, group, state }: InstanceEntry, wantedGroup: string): boolean {
+    const isUsable = group === wantedGroup && state === InstanceState.READY;
+    return isUsable && this.stageOf(id ?? '') === undefined && this.accesses.has(id ?? '');
+  }
+
   /** No answer of an incarnation that ended can come any more: whoever waits for one is told so. */
   private endIncarnation(access: InstanceAccess, { id, group, incarnation }: InstanceEntry): void {
     this.surroundings.log(Events.instanceReplaced, {
--- a/src/appointed/proxy/proxy_context.ts
+++ b/src/appointed/proxy/proxy_context.ts
@@ -51,8 +51,10 @@
   connectionsTo(instance: string): ConnectionSource | undefined;
   /** How far the evacuation of an instance's zone has come; undefined when it is not evacuated. */
   evacuationStageOf(instance: string): EvacuationStage | undefined;
-  /** Instances of a group that take new work. */
+  /** Instances of a group that may be sent a read now. */
   readCandidates(group: string): readonly ReadCandidate[];
+  /** Instances of a group that take new work, cold ones without room for more included. */
+  takingNewWork(group: string): readonly string[];
   /** Zone of an instance; undefined when the catalog does not list it. */
   zoneOf(instance: string): string | undefined;
   /** Begins the wait of a request for a connection to an instance; undefined when that is cold and has no room for it. */
--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -107,11 +107,16 @@
     return this.directory.stageOf(instance);
   }
 
-  /** Instances of a group that take new work. */
+  /** Instances of a group that may be sent a read now. */
   readCandidates(group: string): readonly ReadCandidate[] {
     return this.directory.readCandidates(group, this.primaryOf(group));
   }
 
+  /** Instances of a group that take new work, cold ones without room for more included. */
+  takingNewWork(group: string): readonly string[] {
+    return this.directory.takingNewWork(group);
+  }
+
   /** Zone of an instance; undefined when the catalog does not list it. */
   zoneOf(instance: string): string | undefined {
     return this.directory.zoneOf(instance);
--- a/src/appointed/sessions/caller_transaction.ts
+++ b/src/appointed/sessions/caller_transaction.ts
@@ -132,8 +132,8 @@
   /** Rolls back; the connection is cleaned up in the background. */
   rollback(id: string): void {
     this.isEnded = true;
-    // Not even ROLLBACK goes to an instance that a newer document puts out of reach; closing rolls back too.
-    if (!this.isWithinHomes()) this.drop();
+    // Not even ROLLBACK goes to a closed zone, or to an instance that a newer document puts out of reach; closing rolls back too.
+    if (this.isZoneClosed || !this.isWithinHomes()) this.drop();
     const { held } = this;
     this.held = undefined;
     if (!held) return;
--- a/test/tools/placed_proxy.ts
+++ b/test/tools/placed_proxy.ts
@@ -32,6 +32,8 @@
   /** Other proxies; their identifiers are their addresses. */
   readonly proxies?: readonly Placed[];
   readonly connectionLimit?: number;
+  /** Requests a second that a cold instance may get; no bound when left out. */
+  readonly coldRequestsPerSecond?: number;
   readonly regionByZone: Readonly<Record<string, string>>;
 }
 
@@ -49,7 +51,11 @@
 }
 
 /** A document with one route to the group, and one tenant whose key is `key`. */
-export function documentWith(version: number, homes: DocumentHomes, connectionLimit = 30): string {
+export function documentWith(
+  version: number,
+  homes: DocumentHomes,
+  { connectionLimit = 30, coldRequestsPerSecond }: Partial<Placement> = {},
+): string {
   const route = {
     name: 'r',
     hostname: 'db',
@@ -61,7 +67,9 @@
     allowed_regions: homes.route,
   };
   const tenant = { name: 'ana', api_keys: ['key'], allowed_regions: homes.tenant };
-  const services = [{ name: 'g', connection_limit: connectionLimit }];
+  const services = [
+    { name: 'g', connection_limit: connectionLimit, warmup_per_s: coldRequestsPerSecond },
+  ];
   return JSON.stringify({ version, routes: [route], services, tenants: [tenant] });
 }
 
@@ -72,6 +80,10 @@
   readonly clock = new RealClock();
   /** Whether control tells positions of the primary. */
   tellsPositions = true;
+  /** Evacuated zones; nothing may be sent there from the moment when the proxy hears of it. */
+  evacuated: readonly string[] = [];
+  /** Address of the proxy that sends to cold instances; empty while none is named. */
+  holder = '';
   private version = 1;
   private handler: RequestHandler | undefined;
   private document: string;
@@ -80,7 +92,7 @@
     private readonly placement: Placement,
     homes: DocumentHomes,
   ) {
-    this.document = documentWith(1, homes, placement.connectionLimit);
+    this.document = documentWith(1, homes, placement);
     const request = (to: string, body: MessageBody): Promise<MessageBody> => this.answer(to, body);
     const messenger = {
       request,
@@ -105,7 +117,7 @@
       },
       credentialFreshnessMs: Infinity,
       quotaRules: { windowMs: 5000, overage: 0, tolerance: 0 },
-      placementRules: { ...DEFAULT_PLACEMENT_RULES, regionByZone },
+      placementRules: { ...DEFAULT_PLACEMENT_RULES, regionByZone, evacuationMs: 0 },
     });
   }
 
@@ -120,7 +132,7 @@
   /** Puts a document with other homes in force. */
   async change(homes: DocumentHomes): Promise<void> {
     this.version++;
-    this.document = documentWith(this.version, homes, this.placement.connectionLimit);
+    this.document = documentWith(this.version, homes, this.placement);
     while (this.core.table?.version !== this.version) await this.settle();
   }
 
@@ -155,6 +167,8 @@
       address: '10.0.0.1:80',
       slots: 4,
       version: 1,
+      holderAddress: this.holder,
+      holderIncarnation: this.holder,
       ...item,
     }));
     const update = {
@@ -162,6 +176,7 @@
       isWhole: true,
       instances: entries,
       groups: [group],
+      evacuations: this.evacuated.map((item) => ({ zone: item, begunAt: 1 })),
     };
     const fleet = [...proxies, { id: OWN_ADDRESS, zone }];
     const zones = fleet.map((proxy) => ({ zone: proxy.zone, addresses: [proxy.id] }));
--- a/test/unit/data_residency.test.ts
+++ b/test/unit/data_residency.test.ts
@@ -152,6 +152,29 @@
   t.ok(await isRefusedAtOnce(proxy, session, WRITE));
 });
 
+void t.test('not even ROLLBACK goes by an owner to a zone that is closed', async (t) => {
+  const { proxy, session } = await withProxy(t, FEW_CONNECTIONS, { routeType: 'primary' });
+  await session.execute('b', { kind: 'begin', readOnly: false });
+  t.match((await run(proxy, session, WRITE)).way, /^p by o/);
+  proxy.evacuated = ['n1'];
+  await proxy.change({ routeType: 'primary' });
+  await session.execute('r', { kind: 'rollback' });
+  t.same(proxy.takePassed(), []);
+});
+
+void t.test('a bound read waits for the only instance in its homes, which is cold', async (t) => {
+  const [primary, , far] = MIXED.instances;
+  const instances = [primary!, { ...far!, isCold: true }];
+  const placement = { ...MIXED, instances, coldRequestsPerSecond: 5 };
+  const proxies = [{ id: 'o:1', zone: 's1' }];
+  const { proxy, session } = await withProxy(t, { ...placement, proxies }, { route: ['south'] });
+  const reading = run(proxy, session, READ);
+  await new Promise((resolve) => setTimeout(resolve, 60));
+  proxy.holder = 'o:1';
+  await proxy.change({ route: ['south'] });
+  t.equal((await reading).way, 'far by o:1');
+});
+
 void t.test('an owner refuses a statement whose homes are elsewhere', async (t) => {
   const { proxy } = await withProxy(t, MIXED, {});
   const command = { data: { id: 'q', argument: 'k' } };
