Placement: a read asks the clock for evacuations only while there are any

Each instance of each read looked up its zone's evacuation with a reading of the clock, and each owner its zone, also where nothing is evacuated or bound.

--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -68,7 +68,9 @@
       table: () => document.table,
       hasTenants: () => document.table === undefined || document.table.tenants.size > 0,
       tenantRate: (tenant) => document.table?.tenants.named(tenant)?.limit?.ratePerSecond,
-      stageOf: (zone) => evacuatedZones.stageOf(zone, runtime.clock.now()),
+      // Asked for each instance of each read: the clock is read only where it decides.
+      stageOf: (zone) =>
+        evacuatedZones.isAny ? evacuatedZones.stageOf(zone, runtime.clock.now()) : undefined,
       liveProxies: () => fleet.liveProxies,
       onConnectFailed: (target, error) => this.onConnectFailed(target, error),
       onStartedAgain: ({ id, group }, incarnation) =>
--- a/src/appointed/relay/instance_access.ts
+++ b/src/appointed/relay/instance_access.ts
@@ -161,6 +161,6 @@
   }
 
   private maySee(address: string, homes: Homes): boolean {
-    return address === this.ownAddress || this.ways.maySee(address, homes);
+    return homes === undefined || address === this.ownAddress || this.ways.maySee(address, homes);
   }
 }
