Slow start: a holder heard by a new leader may still have a lease of the former one

A run that the new leader heard asked the former one once more, which may answer for STALE_LEADER_MS; the new leader counted the lease from what it heard itself. It takes the later of the two now, as the ledger of leases on primaries does. Tests of the naming begin their leadership 1 s earlier: their figures, asserted as before, are those of a leader that has led for that long.

--- a/src/appointed/control/slow_start_holders.ts
+++ b/src/appointed/control/slow_start_holders.ts
@@ -114,9 +114,15 @@
     return this.surroundings.clock.now() >= successorFrom(this.contactOf(run));
   }
 
-  /** One that this leader never heard may have been heard by a former leader as long as that could answer. */
+  /**
+   * A former leader may have heard a run as long as it could answer, and later than this one did: a run whose answer is lost asks
+   * another machine. One that leaves says so to nobody before it stops sending.
+   */
   private contactOf(run: string): RunContact {
-    return this.contacts.get(run) ?? { at: this.begunAt + STALE_LEADER_MS, hasLeft: false };
+    const contact = this.contacts.get(run);
+    if (contact?.hasLeft) return contact;
+    const formerUntil = this.begunAt + STALE_LEADER_MS;
+    return { at: Math.max(contact?.at ?? -Infinity, formerUntil), hasLeft: false };
   }
 
   private nameHolder(instance: InstanceEntry): void {
--- a/test/unit/slow_start.test.ts
+++ b/test/unit/slow_start.test.ts
@@ -6,6 +6,7 @@
 import type { SlowStart } from '../../src/appointed/catalog/route_table.js';
 import { SlowStartHolders } from '../../src/appointed/control/slow_start_holders.js';
 import { WarmUpMonitor } from '../../src/appointed/control/warm_up_monitor.js';
+import { STALE_LEADER_MS } from '../../src/appointed/leases/lease_times.js';
 import { SlowStartGate } from '../../src/appointed/placement/slow_start_gate.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { MOST, type Omission, SlowStartPlay, type Step } from '../tools/slow_start_play.js';
@@ -40,6 +41,23 @@
   await fc.assert(boundHolds(), { numRuns: 300 });
 });
 
+void t.test(
+  'a proxy that this leader heard may have a later lease of a former leader',
+  async (t) => {
+    const play = new SlowStartPlay();
+    const step = (action: Step['action'], durationMs: number, proxy = 0): Step => ({
+      action,
+      proxy,
+      drawn: 0,
+      durationMs,
+    });
+    await play.run([step('wait', 2200), step('newLeader', 975), step('newLeader', 600)]);
+    // It asks the leader once, then the former one, until it is cut off.
+    await play.run([step('cut', 1225, 1), step('wait', 1500), step('wait', 1000)]);
+    t.ok(play.mostInASecond <= MOST, `${play.mostInASecond} requests in a second`);
+  },
+);
+
 const OMISSIONS: readonly Omission[] = [
   'lease-from-sending',
   'window-between-holders',
@@ -190,12 +208,14 @@
 const NEW = { id: 'i', group: 'g', zone: 'z', sequence: 1, born: 500 };
 const settled = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
 
-/** A leader that has named the holder of a cold instance. */
+/** A leader, for long enough that no former one grants leases, that has named the holder of a cold instance. */
 async function heldInstance() {
   const leader = leaderOf();
   leader.apply({ putProxies: { proxies: PROXIES } });
   leader.beat(NEW, 9000);
+  leader.state.now = -STALE_LEADER_MS;
   const holders = leader.newHolders();
+  leader.state.now = 0;
   for (const proxy of PROXIES) holders.noteContact(proxy, false);
   holders.review();
   await settled();
