--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -68,7 +68,9 @@
       table: () => document.table,
       hasTenants: () => document.table === undefined || document.table.tenants.size > 0,
       tenantRate: (tenant) => document.table?.tenants.named(tenant)?.limit?.ratePerSecond,
-      stageOf: (zone) => evacuatedZones.stageOf(zone, runtime.clock.now()),
+      // Asked for each instance of each read: the clock is read only where it decides.
+      stageOf: (zone) =>
+        evacuatedZones.isAny ? evacuatedZones.stageOf(zone, runtime.clock.now()) : undefined,
       liveProxies: () => fleet.liveProxies,
       onConnectFailed: (target, error) => this.onConnectFailed(target, error),
       onStartedAgain: ({ id, group }, incarnation) =>
@@ -107,11 +109,16 @@
     return this.directory.stageOf(instance);
   }
 
-  /** Instances of a group that take new work. */
+  /** Instances of a group that may be sent a read now. */
   readCandidates(group: string): readonly ReadCandidate[] {
     return this.directory.readCandidates(group, this.primaryOf(group));
   }
 
+  /** Instances of a group that take new work, cold ones without room for more included. */
+  takingNewWork(group: string): readonly string[] {
+    return this.directory.takingNewWork(group);
+  }
+
   /** Zone of an instance; undefined when the catalog does not list it. */
   zoneOf(instance: string): string | undefined {
     return this.directory.zoneOf(instance);
