Simulator: a primary that steps down keeps what it committed as applied

Cause: an emulated primary counts its whole log as applied, but kept the count that it had as a replica, or at its start. Once it was made a replica (STEPDOWN, the log of a newer primary, or a second after it can reach the new one) its applied prefix fell back to that count, 0 for the first primary of a group.

The judge's rule is unchanged.

--- a/lab/appointed/emulated_group.ts
+++ b/lab/appointed/emulated_group.ts
@@ -132,7 +132,7 @@
         const other = machine.running;
         if (!other || other === leader || other.storage.role !== 'primary') continue;
         const isReached = !this.isCut(leader, other) && other.storage.term < leader.storage.term;
-        if (isReached) other.storage.role = 'replica';
+        if (isReached) other.followOthers();
         else if (other.storage.term < leader.storage.term) this.retireOthers(leader);
       }
     });
--- a/lab/appointed/emulated_instance.ts
+++ b/lab/appointed/emulated_instance.ts
@@ -179,7 +179,7 @@
     if (isRefused) return false;
     if (this.storage.role === 'primary') {
       if (this.storage.term >= term) return false;
-      this.storage.role = 'replica';
+      this.followOthers();
     }
     this.storage.term = term;
     const own = this.storage.log;
@@ -215,6 +215,12 @@
     this.appliedCount = this.storage.log.length;
   }
 
+  /** Is a replica from now on; what it committed as primary stays applied. */
+  followOthers(): void {
+    if (this.storage.role === 'primary') this.appliedCount = this.storage.log.length;
+    this.storage.role = 'replica';
+  }
+
   // ---- commands ----
 
   private async answerTo(
@@ -254,7 +260,7 @@
       this.heldTerm = Math.max(this.heldTerm, command.term);
     }
     if (command.kind === 'resume') this.heldTerm = 0;
-    if (command.kind === 'stepDown' && storage.term < command.term) storage.role = 'replica';
+    if (command.kind === 'stepDown' && storage.term < command.term) this.followOthers();
     const status: InstanceStatus = {
       role: storage.role,
       term: storage.term,
--- /dev/null
+++ b/test/unit/emulated_instance.test.ts
@@ -0,0 +1,38 @@
+/**
+ * The emulated instance whose primary is appointed, where its judge depends on it.
+ *
+ * Failure that the test holds: the emulation counts as missing what an instance holds, so that the judge calls a fresh
+ * read stale; needs one instance, no world.
+ */
+import t from 'tap';
+import { EmulatedInstance, type InstanceStorage } from '../../lab/appointed/emulated_instance.js';
+import { Scheduler } from '../../lab/simulation/scheduler.js';
+import { VirtualProcess } from '../../lab/simulation/virtual_process.js';
+import { SeededRandom } from '../../src/runtime/seeded_random.js';
+
+const SILENT_JOURNAL = {
+  onArrival: () => undefined,
+  onRun: () => undefined,
+  onCommit: () => undefined,
+  onAppended: () => undefined,
+};
+
+void t.test('a primary that steps down has applied what it committed', async (t) => {
+  const process = new VirtualProcess('10.9.0.1', new Scheduler(), new SeededRandom(1), 0);
+  const storage: InstanceStorage = { log: [], role: 'primary', term: 1, born: 0, isWhole: true };
+  const options = {
+    id: 'i-1',
+    group: 'group-1',
+    zone: 'zone-1',
+    slots: 1,
+    connectionLimit: 1,
+    workMs: 1,
+  };
+  const instance = new EmulatedInstance(options, process, storage, SILENT_JOURNAL, () => undefined);
+  const committed = { position: { term: 1, sequence: 1 }, requests: ['c1.1'] };
+  storage.log.push(committed);
+  const session = instance.connect('')!;
+  const { answer } = await instance.run(session, { kind: 'stepDown', term: 2 });
+  t.equal(answer.status?.role, 'replica');
+  t.same(instance.applied, committed.position);
+});
