Simulator: a control machine that can't start on a full disk is started again

Cause: a control machine whose disk was lost writes a new name when it starts. With the disk full that write fails, AppointedControl.open rejects, and nobody in the simulator took the rejection: it ended the whole run ("ENOSPC: no space left on device"). The same for ControlCore.

The product is right: its process ends with the reason and status 1 (platform/main.ts, src/cli/main.ts), nothing is left on the disk, and DEPLOY.md, "Ends", says that a process that ends is started again after a short delay. So the simulated machine does the same: on a full disk the process ends and is started again after 500 ms (guess), until there is space, or until a fault kills or starts it. Any other failure of a start still ends the run.

The tests added to full_disk.test.ts and restart.test.ts failed before with the unhandled ENOSPC and pass now.

--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -164,13 +164,15 @@
     };
     this.isFirstStart = false;
     this.core = undefined;
-    void AppointedControl.open(runtime, options).then(async (core) => {
-      if (!process.alive) return;
-      if (surroundings.disabled.has('instance-lives')) disableIncarnations(core);
-      this.core = core;
-      process.onEnd(() => core.stop());
-      await core.start();
-    });
+    void AppointedControl.open(runtime, options)
+      .then(async (core) => {
+        if (!process.alive) return;
+        if (surroundings.disabled.has('instance-lives')) disableIncarnations(core);
+        this.core = core;
+        process.onEnd(() => core.stop());
+        await core.start();
+      })
+      .catch((failure: unknown) => this.endStart(process, failure));
   }
 }
 
--- a/lab/simulation/simulated_machine.ts
+++ b/lab/simulation/simulated_machine.ts
@@ -2,8 +2,8 @@
 import { hostOf } from '../../src/runtime/address.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
-import type { Scheduler } from './scheduler.js';
-import { VirtualDisk } from './virtual_disk.js';
+import type { ScheduledEvent, Scheduler } from './scheduler.js';
+import { DiskFullError, VirtualDisk } from './virtual_disk.js';
 import { type AddressBook, VirtualMessenger } from './virtual_messenger.js';
 import type { VirtualNetwork } from './virtual_network.js';
 import { VirtualProcess } from './virtual_process.js';
@@ -22,6 +22,8 @@
 
 const SYNC_MS = 0.5;
 const MAXIMUM_SEED = 2 ** 31 - 1;
+/** A process that ended by itself is started again after this time, in milliseconds. Guess, not measured. */
+const OWN_END_RESTART_MS = 500;
 
 /** A machine whose process can be started, killed, frozen and thawed, and whose disk can be lost. */
 export abstract class SimulatedMachine<Shared extends MachineSurroundings = MachineSurroundings> {
@@ -29,6 +31,8 @@
   protected process: VirtualProcess | undefined;
   protected readonly disk: VirtualDisk;
   private hasLostDisk = false;
+  /** Start that follows an end of the process's own. */
+  private restart: ScheduledEvent | undefined;
 
   protected constructor(
     readonly name: string,
@@ -46,6 +50,7 @@
 
   /** Starts the process unless it runs. */
   start(): void {
+    this.cancelRestart();
     if (this.isUp) return;
     const { scheduler, network, addresses, connectTimeoutMs } = this.surroundings;
     network.setDark(this.host, false);
@@ -69,6 +74,7 @@
 
   /** Ends the process without warning. */
   kill(): void {
+    this.cancelRestart();
     if (!this.isUp) return;
     this.beforeKill();
     this.process?.kill();
@@ -104,11 +110,28 @@
   /** Creates the core objects and starts them. */
   protected abstract launch(process: VirtualProcess, runtime: Runtime, lostDisk: boolean): void;
 
+  /**
+   * Takes the failure of a start. On a full disk the process ends, and its supervisor starts it again until there is space;
+   * any other failure ends the simulation.
+   */
+  protected endStart(process: VirtualProcess, failure: unknown): void {
+    if (!(failure instanceof DiskFullError)) throw failure;
+    if (this.process !== process || !process.alive) return;
+    this.kill();
+    const { scheduler } = this.surroundings;
+    this.restart = scheduler.schedule(OWN_END_RESTART_MS, () => this.start());
+  }
+
   /** Called before the process is killed. */
   protected beforeKill(): void {
     // Nothing to note by default.
   }
 
+  private cancelRestart(): void {
+    if (this.restart) this.surroundings.scheduler.cancel(this.restart);
+    this.restart = undefined;
+  }
+
   protected newRandom(): SeededRandom {
     return new SeededRandom(this.surroundings.random.integer(0, MAXIMUM_SEED));
   }
--- a/lab/simulation/simulated_nodes.ts
+++ b/lab/simulation/simulated_nodes.ts
@@ -171,11 +171,13 @@
       raft: { snapshotEntries: 20 },
     };
     this.current = undefined;
-    void ControlCore.open(runtime, options).then((core) => {
-      if (this.process !== process) return;
-      this.current = core;
-      return core.start();
-    });
+    void ControlCore.open(runtime, options)
+      .then((core) => {
+        if (this.process !== process) return;
+        this.current = core;
+        return core.start();
+      })
+      .catch((failure: unknown) => this.endStart(process, failure));
   }
 }
 
--- a/lab/simulation/virtual_disk.ts
+++ b/lab/simulation/virtual_disk.ts
@@ -14,7 +14,7 @@
 }
 
 /** What a write meets on a disk without free space. */
-class DiskFullError extends Error {
+export class DiskFullError extends Error {
   constructor() {
     super('ENOSPC: no space left on device');
   }
--- a/test/simulation/appointed.test.ts
+++ b/test/simulation/appointed.test.ts
@@ -6,7 +6,7 @@
  *   kinds of faults, callers and all rules of the judge on quetzal and toplina. The seeds draw from the whole list
  *   of kinds, so a kind taken away would redraw them.
  * - seeds that failed once: a named position beyond all replicas, so that nobody is appointed; needs the same
- *   generator, seed 320.
+ *   generator, seeds 320, 16 and 20.
  * - each kind of fault alone: the same promises under one kind; needs each kind in its place of the list, which
  *   chooses seed and deployment.
  * - the same seed gives the same history: a run that depends on anything but its seed; needs the generator.
@@ -44,6 +44,10 @@
 const FORMER_FAILURES = [
   // The named position lay beyond what any replica had received, so nobody was ever appointed.
   { deployment: APPOINTED_QUETZAL, seed: 320 },
+  // A fresh read of a primary that had stepped down was judged stale: the emulation forgot what it had applied.
+  { deployment: APPOINTED_TOPLINA, seed: 16 },
+  // A control machine whose disk was lost and full could not start, which ended the simulation.
+  { deployment: APPOINTED_TOPLINA, seed: 20 },
 ];
 
 void t.test('seeds that failed once', async (t) => {
--- a/test/simulation/restart.test.ts
+++ b/test/simulation/restart.test.ts
@@ -7,6 +7,8 @@
  * - members that start together don't collide: elections that split the votes again and again; needs the same.
  * - leases are there soon after a loss of all power: a search for the leader among dark machines; needs the same
  *   with loss of power.
+ * - a machine with an empty, full disk: its failed start ends the simulation, or it stays away; needs one machine whose
+ *   disk is lost and full.
  */
 import t from 'tap';
 import { APPOINTED_QUETZAL, APPOINTED_TOPLINA } from '../../lab/appointed/appointed_deployment.js';
@@ -115,3 +117,17 @@
     t.ok(mean <= MEAN_AFTER_POWER_MS, `leases after ${mean} ms on average`);
   });
 }
+
+void t.test('a control machine with an empty, full disk starts once there is space', async (t) => {
+  const world = new AppointedWorld(APPOINTED_QUETZAL, 1);
+  await world.start();
+  const lost = world.coordinators.find((control) => !control.running?.node.leadsWithState)!;
+  lost.loseDisk();
+  const free = lost.fillDisk();
+  lost.start();
+  await world.run(LIMIT_MS);
+  t.equal(lost.running, undefined, 'it does not run without a name on its disk');
+  free();
+  const startMs = await timeUntil(world, () => lost.running !== undefined);
+  t.ok(startMs < LIMIT_MS, 'it runs');
+});
--- a/test/unit/full_disk.test.ts
+++ b/test/unit/full_disk.test.ts
@@ -191,3 +191,16 @@
   t.ok(revision >= accepted.revision!, 'what was accepted is there');
   t.ok(await cluster.world.runUntil(() => cluster.isWhole, 20_000), 'all machines vote');
 });
+
+void t.test('a machine with an empty, full disk starts once there is space', async (t) => {
+  const cluster = new ControlCluster(3, 31);
+  await cluster.waitForLeader();
+  const lost = cluster.controls.find((control) => control.core !== cluster.leader)!;
+  lost.loseDisk();
+  const free = lost.fillDisk();
+  lost.start();
+  await cluster.world.run(2000);
+  t.equal(lost.core, undefined, 'it does not run without a name on its disk');
+  free();
+  t.ok(await cluster.world.runUntil(() => cluster.isWhole, 20_000), 'all machines vote');
+});
