Detection: a dark primary that nobody uses is not kept for control's question

Change: the question is asked with the first report of silence, not the first that counts; where no proxy uses the primary it has 80 ms. Ruled out: no wait at all, since a primary with a full queue would be replaced again.

--- a/src/appointed/failover/direct_questions.ts
+++ b/src/appointed/failover/direct_questions.ts
@@ -19,8 +19,8 @@
 
 /** What control itself knows of a primary that is in doubt. */
 export interface DirectEvidence {
-  /** Whether the first question is still without an answer or its time-out. */
-  readonly isPending: boolean;
+  /** For how long the first question has been without an answer, in milliseconds; undefined once it is over. */
+  readonly pendingMs: number | undefined;
   /** Whether the newest question was answered. */
   readonly isAnswered: boolean;
   /** Newest questions in a row that nobody answered. */
@@ -30,7 +30,7 @@
 }
 
 const NOT_ASKED: DirectEvidence = {
-  isPending: false,
+  pendingMs: undefined,
   isAnswered: false,
   silentInRow: 0,
   isReplicationStalled: false,
@@ -80,7 +80,10 @@
   /** What is known of the primary of the present epoch. */
   evidenceOn(entry: GroupEntry): DirectEvidence {
     const inquiry = this.inquiries.get(entry.group ?? '');
-    return inquiry?.epoch === entry.epoch && inquiry ? inquiry.evidence : NOT_ASKED;
+    if (inquiry?.epoch !== entry.epoch || !inquiry) return NOT_ASKED;
+    const isPending = inquiry.rounds === 0;
+    const pendingMs = isPending ? this.context.clock.now() - inquiry.begunAt : undefined;
+    return { ...inquiry.evidence, pendingMs };
   }
 
   private inquiryOn(entry: GroupEntry): Inquiry {
@@ -93,7 +96,7 @@
       begunAt: -Infinity,
       isUnderWay: false,
       rounds: 0,
-      evidence: { ...NOT_ASKED, isPending: true },
+      evidence: NOT_ASKED,
       newest: undefined,
     };
     this.inquiries.set(group, inquiry);
@@ -139,7 +142,7 @@
     const isAnswered = presence.kind === 'answered';
     const before = inquiry.evidence;
     inquiry.evidence = {
-      isPending: false,
+      pendingMs: undefined,
       isAnswered,
       silentInRow: isAnswered ? 0 : before.silentInRow + 1,
       isReplicationStalled: isAnswered && isStalled(inquiry.newest, round),
--- a/src/appointed/failover/primary_health_opinions.ts
+++ b/src/appointed/failover/primary_health_opinions.ts
@@ -35,7 +35,9 @@
 export interface PrimaryVerdict {
   /** Proxies that can't use the primary. */
   readonly bad: number;
-  /** Those of them whose reads it answers, and whose commits it does not. */
+  /** Proxies that find it silent, also for too short a time to count as bad. */
+  readonly silent: number;
+  /** Those of the bad whose reads it answers, and whose commits it does not. */
   readonly commitsOnly: number;
   /** Proxies that use it. */
   readonly good: number;
@@ -85,6 +87,7 @@
     const prevailing = bad.at(-1);
     return {
       bad: bad.length,
+      silent: own.filter(({ health }) => health === PrimaryHealth.SILENT).length,
       commitsOnly: bad.filter(({ isCommitsOnly }) => isCommitsOnly).length,
       good: good.length,
       trouble: prevailing && PrimaryHealth[prevailing.health].toLowerCase(),
--- a/src/appointed/failover/primary_trouble.ts
+++ b/src/appointed/failover/primary_trouble.ts
@@ -28,6 +28,11 @@
  * proxies to it may be cut. Longer than connections that fell silent take to be replaced. A guess, not measured.
  */
 const DISBELIEVED_MS = 1500;
+/**
+ * A primary that no proxy uses has this long to answer control's first question before it is given up, in milliseconds: it had
+ * 400 before. test/simulation/silent_primary.test.ts holds the whole: with 250 a write waited for 780, without for 700 at most.
+ */
+const ANSWER_GRACE_MS = 80;
 /** Questions in a row that must stay without an answer where proxies know no more than that owners are lost. */
 const SILENT_QUESTIONS = 2;
 /** Proxies that must find no owner: one alone may be cut off itself. */
@@ -45,8 +50,8 @@
 }
 
 /** Whether control should ask the primary itself: some proxy finds it silent, or reaches none of its owners. */
-export function wantsDirectAnswer({ bad, trouble, withoutOwner }: PrimaryVerdict): boolean {
-  return (bad > 0 && trouble === 'silent') || withoutOwner > 0;
+export function wantsDirectAnswer({ silent, withoutOwner }: PrimaryVerdict): boolean {
+  return silent > 0 || withoutOwner > 0;
 }
 
 /** Why the primary is to be replaced; undefined when it is not. */
@@ -78,7 +83,7 @@
 /** Whether the primary is alive by its heartbeat and its answer to control, so that silence needs a better proof. */
 function isContradicted({ verdict, heartbeatAgeMs, direct }: TroubleInput): boolean {
   if (verdict.trouble !== 'silent' || heartbeatAgeMs > LATE_HEARTBEAT_MS) return false;
-  if (direct.isPending) return true;
+  if (direct.pendingMs !== undefined) return verdict.good > 0 || direct.pendingMs < ANSWER_GRACE_MS;
   if (!direct.isAnswered || direct.isReplicationStalled) return false;
   const isUsedByNobody = verdict.good === 0 && verdict.lastsMs > DISBELIEVED_MS;
   return !isUsedByNobody;
--- a/test/unit/primary_trouble.test.ts
+++ b/test/unit/primary_trouble.test.ts
@@ -25,6 +25,7 @@
 
 const NOBODY: PrimaryVerdict = {
   bad: 0,
+  silent: 0,
   commitsOnly: 0,
   good: 0,
   trouble: undefined,
@@ -32,7 +33,7 @@
   withoutOwner: 0,
 };
 const ANSWERED: DirectEvidence = {
-  isPending: false,
+  pendingMs: undefined,
   isAnswered: true,
   silentInRow: 0,
   isReplicationStalled: false,
@@ -51,7 +52,11 @@
 void t.test('a primary that answers control is kept, though proxies find it silent', (t) => {
   const replayed = { bad: 6, good: 1, trouble: 'silent', lastsMs: 500 };
   t.equal(trouble(replayed, ANSWERED), undefined, 'queues full, connections silent after a cut');
-  t.equal(trouble(replayed, { ...ANSWERED, isPending: true, isAnswered: false }), undefined);
+  const pending = { ...ANSWERED, pendingMs: 200, isAnswered: false };
+  t.equal(trouble(replayed, pending), undefined, 'one uses it: control waits for the answer');
+  const dark = { bad: 6, trouble: 'silent', lastsMs: 450 };
+  t.equal(trouble(dark, { ...pending, pendingMs: 50 }), undefined);
+  t.match(trouble(dark, pending), /6 proxies/, 'nobody uses it: it had its time');
   t.match(trouble(replayed, SILENT), /^6 proxies find it silent, 1 use it/, 'it is lost');
   const late = { heartbeatAgeMs: 2760 };
   t.match(trouble(replayed, ANSWERED, late), /6 proxies/, 'its heartbeats are missing, too');
@@ -167,7 +172,7 @@
       return questions.evidenceOn(entry);
     };
     questions.ask(entry);
-    t.ok(questions.evidenceOn(entry).isPending);
+    t.equal(typeof questions.evidenceOn(entry).pendingMs, 'number');
     await delay(context.clock, 210);
     t.match(await round(), { silentInRow: 2, isAnswered: false });
     present.set('i-1', { kind: 'answered', status: undefined });
