An old primary of an epoch that began empty is evidence only where it surely did not start again

Cause: its answer was held against the least position of the epoch, and an empty log is not shorter than an empty one. Where no replica answers and a proxy did not confirm, an old primary that started again before control heard of it was appointed empty. Change: there its answer needs a connection that was open before a heartbeat of the known incarnation was sent, as replicas' do. The tool of the tests can begin an epoch empty, and let a proxy confirm that it acknowledged nothing.

--- a/src/appointed/failover/replica_evidence.ts
+++ b/src/appointed/failover/replica_evidence.ts
@@ -9,14 +9,14 @@
  * Rule: a replica that started again within the epoch is missing until it has caught up. The answer of any other counts when it
  *   came on a connection that was open {@link LATEST_HEARTBEAT_MS} or more before a heartbeat of the known incarnation came: a new
  *   process can't go on with a connection, and two don't run at once. The old primary's answer counts only from the epoch's
- *   incarnation, with no shorter a log than the epoch's and every replica's. Instances that never told `born` always speak for
- *   themselves.
+ *   incarnation, with no shorter a log than the epoch's and every replica's; where the epoch's was empty, also on such a
+ *   connection. Instances that never told `born` always speak for themselves.
  * Constants: below. Tests: test/unit/incarnations.test.ts. Owns nothing.
  */
 import type { Catalog, GroupEntry, InstanceEntry } from '../catalog/catalog.js';
 import type { InstanceStatus } from '../instance/instance_connection.js';
 import { coversEpoch } from '../leases/epoch_primary.js';
-import { covers } from '../../positions/position.js';
+import { START, covers } from '../../positions/position.js';
 import type { CandidateReport } from './candidate.js';
 import type { CaughtUpMembers } from './caught_up_members.js';
 import type { InstanceMonitor } from './instance_monitor.js';
@@ -78,12 +78,16 @@
   /** Whether the answer of the old primary is that of the incarnation which led the epoch. */
   countsOldPrimary(
     old: InstanceEntry,
-    { received }: InstanceStatus,
+    status: InstanceStatus,
     replicas: readonly CandidateReport[],
   ): boolean {
+    const { received } = status;
     if ((old.incarnation ?? 0) !== (this.epoch.primaryIncarnation ?? 0)) return false;
     if (!old.born) return true;
-    const isLongest = replicas.every(({ status }) => covers(received, status.received));
+    // No log is too short for an epoch that began with an empty one.
+    const isToldByLog = !coversEpoch(this.epoch, START);
+    if (!isToldByLog && !this.isOfKnownIncarnation(old, status)) return false;
+    const isLongest = replicas.every((report) => covers(received, report.status.received));
     return isLongest && coversEpoch(this.epoch, received);
   }
 
@@ -96,12 +100,17 @@
 
   /** Whether the known incarnation gave an answer, and holds all that its instance had confirmed in the epoch. */
   private speaksForItself(instance: InstanceEntry, status: InstanceStatus): boolean {
-    const { id = '', born } = instance;
-    if (!born) return true;
-    const { catalog, caughtUp, monitor } = this.context;
-    const isOfEpoch = catalog.incarnationBegan(id!) <= (this.epoch.steadySince ?? 0);
+    if (!instance.born) return true;
+    const { catalog, caughtUp } = this.context;
+    const isOfEpoch = catalog.incarnationBegan(instance.id ?? '') <= (this.epoch.steadySince ?? 0);
     if (!isOfEpoch && !caughtUp.has(instance)) return false;
+    return this.isOfKnownIncarnation(instance, status);
+  }
+
+  /** Whether an answer came from the incarnation that the catalog knows. */
+  private isOfKnownIncarnation({ id, born }: InstanceEntry, status: InstanceStatus): boolean {
     const connectedSince = status.connectedSince ?? Infinity;
-    return monitor.hasHeardSince(id!, born, connectedSince + LATEST_HEARTBEAT_MS);
+    const since = connectedSince + LATEST_HEARTBEAT_MS;
+    return this.context.monitor.hasHeardSince(id ?? '', born ?? 0, since);
   }
 }
--- a/test/tools/changed_group.ts
+++ b/test/tools/changed_group.ts
@@ -55,11 +55,13 @@
   onAppoint: (instance: string) => void = () => undefined;
   private index = 0;
 
-  constructor() {
+  /** @param least - sequence that the primary's log held when its epoch began; 0: it was empty */
+  constructor(least = 90) {
     this.ledger.begin(-Infinity, 0);
     for (const id of ['a', 'b', 'c']) this.tell(id, 1000, 50);
     const epoch = { group: 'g', epoch: 1, phase: GroupPhase.STEADY, primary: 'a', term: TERM };
-    this.apply({ putGroup: { ...epoch, leastPosition: { term: TERM, sequence: 90 } } });
+    const leastPosition = least === 0 ? START : { term: TERM, sequence: least };
+    this.apply({ putGroup: { ...epoch, leastPosition } });
   }
 
   apply(command: whinyoke.ICatalogCommand): whinyoke.CatalogResult {
@@ -74,13 +76,14 @@
     this.apply({ putInstance: instance });
   }
 
-  /** Begins a change in which p1 confirms what it had acknowledged, and p2 says nothing. */
-  change(acknowledged: number): Promise<void> {
+  /** Begins a change in which p1 confirms what it had acknowledged, if anything, and p2 says nothing. */
+  change(acknowledged?: number): Promise<void> {
     const epoch = this.catalog.group('g')!;
     for (const proxy of PROXIES) this.apply({ putProxy: proxy });
     this.apply({ putGroup: { ...epoch, epoch: 2, phase: GroupPhase.CHANGING } });
-    const position = { term: TERM, sequence: acknowledged };
-    this.ledger.confirm(PROXIES[0]!, { group: 'g', epoch: 2, hasPosition: true, position });
+    const hasPosition = acknowledged !== undefined;
+    const position = { term: TERM, sequence: acknowledged ?? 0 };
+    this.ledger.confirm(PROXIES[0]!, { group: 'g', epoch: 2, hasPosition, position });
     return this.changer().run();
   }
 
--- a/test/unit/incarnations.test.ts
+++ b/test/unit/incarnations.test.ts
@@ -251,3 +251,18 @@
   t.ok(group.catalog.hasLostInstanceSince('g', steadySince), 'it started again in another group');
   t.end();
 });
+
+void t.test(
+  'an old primary that may have started again, in an epoch that began empty',
+  async (t) => {
+    const group = new ChangedGroup(0);
+    group.states.set('a', logUpTo());
+    group.openedAt.set('a', group.scheduler.now);
+    void group.change();
+    await group.run(TRIES_MS);
+    t.same(group.appointed, [], 'no log is shorter than that of the epoch');
+    group.tell('a', 1000, 60);
+    await group.run(TRIES_MS);
+    t.same(group.appointed[0], 'a', 'its heartbeat came long after the connection');
+  },
+);
