--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -31,6 +31,7 @@
 import { type Position, covers } from '../../positions/position.js';
 import { ReplicaEvidence } from './replica_evidence.js';
 import { ReplicaHold } from './replica_hold.js';
+import { ReplicaRelease } from './replica_release.js';
 
 const { AppointOutcome, GroupPhase, InstanceState } = whinyoke;
 
@@ -51,11 +52,6 @@
 /** Time between two tries to hold replicas beside that wait, in milliseconds: a busy replica refuses. A guess, not measured. */
 const HOLD_SPACING_MS = 100;
 
-/** Time between two tries to release a replica, in milliseconds. A guess, not measured. */
-const RELEASE_SPACING_MS = 150;
-/** A replica that could not be released for this long has crashed, which releases it, in milliseconds. A guess, not measured. */
-const RELEASE_TIMEOUT_MS = 10_000;
-
 /**
  * An instance in an evacuated zone, or one that was to be replaced, leads only when no other one could be proven to hold
  * everything for this time, in milliseconds: several tries. Its replicas receive again then. Guess, not measured.
@@ -403,26 +399,7 @@
     };
     await this.context.propose({ putGroup: next });
     const others = this.members.filter(({ id }) => id !== primary);
-    for (const instance of others) void this.release(instance);
-  }
-
-  /**
-   * Lets a replica receive again. Repeated while it refuses or does not answer: the new primary's commits need a replica, and
-   * with one held and another one lost they would hang.
-   */
-  private async release(instance: InstanceEntry): Promise<void> {
-    const { clock, administrator } = this.context;
-    const giveUpAt = clock.now() + RELEASE_TIMEOUT_MS;
-    while (clock.now() < giveUpAt && this.isLatestChange()) {
-      if (await administrator.resume(targetOf(instance), () => this.isLatestChange())) return;
-      await delay(clock, RELEASE_SPACING_MS);
-    }
-    this.changeLog.step('not_released', instance.id ?? '');
-  }
-
-  /** Whether no later change of the group has begun, which would hold the replicas anew. */
-  private isLatestChange(): boolean {
-    const epoch = this.context.catalog.group(this.group)?.epoch ?? 0;
-    return this.context.isLeading() && epoch <= this.epoch + 1;
+    const release = new ReplicaRelease(this.context, this.group, this.epoch, this.changeLog);
+    for (const instance of others) void release.release(instance);
   }
 }
--- a/test/unit/foreign_heartbeats.test.ts
+++ b/test/unit/foreign_heartbeats.test.ts
@@ -4,6 +4,7 @@
 import { type AddressInfo, connect } from 'node:net';
 import fc from 'fast-check';
 import t from 'tap';
+import { HEARTBEAT } from '../tools/heartbeat.js';
 import { LineCallerCodec } from '../../platform/caller_codec.js';
 import { ControlApi } from '../../platform/control_api.js';
 import { AnswerReader, encodeCommand, parseStatement } from '../../platform/line_codec.js';
@@ -18,17 +19,6 @@
 import { tableNaming } from '../tools/route_table.js';
 
 const { CatalogOutcome } = whinyoke;
-const HEARTBEAT = {
-  service: 'g',
-  address: '10.0.0.9:8080',
-  zone: 'z',
-  version: 'v1',
-  slots: 2,
-  state: 'ready',
-  warmup_remaining_ms: 0,
-  database_role: 'replica',
-  sequence: 4,
-};
 const TABLE = tableNaming('g');
 /** A state of a newer program. */
 const UNKNOWN_STATE = 7 as whinyoke.InstanceState;
--- a/test/unit/instance_reports.test.ts
+++ b/test/unit/instance_reports.test.ts
@@ -1,23 +1,12 @@
 /** What instances say of themselves over HTTP: the start time of their incarnation, decoded once. */
 import type { AddressInfo } from 'node:net';
 import t from 'tap';
+import { HEARTBEAT } from '../tools/heartbeat.js';
 import { ControlApi } from '../../platform/control_api.js';
 import type { AppointedControl } from '../../src/appointed/control/appointed_control.js';
 import type { RoutingDocumentReader } from '../../src/appointed/catalog/route_table.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 
-const HEARTBEAT = {
-  service: 's',
-  address: '10.0.0.1:1',
-  zone: 'z',
-  version: 'v1',
-  slots: 2,
-  state: 'ready',
-  warmup_remaining_ms: 0,
-  database_role: 'replica',
-  sequence: 4,
-};
-
 void t.test('heartbeats and deregisters tell when an instance started', async (t) => {
   const taken: whinyoke.IInstanceBeat[] = [];
   const submit = ({ beat }: whinyoke.ICatalogRequest): Promise<whinyoke.ICatalogReply> => {
