Simulated disk: truncation, removal and sync can fail, too

An operation can fail before, during or after its effect. After a failure in the middle, a power loss decides between the old and the new content. Pages of an unsynced append can reach the disk out of order where a test asks for it. A truncation to more than the length of a file fails, as does one of a missing file.

--- a/lab/simulation/virtual_disk.ts
+++ b/lab/simulation/virtual_disk.ts
@@ -3,16 +3,16 @@
  */
 import type { DataFolder, RandomSource } from '../../src/runtime/runtime.js';
 import { delay } from '../../src/runtime/runtime.js';
+import {
+  type DiskFailures,
+  DiskFailureError,
+  type DiskOperation,
+  type FailurePoint,
+  drawFailure,
+} from './disk_failures.js';
+import { VirtualFile } from './virtual_file.js';
 import type { VirtualProcess } from './virtual_process.js';
 
-const EMPTY = Buffer.alloc(0);
-
-interface VirtualFile {
-  durable: Buffer;
-  /** Written but not yet synced. */
-  unsynced: Buffer;
-}
-
 /** What a write meets on a disk without free space. */
 export class DiskFullError extends Error {
   constructor() {
@@ -24,6 +24,10 @@
 export class VirtualDisk {
   /** Whether the disk takes no more bytes. Names can still be removed and files cut. */
   isFull = false;
+  /** Operations that fail now; undefined on a healthy disk. */
+  failures: DiskFailures | undefined;
+  /** Whether pages of an unsynced append can reach the disk in another order. */
+  reordersPages = false;
   private readonly files = new Map<string, VirtualFile>();
 
   constructor(
@@ -37,12 +41,11 @@
     return new VirtualFolder(this, process);
   }
 
-  /** What a crash leaves: all that was synced, and any part of what was not. */
+  /** What a power loss leaves: all that was synced, and any part of what was not. */
   crash(): void {
-    for (const file of this.files.values()) {
-      const kept = this.random.integer(0, file.unsynced.length);
-      file.durable = Buffer.concat([file.durable, file.unsynced.subarray(0, kept)]);
-      file.unsynced = EMPTY;
+    for (const [name, file] of this.files) {
+      file.losePower(this.random, this.reordersPages);
+      if (!file.visible) this.files.delete(name);
     }
   }
 
@@ -56,6 +59,16 @@
     return this.syncMs * (0.5 + this.random.next());
   }
 
+  /** How the next operation fails; undefined if it succeeds. */
+  nextFailure(operation: DiskOperation): FailurePoint | undefined {
+    return this.failures && drawFailure(this.failures, operation, this.random);
+  }
+
+  /** A length from `from` to `to`, both included. */
+  drawLength(from: number, to: number): number {
+    return this.random.integer(from, to);
+  }
+
   /** Files by name, for the folder only. */
   get content(): Map<string, VirtualFile> {
     return this.files;
@@ -69,59 +82,85 @@
   ) {}
 
   read(name: string): Promise<Buffer | undefined> {
-    const file = this.disk.content.get(name);
-    return Promise.resolve(file && Buffer.concat([file.durable, file.unsynced]));
+    return Promise.resolve(this.disk.content.get(name)?.visible);
   }
 
   append(name: string, bytes: Uint8Array): Promise<void> {
-    const file = this.disk.content.get(name) ?? { durable: EMPTY, unsynced: EMPTY };
-    // A full disk may still take the first part of a write.
-    const taken = this.disk.isFull ? bytes.subarray(0, Math.floor(bytes.length / 2)) : bytes;
-    file.unsynced = Buffer.concat([file.unsynced, taken]);
-    this.disk.content.set(name, file);
-    return this.disk.isFull ? Promise.reject(new DiskFullError()) : Promise.resolve();
+    const failure = this.disk.nextFailure('append');
+    const file = this.existingOrNew(name);
+    file.append(bytes.subarray(0, this.lengthTaken(bytes.length, failure)));
+    if (this.disk.isFull) return Promise.reject(new DiskFullError());
+    return failure ? Promise.reject(new DiskFailureError('append', failure)) : Promise.resolve();
   }
 
-  sync(name: string): Promise<void> {
-    const written = this.disk.content.get(name)?.unsynced.length ?? 0;
-    return this.afterDelay(() => {
-      const file = this.disk.content.get(name);
-      if (!file) return;
-      file.durable = Buffer.concat([file.durable, file.unsynced.subarray(0, written)]);
-      file.unsynced = file.unsynced.subarray(written);
+  async sync(name: string): Promise<void> {
+    const file = this.disk.content.get(name);
+    if (!file || file.isSynced) return;
+    const written = file.length;
+    await this.change('sync', (failure) => {
+      if (failure === 'before') return;
+      const synced = failure === 'during' ? this.disk.drawLength(0, written) : written;
+      // The name may refer to other content by now.
+      if (this.disk.content.get(name) === file && file.length >= written) file.sync(synced);
     });
   }
 
-  replace(name: string, bytes: Uint8Array): Promise<void> {
-    if (this.disk.isFull) return Promise.reject(new DiskFullError());
+  async replace(name: string, bytes: Uint8Array): Promise<void> {
+    if (this.disk.isFull) throw new DiskFullError();
     const copy = Buffer.from(bytes);
-    return this.afterDelay(() => {
-      this.disk.content.set(name, { durable: copy, unsynced: EMPTY });
+    await this.change('replace', (failure) => {
+      if (failure !== 'before') this.existingOrNew(name).change(copy, failure !== 'during');
     });
   }
 
   truncate(name: string, length: number): Promise<void> {
-    return this.afterDelay(() => {
+    return this.change('truncate', (failure) => {
       const file = this.disk.content.get(name);
-      if (!file) return;
-      const bytes = Buffer.concat([file.durable, file.unsynced]).subarray(0, length);
-      this.disk.content.set(name, { durable: bytes, unsynced: EMPTY });
+      if (!file?.visible) {
+        if (length > 0) throw new Error(`ENOENT: ${name} does not exist`);
+        return;
+      }
+      if (file.length < length) throw new Error(`${name} is shorter than ${length} bytes`);
+      if (failure === 'before') return;
+      const end = failure === 'during' ? this.disk.drawLength(length, file.length) : length;
+      file.change(file.visible.subarray(0, end), failure === undefined);
     });
   }
 
   remove(name: string): Promise<void> {
-    return this.afterDelay(() => {
-      this.disk.content.delete(name);
+    return this.change('remove', (failure) => {
+      if (failure === 'before') return;
+      if (failure === undefined) this.disk.content.delete(name);
+      else this.disk.content.get(name)?.change(undefined, failure === 'after');
     });
   }
 
   list(): Promise<string[]> {
-    return Promise.resolve([...this.disk.content.keys()].sort());
+    const present = [...this.disk.content].filter(([, file]) => file.visible);
+    return Promise.resolve(present.map(([name]) => name).sort());
+  }
+
+  private existingOrNew(name: string): VirtualFile {
+    const file = this.disk.content.get(name) ?? new VirtualFile();
+    this.disk.content.set(name, file);
+    return file;
+  }
+
+  /** Number of bytes of an append that reach the file. */
+  private lengthTaken(length: number, failure: FailurePoint | undefined): number {
+    // A full disk may still take the first part of a write.
+    if (this.disk.isFull || failure === 'during') return Math.floor(length / 2);
+    return failure === 'before' ? 0 : length;
   }
 
   /** The change happens at the end of the delay, and not at all when the process dies before. */
-  private async afterDelay(change: () => void): Promise<void> {
+  private async change(
+    operation: DiskOperation,
+    apply: (failure: FailurePoint | undefined) => void,
+  ): Promise<void> {
+    const failure = this.disk.nextFailure(operation);
     await delay(this.process.clock, this.disk.syncDelay());
-    change();
+    apply(failure);
+    if (failure) throw new DiskFailureError(operation, failure);
   }
 }
