Record files: an unsynced batch may reach the disk in any order; records read at a start are durable

Callers saw (possible, provoked in tests only): a control machine or proxy that ends at each start with 'damaged record ... with good records after it' after a power loss, and confirmations that a power loss took back.

Cause: recovery took every valid record after an invalid one for corruption, but the pages of one unsynced write reach a disk in any order. Zeros that a crash leaves decoded as empty records. Records that a killed process had written but not synced were read from the cache of the operating system at the next start and counted as durable.

Change: records of one batch after its first carry a flag in the length (older files stay valid: no flag, so each record is a batch of its own). An invalid record is corruption only if a batch begins after it. Empty records are invalid. RecordFile.open syncs the file before it returns records, and leaves the truncation of an incomplete tail to the next write. A truncation that failed is completed before the next append.

--- a/lab/database/group_member.ts
+++ b/lab/database/group_member.ts
@@ -10,7 +10,8 @@
 import { type DataFolder, type Runtime, type Timer, delay } from '../../src/runtime/runtime.js';
 import type { MessageBody } from '../../src/runtime/runtime.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
-import { RECORD_HEADER_BYTES, RecordFile } from '../../src/storage/record_file.js';
+import { RECORD_HEADER_BYTES } from '../../src/storage/record_codec.js';
+import { RecordFile } from '../../src/storage/record_file.js';
 import type { RowChange } from './tables.js';
 
 /** One committed or received transaction. */
--- a/lab/simulation/virtual_disk.ts
+++ b/lab/simulation/virtual_disk.ts
@@ -87,7 +87,7 @@
 
   append(name: string, bytes: Uint8Array): Promise<void> {
     const failure = this.disk.nextFailure('append');
-    const file = this.existingOrNew(name);
+    const file = this.fileOr(name, VirtualFile.empty);
     file.append(bytes.subarray(0, this.lengthTaken(bytes.length, failure)));
     if (this.disk.isFull) return Promise.reject(new DiskFullError());
     return failure ? Promise.reject(new DiskFailureError('append', failure)) : Promise.resolve();
@@ -109,7 +109,8 @@
     if (this.disk.isFull) throw new DiskFullError();
     const copy = Buffer.from(bytes);
     await this.change('replace', (failure) => {
-      if (failure !== 'before') this.existingOrNew(name).change(copy, failure !== 'during');
+      if (failure === 'before') return;
+      this.fileOr(name, () => new VirtualFile(undefined)).change(copy, failure !== 'during');
     });
   }
 
@@ -140,8 +141,8 @@
     return Promise.resolve(present.map(([name]) => name).sort());
   }
 
-  private existingOrNew(name: string): VirtualFile {
-    const file = this.disk.content.get(name) ?? new VirtualFile();
+  private fileOr(name: string, create: () => VirtualFile): VirtualFile {
+    const file = this.disk.content.get(name) ?? create();
     this.disk.content.set(name, file);
     return file;
   }
--- a/lab/simulation/virtual_file.ts
+++ b/lab/simulation/virtual_file.ts
@@ -4,15 +4,30 @@
 const EMPTY = Buffer.alloc(0);
 /** Unsynced bytes reach the disk in pages of this size, in any order. */
 const PAGE_BYTES = 64;
+/** Share of the unsynced pages that a power loss can clear. */
+const LOST_PAGE_SHARE = 0.3;
 
 /** Content of a file; undefined if the name does not exist. */
 type FileContent = Buffer | undefined;
 
 export class VirtualFile {
   /** What processes read. */
-  visible: FileContent = EMPTY;
+  visible: FileContent;
   /** What is certainly on the disk. */
-  private durable: FileContent = EMPTY;
+  private durable: FileContent;
+  /** Whether appends are the only changes that are not durable. */
+  private isOnlyAppended = true;
+
+  /** @param content - durable content; undefined if the name does not exist yet */
+  constructor(content: FileContent) {
+    this.visible = content;
+    this.durable = content;
+  }
+
+  /** A file as an append creates it. */
+  static empty(): VirtualFile {
+    return new VirtualFile(EMPTY);
+  }
 
   /** Appends bytes that are not durable yet. */
   append(bytes: Uint8Array): void {
@@ -33,11 +48,13 @@
   sync(length: number): void {
     const isWhole = length >= this.length;
     this.durable = isWhole ? this.visible : this.visible?.subarray(0, length);
+    this.isOnlyAppended = true;
   }
 
   /** Changes the content; it becomes durable too, or a power loss decides between old and new. */
   change(content: FileContent, isDurable: boolean): void {
     this.visible = content;
+    this.isOnlyAppended = isDurable;
     if (isDurable) this.durable = content;
   }
 
@@ -45,12 +62,13 @@
   losePower(random: RandomSource, reordersPages: boolean): void {
     this.durable = this.contentAfterPowerLoss(random, reordersPages);
     this.visible = this.durable;
+    this.isOnlyAppended = true;
   }
 
   private contentAfterPowerLoss(random: RandomSource, reordersPages: boolean): FileContent {
     const { durable, visible } = this;
-    const isAppended = visible && durable && visible.subarray(0, durable.length).equals(durable);
-    if (!isAppended) return random.next() < 0.5 ? visible : durable;
+    if (!this.isOnlyAppended || !visible || !durable)
+      return random.next() < 0.5 ? visible : durable;
     const kept = random.integer(0, visible.length - durable.length);
     const bytes = Buffer.from(visible.subarray(0, durable.length + kept));
     if (reordersPages) clearSomePages(bytes, durable.length, random);
@@ -61,6 +79,7 @@
 /** Fills some of the pages from `start` on with zeros. */
 function clearSomePages(bytes: Buffer, start: number, random: RandomSource): void {
   for (let page = start; page < bytes.length; page += PAGE_BYTES) {
-    if (random.next() < 0.3) bytes.fill(0, page, page + PAGE_BYTES);
+    if (random.next() < LOST_PAGE_SHARE)
+      bytes.fill(0, page, Math.min(page + PAGE_BYTES, bytes.length));
   }
 }
--- a/src/consensus/raft_log.ts
+++ b/src/consensus/raft_log.ts
@@ -9,12 +9,8 @@
 import { StorageCorruptionError } from '../errors/errors.js';
 import { whinyoke } from '../protocol/generated/messages.js';
 import type { DataFolder } from '../runtime/runtime.js';
-import {
-  RECORD_HEADER_BYTES,
-  RecordFile,
-  decodeRecords,
-  encodeRecord,
-} from '../storage/record_file.js';
+import { RECORD_HEADER_BYTES, decodeRecords, encodeRecord } from '../storage/record_codec.js';
+import { RecordFile } from '../storage/record_file.js';
 import { LogGapError } from './raft_errors.js';
 
 export interface LogEntry {
--- a/src/mysql/proxy/configuration_keeper.ts
+++ b/src/mysql/proxy/configuration_keeper.ts
@@ -8,7 +8,8 @@
 import { ProtectionSet } from '../gateway/protections.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { DataFolder } from '../../runtime/runtime.js';
-import { RecordFile, decodeRecords, encodeRecord } from '../../storage/record_file.js';
+import { decodeRecords, encodeRecord } from '../../storage/record_codec.js';
+import { RecordFile } from '../../storage/record_file.js';
 
 const WHOLE_FILE = 'configuration';
 const CHANGES_FILE = 'configuration-changes';
--- a/test/unit/storage.test.ts
+++ b/test/unit/storage.test.ts
@@ -14,7 +14,8 @@
   type ConfigurationState,
 } from '../../src/mysql/proxy/configuration_keeper.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
-import { RecordFile, decodeRecords, encodeRecord } from '../../src/storage/record_file.js';
+import { decodeRecords, encodeBatch, encodeRecord } from '../../src/storage/record_codec.js';
+import { RecordFile } from '../../src/storage/record_file.js';
 
 const NAME = 'records';
 
@@ -159,3 +160,79 @@
   t.throws(() => decodeRecords(damaged, NAME), { message: /records: damaged record at byte 13/ });
   t.end();
 });
+
+void t.test(
+  'pages of an unsynced batch reach the disk in any order, and the file opens',
+  async (t) => {
+    for (let seed = 1; seed <= 200; seed++) {
+      const { scheduler, disk, random } = machine(seed);
+      disk.reordersPages = true;
+      const process = new VirtualProcess('host', scheduler, random);
+      const opening = RecordFile.open(disk.open(process), NAME);
+      await scheduler.runUntil(scheduler.now + 10);
+      const { file } = await opening;
+      const payloads = Array.from({ length: 8 }, (_, index) => Buffer.alloc(70, index + 1));
+      void file.append(payloads.slice(0, 2));
+      await scheduler.runUntil(scheduler.now + 10);
+      void file.append(payloads.slice(2));
+      process.kill();
+      disk.crash();
+      const reopening = RecordFile.open(
+        disk.open(new VirtualProcess('host', scheduler, random)),
+        NAME,
+      );
+      reopening.catch(() => undefined);
+      await scheduler.runUntil(scheduler.now + 10);
+      const { records } = await reopening;
+      t.ok(records.length >= 2, 'the durable batch is kept');
+      const found = records.map(({ payload }) => payload);
+      t.same(found, payloads.slice(0, found.length));
+    }
+  },
+);
+
+void t.test('a damaged record before a later batch is rejected', (t) => {
+  const [first, second] = ['ab', 'cd'].map((pair) =>
+    encodeBatch([...pair].map((text) => Buffer.from(text))),
+  );
+  const damaged = Buffer.concat([first!, second!]);
+  damaged[first!.length - 1]! ^= 1;
+  t.throws(() => decodeRecords(damaged, NAME), StorageCorruptionError);
+  t.end();
+});
+
+void t.test('zeros at the end of a file are not records', (t) => {
+  const record = encodeRecord(Buffer.from('only'));
+  t.equal(decodeRecords(Buffer.concat([record, Buffer.alloc(64)]), NAME).length, 1);
+  t.throws(() => encodeRecord(new Uint8Array(0)), RangeError);
+  t.end();
+});
+
+void t.test(
+  'records that a killed process had not synced are durable once they are read',
+  async (t) => {
+    for (let seed = 1; seed <= 20; seed++) {
+      const { scheduler, disk, random } = machine(seed);
+      const open = async (): Promise<{
+        process: VirtualProcess;
+        file: RecordFile;
+        count: number;
+      }> => {
+        const process = new VirtualProcess('host', scheduler, random);
+        const opening = RecordFile.open(disk.open(process), NAME);
+        await scheduler.runUntil(scheduler.now + 10);
+        const { file, records } = await opening;
+        return { process, file, count: records.length };
+      };
+      const killed = await open();
+      void killed.file.append([Buffer.from('unsynced')]);
+      await scheduler.runUntil(scheduler.now);
+      killed.process.kill();
+      const restarted = await open();
+      t.equal(restarted.count, 1, 'the cache of the operating system still contains the record');
+      restarted.process.kill();
+      disk.crash();
+      t.equal((await open()).count, 1, 'a power loss after that does not take it back');
+    }
+  },
+);
