Consensus log: a failed truncation or removal never lets an entry follow one that it was not appended to

Cause: the check before a write compared indices only. After a failed truncation the files still held the replaced entries, so the next append in flight found 'its' index there and followed an entry of another term. A truncation that failed after its effect left the offsets of entries that were gone. Removals had the same faults.

Change: log_segments.ts owns the files and knows the term of each entry in them. An append names the position that it follows, and is refused unless the files contain exactly that.

RefusingFolder now extends a folder that the new tests share; its checks are unchanged.

--- a/lab/simulation/virtual_disk.ts
+++ b/lab/simulation/virtual_disk.ts
@@ -87,7 +87,7 @@
 
   append(name: string, bytes: Uint8Array): Promise<void> {
     const failure = this.disk.nextFailure('append');
-    const file = this.fileOr(name, VirtualFile.empty);
+    const file = this.fileOr(name, () => VirtualFile.empty());
     file.append(bytes.subarray(0, this.lengthTaken(bytes.length, failure)));
     if (this.disk.isFull) return Promise.reject(new DiskFullError());
     return failure ? Promise.reject(new DiskFailureError('append', failure)) : Promise.resolve();
--- a/src/consensus/log_applier.ts
+++ b/src/consensus/log_applier.ts
@@ -4,7 +4,8 @@
  * If a snapshot cannot be written, the log keeps growing and the next commit tries again.
  */
 import { whinyoke } from '../protocol/generated/messages.js';
-import type { LogEntry, RaftLog } from './raft_log.js';
+import type { LogEntry } from './log_entry.js';
+import type { RaftLog } from './raft_log.js';
 
 export interface StateMachine {
   /** Applies a committed command and returns its result. Must be deterministic. */
--- a/src/consensus/log_receiver.ts
+++ b/src/consensus/log_receiver.ts
@@ -8,7 +8,8 @@
 import type { LogApplier } from './log_applier.js';
 import type { MemberState } from './member_state.js';
 import { NotDurableError } from './raft_errors.js';
-import { type LogEntry, type Snapshot, entryFromMessage } from './raft_log.js';
+import { type LogEntry, entryFromMessage } from './log_entry.js';
+import type { Snapshot } from './raft_log.js';
 
 export class LogReceiver {
   constructor(
--- a/src/consensus/log_replication.ts
+++ b/src/consensus/log_replication.ts
@@ -12,7 +12,7 @@
 import type { LogApplier } from './log_applier.js';
 import type { MemberState, RaftRuntime } from './member_state.js';
 import { type AppendSource, PeerReplicator } from './peer_replicator.js';
-import type { LogEntry } from './raft_log.js';
+import type { LogEntry } from './log_entry.js';
 import { LEADERSHIP_PROOF_MAX_AGE_MS, type RaftOptions } from './raft_options.js';
 
 export class LogReplication implements AppendSource {
--- a/src/consensus/pending_proposals.ts
+++ b/src/consensus/pending_proposals.ts
@@ -3,7 +3,7 @@
  * leadership ends, the outcome of pending proposals is unknown.
  */
 import { LeadershipLostError } from './raft_errors.js';
-import type { LogEntry } from './raft_log.js';
+import type { LogEntry } from './log_entry.js';
 
 interface PendingProposal {
   readonly term: number;
--- a/src/consensus/raft_log.ts
+++ b/src/consensus/raft_log.ts
@@ -1,31 +1,17 @@
 /**
- * Durable log of a consensus member: checksummed segments and one snapshot.
+ * Durable log of a consensus member: entries, one snapshot, and the vote.
  *
- * Files: `log-<first index>` for each segment, `snapshot` for the state that replaced older
- * entries, `vote` for term and vote. (`identity` in the same folder belongs to
- * `cluster_joiner.ts`.) Nothing counts until it is synced. If the disk refuses a write, the promise
- * of that write rejects.
+ * Files: segments (`log_segments.ts`), `snapshot` for the state that replaced older entries, `vote`
+ * for term and vote. (`identity` in the same folder belongs to `cluster_joiner.ts`.) Nothing counts
+ * until it is synced. If the disk refuses a write, the promise of that write rejects.
  */
-import { StorageCorruptionError } from '../errors/errors.js';
 import { whinyoke } from '../protocol/generated/messages.js';
 import type { DataFolder } from '../runtime/runtime.js';
-import { RECORD_HEADER_BYTES, decodeRecords, encodeRecord } from '../storage/record_codec.js';
-import { RecordFile } from '../storage/record_file.js';
+import { readSingleRecord, replaceSingleRecord } from '../storage/single_record.js';
+import type { EntryPosition, LogEntry } from './log_entry.js';
+import { LogSegments } from './log_segments.js';
 import { LogGapError } from './raft_errors.js';
 
-export interface LogEntry {
-  /** Term of the leader that created the entry. */
-  readonly term: number;
-  /** Position in the log, from 1. */
-  readonly index: number;
-  /** What the entry changes: the state machine, the membership, or nothing. */
-  readonly kind: whinyoke.EntryKind;
-  /** Input of the state machine; empty for other kinds. */
-  readonly command: Uint8Array;
-  /** Membership from this entry on; only for membership changes. */
-  readonly membership: whinyoke.IMembership | undefined;
-}
-
 /** Term and vote, which must survive a restart. */
 export interface VoteState {
   /** Newest term that this member knows. */
@@ -48,48 +34,12 @@
 
 const SNAPSHOT_FILE = 'snapshot';
 const VOTE_FILE = 'vote';
-const SEGMENT_PREFIX = 'log-';
-/** Digits of an index in a file name; padding makes names sort by index. */
-const INDEX_DIGITS = 12;
-
-/** Size at which a new segment is started. Compaction deletes whole segments only. */
-const SEGMENT_BYTES = 256 * 1024;
-
-interface PendingSnapshot {
-  readonly snapshot: Snapshot;
-  /** Whether the entries after the snapshot continue it. */
-  readonly keepsLaterEntries: boolean;
-}
 
-interface Segment {
-  readonly firstIndex: number;
-  readonly file: RecordFile;
-  /** End offsets of the entries in the file, oldest first. */
-  readonly ends: number[];
-}
+/** Position of an empty log. */
+const LOG_START: EntryPosition = { index: 0, term: 0 };
 
-function segmentName(firstIndex: number): string {
-  return SEGMENT_PREFIX + String(firstIndex).padStart(INDEX_DIGITS, '0');
-}
-
-function toEntry(decoded: whinyoke.LogEntry): LogEntry {
-  return {
-    term: decoded.term,
-    index: decoded.index,
-    kind: decoded.kind,
-    command: decoded.command,
-    membership: decoded.membership ?? undefined,
-  };
-}
-
-export function entryFromMessage(message: whinyoke.ILogEntry): LogEntry {
-  return {
-    term: message.term ?? 0,
-    index: message.index ?? 0,
-    kind: message.kind ?? whinyoke.EntryKind.NO_OPERATION,
-    command: message.command ?? new Uint8Array(0),
-    membership: message.membership ?? undefined,
-  };
+function lastPositionOf(snapshot: Snapshot | undefined): EntryPosition {
+  return snapshot ? { index: snapshot.lastIndex, term: snapshot.lastTerm } : LOG_START;
 }
 
 /**
@@ -98,15 +48,19 @@
  * ones, so the log never has a gap.
  */
 export class RaftLog {
-  private readonly segments: Segment[] = [];
+  /**
+   * Called when a write of entries failed, after they were removed and before any other code can
+   * append entries in their place.
+   */
+  onWriteFailed: () => void = () => undefined;
   private entries: LogEntry[] = [];
+  private files!: LogSegments;
   private snapshotState: Snapshot | undefined;
   private voteState: VoteState = { term: 0, votedFor: '' };
   private durableVoteTerm = 0;
   private durableEntryIndex = 0;
-  private durableSnapshotIndex = 0;
   /** A snapshot that is not on disk yet. */
-  private pendingSnapshot: PendingSnapshot | undefined;
+  private pendingSnapshot: Snapshot | undefined;
   private lastWrite: Promise<void> = Promise.resolve();
 
   private constructor(private readonly folder: DataFolder) {}
@@ -116,7 +70,7 @@
     const log = new RaftLog(folder);
     await log.loadVote();
     await log.loadSnapshot();
-    await log.loadSegments();
+    await log.loadEntries();
     log.durableEntryIndex = log.lastIndex;
     return log;
   }
@@ -151,8 +105,7 @@
 
   /** Bytes of all segments and the snapshot. */
   get byteLength(): number {
-    const logBytes = this.segments.reduce((sum, segment) => sum + segment.file.byteLength, 0);
-    return logBytes + (this.snapshotState?.state.length ?? 0);
+    return this.files.byteLength + (this.snapshotState?.state.length ?? 0);
   }
 
   /** Term of an entry; undefined if it is unknown or compacted. */
@@ -190,9 +143,9 @@
 
   saveVote(vote: VoteState): Promise<void> {
     this.voteState = vote;
-    const bytes = encodeRecord(Buffer.from(JSON.stringify(vote)));
+    const payload = Buffer.from(JSON.stringify(vote));
     return this.enqueueWrite(async () => {
-      await this.folder.replace(VOTE_FILE, bytes);
+      await replaceSingleRecord(this.folder, VOTE_FILE, payload);
       this.durableVoteTerm = vote.term;
     });
   }
@@ -215,12 +168,14 @@
    */
   append(entries: readonly LogEntry[]): Promise<void> {
     if (entries.length === 0) return this.lastWrite;
+    const previous: EntryPosition = { index: this.lastIndex, term: this.lastTerm };
     this.entries.push(...entries);
     return this.enqueueWrite(async () => {
       try {
-        await this.write(entries);
+        await this.write(previous, entries);
       } catch (error) {
         this.dropFailedEntries(entries);
+        this.onWriteFailed();
         throw error;
       }
       this.recordDurable(entries.at(-1)!);
@@ -240,15 +195,17 @@
     if (!keepsLater) this.durableEntryIndex = Math.min(this.durableEntryIndex, snapshot.lastIndex);
     this.snapshotState = snapshot;
     return this.enqueueWrite(() => {
-      const continues = keepsLater && (this.pendingSnapshot?.keepsLaterEntries ?? true);
-      this.pendingSnapshot = { snapshot, keepsLaterEntries: continues };
+      this.pendingSnapshot = snapshot;
       return this.writePendingSnapshot();
     });
   }
 
-  /** Stores a snapshot whose earlier write failed; resolves at once if there is none. */
+  /** Completes the storage of a snapshot that failed earlier. */
   persistSnapshot(): Promise<void> {
-    return this.enqueueWrite(() => this.writePendingSnapshot());
+    return this.enqueueWrite(async () => {
+      await this.writePendingSnapshot();
+      await this.files.completeRemovals();
+    });
   }
 
   private get firstIndex(): number {
@@ -274,135 +231,61 @@
     this.durableEntryIndex = Math.max(this.durableEntryIndex, entry.index);
   }
 
-  private async write(entries: readonly LogEntry[]): Promise<void> {
-    const firstIndex = entries[0]!.index;
-    await this.writePendingSnapshot();
-    await this.truncateSegments(firstIndex);
-    if (firstIndex !== this.writtenIndex + 1) {
+  /**
+   * Writes entries after the entry that they were appended to. The files can lack that entry, or
+   * contain others in its place, after a write before this one failed.
+   */
+  private async write(previous: EntryPosition, entries: readonly LogEntry[]): Promise<void> {
+    // A snapshot that could not be stored need not delay entries that continue the files.
+    if (!this.files.contains(previous)) await this.writePendingSnapshot();
+    if (!this.files.contains(previous)) {
       throw new LogGapError(
-        `log gap: entry ${firstIndex} does not follow entry ${this.writtenIndex}`,
+        `log gap: the entry of term ${previous.term} at ${previous.index}, ` +
+          `which entry ${entries[0]!.index} follows, is not on disk`,
       );
     }
-    const segment = await this.currentSegment(firstIndex);
-    const payloads = entries.map((entry) => whinyoke.LogEntry.encode(entry).finish());
-    let end = segment.file.byteLength;
-    await segment.file.append(payloads);
-    for (const payload of payloads) {
-      end += RECORD_HEADER_BYTES + payload.length;
-      segment.ends.push(end);
-    }
-  }
-
-  /** Newest index in the files. The files may lag behind the entries or contain removed ones. */
-  private get writtenIndex(): number {
-    const last = this.segments.at(-1);
-    return last ? last.firstIndex + last.ends.length - 1 : this.durableSnapshotIndex;
-  }
-
-  private async currentSegment(nextIndex: number): Promise<Segment> {
-    const last = this.segments.at(-1);
-    if (last && last.file.byteLength < SEGMENT_BYTES) return last;
-    const { file } = await RecordFile.open(this.folder, segmentName(nextIndex));
-    const segment: Segment = { firstIndex: nextIndex, file, ends: [] };
-    this.segments.push(segment);
-    return segment;
-  }
-
-  /** Removes entries from `index` on from the files. */
-  private async truncateSegments(index: number): Promise<void> {
-    for (let last = this.segments.at(-1); last; last = this.segments.at(-1)) {
-      const keptCount = index - last.firstIndex;
-      if (keptCount > 0) {
-        if (keptCount >= last.ends.length) return;
-        await last.file.truncate(last.ends[keptCount - 1]!);
-        last.ends.length = keptCount;
-        return;
-      }
-      await this.folder.remove(last.file.name);
-      this.segments.pop();
-    }
+    await this.files.appendAfter(previous, entries);
   }
 
   private async writePendingSnapshot(): Promise<void> {
     const pending = this.pendingSnapshot;
     if (!pending) return;
-    await this.writeSnapshot(pending);
-    this.pendingSnapshot = undefined;
-    const { lastIndex } = pending.snapshot;
-    this.durableSnapshotIndex = lastIndex;
-    this.durableEntryIndex = Math.max(this.durableEntryIndex, lastIndex);
-  }
-
-  /** Segments are deleted only after the snapshot that replaces them is durable. */
-  private async writeSnapshot({ snapshot, keepsLaterEntries }: PendingSnapshot): Promise<void> {
     const message: whinyoke.ISnapshotRequest = {
-      lastIndex: snapshot.lastIndex,
-      lastTerm: snapshot.lastTerm,
-      membership: snapshot.membership,
-      state: snapshot.state,
+      lastIndex: pending.lastIndex,
+      lastTerm: pending.lastTerm,
+      membership: pending.membership,
+      state: pending.state,
     };
-    const bytes = encodeRecord(whinyoke.SnapshotRequest.encode(message).finish());
-    await this.folder.replace(SNAPSHOT_FILE, bytes);
-    while (this.segments.length > 0) {
-      const [oldest] = this.segments;
-      const lastIndex = oldest!.firstIndex + oldest!.ends.length - 1;
-      const isReplaced = !keepsLaterEntries || lastIndex <= snapshot.lastIndex;
-      if (!isReplaced) return;
-      await this.folder.remove(oldest!.file.name);
-      this.segments.shift();
-    }
+    const payload = whinyoke.SnapshotRequest.encode(message).finish();
+    await replaceSingleRecord(this.folder, SNAPSHOT_FILE, payload);
+    this.pendingSnapshot = undefined;
+    this.durableEntryIndex = Math.max(this.durableEntryIndex, pending.lastIndex);
+    // Segments are deleted only after the snapshot that replaces them is durable.
+    await this.files.discardThrough(lastPositionOf(pending));
   }
 
   private async loadVote(): Promise<void> {
-    const bytes = await this.folder.read(VOTE_FILE);
-    const record = bytes && decodeRecords(bytes, VOTE_FILE)[0];
-    if (bytes && !record)
-      throw new StorageCorruptionError(`${VOTE_FILE}: contains no valid record`);
-    if (record) this.voteState = JSON.parse(record.payload.toString()) as VoteState;
+    const payload = await readSingleRecord(this.folder, VOTE_FILE);
+    if (payload) this.voteState = JSON.parse(payload.toString()) as VoteState;
     this.durableVoteTerm = this.voteState.term;
   }
 
   private async loadSnapshot(): Promise<void> {
-    const bytes = await this.folder.read(SNAPSHOT_FILE);
-    const record = bytes && decodeRecords(bytes, SNAPSHOT_FILE)[0];
-    if (bytes && !record)
-      throw new StorageCorruptionError(`${SNAPSHOT_FILE}: contains no valid record`);
-    if (!record) return;
-    const decoded = whinyoke.SnapshotRequest.decode(record.payload);
+    const payload = await readSingleRecord(this.folder, SNAPSHOT_FILE);
+    if (!payload) return;
+    const decoded = whinyoke.SnapshotRequest.decode(payload);
     this.snapshotState = {
       lastIndex: decoded.lastIndex,
       lastTerm: decoded.lastTerm,
       membership: decoded.membership ?? {},
       state: decoded.state,
     };
-    this.durableSnapshotIndex = decoded.lastIndex;
   }
 
-  private async loadSegments(): Promise<void> {
-    const names = (await this.folder.list()).filter((name) => name.startsWith(SEGMENT_PREFIX));
-    for (const [position, name] of names.entries()) {
-      const { file, records } = await RecordFile.open(this.folder, name);
-      const firstIndex = Number(name.slice(SEGMENT_PREFIX.length));
-      const segment: Segment = { firstIndex, file, ends: records.map((record) => record.end) };
-      const isLast = position === names.length - 1;
-      if (records.length === 0 && !isLast) {
-        throw new StorageCorruptionError(`${name}: segment is empty although a later one exists`);
-      }
-      this.segments.push(segment);
-      for (const record of records) this.loadEntry(name, record.payload);
-    }
-  }
-
-  private loadEntry(segmentName: string, payload: Buffer): void {
-    const entry = toEntry(whinyoke.LogEntry.decode(payload));
-    const covered = this.snapshotState?.lastIndex ?? 0;
-    const expected = this.lastIndex + 1;
-    if (entry.index <= covered) return;
-    if (entry.index !== expected) {
-      throw new StorageCorruptionError(
-        `${segmentName}: found entry ${entry.index}, expected ${expected}`,
-      );
-    }
-    this.entries.push(entry);
+  private async loadEntries(): Promise<void> {
+    const snapshotPosition = lastPositionOf(this.snapshotState);
+    const { files, entries } = await LogSegments.open(this.folder, snapshotPosition);
+    this.files = files;
+    this.entries = entries;
   }
 }
--- a/src/consensus/raft_node.ts
+++ b/src/consensus/raft_node.ts
@@ -21,7 +21,8 @@
 import { type Member, Membership } from './membership.js';
 import { PendingProposals } from './pending_proposals.js';
 import { NotLeaderError } from './raft_errors.js';
-import type { LogEntry, RaftLog } from './raft_log.js';
+import type { LogEntry } from './log_entry.js';
+import type { RaftLog } from './raft_log.js';
 import type { RaftOptions } from './raft_options.js';
 
 export class RaftNode {
--- a/src/mysql/proxy/configuration_keeper.ts
+++ b/src/mysql/proxy/configuration_keeper.ts
@@ -8,8 +8,8 @@
 import { ProtectionSet } from '../gateway/protections.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { DataFolder } from '../../runtime/runtime.js';
-import { decodeRecords, encodeRecord } from '../../storage/record_codec.js';
 import { RecordFile } from '../../storage/record_file.js';
+import { readSingleRecord, replaceSingleRecord } from '../../storage/single_record.js';
 
 const WHOLE_FILE = 'configuration';
 const CHANGES_FILE = 'configuration-changes';
@@ -64,10 +64,9 @@
   }
 
   private async loadNow(): Promise<void> {
-    const bytes = await this.folder.read(WHOLE_FILE);
-    const whole = bytes && decodeRecords(bytes, WHOLE_FILE)[0];
-    if (whole) this.merge(whinyoke.WatchReply.decode(whole.payload));
-    this.wholeBytes = bytes?.length ?? 0;
+    const whole = await readSingleRecord(this.folder, WHOLE_FILE);
+    if (whole) this.merge(whinyoke.WatchReply.decode(whole));
+    this.wholeBytes = whole?.length ?? 0;
     const { file, records } = await RecordFile.open(this.folder, CHANGES_FILE);
     this.changes = file;
     for (const { payload } of records) {
@@ -115,9 +114,8 @@
     if (bytes <= Math.max(MINIMUM_COMPACTION_BYTES, this.wholeBytes)) return;
     const documents = [...this.documents.values()];
     const whole = { revision: this.currentRevision, documents, complete: true };
-    const encoded = encodeRecord(whinyoke.WatchReply.encode(whole).finish());
-    await this.folder.replace(WHOLE_FILE, encoded);
-    this.wholeBytes = encoded.length;
+    const payload = whinyoke.WatchReply.encode(whole).finish();
+    this.wholeBytes = await replaceSingleRecord(this.folder, WHOLE_FILE, payload);
     await this.changes?.truncate(0);
   }
 
--- a/test/unit/full_disk.test.ts
+++ b/test/unit/full_disk.test.ts
@@ -1,50 +1,18 @@
 /** The log of a consensus member whose disk refuses writes for some time. */
 import t from 'tap';
-import { RaftLog, type LogEntry } from '../../src/consensus/raft_log.js';
+import type { LogEntry } from '../../src/consensus/log_entry.js';
+import { RaftLog } from '../../src/consensus/raft_log.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
-import type { DataFolder } from '../../src/runtime/runtime.js';
 import { ControlCluster } from '../tools/control_cluster.js';
+import { MemoryFolder } from '../tools/memory_folder.js';
 import { UNREACHABLE_PEERS, openSingleMember } from '../tools/single_member.js';
 
-/** An in-memory folder that can refuse writes. */
-class RefusingFolder implements DataFolder {
+/** A folder that can refuse writes. */
+class RefusingFolder extends MemoryFolder {
   isFull = false;
-  private readonly files = new Map<string, Buffer>();
 
-  read(name: string): Promise<Buffer | undefined> {
-    return Promise.resolve(this.files.get(name));
-  }
-
-  append(name: string, bytes: Uint8Array): Promise<void> {
-    return this.write(name, Buffer.concat([this.files.get(name) ?? Buffer.alloc(0), bytes]));
-  }
-
-  sync(): Promise<void> {
-    return Promise.resolve();
-  }
-
-  replace(name: string, bytes: Uint8Array): Promise<void> {
-    return this.write(name, Buffer.from(bytes));
-  }
-
-  truncate(name: string, length: number): Promise<void> {
-    this.files.set(name, (this.files.get(name) ?? Buffer.alloc(0)).subarray(0, length));
-    return Promise.resolve();
-  }
-
-  remove(name: string): Promise<void> {
-    this.files.delete(name);
-    return Promise.resolve();
-  }
-
-  list(): Promise<string[]> {
-    return Promise.resolve([...this.files.keys()].sort());
-  }
-
-  private write(name: string, bytes: Buffer): Promise<void> {
-    if (this.isFull) return Promise.reject(new Error('no space left'));
-    this.files.set(name, bytes);
-    return Promise.resolve();
+  protected override write(name: string, bytes: Buffer): Promise<void> {
+    return this.isFull ? Promise.reject(new Error('no space left')) : super.write(name, bytes);
   }
 }
 
