Leader: step down before the index of a lost entry can be given to another command

Callers saw (possible, provoked in a test): two commands under one term and index. Followers and the former leader then take each other's entries for their own, and the states of control machines differ without any error.

Cause: entries that could not be written left the log two microtasks before the promise of their write rejected and the leader stepped down. A proposal in between got the index of the lost entry, in the same term, while the entry was already on its way to followers.

Change: the log reports the failure in the same turn in which it removes the entries (RaftLog.onWriteFailed), and the member steps down and reads the membership again there. The handlers that did so later are gone.

--- a/src/consensus/log_receiver.ts
+++ b/src/consensus/log_receiver.ts
@@ -110,10 +110,7 @@
     if (first.index <= log.lastIndex) log.truncateFrom(first.index);
     const durable = log.append(entries.filter((entry) => entry.index >= first.index));
     state.reloadMembership();
-    return durable.catch((error: unknown) => {
-      state.reloadMembership();
-      throw error;
-    });
+    return durable;
   }
 
   /** A term must be durable before any reply is sent in it. */
--- a/src/consensus/log_replication.ts
+++ b/src/consensus/log_replication.ts
@@ -57,12 +57,8 @@
       () => {
         if (state.term === term) this.advanceCommit();
       },
-      // A leader whose disk fails must step down; the entries that were not written have left the
-      // log again.
-      () => {
-        state.stepDown(state.term);
-        state.reloadMembership();
-      },
+      // The member has stepped down and the entry has left the log; see `RaftLog.onWriteFailed`.
+      () => undefined,
     );
   }
 
--- a/src/consensus/raft_node.ts
+++ b/src/consensus/raft_node.ts
@@ -60,6 +60,7 @@
     this.replication = new LogReplication(this.state, runtime, options, this.applier);
     this.election = new LeaderElection(this.state, this.replication, runtime, options);
     this.receiver = new LogReceiver(this.state, this.election, this.applier);
+    log.onWriteFailed = () => this.onWriteFailed();
   }
 
   start(): void {
@@ -193,6 +194,15 @@
     if (wasRemoved && this.role === 'leader') this.state.stepDown(this.state.term);
   }
 
+  /**
+   * A leader that lost entries steps down before it can give their indices to other commands: in
+   * one term, an index stands for one command.
+   */
+  private onWriteFailed(): void {
+    if (this.role === 'leader') this.state.stepDown(this.state.term);
+    this.state.reloadMembership();
+  }
+
   private onLeadershipEnded(): void {
     this.replication.stopLeading();
     this.proposals.rejectAll();
