--- a/src/runtime/runtime.ts
+++ b/src/runtime/runtime.ts
@@ -33,18 +33,20 @@
 
 /**
  * The data folder of one process. Bytes are durable only after `sync` or `replace` has resolved; a crash may lose later
- * writes or leave them incomplete.
+ * writes or leave them incomplete. An operation that rejects may have had its effect, a part of it, or none.
  */
 export interface DataFolder {
   /** Reads a whole file; undefined if the file does not exist. */
   read(name: string): Promise<Buffer | undefined>;
   /** Appends to a file and creates it if it is missing; not durable until `sync`. */
   append(name: string, bytes: Uint8Array): Promise<void>;
-  /** Makes all earlier appends to a file durable. */
+  /** Makes all earlier appends to an existing file durable, also those of an earlier process. */
   sync(name: string): Promise<void>;
   /** Atomically and durably replaces the whole content of a file. */
   replace(name: string, bytes: Uint8Array): Promise<void>;
-  /** Durably shortens a file to `length` bytes. */
+  /**
+   * Durably shortens a file to `length` bytes; a missing file counts as an empty one. Rejects if the file is shorter.
+   */
   truncate(name: string, length: number): Promise<void>;
   /** Durably removes a file; does nothing if it does not exist. */
   remove(name: string): Promise<void>;
