Proxies: a configuration in force is not reported as refused; failing disks show in the logs

Callers saw (provoked in a test): an accepted configuration was in force on a proxy, but its acceptance was reported as failed when only the new whole file could not be written, so control sent it again. A failing disk of a proxy or a control machine showed in no log line.

Cause: the compaction of the change file ran inside the acceptance. Failures of the disk were handled (no confirmation, another try), but nobody logged them.

Change: a failed compaction leaves the change file as it is; the next change tries again. observed_folder.ts reports the first failure of an operation and the recovery, for all daemons: events 106 disk_write_failed and 107 disk_write_recovered.

--- a/lab/simulation/virtual_disk.ts
+++ b/lab/simulation/virtual_disk.ts
@@ -98,10 +98,12 @@
     if (!file || file.isSynced) return;
     const written = file.length;
     await this.change('sync', (failure) => {
-      if (failure === 'before') return;
-      const synced = failure === 'during' ? this.disk.drawLength(0, written) : written;
       // The name may refer to other content by now.
-      if (this.disk.content.get(name) === file && file.length >= written) file.sync(synced);
+      const isSame = this.disk.content.get(name) === file && file.length >= written;
+      if (failure === 'before' || !isSame) return;
+      if (failure === 'during') file.syncPartly(this.disk.drawLength(0, written));
+      else if (file.length === written) file.sync();
+      else file.syncPartly(written);
     });
   }
 
--- a/lab/simulation/virtual_file.ts
+++ b/lab/simulation/virtual_file.ts
@@ -44,13 +44,19 @@
     return this.visible === this.durable;
   }
 
-  /** Makes the first `length` bytes durable. */
-  sync(length: number): void {
-    const isWhole = length >= this.length;
-    this.durable = isWhole ? this.visible : this.visible?.subarray(0, length);
+  /** Makes the content durable. */
+  sync(): void {
+    this.durable = this.visible;
     this.isOnlyAppended = true;
   }
 
+  /** Makes unsynced appends durable up to `length` bytes, as a sync does that fails. */
+  syncPartly(length: number): void {
+    const durableLength = this.durable?.length ?? 0;
+    if (!this.isOnlyAppended || length <= durableLength) return;
+    this.durable = this.visible?.subarray(0, length);
+  }
+
   /** Changes the content; it becomes durable too, or a power loss decides between old and new. */
   change(content: FileContent, isDurable: boolean): void {
     this.visible = content;
--- a/src/daemon/managed_process.ts
+++ b/src/daemon/managed_process.ts
@@ -56,6 +56,7 @@
     connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
     openFolder: () =>
       dataFolder === undefined ? Promise.resolve(noFolder()) : RealFolder.open(dataFolder),
+    logger,
   });
   const decisions = new DecisionLogger(logger, runtime.clock);
   const { traffic } = runtime.messenger;
--- a/src/mysql/daemon/control_daemon.ts
+++ b/src/mysql/daemon/control_daemon.ts
@@ -40,7 +40,7 @@
     { control: settings.internal },
     settings.log_level,
   );
-  const runtime = await openRuntime(settingsFile, settings);
+  const runtime = await openRuntime(settingsFile, settings, log);
   let loggedRevision = 0;
   const core = await ControlCore.open(
     runtime,
--- a/src/mysql/daemon/proxy_daemon.ts
+++ b/src/mysql/daemon/proxy_daemon.ts
@@ -123,7 +123,7 @@
 export async function runProxy(settingsFile: string): Promise<void> {
   const settings = readSettings(settingsFile, proxySettingsSchema);
   const log = new EventLogger('whinyoke-proxy', { proxy: settings.id }, settings.log_level);
-  const runtime = await openRuntime(settingsFile, settings);
+  const runtime = await openRuntime(settingsFile, settings, log);
   const core = createCore(settings, settingsFile, runtime, log);
   const listener = createListener(settings, settingsFile, core, log);
   core.countClients = () => listener.connectionCount;
--- a/src/mysql/proxy/configuration_keeper.ts
+++ b/src/mysql/proxy/configuration_keeper.ts
@@ -101,7 +101,10 @@
     await this.store(reply);
     this.merge(reply);
     this.putInForce();
-    await this.compactIfLong();
+    await this.compactIfLong().catch(() => {
+      // The change itself is stored, so it stays in force; the next change tries again. The data
+      // folder reports the failed write (`disk_write_failed`).
+    });
     return true;
   }
 
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -55,6 +55,20 @@
     'a connection failed',
     'A peer or a caller violated the protocol or disconnected. Investigate if it is frequent.',
   ),
+  diskWriteFailed: define(
+    106,
+    'disk_write_failed',
+    'error',
+    'a write to the data folder failed',
+    'Nothing that needs this write is confirmed; it is tried again. Check space and health of the disk. `operation` and `file` tell which write, `reason` is the cause; logged once until it succeeds again.',
+  ),
+  diskWriteRecovered: define(
+    107,
+    'disk_write_recovered',
+    'info',
+    'writes to the data folder succeed again',
+    'No action needed. Nothing that was confirmed is lost.',
+  ),
   configurationInForce: define(
     201,
     'configuration_in_force',
