Simulator: disks of control machines and proxies fail in the ways of the new tests

fail-control-disk (all deployments) and fail-proxy-disk (MySQL interface) draw the operations that fail, and how often; pages of unsynced appends reach the disk out of order. A process whose start meets a failing disk is started again.

--- a/lab/appointed/appointed_faults.ts
+++ b/lab/appointed/appointed_faults.ts
@@ -1,5 +1,6 @@
 /** Faults of deployments whose primaries are appointed. */
 import type { RandomSource } from '../../src/runtime/runtime.js';
+import { drawFailures } from '../simulation/disk_failures.js';
 import type { SimulatedMachine } from '../simulation/simulated_machine.js';
 import type { AppointedDeployment } from './appointed_deployment.js';
 import type { AppointedWorld } from './appointed_world.js';
@@ -44,12 +45,16 @@
 /** Acts of operators that strike only where they are named: the others keep their seeds. */
 const OPERATOR_ACTS = ['evacuate-zone'] as const;
 
+/** Failures of disks that strike only where they are named: the others keep their seeds. */
+export const APPOINTED_DISK_FAULTS = ['fail-control-disk'] as const;
+
 /** Kind of a fault. */
 export type AppointedFaultKind =
   | (typeof APPOINTED_FAULTS)[number]
   | (typeof TENANT_FAULTS)[number]
   | (typeof INCARNATION_FAULTS)[number]
-  | (typeof OPERATOR_ACTS)[number];
+  | (typeof OPERATOR_ACTS)[number]
+  | (typeof APPOINTED_DISK_FAULTS)[number];
 
 /** Kinds that leave every proxy in touch with control; the judge holds proxies to time bounds meanwhile. */
 const KINDS_IN_TOUCH: ReadonlySet<AppointedFaultKind> = new Set<AppointedFaultKind>([
@@ -77,7 +82,7 @@
 
 /** Kinds of faults that may be named for a deployment. */
 export function nameableFaultsOf(deployment: AppointedDeployment): readonly AppointedFaultKind[] {
-  return [...faultsOf(deployment), ...OPERATOR_ACTS];
+  return [...faultsOf(deployment), ...OPERATOR_ACTS, ...APPOINTED_DISK_FAULTS];
 }
 
 /** Ends a fault. */
@@ -245,6 +250,8 @@
     return () => control.start();
   },
   'fill-control-disk': (world, random) => pickControl(world, random)?.fillDisk(),
+  'fail-control-disk': (world, random) =>
+    pickControl(world, random)?.failDisk(drawFailures(random)),
   'change-configuration': (world) => {
     for (let count = 0; count < 3; count++) void world.submitDocument();
     return () => undefined;
--- a/lab/simulation/disk_failures.ts
+++ b/lab/simulation/disk_failures.ts
@@ -17,8 +17,18 @@
   readonly rate: number;
 }
 
+/** A simulated disk refused a write. */
+export class DiskError extends Error {}
+
+/** What a write meets on a disk without free space. */
+export class DiskFullError extends DiskError {
+  constructor() {
+    super('ENOSPC: no space left on device');
+  }
+}
+
 /** A write failed on a disk with {@link DiskFailures}. */
-export class DiskFailureError extends Error {
+export class DiskFailureError extends DiskError {
   constructor(operation: DiskOperation, point: FailurePoint) {
     super(`EIO: ${operation} failed ${point} its effect`);
   }
@@ -26,6 +36,17 @@
 
 const FAILURE_POINTS: readonly FailurePoint[] = ['before', 'during', 'after'];
 
+/** Shares of operations that fail, of which a fault draws one. */
+const FAILURE_RATES = [0.1, 0.3, 1];
+
+/** Draws operations that fail, at least one, and how often. */
+export function drawFailures(random: RandomSource): DiskFailures {
+  const certain = DISK_OPERATIONS[random.integer(0, DISK_OPERATIONS.length - 1)]!;
+  const others = DISK_OPERATIONS.filter(() => random.next() < 0.5);
+  const rate = FAILURE_RATES[random.integer(0, FAILURE_RATES.length - 1)]!;
+  return { operations: new Set([certain, ...others]), rate };
+}
+
 /** Draws whether and how the next operation fails; undefined if it succeeds. */
 export function drawFailure(
   failures: DiskFailures,
--- a/lab/simulation/faults.ts
+++ b/lab/simulation/faults.ts
@@ -1,5 +1,6 @@
 /** Faults of the simulation: what each breaks, and how it ends. */
 import type { RandomSource } from '../../src/runtime/runtime.js';
+import { drawFailures } from './disk_failures.js';
 import type { SimulatedMachine } from './simulated_machine.js';
 import type { World } from './world.js';
 
@@ -26,8 +27,11 @@
   'cut-link',
 ] as const;
 
+/** Kinds of faults that strike only where they are named, so that the seeds of the others keep their meaning. */
+export const DISK_FAULT_KINDS = ['fail-control-disk', 'fail-proxy-disk'] as const;
+
 /** Kind of a fault. */
-export type FaultKind = (typeof FAULT_KINDS)[number];
+export type FaultKind = (typeof FAULT_KINDS)[number] | (typeof DISK_FAULT_KINDS)[number];
 
 /** A fault under way. */
 export interface ActiveFault {
@@ -83,6 +87,19 @@
   return { description: `lose the disk of ${machine.name}`, end: () => machine.start() };
 }
 
+function failDisk(
+  machine: SimulatedMachine | undefined,
+  random: RandomSource,
+): ActiveFault | undefined {
+  if (!machine?.isUp) return undefined;
+  const failures = drawFailures(random);
+  const operations = [...failures.operations].join(', ');
+  return {
+    description: `${operations} fail on ${machine.name} (rate ${failures.rate})`,
+    end: machine.failDisk(failures),
+  };
+}
+
 /** Whether all control machines are voters under their present names, so that another loss is bearable. */
 function controlsAreWhole(world: World): boolean {
   const leader = world.controls.find((control) => control.core?.node.role === 'leader')?.core;
@@ -216,6 +233,8 @@
       ? loseDisk(pick(world.controls, random))
       : undefined,
   'lose-control-disk-behind': loseDiskBehind,
+  'fail-control-disk': (world, random) => failDisk(pick(world.controls, random), random),
+  'fail-proxy-disk': (world, random) => failDisk(pick(world.proxies, random), random),
   'cut-zone': (world, random) => {
     const zone = pick(world.options.deployment.zones, random)!;
     const [inside, outside] = [world.hostsIn(zone), world.hostsOutside(zone)];
--- a/lab/simulation/simulate_command.ts
+++ b/lab/simulation/simulate_command.ts
@@ -11,7 +11,7 @@
 } from '../appointed/appointed_faults.js';
 import type { AppointedProtection } from '../appointed/disabled_protections.js';
 import { type HistoryEvent, parseHistory } from '../history/history.js';
-import { FAULT_KINDS, type FaultKind } from './faults.js';
+import { DISK_FAULT_KINDS, FAULT_KINDS, type FaultKind } from './faults.js';
 import type { SimulationReport, SimulationTask } from './simulation_worker.js';
 
 /** Options of the command. */
@@ -101,7 +101,7 @@
 /** Kinds of faults that may be named for a deployment. */
 export function nameableFaultsOf(deployment: string): readonly (FaultKind | AppointedFaultKind)[] {
   const appointed = APPOINTED_DEPLOYMENTS.get(deployment);
-  return appointed ? nameableAppointedFaultsOf(appointed) : FAULT_KINDS;
+  return appointed ? nameableAppointedFaultsOf(appointed) : [...FAULT_KINDS, ...DISK_FAULT_KINDS];
 }
 
 /** Command that runs one seed again. */
--- a/lab/simulation/simulated_machine.ts
+++ b/lab/simulation/simulated_machine.ts
@@ -3,7 +3,8 @@
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 import type { ScheduledEvent, Scheduler } from './scheduler.js';
-import { DiskFullError, VirtualDisk } from './virtual_disk.js';
+import { DiskError, type DiskFailures } from './disk_failures.js';
+import { VirtualDisk } from './virtual_disk.js';
 import { type AddressBook, VirtualMessenger } from './virtual_messenger.js';
 import type { VirtualNetwork } from './virtual_network.js';
 import { VirtualProcess } from './virtual_process.js';
@@ -100,6 +101,13 @@
     return () => (this.disk.isFull = false);
   }
 
+  /** Makes writes to the disk fail, and power losses reorder what is unsynced; returns what ends the failures. */
+  failDisk(failures: DiskFailures): () => void {
+    this.disk.reordersPages = true;
+    this.disk.failures = failures;
+    return () => (this.disk.failures = undefined);
+  }
+
   /** Freezes the process; returns what thaws it. */
   freeze(): () => void {
     const process = this.process;
@@ -111,11 +119,11 @@
   protected abstract launch(process: VirtualProcess, runtime: Runtime, lostDisk: boolean): void;
 
   /**
-   * Takes the failure of a start. On a full disk the process ends, and its supervisor starts it again until there is space;
-   * any other failure ends the simulation.
+   * Takes the failure of a start. If the disk refuses writes, the process ends, and its supervisor starts it again until they
+   * succeed; any other failure ends the simulation.
    */
   protected endStart(process: VirtualProcess, failure: unknown): void {
-    if (!(failure instanceof DiskFullError)) throw failure;
+    if (!(failure instanceof DiskError)) throw failure;
     if (this.process !== process || !process.alive) return;
     this.kill();
     const { scheduler } = this.surroundings;
--- a/lab/simulation/simulated_nodes.ts
+++ b/lab/simulation/simulated_nodes.ts
@@ -257,7 +257,7 @@
       core.openSession({ connectionId: 0, user: 'caller', schema, attributes: {} }),
     );
     core.countClients = () => this.currentListener?.connectionCount ?? 0;
-    void core.start();
+    void core.start().catch((failure: unknown) => this.endStart(process, failure));
   }
 
   private async finishStop(
--- a/lab/simulation/virtual_disk.ts
+++ b/lab/simulation/virtual_disk.ts
@@ -6,6 +6,7 @@
 import {
   type DiskFailures,
   DiskFailureError,
+  DiskFullError,
   type DiskOperation,
   type FailurePoint,
   drawFailure,
@@ -13,13 +14,6 @@
 import { VirtualFile } from './virtual_file.js';
 import type { VirtualProcess } from './virtual_process.js';
 
-/** What a write meets on a disk without free space. */
-export class DiskFullError extends Error {
-  constructor() {
-    super('ENOSPC: no space left on device');
-  }
-}
-
 /** Disk of one machine; it outlives the processes that use it. */
 export class VirtualDisk {
   /** Whether the disk takes no more bytes. Names can still be removed and files cut. */
