Control: the old identity of a lost disk is removed before the new one votes

Cause, from the trace of roles and members: control-2 lost its disk, came back under a new name and was promoted; before that entry was committed it lost the disk again. The membership in force counted four voters, two of them gone, so nothing could be committed, not even a removal.

Change: both rules for members (fixed and elastic lists) remove a voter whose address has a newer identity first, and promote after. An unreachable voter, which may come back, still goes last. With the old order a promotion needed three of four; now each step needs only machines that were needed anyway.

--- a/src/consensus/cluster_joiner.ts
+++ b/src/consensus/cluster_joiner.ts
@@ -9,7 +9,7 @@
  * Requests that fail and writes that the disk refuses are repeated at the next tick.
  */
 import { type Member, Membership } from './membership.js';
-import { nextMembership } from './elastic_membership.js';
+import { isSuperseded, nextMembership } from './elastic_membership.js';
 import type { RaftNode } from './raft_node.js';
 import type { whinyoke } from '../protocol/generated/messages.js';
 import { type Runtime, type Timer } from '../runtime/runtime.js';
@@ -189,7 +189,7 @@
   private async maintainMembership(): Promise<void> {
     const { elastic } = this.options;
     if (!elastic) {
-      await this.promoteLearners();
+      await this.replaceLostMembers();
       return;
     }
     const next = nextMembership(this.node.membership, {
@@ -201,28 +201,25 @@
     if (next) await this.proposeMembership(next);
   }
 
-  /** Promotes a learner that has caught up; without learners, removes a voter that was replaced. */
-  private async promoteLearners(): Promise<void> {
+  /**
+   * Removes a member whose disk was lost; without any, promotes a learner that has caught up. In
+   * this order a promotion needs no more members than are alive.
+   */
+  private async replaceLostMembers(): Promise<void> {
     const { membership } = this.node;
-    const learner = membership.members.find((member) => member.isLearner);
-    if (learner) {
-      const lag = this.node.log.lastIndex - this.node.matchIndexOf(learner.id);
-      if (lag <= 0) await this.proposeMembership(membership.with({ ...learner, isLearner: false }));
+    const lost = membership.members.find((member) => this.isSuperseded(member));
+    if (lost) {
+      await this.proposeMembership(membership.without(lost.id));
       return;
     }
-    const replaced = membership.voters.find((voter) => this.isReplaced(voter));
-    if (replaced) await this.proposeMembership(membership.without(replaced.id));
+    const learner = membership.members.find((member) => member.isLearner);
+    if (!learner) return;
+    const lag = this.node.log.lastIndex - this.node.matchIndexOf(learner.id);
+    if (lag <= 0) await this.proposeMembership(membership.with({ ...learner, isLearner: false }));
   }
 
-  /**
-   * Members are listed in the order in which they joined; the newest one at an address replaces the
-   * others.
-   */
-  private isReplaced(member: Member): boolean {
-    const { voters } = this.node.membership;
-    const sameAddress = voters.filter((voter) => voter.address === member.address);
-    const isNewest = sameAddress.at(-1)?.id === member.id;
-    return !isNewest && member.id !== this.node.id;
+  private isSuperseded(member: Member): boolean {
+    return member.id !== this.node.id && isSuperseded(member, this.node.membership);
   }
 
   private async proposeMembership(next: Membership): Promise<void> {
--- a/src/consensus/elastic_membership.ts
+++ b/src/consensus/elastic_membership.ts
@@ -2,9 +2,11 @@
  * Decides which machines vote in a cluster whose machines come and go.
  *
  * The leader keeps a fixed number of voters. It replaces voters that are unreachable, or that lost
- * their disk, by learners that have caught up. One member changes at a time, and a voter is removed
- * only after its replacement votes. A newer member at an address supersedes the older ones there.
- * See docs/design/control-membership.md. Pure: no I/O, no clock.
+ * their disk, by learners that have caught up. One member changes at a time. An unreachable voter is
+ * removed only after its replacement votes, because it may come back. A newer member at an address
+ * supersedes the older ones there; a superseded voter never comes back and is removed first, so that
+ * the promotion of its replacement needs no more members than are alive. See
+ * docs/design/control-membership.md. Pure: no I/O, no clock.
  */
 import type { Member, Membership } from './membership.js';
 
@@ -27,8 +29,11 @@
   readonly missingEntries: (id: string) => number;
 }
 
-/** Whether a newer member has the same address, which means that this one's disk was lost. */
-function isSuperseded(member: Member, membership: Membership): boolean {
+/**
+ * Whether a newer member has the same address, which means that this one's disk was lost. Members are
+ * listed in the order in which they joined.
+ */
+export function isSuperseded(member: Member, membership: Membership): boolean {
   const sameAddress = membership.members.filter((other) => other.address === member.address);
   return sameAddress.at(-1)?.id !== member.id;
 }
@@ -48,6 +53,8 @@
       isSuperseded(learner, membership) || facts.contactAgeMs(learner.id) > LEARNER_TIMEOUT_MS,
   );
   if (expiredLearner) return membership.without(expiredLearner.id);
+  const superseded = lostVoters.find((voter) => isSuperseded(voter, membership));
+  if (superseded) return membership.without(superseded.id);
   if (voters.length > facts.voterCount) return dropOneVoter(membership, facts, lostVoters);
   const ready = learners.find(
     (learner) =>
@@ -62,8 +69,7 @@
   facts: MembershipFacts,
   lostVoters: readonly Member[],
 ): Membership | undefined {
-  const superseded = lostVoters.find((voter) => isSuperseded(voter, membership));
-  const lost = superseded ?? lostVoters[0];
+  const [lost] = lostVoters;
   if (lost) return membership.without(lost.id);
   const newest = membership.voters.findLast((voter) => voter.id !== facts.leaderId);
   return newest && membership.with({ ...newest, isLearner: true });
--- a/test/unit/consensus.test.ts
+++ b/test/unit/consensus.test.ts
@@ -84,6 +84,34 @@
   },
 );
 
+// Without this, two of three healthy machines accept nothing any more, and only an operator can help.
+void t.test(
+  'a machine that loses its disk again right after its repair costs no majority',
+  async (t) => {
+    for (const size of [3, 5]) {
+      const cluster = new ControlCluster(size, size + 40);
+      await cluster.waitForLeader();
+      await cluster.apply('before');
+      const victim = cluster.controls.find((control) => control.core !== cluster.leader)!;
+      victim.loseDisk();
+      victim.start();
+      const isVoter = (): boolean =>
+        cluster.leader?.node.membership.isVoter(victim.core?.node.id ?? '') ?? false;
+      // The disk is lost before the promotion is committed.
+      while (!isVoter()) await cluster.world.run(0.1);
+      victim.loseDisk();
+      await cluster.world.run(3000);
+      const accepted = await cluster.apply('after');
+      t.equal(accepted.verdict, Verdict.RAN, `${size} machines: the others accept changes`);
+      victim.start();
+      t.ok(
+        await cluster.world.runUntil(() => cluster.allMachinesVote, 20_000),
+        'all machines vote',
+      );
+    }
+  },
+);
+
 void t.test('a machine that joins from an empty disk gets the bootstrap snapshot', async (t) => {
   // The seeds differ in which machine founds the cluster.
   for (let seed = 100; seed < 110; seed++) {
