Reads cut off by their proxy name the reason; the emulated instance serves others while it sends rows

Cause: the emulated instance has one thread, and sent 100,000 rows without serving its other connections; a real database answers a probe meanwhile. It now serves them after each 256 rows. The product behaves as designed.

BackendConnection.close takes a reason; pools, timeouts and probes give theirs.

--- a/lab/database/mysql_endpoint.ts
+++ b/lab/database/mysql_endpoint.ts
@@ -1,11 +1,15 @@
 /** MySQL endpoint of an emulated instance. */
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { Completion, ResultSink } from '../../src/mysql/wire/result.js';
 import type { CallerSession } from '../../src/mysql/frontend/caller_session.js';
 import { MysqlListener } from '../../src/mysql/frontend/mysql_listener.js';
 import type { DatabaseInstance } from './instance.js';
 import type { InstanceSession } from './instance_session.js';
 
-/** Longest row batch sent without looking whether the client keeps up. */
+/**
+ * Longest row batch sent before other connections are served, as a database with a thread for each connection serves them,
+ * and before looking whether the client keeps up.
+ */
 const ROWS_PER_CHECK = 256;
 
 class EndpointSession implements CallerSession {
@@ -22,7 +26,9 @@
     for (const row of answer.rows ?? []) {
       sink.row(row);
       sent++;
-      if (sent % ROWS_PER_CHECK === 0) await sink.readyForMore?.();
+      if (sent % ROWS_PER_CHECK !== 0) continue;
+      await nextTurn();
+      await sink.readyForMore?.();
     }
     const { affectedRows, insertId, gtid, inTransaction } = answer;
     return { affectedRows, insertId, info: '', gtid, inTransaction };
--- a/src/mysql/backend/backend.ts
+++ b/src/mysql/backend/backend.ts
@@ -13,8 +13,11 @@
   execute(sql: string, sink: ResultSink): Promise<Completion>;
   /** Rolls back and clears all session state (COM_RESET_CONNECTION). */
   reset(): Promise<void>;
-  /** Ends the connection at once; a statement under way fails. */
-  close(): void;
+  /**
+   * Ends the connection at once; a statement under way fails.
+   * @param reason - why, for the error of that statement
+   */
+  close(reason: string): void;
   /** Whether the connection can't be used any more. */
   readonly closed: boolean;
   /** Called once when the connection breaks or is closed. */
--- a/src/mysql/backend/mysql_connector.ts
+++ b/src/mysql/backend/mysql_connector.ts
@@ -38,8 +38,8 @@
     });
   }
 
-  close(): void {
-    this.fail('connection closed by this process');
+  close(reason: string): void {
+    this.fail(`connection closed by this process: ${reason}`);
     this.client.stream.destroy();
   }
 
--- a/src/mysql/gateway/slot_execution.ts
+++ b/src/mysql/gateway/slot_execution.ts
@@ -82,9 +82,11 @@
   sink: ResultSink,
 ): Promise<Completion> {
   const { clock } = gateway.runtime;
+  const { statementTimeoutMs } = gateway.options;
   let late: (() => void) | undefined;
-  const timer = clock.setTimer(gateway.options.statementTimeoutMs, () => {
-    if (gateway.options.protections.isOn('discard-on-timeout')) connection.close();
+  const timer = clock.setTimer(statementTimeoutMs, () => {
+    const reason = `no whole answer within ${statementTimeoutMs} ms`;
+    if (gateway.options.protections.isOn('discard-on-timeout')) connection.close(reason);
     else late?.();
   });
   const abandoned = new Promise<Completion>((_resolve, reject) => {
--- a/src/mysql/pool/backend_pool.ts
+++ b/src/mysql/pool/backend_pool.ts
@@ -112,8 +112,8 @@
   /** Closes all connections, also those in use; whoever waits may look for another instance. */
   closeAll(): void {
     this.idle.length = 0;
-    for (const connection of [...this.open]) connection.close();
     const message = `${this.address} was given up`;
+    for (const connection of [...this.open]) connection.close(message);
     for (const waiter of this.waiting.splice(0)) {
       waiter.timer.cancel();
       waiter.reject(new BackendConnectionLostError(message, { sent: false }));
@@ -126,7 +126,9 @@
   }
 
   private async resetThenOffer(connection: BackendConnection): Promise<void> {
-    const timeout = this.clock.setTimer(this.options.resetTimeoutMs, () => connection.close());
+    const timeout = this.clock.setTimer(this.options.resetTimeoutMs, () =>
+      connection.close('its reset took too long'),
+    );
     try {
       await connection.reset();
       this.offer(connection);
@@ -175,7 +177,7 @@
   }
 
   private closeConnection(connection: BackendConnection): void {
-    connection.close();
+    connection.close('it is not needed any more');
     this.forget(connection);
   }
 
--- a/src/mysql/topology/instance_prober.ts
+++ b/src/mysql/topology/instance_prober.ts
@@ -62,7 +62,7 @@
   stop(): void {
     this.stopped = true;
     this.timer?.cancel();
-    this.connection?.close();
+    this.connection?.close('monitoring ended');
     this.connection = undefined;
     this.rejectWaiting(new BackendConnectionLostError('monitoring stopped', { sent: false }));
   }
@@ -126,7 +126,7 @@
     if (this.connection && !this.connection.closed) return this.connection;
     const connection = await this.connector.connect(this.address, this.options.timeoutMs);
     if (this.stopped) {
-      connection.close();
+      connection.close('monitoring ended');
       throw new BackendConnectionLostError('monitoring stopped', { sent: false });
     }
     connection.onClosed = () => this.onConnectionClosed(connection);
@@ -155,11 +155,13 @@
       if (!this.stopped) this.listener.onFailure(this.address);
     });
     // An unanswered probe leaves an answer to come: the connection can't be used again.
-    const abandoned = this.clock.setTimer(this.options.abandonMs, () => connection.close());
+    const abandoned = this.clock.setTimer(this.options.abandonMs, () =>
+      connection.close('a probe was not answered'),
+    );
     try {
       return await probe(connection, this.clock.now());
     } catch (error) {
-      connection.close();
+      connection.close('a probe failed');
       throw error;
     } finally {
       late.cancel();
