Simulated disks can be slow while they fail; a former leader on one must match the others' logs

A request that is repeated while its first write is still in flight was part of the listed fault; simulated disks were too fast for that. Faults of disks now draw a slowness, too.

--- a/lab/simulation/disk_failures.ts
+++ b/lab/simulation/disk_failures.ts
@@ -15,6 +15,8 @@
   readonly operations: ReadonlySet<DiskOperation>;
   /** Share of these operations that fail, from 0 to 1. */
   readonly rate: number;
+  /** Factor of the time that all operations take; a slow one is still in flight when its request is repeated. */
+  readonly slowness: number;
 }
 
 /** A simulated disk refused a write. */
@@ -39,12 +41,16 @@
 /** Shares of operations that fail, of which a fault draws one. */
 const FAILURE_RATES = [0.1, 0.3, 1];
 
-/** Draws operations that fail, at least one, and how often. */
+/** Factors of the time of an operation, of which a fault draws one. */
+const SLOWNESSES = [1, 100, 800];
+
+/** Draws operations that fail, at least one, how often, and how slow the disk is. */
 export function drawFailures(random: RandomSource): DiskFailures {
   const certain = DISK_OPERATIONS[random.integer(0, DISK_OPERATIONS.length - 1)]!;
   const others = DISK_OPERATIONS.filter(() => random.next() < 0.5);
   const rate = FAILURE_RATES[random.integer(0, FAILURE_RATES.length - 1)]!;
-  return { operations: new Set([certain, ...others]), rate };
+  const slowness = SLOWNESSES[random.integer(0, SLOWNESSES.length - 1)]!;
+  return { operations: new Set([certain, ...others]), rate, slowness };
 }
 
 /** Draws whether and how the next operation fails; undefined if it succeeds. */
--- a/lab/simulation/faults.ts
+++ b/lab/simulation/faults.ts
@@ -95,7 +95,7 @@
   const failures = drawFailures(random);
   const operations = [...failures.operations].join(', ');
   return {
-    description: `${operations} fail on ${machine.name} (rate ${failures.rate})`,
+    description: `${operations} fail on ${machine.name} (rate ${failures.rate}, ${failures.slowness} times slower)`,
     end: machine.failDisk(failures),
   };
 }
--- a/lab/simulation/virtual_disk.ts
+++ b/lab/simulation/virtual_disk.ts
@@ -50,7 +50,7 @@
 
   /** Time that a sync takes now, in milliseconds. */
   syncDelay(): number {
-    return this.syncMs * (0.5 + this.random.next());
+    return this.syncMs * (this.failures?.slowness ?? 1) * (0.5 + this.random.next());
   }
 
   /** How the next operation fails; undefined if it succeeds. */
--- a/test/unit/failing_keeper.test.ts
+++ b/test/unit/failing_keeper.test.ts
@@ -131,7 +131,7 @@
   if (item.kind === 'restart') await proxy.restart(item.losesPower);
   if (item.kind === 'heal') proxy.disk.failures = undefined;
   if (item.kind === 'fail') {
-    proxy.disk.failures = { operations: new Set(item.operations), rate: item.rate };
+    proxy.disk.failures = { operations: new Set(item.operations), rate: item.rate, slowness: 1 };
   }
 }
 
--- a/test/unit/failing_log.test.ts
+++ b/test/unit/failing_log.test.ts
@@ -208,7 +208,7 @@
   if (item.kind === 'restart') await member.restart(item.losesPower);
   if (item.kind === 'heal') member.setFailures(undefined);
   if (item.kind === 'fail') {
-    member.setFailures({ operations: new Set(item.operations), rate: item.rate });
+    member.setFailures({ operations: new Set(item.operations), rate: item.rate, slowness: 1 });
   }
 }
 
--- a/test/unit/full_disk.test.ts
+++ b/test/unit/full_disk.test.ts
@@ -209,3 +209,51 @@
   free();
   t.ok(await cluster.world.runUntil(() => cluster.allMachinesVote, 20_000), 'all machines vote');
 });
+
+/** Whether two logs that agree on one entry agree on all before it (log matching). */
+function haveMatchingLogs(left: RaftLog, right: RaftLog): boolean {
+  const last = Math.min(left.lastIndex, right.lastIndex);
+  const indices = Array.from({ length: last }, (_, offset) => offset + 1);
+  const known = indices.filter((index) => left.termAt(index) !== undefined && right.termAt(index));
+  const isSame = (index: number): boolean => left.termAt(index) === right.termAt(index);
+  const lastSame = known.findLast(isSame) ?? 0;
+  return known.every((index) => index > lastSame || isSame(index));
+}
+
+// Requests are repeated while the removal of the entries that they replace is still in flight, or has failed.
+void t.test(
+  'a former leader whose slow disk fails to remove entries starts again and catches up',
+  async (t) => {
+    for (let seed = 51; seed < 71; seed++) {
+      const cluster = new ControlCluster(3, seed);
+      await cluster.waitForLeader();
+      const former = cluster.controls.find((control) => control.core === cluster.leader)!;
+      const others = cluster.controls.filter((control) => control !== former);
+      const heal = cluster.partition([former], others);
+      // The partitioned leader appends entries that no other machine gets.
+      const lost = Array.from({ length: 6 }, () => former.core!.node.propose(new Uint8Array([1])));
+      const settled = Promise.allSettled(lost);
+      await cluster.world.run(1500);
+      await settled;
+      const operations = new Set(['truncate', 'remove'] as const);
+      const end = former.failDisk({ operations, rate: 0.5, slowness: 800 });
+      heal();
+      for (let change = 1; change <= 4; change++) {
+        void cluster.apply(`change-${change}`).catch(() => undefined);
+        await cluster.world.run(100);
+      }
+      await cluster.world.run((seed % 10) * 150);
+      former.kill();
+      end();
+      former.start();
+      await cluster.world.run(30);
+      t.ok(former.core, `seed ${seed}: it starts`);
+      if (!former.core) continue;
+      const logs = [former.core.node.log, cluster.leader!.node.log] as const;
+      t.ok(haveMatchingLogs(...logs), `seed ${seed}: the logs match`);
+      await cluster.world.run(3000);
+      const { revision } = cluster.leader!.store;
+      t.equal(former.core.store.revision, revision, `seed ${seed}: it has all changes`);
+    }
+  },
+);
