--- a/lab/appointed/appointed_faults.ts
+++ b/lab/appointed/appointed_faults.ts
@@ -46,7 +46,7 @@
 const OPERATOR_ACTS = ['evacuate-zone'] as const;
 
 /** Failures of disks that strike only where they are named: the others keep their seeds. */
-export const APPOINTED_DISK_FAULTS = ['fail-control-disk'] as const;
+const APPOINTED_DISK_FAULTS = ['fail-control-disk'] as const;
 
 /** Kind of a fault. */
 export type AppointedFaultKind =
--- a/test/tools/failing_folder.ts
+++ b/test/tools/failing_folder.ts
@@ -6,7 +6,7 @@
 export type Effect = 'none' | 'partly' | 'whole';
 
 /** What operations reject with after `failNext`. */
-export class InjectedFailure extends Error {}
+class InjectedFailure extends Error {}
 
 export class FailingFolder extends MemoryFolder {
   private readonly failures = new Map<DiskOperation, Effect>();
--- a/test/tools/failing_member.ts
+++ b/test/tools/failing_member.ts
@@ -23,7 +23,7 @@
 };
 
 /** What the member's newest restart broke. */
-export class BrokenPromise extends Error {}
+class BrokenPromise extends Error {}
 
 function check(isKept: boolean, message: string): void {
   if (!isKept) throw new BrokenPromise(message);
