--- a/lab/simulation/virtual_disk.ts
+++ b/lab/simulation/virtual_disk.ts
@@ -30,8 +30,12 @@
     private readonly syncMs: number,
   ) {}
 
-  /** The folder as one process sees it. Call `crash` before the next process opens it. */
+  /**
+   * The folder as one process sees it; all names in it are durable afterwards. Without `crash` before, the process also
+   * reads what the one before it had not synced.
+   */
   open(process: VirtualProcess): DataFolder {
+    for (const file of this.files.values()) file.syncName();
     return new VirtualFolder(this, process);
   }
 
--- a/lab/simulation/virtual_file.ts
+++ b/lab/simulation/virtual_file.ts
@@ -50,6 +50,11 @@
     this.isOnlyAppended = true;
   }
 
+  /** Makes replacements, removals and truncations durable, as a sync of the folder does. */
+  syncName(): void {
+    if (!this.isOnlyAppended) this.sync();
+  }
+
   /** Makes unsynced appends durable up to `length` bytes, as a sync does that fails. */
   syncPartly(length: number): void {
     const durableLength = this.durable?.length ?? 0;
