--- a/test/tools/failing_member.ts
+++ b/test/tools/failing_member.ts
@@ -22,7 +22,7 @@
   members: ['a', 'b', 'c'].map((id) => ({ id, address: `127.0.0.1:${id}`, learner: false })),
 };
 
-/** What the member's newest restart broke. */
+/** A promise that the member did not keep. */
 class BrokenPromise extends Error {}
 
 function check(isKept: boolean, message: string): void {
@@ -87,7 +87,7 @@
     for (let number = 0; number < count; number++) this.leaderTerms.push(this.term);
   }
 
-  /** The leader sends entries from `back` before the end of the member's log. */
+  /** The leader sends up to `count` entries, starting `back` entries before the end of the member's log. */
   sendEntries(back: number, count: number, isLarge: boolean): void {
     const start = Math.min(this.node.log.lastIndex, this.leaderTerms.length - 1);
     const previousIndex = Math.max(1, start - back);
@@ -189,6 +189,7 @@
     this.disk.failures = undefined;
     this.changeLeader(0);
     this.propose(2);
+    // A vote request may have brought the member one term further than its leader.
     this.term++;
     for (let attempt = 0; attempt < this.leaderTerms.length + 3; attempt++) {
       this.sendEntries(attempt, this.leaderTerms.length, false);
