--- a/review/3/case.js
+++ b/review/3/case.js
@@ -1,17 +1,17 @@
 /** See `claim.txt`. */
 import { fileURLToPath } from 'node:url';
-import { pause } from '../stand-ins/record.js';
+import { pause, until } from '../stand-ins/record.js';
 import { isCalm, runCase } from '../stand-ins/run_case.js';
 import { Site, configuration, route } from '../stand-ins/site.js';
 
-/** `replica_lag`, `x = 150`: replicas are 150 times 8 ms behind. */
-const LAG_MS = 1200;
+/** `replica_lag`, `x = 200`: replicas are 200 times 8 ms behind. */
+const LAG_MS = 1600;
 const STALENESS_MS = 2500;
 const ROUNDS = 3;
 /** The proxy in the zone of replica b. */
 const PROXY = 1;
-/** Long enough for the proxy to take a configuration up, which it does within its long poll. */
-const IN_FORCE_MS = 150;
+/** `bounds.config_apply_ms`. */
+const IN_FORCE_MS = 3000;
 
 /** The route of `agenda` leads to a service; the route to the other service is removed. */
 function configurationFor(version, service) {
@@ -50,7 +50,10 @@
   const moveTo = async (service) => {
     if (isCalm) return;
     await site.deployment.configure(configurationFor(++version, service));
-    await pause(IN_FORCE_MS);
+    await until(`${service} serves agenda`, IN_FORCE_MS, async () => {
+      const { text = '' } = await site.runAlone('reader-2', PROXY, 'agenda', 'READ slot-0');
+      return site.services[service].includes(text.split('.')[0]);
+    });
   };
   const breaks = [];
   const session = await site.session('client-1', PROXY, 'agenda');
