--- a/review/2/case.js
+++ b/review/2/case.js
@@ -5,8 +5,14 @@
 import { Site, configuration, route } from '../stand-ins/site.js';
 
 const SERVICE = 'citas';
+/** `bounds.drain_timeout_ms`, and a little longer: how long c serves on after its acknowledgement. */
+const SERVES_ON_MS = 7800;
+/** `replica_lag`, `deaf`: how long the replicas receive nothing. */
 const DEAF_MS = 6500;
+/** `srv_crash`: how long the primary is down. */
 const DOWN_MS = 7000;
+/** `TROUBLE=draining-first`: c says `draining` and deregisters at its end, the rest is the same. */
+const deregistersFirst = process.env.TROUBLE !== 'draining-first';
 
 async function play(record, cleanUp) {
   const site = new Site(record, cleanUp, {
@@ -28,8 +34,8 @@
   await d.start();
   await e.start();
   await pause(3000);
-  await c.deregister();
-  const leavesAt = performance.now() + 7800;
+  await (deregistersFirst ? c.deregister() : c.drain());
+  const leavesAt = performance.now() + SERVES_ON_MS;
   await a.drain();
   await until('another primary', 10_000, () => group.primary && group.primary !== a);
   const primary = group.primary;
@@ -46,6 +52,7 @@
   const { outcome, id } = await site.runAlone('client-1', 0, 'bookings', 'WRITE slot-3 taken');
   if (outcome !== 'ok') throw new Error('the write was not acknowledged');
   await pause(Math.max(0, leavesAt - performance.now()));
+  if (!deregistersFirst) await c.deregister();
   c.end();
   await pause(200);
   if (!isCalm) {
