--- a/review/2/case.js
+++ b/review/2/case.js
@@ -1,8 +1,8 @@
 /** See `claim.txt`. */
 import { fileURLToPath } from 'node:url';
-import { pause, until } from '../stand-ins/record.js';
-import { isCalm, runCase } from '../stand-ins/run_case.js';
-import { Site, configuration, route } from '../stand-ins/site.js';
+import { pause, until } from '../record.js';
+import { isCalm, runCase } from '../run_case.js';
+import { Site, configuration, route } from '../site.js';
 
 const SERVICE = 'citas';
 /** `bounds.drain_timeout_ms`, and a little longer: how long c serves on after its acknowledgement. */
@@ -69,4 +69,4 @@
     );
 }
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), play);
+await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), play);
--- a/review/3/case.js
+++ b/review/3/case.js
@@ -1,8 +1,8 @@
 /** See `claim.txt`. */
 import { fileURLToPath } from 'node:url';
-import { pause, until } from '../stand-ins/record.js';
-import { isCalm, runCase } from '../stand-ins/run_case.js';
-import { Site, configuration, route } from '../stand-ins/site.js';
+import { pause, until } from '../record.js';
+import { isCalm, runCase } from '../run_case.js';
+import { Site, configuration, route } from '../site.js';
 
 /** `replica_lag`, `x = 200`: replicas are 200 times 8 ms behind. */
 const LAG_MS = 1600;
@@ -89,4 +89,4 @@
   return leftTerm < rightTerm || (leftTerm === rightTerm && leftNumber < rightNumber);
 }
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), play);
+await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), play);
--- a/review/stand-ins/deployment.js
+++ b/review/deployment.js
@@ -19,7 +19,7 @@
 import { call } from './heartbeats.js';
 import { until } from './record.js';
 
-const ROOT = fileURLToPath(new URL('../..', import.meta.url));
+const ROOT = fileURLToPath(new URL('..', import.meta.url));
 const ZONES = ['zona-10', 'mixco', 'villa-nueva'];
 const CONTROL_HOSTS = ['127.0.0.11', '127.0.0.12', '127.0.0.13'];
 /** Ports after the first one of a run. */
--- a/review/stand-ins/run_case.js
+++ b/review/run_case.js
@@ -12,12 +12,12 @@
 export const isCalm = process.env.TROUBLE === '0';
 
 /**
- * @param {string} folder folder of the case
+ * @param {string} recordFile path of the record, `record.txt` in the folder of the case
  * @param {(record: Record, cleanUp: (close: () => void) => void) => Promise<string[]>} play plays
  *   the case and returns how the rule was broken, nothing if it held
  */
-export async function runCase(folder, play) {
-  const record = new Record(`${folder}/record.txt`);
+export async function runCase(recordFile, play) {
+  const record = new Record(recordFile);
   const closers = [];
   const end = (code, text) => {
     for (const close of closers.reverse()) close();
