--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -1,29 +1,8 @@
 /** Log events of the daemons. Event numbers are never reused. docs/EVENTS.md is generated from this table. */
+import { ControlEvents } from './control_events.js';
+import { type EventKind, define } from './event_kind.js';
 
-type EventLevel = 'info' | 'warn' | 'error';
-
-/** One kind of event. */
-export interface EventKind {
-  /** Number under which operators find the event in docs/EVENTS.md. */
-  readonly number: number;
-  /** Name in log lines. */
-  readonly name: string;
-  readonly level: EventLevel;
-  /** Text of the log line. */
-  readonly message: string;
-  /** What it means and what to do, for operators. */
-  readonly meaning: string;
-}
-
-function define(
-  number: number,
-  name: string,
-  level: EventLevel,
-  message: string,
-  meaning: string,
-): EventKind {
-  return { number, name, level, message, meaning };
-}
+export type { EventKind } from './event_kind.js';
 
 /** All events, numbered by source. 1xx: any daemon; 2xx: proxy; 3xx: control. */
 export const Events = {
@@ -90,20 +69,6 @@
     'the seats of this proxy changed',
     'Seats divide the slots and connections of a group among its gateways.',
   ),
-  roleChanged: define(
-    301,
-    'role_changed',
-    'info',
-    'the consensus role changed',
-    'One control machine should lead. Frequent changes point to a slow disk or network.',
-  ),
-  revisionApplied: define(
-    302,
-    'revision_applied',
-    'info',
-    'an accepted revision was applied',
-    'The machine serves the revision to proxies on request.',
-  ),
   documentInForce: define(
     211,
     'document_in_force',
@@ -279,20 +244,6 @@
     'a catalog entry does not describe a usable instance',
     '`reason` is what is missing. Nothing is sent there until a heartbeat, or a document that names its service, completes the entry.',
   ),
-  callRefused: define(
-    343,
-    'call_refused',
-    'warn',
-    'a call of an operator or an instance was refused',
-    'It changed nothing. `status` and `reason` give the cause, for example a heartbeat of another writer. `whinyoke_api_refused_total` counts all refusals.',
-  ),
-  documentUnreadable: define(
-    344,
-    'document_unreadable',
-    'error',
-    'the newest routing document cannot be read',
-    'Another version of the program accepted it. Primaries are placed by the preceding document. Submit a configuration that this version can read.',
-  ),
   issuerPassedOver: define(
     263,
     'issuer_passed_over',
@@ -307,97 +258,6 @@
     'this proxy returns its reserves of operations before it stops',
     'The reserves of `tenants` go back to the leader; other proxies of the zone become their issuers.',
   ),
-  allowancesBegun: define(
-    325,
-    'allowances_begun',
-    'info',
-    'a new leader grants operations to tenants',
-    'It starts with the reserves recorded in the log. `runs` proxy incarnations may have reserves unknown to it; until they are known it adds none.',
-  ),
-  allowancesKnown: define(
-    326,
-    'allowances_known',
-    'info',
-    'the leader knows all reserves of operations',
-    'It adds to reserves again, `after_ms` after its election.',
-  ),
-  slowStartHolderNamed: define(
-    340,
-    'slow_start_holder_named',
-    'info',
-    'one proxy alone may send requests to an instance that is warming up',
-    '`holder` replaces `former`, which was silent for `silent_ms`. If frequent for one instance, its holders cannot reach control.',
-  ),
-  instanceColdnessChanged: define(
-    341,
-    'instance_coldness_changed',
-    'info',
-    'an instance started or finished its warm-up',
-    '`cold_since` is the log index of the start. An instance stays cold until its heartbeats report the end of the warm-up.',
-  ),
-  allowancesFresh: define(
-    350,
-    'allowances_fresh',
-    'info',
-    'all proxies have restarted, so no reserve granted by former leaders is in use',
-    'Occurs after a total power loss: reserves of tenants accrue from the start of the last proxy, `before_ms` before the election.',
-  ),
-  primaryChangeBegun: define(
-    311,
-    'primary_change_begun',
-    'warn',
-    'a change of primary has begun',
-    '`cause` is the evidence. Leases on the old primary are being revoked.',
-  ),
-  primaryChangeStep: define(
-    312,
-    'primary_change_step',
-    'info',
-    'a step of a change of primary was completed',
-    '`step` and the time since the change began. The change is stuck at the first step that is missing.',
-  ),
-  primaryCandidates: define(
-    313,
-    'primary_candidates',
-    'info',
-    'candidates for a primary were compared',
-    '`choice` is none while no replica provably has every acknowledged commit.',
-  ),
-  primaryAsked: define(
-    347,
-    'primary_asked',
-    'info',
-    'control probed a primary that proxies report as unresponsive, or whose connection owners they cannot reach',
-    '`answer` answered: it is alive, and is kept unless `replication_stalled`; silent or refused twice in a row: it is considered lost.',
-  ),
-  primaryChangeFailed: define(
-    314,
-    'primary_change_failed',
-    'warn',
-    'a step of a change of primary failed',
-    '`reason` is the cause. The current leader retries the step; investigate if it repeats.',
-  ),
-  catalogChangeFailed: define(
-    323,
-    'catalog_change_failed',
-    'warn',
-    'a change or a read of the catalog failed',
-    'The sender received an unavailable error and retries. `reason` is the cause, for example a full disk.',
-  ),
-  documentAccepted: define(
-    321,
-    'document_accepted',
-    'info',
-    'an operator submitted a routing document',
-    '`outcome` was returned to the operator; `held` is the version that was in force before.',
-  ),
-  addressClaimRefused: define(
-    324,
-    'address_claim_refused',
-    'warn',
-    'an unknown instance announced an address that another instance uses',
-    '`claim` refused: another instance answers at the address, so the heartbeat is out of date. unclear: the address could not be probed; the probe is retried.',
-  ),
   instanceReplaced: define(
     250,
     'instance_replaced',
@@ -412,48 +272,7 @@
     'the primary of a group restarted; this proxy has ended its lease on that epoch',
     '`sign` is the evidence. Control replaces it; if no 330 and 310 follow there, investigate the instance.',
   ),
-  instanceStartedAgain: define(
-    330,
-    'instance_started_again',
-    'warn',
-    'an instance restarted under its identifier without its former data',
-    '`incarnation` is its number in the catalog; `born` and `former_born` are the reported start times (Unix ms).',
-  ),
-  formerIncarnationHeard: define(
-    331,
-    'former_incarnation_heard',
-    'info',
-    'a late message of a former incarnation was ignored',
-    '`message` heartbeat or deregister; `born` is its start time, `present_born` that of the current incarnation (Unix ms).',
-  ),
-  incarnationCaughtUp: define(
-    332,
-    'incarnation_caught_up',
-    'info',
-    'a restarted instance has caught up with everything that its former incarnation had confirmed',
-    'Until then it counts as a missing replica when a primary is chosen.',
-  ),
-  evacuationOrdered: define(
-    335,
-    'evacuation_ordered',
-    'warn',
-    'an operator requested the evacuation of a zone, or its end',
-    '`outcome` was returned to the operator; `begins` false: the zone is used again.',
-  ),
-  evacuationProgress: define(
-    336,
-    'evacuation_progress',
-    'info',
-    'progress of the evacuation of a zone',
-    '`primaries` are still in the zone; `stuck` of them have no ready instance elsewhere, and their requests are refused.',
-  ),
-  instanceTold: define(
-    322,
-    'instance_told',
-    'info',
-    'an instance announced a change of its state',
-    '`state` is the announced state; `outcome` tells whether it was replicated.',
-  ),
+  ...ControlEvents,
 } as const satisfies Record<string, EventKind>;
 
 /** All events, by number. */
