A departure counts from the end of an instance, not from its deregistration

A replica had deregistered first and served on into the next epoch. It alone received a commit there, which was acknowledged; then it ended, the primary crashed, and a replica without the commit was promoted, although every proxy had named its position.

Cause: the loss of a log was dated by the deregistration (InstanceTable.hasLostSince). A replica that had deregistered before the epoch began did not count as lost in it, so "newest of all replicas" was taken as a proof, and the position that the proxies named was ignored.

Change: a GONE instance is departing until it is known to have ended. Until then a change of primary fences and asks it like any replica; it can't lead, and without its answer it counts as missing. A primary that has deregistered and serves on may now prove what it holds, too.

Why this works: a commit is acknowledged only after a replica received it; each replica that served in the epoch is now either asked, or missing, or a recorded loss within the epoch.

--- a/lab/appointed/virtual_instances.ts
+++ b/lab/appointed/virtual_instances.ts
@@ -192,7 +192,7 @@
       }
       if (network.isCut(to, from)) return;
       network.scheduler.schedule(network.delay(to, from), () =>
-        this.process.deliver(() => fail('refused')),
+        this.process.deliver(() => fail('notListening')),
       );
     });
   }
--- a/src/appointed/catalog/catalog.ts
+++ b/src/appointed/catalog/catalog.ts
@@ -87,9 +87,14 @@
     return this.instanceTable.since(version);
   }
 
-  /** Whether an instance of a group left after a version; also true if that is no longer known. */
-  hasLostInstanceSince(group: string, version: number): boolean {
-    return this.instanceTable.hasLostSince(group, version);
+  /** Instances that have deregistered and may still receive commits of their group. */
+  get departingInstances(): readonly InstanceEntry[] {
+    return this.instanceTable.departing;
+  }
+
+  /** Log index at which a group last lost the log of an instance; 0 if it never did. */
+  replicaLossVersion(group: string): number {
+    return this.instanceTable.replicaLossVersion(group);
   }
 
   /** Log index at which the current incarnation of an instance began; 0 for its first one. */
@@ -200,6 +205,7 @@
         operations,
       })),
       incarnations: this.instanceTable.incarnations,
+      replicaLosses: this.instanceTable.replicaLosses,
       evacuations: this.evacuations,
     } as whinyoke.ICatalogSnapshot;
     return whinyoke.CatalogSnapshot.encode(snapshot).finish();
@@ -212,8 +218,7 @@
     this.currentLease = snapshot.duty ?? {};
     this.currentVersion = snapshot.version;
     this.proxyLossIndex = snapshot.proxyLossVersion;
-    const { instances, incarnations, forgottenVersion } = snapshot;
-    this.instanceTable.restore(instances, incarnations, forgottenVersion);
+    this.instanceTable.restore(snapshot);
     this.groupTable.restore(snapshot.groups);
     this.evacuationTable.restore(snapshot.evacuations);
     this.proxyById.clear();
@@ -245,6 +250,8 @@
         return this.putSuccessorReserves(command.putFloors!.floors ?? []);
       case 'putEvacuation':
         return this.putEvacuation(index, command.putEvacuation!);
+      case 'endInstance':
+        return this.instanceTable.end(index, command.endInstance!);
       case 'setSlowStartHolder':
         return this.instanceTable.setHolder(index, command.setSlowStartHolder!);
       case 'takeDuty':
--- a/src/appointed/catalog/instance_table.ts
+++ b/src/appointed/catalog/instance_table.ts
@@ -1,11 +1,12 @@
 /**
  * Instances of the catalog, including those that are gone, as part of the replicated state. Also
- * records since which log index the current incarnation of each instance counts, and up to which
- * log index entries were forgotten.
+ * records since which log index the current incarnation of each instance counts, at which log index
+ * each group last lost the log of an instance, and up to which log index entries were forgotten.
  */
 import { whinyoke } from '../../protocol/generated/messages.js';
 import { classifyEntry } from './incarnation_order.js';
 import { coldStateAfter } from './cold_state.js';
+import { ReplicaLossTable } from './replica_loss_table.js';
 
 const { InstanceState } = whinyoke;
 
@@ -29,6 +30,8 @@
    * unreachable.
    */
   private readonly placed = new Map<string, number>();
+  private readonly losses = new ReplicaLossTable();
+  private readonly departingIds = new Set<string>();
   private forgottenIndex = 0;
 
   /** Newest version of a forgotten entry. */
@@ -46,6 +49,11 @@
     return this.all.filter((instance) => instance.state !== InstanceState.GONE);
   }
 
+  /** Instances that have deregistered and are not known to have ended. */
+  get departing(): readonly InstanceEntry[] {
+    return [...this.departingIds].map((id) => this.entries.get(id)!);
+  }
+
   get(id: string): InstanceEntry | undefined {
     return this.entries.get(id);
   }
@@ -75,18 +83,14 @@
     return [...this.restartedIncarnations.values()];
   }
 
-  /**
-   * Whether an instance of a group left after a version, including by a restart in another group;
-   * also true if that is no longer known.
-   */
-  hasLostSince(group: string, version: number): boolean {
-    if (version < this.forgottenIndex) return true;
-    return this.all.some((instance) => {
-      const isOfGroup = instance.group === group || instance.group === '';
-      const isLater = (instance.version ?? 0) > version;
-      const isGone = isOfGroup && isLater && instance.state === InstanceState.GONE;
-      return isGone || (!isOfGroup && this.hasMovedSince(instance.id ?? '', group, version));
-    });
+  /** Log index at which a group last lost the log of an instance; 0 if it never did. */
+  replicaLossVersion(group: string): number {
+    return this.losses.newestOf(group);
+  }
+
+  /** Newest loss of each group, for a snapshot. */
+  get replicaLosses(): readonly whinyoke.IReplicaLoss[] {
+    return this.losses.all;
   }
 
   /**
@@ -107,14 +111,29 @@
         formerGroup: known?.group ?? '',
       });
     }
+    this.recordLoss(index, known, instance);
     const hasMoved = order === 'next' || !known || !hasSameLocation(known, instance);
     this.placed.set(id, hasMoved ? index : this.placedSince(id));
     const born = instance.born || known?.born || 0;
     // `create` sets the prototype, which supplies the default values of absent fields.
     const coldState = coldStateAfter(known, instance, index);
-    const updated = { ...instance, ...coldState, version: index, born, incarnation };
-    this.entries.set(id, whinyoke.InstanceEntry.create(updated));
-    this.forgetOldest();
+    const identity = { born, incarnation, hasEnded: false };
+    const updated = { ...instance, ...coldState, version: index, ...identity };
+    this.store(whinyoke.InstanceEntry.create(updated));
+    this.forgetOldest(index);
+    return true;
+  }
+
+  /**
+   * Records that the process of a gone instance has ended, and its log with it. Returns false for
+   * another incarnation, and for an instance that is not gone or is known to have ended.
+   */
+  end(index: number, { instance: id, incarnation }: whinyoke.IInstanceEnd): boolean {
+    const known = this.entries.get(id ?? '');
+    if (!known || !isDeparting(known)) return false;
+    if ((known.incarnation ?? 0) !== (incarnation ?? 0)) return false;
+    this.losses.record(known.group ?? '', index);
+    this.replace({ ...known, hasEnded: true });
     return true;
   }
 
@@ -143,41 +162,72 @@
   }
 
   /** Replaces all entries by those of a snapshot. */
-  restore(
-    instances: readonly whinyoke.IInstanceEntry[],
-    incarnations: readonly whinyoke.IIncarnationEntry[],
-    forgottenVersion: number,
-  ): void {
+  restore({
+    instances,
+    incarnations,
+    replicaLosses,
+    forgottenVersion,
+  }: whinyoke.CatalogSnapshot): void {
     this.forgottenIndex = forgottenVersion;
     this.entries.clear();
+    this.departingIds.clear();
     this.placed.clear();
-    for (const item of instances) this.entries.set(item.id ?? '', item);
+    for (const item of instances) this.store(item);
     this.restartedIncarnations.clear();
     for (const item of incarnations) this.restartedIncarnations.set(item.instance ?? '', item);
+    this.losses.restore(replicaLosses);
+    // A snapshot of an earlier program does not list losses; any forgotten instance may be one.
+    if (replicaLosses.length === 0) this.losses.record('', forgottenVersion);
   }
 
-  private hasMovedSince(id: string, group: string, version: number): boolean {
-    const { formerGroup, beganAt } = this.restartedIncarnations.get(id) ?? {};
-    return formerGroup === group && (beganAt ?? 0) > version;
+  /**
+   * Records the loss of a log by a new entry of its instance. An instance that restarts in its group
+   * is no loss: it counts as missing until it has caught up.
+   */
+  private recordLoss(
+    index: number,
+    known: InstanceEntry | undefined,
+    { group, state }: whinyoke.IInstanceEntry,
+  ): void {
+    const hasMoved = known !== undefined && known.group !== group && !known.hasEnded;
+    if (hasMoved) this.losses.record(known.group ?? '', index);
+    // An instance that was never listed may have been a replica of any group.
+    const isUnknown = !known && !group && state === InstanceState.GONE;
+    if (isUnknown) this.losses.record('', index);
   }
 
   private replace(instance: whinyoke.IInstanceEntry): void {
     this.placed.set(instance.id ?? '', this.placedSince(instance.id ?? ''));
-    this.entries.set(instance.id ?? '', whinyoke.InstanceEntry.create(instance));
+    this.store(whinyoke.InstanceEntry.create(instance));
   }
 
-  private forgetOldest(): void {
+  private store(instance: InstanceEntry): void {
+    const id = instance.id ?? '';
+    this.entries.set(id, instance);
+    if (isDeparting(instance)) this.departingIds.add(id);
+    else this.departingIds.delete(id);
+  }
+
+  private forgetOldest(index: number): void {
     const gone = this.all.filter((instance) => instance.state === InstanceState.GONE);
     const excess = gone.slice(0, Math.max(0, gone.length - MAX_REMEMBERED_GONE_INSTANCES));
     for (const instance of excess) {
       this.forgottenIndex = Math.max(this.forgottenIndex, instance.version ?? 0);
+      // Its end can't be observed any more.
+      if (isDeparting(instance)) this.losses.record(instance.group ?? '', index);
       this.entries.delete(instance.id ?? '');
+      this.departingIds.delete(instance.id ?? '');
       this.restartedIncarnations.delete(instance.id ?? '');
       this.placed.delete(instance.id ?? '');
     }
   }
 }
 
+/** Whether an instance has deregistered and may still receive commits. */
+function isDeparting({ state, group, hasEnded }: InstanceEntry): boolean {
+  return state === InstanceState.GONE && group !== '' && !hasEnded;
+}
+
 /**
  * Whether a process that knows one entry can use the instance of the other. The state matters
  * because an older program ignores instances in a state that it does not know.
--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -20,6 +20,7 @@
 import { ClusterJoiner, loadIdentity } from '../../consensus/cluster_joiner.js';
 import { AppointmentLease, type Proposer } from '../failover/appointment_lease.js';
 import { CaughtUpInstances } from '../failover/caught_up_instances.js';
+import { DepartureMonitor } from '../failover/departure_monitor.js';
 import { FailoverController } from '../failover/failover_controller.js';
 import { InstanceAdministrator } from '../failover/instance_administrator.js';
 import { InstanceMonitor } from '../failover/instance_monitor.js';
@@ -114,6 +115,7 @@
   private readonly appointmentLease: AppointmentLease;
   private readonly persistentConnections: PersistentConnections;
   private readonly caughtUp: CaughtUpInstances;
+  private readonly departures: DepartureMonitor;
   private readonly controller: FailoverController;
   private readonly joiner: ClusterJoiner;
   private seeds: readonly string[];
@@ -153,10 +155,11 @@
     });
     const administrator = new InstanceAdministrator(connector, this.persistentConnections);
     this.caughtUp = new CaughtUpInstances({ ...shared, administrator, isLeading });
-    const { caughtUp, document } = this;
+    this.departures = new DepartureMonitor({ ...shared, connector, isLeading });
+    const { caughtUp, departures, document } = this;
     const { regionByZone } = options.placementRules;
     const appointment = { administrator, appointmentLease, isLeading };
-    const evidence = { ledger, monitor, caughtUp };
+    const evidence = { ledger, monitor, caughtUp, departures };
     const context = { ...shared, ...appointment, ...evidence, document, regionByZone };
     this.controller = new FailoverController(context, monitor, health);
     this.joiner = this.makeJoiner();
@@ -191,6 +194,7 @@
     this.controller.start();
     this.persistentConnections.start();
     this.caughtUp.start();
+    this.departures.start();
     this.scheduleUpkeep();
     this.schedulePositionProbes();
   }
@@ -200,6 +204,7 @@
     this.positionTimer?.cancel();
     this.controller.stop();
     this.caughtUp.stop();
+    this.departures.stop();
     this.persistentConnections.stop();
     this.contact.stop();
     this.joiner.stop();
--- a/src/appointed/failover/persistent_connections.ts
+++ b/src/appointed/failover/persistent_connections.ts
@@ -61,7 +61,8 @@
   private reconcile(): void {
     const wanted = new Map<string, InstanceTarget>();
     if (this.context.isLeading()) {
-      for (const instance of this.context.catalog.presentInstances) {
+      const { presentInstances, departingInstances } = this.context.catalog;
+      for (const instance of [...presentInstances, ...departingInstances]) {
         const target = targetOf(instance);
         if (instance.born) wanted.set(keyOf(target), target);
       }
--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -21,6 +21,7 @@
 import { appointmentObjection } from './appointment_fence.js';
 import type { AppointmentLease, Proposer } from './appointment_lease.js';
 import { type CandidateReport, type CandidateChoice, chooseCandidate } from './candidate.js';
+import type { DepartureMonitor } from './departure_monitor.js';
 import type { InstanceAdministrator } from './instance_administrator.js';
 import { targetOf } from './instance_target.js';
 import type { InstanceMonitor } from './instance_monitor.js';
@@ -67,6 +68,8 @@
   readonly monitor: InstanceMonitor;
   /** Restarted instances that hold everything they had confirmed before. */
   readonly caughtUp: Pick<CaughtUpInstances, 'has'>;
+  /** Instances that have deregistered and still serve. */
+  readonly departures: Pick<DepartureMonitor, 'isServing'>;
   readonly administrator: InstanceAdministrator;
   readonly appointmentLease: AppointmentLease;
   /** Proposes a command to the replicated log. */
@@ -141,9 +144,12 @@
     return ledger.revocationState(this.group, this.epoch, catalog.proxies, clock.now());
   }
 
+  /** Instances of the group that may have received its commits, also those that have deregistered and not ended. */
   private get members(): readonly InstanceEntry[] {
-    const { presentInstances } = this.context.catalog;
-    return presentInstances.filter((instance) => instance.group === this.group);
+    const { presentInstances, departingInstances } = this.context.catalog;
+    return [...presentInstances, ...departingInstances].filter(
+      (instance) => instance.group === this.group,
+    );
   }
 
   private get replicas(): readonly InstanceEntry[] {
@@ -159,9 +165,14 @@
     return this.context.catalog.proxyLossVersion < (this.entry.steadySince ?? 0);
   }
 
-  /** Whether no instance left the group since the old primary's epoch began. */
+  /** Whether no instance of the group ended since the old primary's epoch began. */
   private isMembershipUnchanged(): boolean {
-    return !this.context.catalog.hasLostInstanceSince(this.group, this.entry.steadySince ?? 0);
+    return this.context.catalog.replicaLossVersion(this.group) <= (this.entry.steadySince ?? 0);
+  }
+
+  /** Whether an instance is asked: one that has deregistered and does not answer would only delay the others. */
+  private isAsked(instance: InstanceEntry): boolean {
+    return instance.state !== InstanceState.GONE || this.context.departures.isServing(instance);
   }
 
   // ---- step 2: leases end ----
@@ -192,7 +203,7 @@
   private async fenceDuringRevocation(): Promise<void> {
     while (this.isCurrent() && !this.currentRevocation().isComplete) {
       const unfenced = this.replicas.filter(
-        (replica) => this.replicaFence.fencedSince(replica) === undefined,
+        (replica) => this.isAsked(replica) && this.replicaFence.fencedSince(replica) === undefined,
       );
       if (unfenced.length === 0) return;
       await this.replicaFence.fenceAll(unfenced, this.replicaFence.newTerm);
@@ -222,9 +233,12 @@
   private async chooseAppointee(): Promise<Appointee | undefined> {
     const { replicas, oldPrimary } = this;
     const { newTerm } = this.replicaFence;
-    const stepDown =
-      oldPrimary && this.context.administrator.stepDown(targetOf(oldPrimary), newTerm);
-    const answers = await this.replicaFence.fenceAll(replicas, newTerm);
+    const isOldPrimaryAsked = oldPrimary !== undefined && this.isAsked(oldPrimary);
+    const stepDown = isOldPrimaryAsked
+      ? this.context.administrator.stepDown(targetOf(oldPrimary), newTerm)
+      : undefined;
+    const asked = replicas.filter((replica) => this.isAsked(replica));
+    const answers = await this.replicaFence.fenceAll(asked, newTerm);
     const unrestarted = answers.filter((report) => this.evidence.holdsRecordedPosition(report));
     const appointed = findAppointed(unrestarted, this.oldTerm);
     if (appointed) return this.appointeeOf(appointed);
@@ -405,7 +419,7 @@
       leastPosition: this.reportsStartTime(primary) ? status.received : undefined,
     };
     await this.context.propose({ putGroup: next });
-    const others = this.members.filter(({ id }) => id !== primary);
+    const others = this.members.filter((member) => member.id !== primary && this.isAsked(member));
     const release = new ReplicaRelease(this.context, this.group, this.epoch, this.changeLog);
     for (const instance of others) void release.release(instance);
   }
--- a/src/appointed/instance/instance_connection.ts
+++ b/src/appointed/instance/instance_connection.ts
@@ -80,7 +80,9 @@
   readonly incarnation?: number;
 }
 
-export type ConnectFailure = 'refused' | 'silent' | 'connectionLimit' | 'wrongInstance' | 'busy';
+/** Why a connection could not be opened. With `notListening`, no process listens at the address. */
+export type ConnectFailure =
+  'notListening' | 'refused' | 'silent' | 'connectionLimit' | 'wrongInstance' | 'busy';
 
 /** A connection could not be opened. Nothing ran. */
 export const ConnectError = WhinyokeError.subclass('ConnectError', {
--- a/src/observability/control_events.ts
+++ b/src/observability/control_events.ts
@@ -143,6 +143,13 @@
     'a restarted instance has caught up with everything that its former incarnation had confirmed',
     'Until then it counts as a missing replica when a primary is chosen.',
   ),
+  instanceEnded: define(
+    333,
+    'instance_ended',
+    'info',
+    'a deregistered instance has ended, and its log with it',
+    '`sign` is the evidence: not_listening, another_instance, or silent for too long. Until then its log counts when a primary is chosen.',
+  ),
   evacuationOrdered: define(
     335,
     'evacuation_ordered',
--- a/test/tools/primary_change_scenario.ts
+++ b/test/tools/primary_change_scenario.ts
@@ -76,20 +76,40 @@
     this.apply({ putInstance: instance });
   }
 
+  /** Deregisters an instance, which serves on as long as it has a status. */
+  deregister(id: string): void {
+    this.apply({ putInstance: { ...this.catalog.instance(id), state: InstanceState.GONE } });
+  }
+
+  /** Ends an instance that has deregistered; its log goes with it. */
+  end(id: string): void {
+    this.statuses.delete(id);
+    this.apply({ endInstance: { instance: id } });
+  }
+
+  /** Begins another epoch with the same primary. */
+  beginNextEpoch(): void {
+    const { epoch = 0, ...entry } = this.catalog.group('g')!;
+    const next = (epoch ?? 0) + 1;
+    this.apply({ putGroup: { ...entry, epoch: next, phase: GroupPhase.CHANGING } });
+    this.apply({ putGroup: { ...entry, epoch: next + 1, phase: GroupPhase.STEADY } });
+  }
+
   /** Starts a change in which p1 confirms what it had acknowledged, if anything, and p2 does not confirm. */
   changePrimary(acknowledged?: number): Promise<void> {
     const epoch = this.catalog.group('g')!;
     for (const proxy of PROXIES) this.apply({ putProxy: proxy });
-    this.apply({ putGroup: { ...epoch, epoch: 2, phase: GroupPhase.CHANGING } });
+    const next = (epoch.epoch ?? 0) + 1;
+    this.apply({ putGroup: { ...epoch, epoch: next, phase: GroupPhase.CHANGING } });
     const hasPosition = acknowledged !== undefined;
     const position = { term: TERM, sequence: acknowledged ?? 0 };
-    this.ledger.confirm(PROXIES[0]!, { group: 'g', epoch: 2, hasPosition, position });
+    this.ledger.confirm(PROXIES[0]!, { group: 'g', epoch: next, hasPosition, position });
     return this.createChanger().run();
   }
 
   /** Lets p2 confirm as well, having acknowledged nothing. */
   confirmAll(): void {
-    this.ledger.confirm(PROXIES[1]!, { group: 'g', epoch: 2 });
+    this.ledger.confirm(PROXIES[1]!, { group: 'g', epoch: this.catalog.group('g')!.epoch });
   }
 
   /** Advances virtual time, in milliseconds. */
@@ -120,6 +140,7 @@
       ledger,
       monitor,
       caughtUp: this.caughtUp,
+      departures: { isServing: ({ id }) => this.statuses.has(id ?? '') },
       document: { table: tableWithGroup('g') },
       regionByZone: new Map(),
       administrator: new InstanceAdministrator(this.connector(), persistentConnections),
--- a/test/unit/failover.test.ts
+++ b/test/unit/failover.test.ts
@@ -344,9 +344,9 @@
   const copy = new Catalog();
   copy.restore(index, catalog.serialize());
   t.equal(copy.instancesSince(known), undefined, 'the same after a snapshot');
-  t.ok(copy.hasLostInstanceSince('g', known), 'an instance left after that version');
-  t.notOk(copy.hasLostInstanceSince('g', index));
-  t.notOk(copy.hasLostInstanceSince('h', index - 1), 'an instance of another group');
+  t.ok(copy.replicaLossVersion('g') > known, 'an instance was lost after that version');
+  t.notOk(copy.replicaLossVersion('g') > index);
+  t.notOk(copy.replicaLossVersion('h') > index - 1, 'an instance of another group');
   t.end();
 });
 
--- a/test/unit/incarnations.test.ts
+++ b/test/unit/incarnations.test.ts
@@ -262,7 +262,7 @@
   t.ok(copy.incarnationStartIndex('c') > steadySince);
   t.equal(copy.incarnationStartIndex('b'), 0);
   group.apply({ putInstance: { id: 'c', group: 'other', born: 3000, sequence: 1 } });
-  t.ok(group.catalog.hasLostInstanceSince('g', steadySince), 'it restarted in another group');
+  t.ok(group.catalog.replicaLossVersion('g') > steadySince, 'it restarted in another group');
   t.end();
 });
 
