A session keeps its newest commit in each group

Cause: the session remembered one position with its group (RoutedSession.lastCommit), so a commit in another group replaced it.

Looked through for the same cause, state of one group that another group's replaces: minimum positions, shared positions, leases, health trackers, replica lease rounds, confirmations and leader's positions are kept by group; tokens of the MySQL interface too (src/mysql/session/token.ts). Nothing else was found.

--- a/src/appointed/routing/target_planner.ts
+++ b/src/appointed/routing/target_planner.ts
@@ -42,7 +42,7 @@
   readonly tenant: Tenant;
   /** When the first byte of the read, or of its transaction, was received. */
   readonly firstByteAt: number;
-  /** Position of the newest commit of the same session. */
+  /** Position of the session's newest commit in the route's group. */
   readonly ownPosition: Position | undefined;
 }
 
--- a/src/appointed/sessions/routed_session.ts
+++ b/src/appointed/sessions/routed_session.ts
@@ -1,6 +1,6 @@
 /**
- * Session of one caller: its values, prepared statements, open transaction, and the position of its newest commit, which later
- * reads of the session must see if the route requires it.
+ * Session of one caller: its values, prepared statements, open transaction, and the positions of its newest commits, which
+ * later reads of the session must see if the route requires it.
  *
  * Each operation is admitted first: the database must have a route, the credential must be valid, and the tenant must be within
  * its operation limit. Otherwise it is refused without reaching an instance.
@@ -21,6 +21,7 @@
   type PreparedShape,
   accessOf,
 } from '../instance/statement.js';
+import { SessionCommits } from './session_commits.js';
 import type { SessionContent } from './session_loader.js';
 import { StatementRunner } from './statement_runner.js';
 import { CallerTransaction } from './caller_transaction.js';
@@ -37,12 +38,6 @@
 /** An admitted operation, or the reply that refuses it. */
 type AdmissionResult = AdmittedRequest | { readonly refusal: CallerReply };
 
-/** Position of a session's newest commit, and the group whose log contains it. */
-interface SessionCommit {
-  readonly group: string;
-  readonly position: Position;
-}
-
 /** Session of one caller connection. Callers must run one statement at a time. */
 export class RoutedSession {
   private readonly values = new Map<string, string>();
@@ -51,7 +46,7 @@
   private readonly singleStatements: SingleStatementRunner;
   private transaction: CallerTransaction | undefined;
   private transactionState: TransactionState = 'idle';
-  private lastCommit: SessionCommit | undefined;
+  private readonly commits = new SessionCommits();
   private idleTimer: Timer | undefined;
   private isRunning = false;
   private isClosed = false;
@@ -157,7 +152,7 @@
       operation,
       readOnly,
       beganAt,
-      this.ownPositionIn(route.group),
+      this.commits.newestIn(route.group),
     );
     this.transaction.beginEarly({ values: this.values });
     return successReply('open');
@@ -199,7 +194,7 @@
     statement: DataStatement,
     content: SessionContent,
   ): Promise<CallerReply> {
-    const ownPosition = this.ownPositionIn(route.group);
+    const ownPosition = this.commits.newestIn(route.group);
     const request: SingleStatementRequest = {
       id,
       statement,
@@ -288,12 +283,8 @@
     this.transaction = undefined;
   }
 
-  private ownPositionIn(group: string): Position | undefined {
-    return this.lastCommit?.group === group ? this.lastCommit.position : undefined;
-  }
-
   private recordCommit(group: string, position: Position | undefined): void {
-    if (position) this.lastCommit = { group, position };
+    if (position) this.commits.record(group, position);
   }
 
   /** Rolls the transaction back if its caller is idle for too long; the caller's next statement returns the error. */
--- a/test/tools/single_proxy_harness.ts
+++ b/test/tools/single_proxy_harness.ts
@@ -2,7 +2,8 @@
  * Runs one real proxy on a virtual clock, with fake instances that record the commands they receive
  * and a fake control that serves a local catalog.
  *
- * Group `g` has the databases `any` (reads may be 2 s stale) and `own` (only the primary serves).
+ * Group `g` has the databases `any` (reads may be 2 s stale), `own` (only the primary serves) and `mine` (reads may be 2 s
+ * stale, but see the session's own writes).
  */
 import { Scheduler } from '../../lab/simulation/scheduler.js';
 import { VirtualProcess } from '../../lab/simulation/virtual_process.js';
@@ -18,6 +19,7 @@
 import { TenantDirectory } from '../../src/appointed/tenancy/tenant.js';
 import { BackendConnectionLostError } from '../../src/errors/errors.js';
 import type { EventKind } from '../../src/observability/events.js';
+import type { Position } from '../../src/positions/position.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { type MessageBody, type Runtime, delay } from '../../src/runtime/runtime.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
@@ -59,17 +61,19 @@
     if (this.closed) throw new BackendConnectionLostError('connection was closed', { sent: true });
     if (command.kind === 'begin') this.state = 'open';
     if (command.kind === 'commit' || command.kind === 'rollback') this.state = 'idle';
-    const received = { term: 1, sequence: 1 };
+    const { received } = harness;
     const role = harness.catalog.group('g')?.primary === instance ? 'primary' : 'replica';
     const status = { role, term: 1, received, fencedTerm: 0, lagMs: 0 } as const;
     return { rows: [], signature: 's', state: this.state, position: received, status };
   }) as FakeConnection['run'];
 }
 
-function routeOf(database: string, policy: ReadPolicy): [string, Route] {
-  const times = { timeoutMs: 1000, targetLatencyMs: 400, priority: 0 };
-  return [database, { name: database, database, group: 'g', policy, ...times, isPublic: true }];
-}
+const STALENESS = { maximumStalenessMs: 2000 };
+const POLICIES: Readonly<Record<string, ReadPolicy>> = {
+  any: { kind: 'boundedStaleness', ...STALENESS },
+  own: { kind: 'primary' },
+  mine: { kind: 'ownWrites', ...STALENESS },
+};
 
 /** A proxy with its instances and control. */
 export class SingleProxyHarness {
@@ -86,8 +90,13 @@
   readonly unresponsiveInstances = new Set<string>();
   /** Names of the logged events. */
   readonly events: string[] = [];
+  /** Log position that all instances report. */
+  received: Position = { term: 1, sequence: 1 };
   /** Whether control does not answer. */
   isControlUnresponsive = false;
+  /** Group of each database. */
+  private readonly groupByDatabase = new Map(Object.keys(POLICIES).map((name) => [name, 'g']));
+  private documentVersion = 0;
   /** Handler for messages of other proxies. */
   handle: Parameters<Runtime['messenger']['serve']>[0] = () =>
     Promise.reject(new Error('no message handler is registered'));
@@ -99,7 +108,7 @@
   /** @param zones - zone of each instance; the first one is the primary */
   constructor(zones: Readonly<Record<string, string>>) {
     const [primary] = Object.keys(zones);
-    this.apply({ putDocument: documentOf(1, 'one') });
+    this.submitDocument();
     for (const [id, zone] of Object.entries(zones)) this.placeInstance(id, zone);
     this.setPrimary(primary!, 1);
     const messenger: Runtime['messenger'] = {
@@ -125,12 +134,11 @@
       },
       reader: {
         read: () => ({
-          version: 1,
-          routeByDatabase: new Map([
-            routeOf('any', { kind: 'boundedStaleness', maximumStalenessMs: 2000 }),
-            routeOf('own', { kind: 'primary' }),
-          ]),
-          limitsByGroup: new Map([['g', { group: 'g', connectionLimit: CONNECTION_LIMIT }]]),
+          version: this.documentVersion,
+          routeByDatabase: this.routes(),
+          limitsByGroup: new Map(
+            ['g', 'h'].map((group) => [group, { group, connectionLimit: CONNECTION_LIMIT }]),
+          ),
           transactionIdleMs: 0,
           tenants: new TenantDirectory([]),
         }),
@@ -181,14 +189,35 @@
     this.apply({ putEvacuation: { zone, begins } });
   }
 
-  placeInstance(id: string, zone: string): void {
+  placeInstance(id: string, zone: string, group = 'g'): void {
     const state = InstanceState.READY;
-    this.apply({ putInstance: { id, group: 'g', address: `${id}:1`, zone, slots: 4, state } });
+    this.apply({ putInstance: { id, group, address: `${id}:1`, zone, slots: 4, state } });
   }
 
   /** Appoints a primary for an epoch. */
-  setPrimary(primary: string, epoch: number, phase = GroupPhase.STEADY): void {
-    this.apply({ putGroup: { group: 'g', epoch, phase, primary, term: 1, planned: true } });
+  setPrimary(primary: string, epoch: number, phase = GroupPhase.STEADY, group = 'g'): void {
+    this.apply({ putGroup: { group, epoch, phase, primary, term: 1, planned: true } });
+  }
+
+  /** Moves the route of a database to a group, and waits until the proxy has it. */
+  async moveRoute(database: string, group: string): Promise<void> {
+    this.groupByDatabase.set(database, group);
+    this.submitDocument();
+    await this.run(100);
+  }
+
+  private submitDocument(): void {
+    const version = ++this.documentVersion;
+    this.apply({ putDocument: documentOf(version, `version ${version}`) });
+  }
+
+  private routes(): Map<string, Route> {
+    const times = { timeoutMs: 1000, targetLatencyMs: 400, priority: 0 };
+    const routes = Object.entries(POLICIES).map(([database, policy]): [string, Route] => {
+      const group = this.groupByDatabase.get(database)!;
+      return [database, { name: database, database, group, policy, ...times, isPublic: true }];
+    });
+    return new Map(routes);
   }
 
   /** Opens a session whose statements get new request identifiers. */
