A new primary holds what was acknowledged in earlier epochs

Replica c received nothing, the proxy that acknowledged the commit was killed, a crashed and b was promoted; b crashed while a was down, and c was promoted without the commit that a and b held.

Cause: the proofs looked at one epoch only. The proof by confirmations asked for some acknowledged position, also one of an earlier term, and for proxies lost in the present epoch; the proxy was lost in the one before. "All replicas" had the same gap: a primary may crash before a replica received what it was promoted with. For instances that report their start time the position at the begin of the epoch was checked, for all others not.

Change: the position with which an instance is chosen (GroupEntry.target_position) is inherited by the epoch that it leads (inherited_position). It covers every commit acknowledged before, so every candidate of the next change must contain it, and so must an old primary whose answer counts. An acknowledged position of an earlier term is then no criterion of its own. "Contains" compares numbers, too: they go on in a new term, so a replica that follows a later term with a lower number lacks the commit. The check of ReplicaEvidence for instances with a start time is replaced by this one. An epoch begun by an earlier program has no inherited position; its least position counts where there is one.

--- a/src/appointed/catalog/group_table.ts
+++ b/src/appointed/catalog/group_table.ts
@@ -54,8 +54,9 @@
   setTarget(choice: whinyoke.IGroupEntry): boolean {
     const current = this.entries.get(choice.group ?? '');
     if (!current || current.epoch !== choice.epoch) return false;
-    const { target, targetIncarnation, leastPosition = current.leastPosition } = choice;
-    this.set({ ...current, target, targetIncarnation, leastPosition });
+    const { target, targetIncarnation, targetPosition } = choice;
+    const { leastPosition = current.leastPosition } = choice;
+    this.set({ ...current, target, targetIncarnation, targetPosition, leastPosition });
     return true;
   }
 
--- a/src/appointed/failover/candidate.ts
+++ b/src/appointed/failover/candidate.ts
@@ -3,7 +3,8 @@
  *
  * Called after all leases on the old primary have ended. Of the eligible instances that provably hold every acknowledged
  * commit, the one that may serve most routes of its group is chosen, and among these the one with the newest position.
- * There are three proofs; without one of them no instance is chosen:
+ * It must hold what was acknowledged in earlier epochs, and what was acknowledged in the old primary's own epoch. For the
+ * latter there are three proofs; without one of them no instance is chosen:
  * - `allReplicas`: every replica answered and none is ahead of it;
  * - `oldPrimary`: it holds what the old primary held;
  * - `confirmations`: every proxy confirmed, and it holds what the proxies had acknowledged.
@@ -11,7 +12,7 @@
  * Pure.
  */
 import type { InstanceStatus } from '../instance/instance_connection.js';
-import { comparePositions, covers } from '../../positions/position.js';
+import { type Position, comparePositions, contains, covers } from '../../positions/position.js';
 import type { RevocationState } from './lease_ledger.js';
 
 /** Status of a replica, asked for after all leases had ended. */
@@ -38,6 +39,8 @@
   readonly isProxyHistoryComplete: boolean;
   /** Whether no instance left the group, with its log, since the epoch of the old primary began. */
   readonly isMembershipUnchanged: boolean;
+  /** At or after every commit acknowledged before the epoch of the old primary began. */
+  readonly inheritedPosition: Position;
   /** Term of the old primary. */
   readonly oldTerm: number;
   /** Number of region-bound routes that an instance may serve as primary; equal for all when omitted. */
@@ -55,34 +58,28 @@
   readonly evidence: CandidateEvidence;
 }
 
-/**
- * Whether the newest of all replicas must hold every acknowledged commit, whatever position the proxies reported: a commit
- * of this term was acknowledged only after a replica had received it and all before it, and no instance has left since. The
- * reported position may lie beyond that, because the answer to one commit names the end of a log in which others still wait
- * for their replica.
- */
-function areAcknowledgedCommitsReplicated({
-  revocation,
-  isMembershipUnchanged,
-  oldTerm,
-}: ChoiceInput): boolean {
-  return isMembershipUnchanged && revocation.acknowledged?.term === oldTerm;
+/** Highest position that a proxy reported as acknowledged in the epoch; that of earlier ones is inherited. */
+function acknowledgedInEpoch({ revocation, oldTerm }: ChoiceInput): Position | undefined {
+  const { acknowledged } = revocation;
+  return acknowledged && acknowledged.term >= oldTerm ? acknowledged : undefined;
 }
 
 /** Proof that a position covers every acknowledged commit; undefined when there is none. */
 function evidenceFor(status: InstanceStatus, input: ChoiceInput): CandidateEvidence | undefined {
   const { received } = status;
-  const { revocation } = input;
+  if (!contains(received, input.inheritedPosition)) return undefined;
   const isNewest = input.reports.every((report) => covers(received, report.status.received));
   const isNewestOfAllReplicas = input.missing === 0 && isNewest;
-  if (isNewestOfAllReplicas && areAcknowledgedCommitsReplicated(input)) return 'allReplicas';
+  // The reported position may lie beyond what any replica received: the answer to one commit names the end of a log in
+  // which others still wait for their replica.
+  if (isNewestOfAllReplicas && input.isMembershipUnchanged) return 'allReplicas';
   // A replica that has left may have been the only one with the reported position, so the position must be covered.
-  if (revocation.acknowledged && !covers(received, revocation.acknowledged)) return undefined;
+  const acknowledged = acknowledgedInEpoch(input);
+  if (acknowledged && !covers(received, acknowledged)) return undefined;
   if (isNewestOfAllReplicas) return 'allReplicas';
   if (input.oldPrimary && covers(received, input.oldPrimary.received)) return 'oldPrimary';
-  if (!revocation.isConfirmedByAll || !input.isProxyHistoryComplete) return undefined;
-  const isCovered = revocation.acknowledged !== undefined || received.term >= input.oldTerm;
-  return isCovered ? 'confirmations' : undefined;
+  const isHistoryComplete = input.revocation.isConfirmedByAll && input.isProxyHistoryComplete;
+  return isHistoryComplete ? 'confirmations' : undefined;
 }
 
 /** Chooses an eligible instance that provably holds every acknowledged commit; undefined when there is none. */
--- a/src/appointed/failover/failover_controller.ts
+++ b/src/appointed/failover/failover_controller.ts
@@ -12,7 +12,7 @@
  */
 import type { GroupEntry, InstanceEntry } from '../catalog/catalog.js';
 import { unusableReason } from '../catalog/usable_instance.js';
-import type { Position } from '../../positions/position.js';
+import { type Position, START } from '../../positions/position.js';
 import { messageOf } from '../../errors/errors.js';
 import { Events } from '../../observability/events.js';
 import { countServableRoutes } from '../placement/servable_routes.js';
@@ -109,7 +109,9 @@
       const claim = await this.strongestClaim(group);
       if (!claim) return;
       const { STEADY: phase } = GroupPhase;
-      await this.context.propose({ putGroup: { group, epoch: 1, phase, ...claim } });
+      // Before its first epoch nothing was acknowledged.
+      const first = { group, epoch: 1, phase, inheritedPosition: START };
+      await this.context.propose({ putGroup: { ...first, ...claim } });
     } catch (error) {
       // The group has no epoch yet; the next check tries again, on the machine that leads then.
       this.logFailure(group, 'adopt', error);
--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -29,7 +29,9 @@
 import { evacuatedZoneOf } from './primary_evacuation.js';
 import { PrimaryChangeLog } from './primary_change_log.js';
 import type { CaughtUpInstances } from './caught_up_instances.js';
-import { type Position, covers } from '../../positions/position.js';
+import { type Position, START, covers } from '../../positions/position.js';
+import { positionOf } from '../../positions/position_message.js';
+import { inheritedPositionOf } from './inherited_position.js';
 import { ReplicaEvidence } from './replica_evidence.js';
 import { ReplicaFence } from './replica_fence.js';
 import { ReplicaRelease } from './replica_release.js';
@@ -238,11 +240,11 @@
       ? this.context.administrator.stepDown(targetOf(oldPrimary), newTerm)
       : undefined;
     const asked = replicas.filter((replica) => this.isAsked(replica));
-    const answers = await this.replicaFence.fenceAll(asked, newTerm);
-    const unrestarted = answers.filter((report) => this.evidence.holdsRecordedPosition(report));
+    const reports = await this.replicaFence.fenceAll(asked, newTerm);
+    const unrestarted = reports.filter((report) => this.evidence.holdsRecordedPosition(report));
     const appointed = findAppointed(unrestarted, this.oldTerm);
     if (appointed) return this.appointeeOf(appointed);
-    const { reports, missing } = this.evidence.evaluate(replicas, answers);
+    const missing = this.evidence.countMissing(replicas, reports);
     // An unresponsive old primary delays the change only when its answer is needed.
     let old: CandidateReport | undefined;
     const candidates = reports.map((report) => this.excludeEvacuated(report));
@@ -324,6 +326,7 @@
       revocation: this.currentRevocation(),
       isProxyHistoryComplete: this.isProxyHistoryComplete(),
       isMembershipUnchanged: this.isMembershipUnchanged(),
+      inheritedPosition: inheritedPositionOf(this.entry) ?? START,
       oldTerm: this.oldTerm,
       servedRoutes: (id: string) =>
         countServableRoutes(this.context.catalog.instance(id), this.context),
@@ -368,7 +371,8 @@
   }: Appointee): Promise<whinyoke.CatalogResult> {
     const { group, epoch } = this;
     const leastPosition = this.reportsStartTime(target) ? position : undefined;
-    const choice = { target, targetIncarnation: incarnation, leastPosition };
+    const chosen = { target, targetIncarnation: incarnation, targetPosition: position };
+    const choice = { ...chosen, leastPosition };
     return this.context.propose({ setTarget: { group, epoch, ...choice } });
   }
 
@@ -404,11 +408,19 @@
     return isShorter || this.incarnationOf(instance) !== incarnation;
   }
 
+  /**
+   * Position at or after every commit acknowledged so far: that with which the appointed instance was chosen. A former leader
+   * of an earlier program did not record it.
+   */
+  private inheritedPosition(appointee: Appointee): Position {
+    const { targetPosition } = this.context.catalog.group(this.group) ?? {};
+    const recorded = this.isTargetRecorded(appointee) ? positionOf(targetPosition) : undefined;
+    return recorded ?? appointee.position;
+  }
+
   /** Step 6: begins the next epoch and lets the other replicas receive again. */
-  private async beginNextEpoch(
-    { instance: primary, incarnation }: Appointee,
-    status: InstanceStatus,
-  ): Promise<void> {
+  private async beginNextEpoch(appointee: Appointee, status: InstanceStatus): Promise<void> {
+    const { instance: primary, incarnation } = appointee;
     const next = {
       group: this.group,
       epoch: this.epoch + 1,
@@ -417,6 +429,7 @@
       term: status.term,
       primaryIncarnation: incarnation,
       leastPosition: this.reportsStartTime(primary) ? status.received : undefined,
+      inheritedPosition: this.inheritedPosition(appointee),
     };
     await this.context.propose({ putGroup: next });
     const others = this.members.filter((member) => member.id !== primary && this.isAsked(member));
--- a/src/appointed/failover/replica_evidence.ts
+++ b/src/appointed/failover/replica_evidence.ts
@@ -14,9 +14,10 @@
 import type { Catalog, GroupEntry, InstanceEntry } from '../catalog/catalog.js';
 import type { InstanceStatus } from '../instance/instance_connection.js';
 import { coversEpochMinimum } from '../leases/epoch_incarnation.js';
-import { START, covers } from '../../positions/position.js';
+import { START, contains, covers } from '../../positions/position.js';
 import type { CandidateReport } from './candidate.js';
 import type { CaughtUpInstances } from './caught_up_instances.js';
+import { inheritedPositionOf } from './inherited_position.js';
 import type { InstanceMonitor } from './instance_monitor.js';
 
 /**
@@ -31,14 +32,6 @@
   readonly caughtUp: Pick<CaughtUpInstances, 'has'>;
 }
 
-/** Answers of the replicas as evidence. */
-interface EvaluatedAnswers {
-  /** All answers; eligible only where the log covers the epoch's minimum position. */
-  readonly reports: readonly CandidateReport[];
-  /** Number of replicas without conclusive evidence of what they had confirmed. */
-  readonly missing: number;
-}
-
 /** Evidence in one change of primary. */
 export class ReplicaEvidence {
   constructor(
@@ -46,34 +39,13 @@
     private readonly epoch: GroupEntry,
   ) {}
 
-  /** Evaluates the answers of the replicas. */
-  evaluate(
-    replicas: readonly InstanceEntry[],
-    reports: readonly CandidateReport[],
-  ): EvaluatedAnswers {
-    let conclusiveCount = 0;
-    const evaluated = reports.map((report) => {
-      const instance = replicas.find(({ id }) => id === report.instance);
-      const isConclusive =
-        instance !== undefined && this.isConclusiveAnswer(instance, report.status);
-      if (isConclusive) conclusiveCount++;
-      const coversEpoch = this.holdsEarlierEpochs(instance, report.status, isConclusive);
-      return { ...report, isEligible: report.isEligible && coversEpoch };
+  /** Number of replicas without conclusive evidence of what they had confirmed. */
+  countMissing(replicas: readonly InstanceEntry[], reports: readonly CandidateReport[]): number {
+    const conclusive = reports.filter(({ instance: id, status }) => {
+      const instance = replicas.find((replica) => replica.id === id);
+      return instance !== undefined && this.isConclusiveAnswer(instance, status);
     });
-    return { reports: evaluated, missing: replicas.length - conclusiveCount };
-  }
-
-  /**
-   * Whether a log holds what was acknowledged before the epoch began: the proxy or the replica that knew of it may have been
-   * lost since. Once an instance is to be appointed, the entry names the position of that one, which others may lack.
-   */
-  private holdsEarlierEpochs(
-    instance: InstanceEntry | undefined,
-    { received }: InstanceStatus,
-    isConclusive: boolean,
-  ): boolean {
-    const isChecked = instance?.born && !(isConclusive && this.epoch.target);
-    return !isChecked || coversEpochMinimum(this.epoch, received);
+    return replicas.length - conclusive.length;
   }
 
   /** Whether an answer comes from the incarnation of the old primary which led the epoch. */
@@ -84,6 +56,8 @@
   ): boolean {
     const { received } = status;
     if ((old.incarnation ?? 0) !== (this.epoch.primaryIncarnation ?? 0)) return false;
+    // The primary of the epoch held this when it was chosen.
+    if (!contains(received, inheritedPositionOf(this.epoch) ?? START)) return false;
     if (!old.born) return true;
     // No log is too short for an epoch that began with an empty one, so a restart doesn't show in it.
     const isRestartVisible = !coversEpochMinimum(this.epoch, START);
--- a/src/positions/position.ts
+++ b/src/positions/position.ts
@@ -33,6 +33,14 @@
   return comparePositions(position, minimum) >= 0;
 }
 
+/**
+ * Whether a log that ends at `end` can contain the transaction at `position`. Numbers continue across terms, so a log of a
+ * later term with a lower number lacks it.
+ */
+export function contains(end: Position, position: Position): boolean {
+  return covers(end, position) && end.sequence >= position.sequence;
+}
+
 /** The later of two positions. */
 export function latest(left: Position, right: Position): Position {
   return covers(left, right) ? left : right;
--- a/test/tools/primary_change_scenario.ts
+++ b/test/tools/primary_change_scenario.ts
@@ -55,13 +55,18 @@
   onAppoint: (instance: string) => void = () => undefined;
   private index = 0;
 
-  /** @param least - sequence that the primary's log held when its epoch began; 0: it was empty */
-  constructor(minimumSequence = 90) {
+  /**
+   * @param minimumSequence - sequence that the primary's log held when its epoch began; 0: it was empty
+   * @param born - start time that the instances report; 0: they report none
+   */
+  constructor(minimumSequence = 90, born = 1000) {
     this.ledger.beginLeadership(-Infinity, 0);
-    for (const id of ['a', 'b', 'c']) this.reportInstance(id, 1000, 50);
+    for (const id of ['a', 'b', 'c']) this.reportInstance(id, born, 50);
     const epoch = { group: 'g', epoch: 1, phase: GroupPhase.STEADY, primary: 'a', term: TERM };
-    const leastPosition = minimumSequence === 0 ? START : { term: TERM, sequence: minimumSequence };
-    this.apply({ putGroup: { ...epoch, leastPosition } });
+    const inheritedPosition =
+      minimumSequence === 0 ? START : { term: TERM, sequence: minimumSequence };
+    const leastPosition = born === 0 ? undefined : inheritedPosition;
+    this.apply({ putGroup: { ...epoch, leastPosition, inheritedPosition } });
   }
 
   apply(command: whinyoke.ICatalogCommand): whinyoke.CatalogResult {
@@ -87,6 +92,12 @@
     this.apply({ endInstance: { instance: id } });
   }
 
+  /** Makes an appointed instance lead the next term with the log that it has. */
+  lead(instance: string): void {
+    const status = this.statuses.get(instance)!;
+    this.statuses.set(instance, { ...status, role: 'primary', term: TERM + this.appointed.length });
+  }
+
   /** Begins another epoch with the same primary. */
   beginNextEpoch(): void {
     const { epoch = 0, ...entry } = this.catalog.group('g')!;
@@ -98,7 +109,9 @@
   /** Starts a change in which p1 confirms what it had acknowledged, if anything, and p2 does not confirm. */
   changePrimary(acknowledged?: number): Promise<void> {
     const epoch = this.catalog.group('g')!;
-    for (const proxy of PROXIES) this.apply({ putProxy: proxy });
+    for (const proxy of PROXIES) {
+      if (!this.catalog.proxy(proxy.id)) this.apply({ putProxy: proxy });
+    }
     const next = (epoch.epoch ?? 0) + 1;
     this.apply({ putGroup: { ...epoch, epoch: next, phase: GroupPhase.CHANGING } });
     const hasPosition = acknowledged !== undefined;
--- a/test/unit/failover.test.ts
+++ b/test/unit/failover.test.ts
@@ -1,11 +1,10 @@
-/** Guards the decisions of a change of primary: leases, ledger, health reports, choice of the candidate, catalog, membership. */
+/** Guards the decisions of a change of primary: leases, ledger, health reports, catalog, membership. */
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import t from 'tap';
 import { Catalog } from '../../src/appointed/catalog/catalog.js';
 import { documentOf, inflateSource } from '../../src/appointed/catalog/document_source.js';
 import { nextMembership } from '../../src/consensus/elastic_membership.js';
 import { Membership } from '../../src/consensus/membership.js';
-import { type ChoiceInput, chooseCandidate } from '../../src/appointed/failover/candidate.js';
 import { FailoverController } from '../../src/appointed/failover/failover_controller.js';
 import { InstanceMonitor } from '../../src/appointed/failover/instance_monitor.js';
 import {
@@ -31,78 +30,6 @@
   return { role: 'replica', term, received: { term, sequence }, fencedTerm: term + 1, lagMs: 0 };
 }
 
-function choiceOf(change: Partial<ChoiceInput>): string | undefined {
-  const input: ChoiceInput = {
-    reports: [
-      { instance: 'a', status: statusAt(10), isEligible: true },
-      { instance: 'b', status: statusAt(12), isEligible: true },
-    ],
-    missing: 0,
-    oldPrimary: undefined,
-    revocation: { isConfirmedByAll: false, acknowledged: undefined },
-    isProxyHistoryComplete: false,
-    isMembershipUnchanged: false,
-    oldTerm: 3,
-    ...change,
-  };
-  const choice = chooseCandidate(input);
-  return choice && `${choice.instance} ${choice.evidence}`;
-}
-
-void t.test('no replica is chosen that may lack an acknowledged commit', (t) => {
-  const onlyA = [{ instance: 'a', status: statusAt(10), isEligible: true }];
-  const confirmed = (sequence?: number) => ({
-    isComplete: true,
-    isConfirmedByAll: true,
-    acknowledged: sequence === undefined ? undefined : { term: 3, sequence },
-  });
-  t.equal(choiceOf({}), 'b allReplicas', 'all replicas answered: the newest one');
-  t.equal(choiceOf({ reports: onlyA, missing: 1 }), undefined, 'a silent replica may hold more');
-  t.equal(
-    choiceOf({ reports: onlyA, missing: 1, oldPrimary: statusAt(10) }),
-    'a oldPrimary',
-    'the old primary holds no more',
-  );
-  t.equal(
-    choiceOf({ reports: onlyA, missing: 1, oldPrimary: statusAt(11) }),
-    undefined,
-    'the old primary holds more',
-  );
-  const complete = { reports: onlyA, missing: 1, isProxyHistoryComplete: true };
-  t.equal(choiceOf({ ...complete, revocation: confirmed(10) }), 'a confirmations');
-  t.equal(choiceOf({ ...complete, revocation: confirmed(11) }), undefined);
-  t.equal(choiceOf({ ...complete, revocation: confirmed() }), 'a confirmations', 'same term');
-  t.equal(
-    choiceOf({ ...complete, oldTerm: 4, revocation: confirmed() }),
-    undefined,
-    'it has received nothing of the newest term',
-  );
-  t.equal(
-    choiceOf({ reports: onlyA, missing: 1, revocation: confirmed(10) }),
-    undefined,
-    'a lost proxy may have acknowledged more',
-  );
-  t.equal(
-    choiceOf({ revocation: confirmed(13) }),
-    undefined,
-    'a replica that left may have been the only one with an acknowledged commit',
-  );
-  const reported = { revocation: confirmed(13), isMembershipUnchanged: true };
-  t.equal(
-    choiceOf(reported),
-    'b allReplicas',
-    'the reported position may lie beyond what any replica received',
-  );
-  t.equal(choiceOf({ ...reported, oldTerm: 4 }), undefined, 'acknowledged in an older term');
-  t.equal(choiceOf({ ...reported, reports: onlyA, missing: 1 }), undefined, 'one did not answer');
-  const leaving = [
-    { instance: 'a', status: statusAt(10), isEligible: true },
-    { instance: 'b', status: statusAt(12), isEligible: false },
-  ];
-  t.equal(choiceOf({ reports: leaving }), undefined, 'the newest replica is leaving');
-  t.end();
-});
-
 const PROXIES = [
   { id: 'p1', incarnation: 'x' },
   { id: 'p2', incarnation: 'y' },
--- a/test/unit/incarnations.test.ts
+++ b/test/unit/incarnations.test.ts
@@ -101,8 +101,8 @@
     group.statuses.set('b', statusUpTo(119));
     group.statuses.set('c', statusUpTo(120));
     group.onAppoint = (instance) => {
-      const state = instance === 'c' ? statusUpTo() : group.statuses.get(instance)!;
-      group.statuses.set(instance, { ...state, role: 'primary', term: 3 + group.appointed.length });
+      if (instance === 'c') group.statuses.set('c', statusUpTo());
+      group.lead(instance);
     };
     void group.changePrimary(119);
     group.confirmAll();
--- a/test/unit/primary_allowed_regions.test.ts
+++ b/test/unit/primary_allowed_regions.test.ts
@@ -9,6 +9,7 @@
 import type { PrimaryChangerContext } from '../../src/appointed/failover/primary_changer.js';
 import { PrimaryHealthReports } from '../../src/appointed/failover/primary_health_reports.js';
 import { countServableRoutes } from '../../src/appointed/placement/servable_routes.js';
+import { START } from '../../src/positions/position.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { tableWithGroup } from '../tools/route_table.js';
 
@@ -74,6 +75,7 @@
         },
         isProxyHistoryComplete,
         isMembershipUnchanged,
+        inheritedPosition: START,
         oldTerm: 3,
       };
       const routesOf = (instance: string): number => drawn[Number(instance)]!.routes;
