After a lost proxy or replica the primary's position decides what the others prove

A leaving replica was the only one that had received it; the replica left, the proxy that had acknowledged it was killed, the primary crashed for some seconds, and a replica without the commit was promoted at once.

Cause: once an instance had left, "newest of all replicas" was accepted if it covered what the proxies reported, and also if they reported nothing; a restarted proxy reports nothing.

Change: for each kind of loss the leader needs a position that the primary reported after it (commit_watermarks.ts): that is at or after everything acknowledged before. It comes from the positions that proxies report anyway, or from the primary after 200 ms; event 334. A candidate must contain it; until it is known the proof concerned does not exist. "All replicas" then needs no report of a proxy at all, and confirmations are a proof again in epochs in which a proxy was restarted. primary_candidates (313) names what each proof is based on: inherited, missing, proxy_watermark, replica_watermark.

What makes each proof complete is written down at the head of candidate.ts: whose answers, of which incarnation, in which term, and since when the membership counts.

Tests changed: ChoiceInput has watermarks in place of two flags; each check of candidate.test.ts stands with them, and those of a loss became stricter (no proof at all, where a covered report was enough).

--- a/src/appointed/catalog/catalog.ts
+++ b/src/appointed/catalog/catalog.ts
@@ -97,6 +97,11 @@
     return this.instanceTable.replicaLossVersion(group);
   }
 
+  /** Log index at which any group last lost the log of an instance; 0 if none did. */
+  get newestReplicaLoss(): number {
+    return this.instanceTable.newestReplicaLoss;
+  }
+
   /** Log index at which the current incarnation of an instance began; 0 for its first one. */
   incarnationStartIndex(id: string): number {
     return this.instanceTable.incarnationStartIndex(id);
--- a/src/appointed/catalog/instance_table.ts
+++ b/src/appointed/catalog/instance_table.ts
@@ -88,6 +88,11 @@
     return this.losses.newestOf(group);
   }
 
+  /** Log index of the newest loss of any group; 0 if there is none. */
+  get newestReplicaLoss(): number {
+    return this.losses.newestOfAll;
+  }
+
   /** Newest loss of each group, for a snapshot. */
   get replicaLosses(): readonly whinyoke.IReplicaLoss[] {
     return this.losses.all;
--- a/src/appointed/catalog/replica_loss_table.ts
+++ b/src/appointed/catalog/replica_loss_table.ts
@@ -12,6 +12,12 @@
 /** Newest loss of each group. */
 export class ReplicaLossTable {
   private readonly newest = new Map<string, number>();
+  private newestIndex = 0;
+
+  /** Log index of the newest loss of any group; 0 if there is none. */
+  get newestOfAll(): number {
+    return this.newestIndex;
+  }
 
   /** All losses, one per group. */
   get all(): readonly whinyoke.IReplicaLoss[] {
@@ -25,12 +31,15 @@
 
   /** Records a loss at a log index; an empty group stands for any. */
   record(group: string, index: number): void {
-    if (index > (this.newest.get(group) ?? 0)) this.newest.set(group, index);
+    if (index <= (this.newest.get(group) ?? 0)) return;
+    this.newest.set(group, index);
+    this.newestIndex = Math.max(this.newestIndex, index);
   }
 
   /** Replaces all losses by those of a snapshot. */
   restore(losses: readonly whinyoke.IReplicaLoss[]): void {
     this.newest.clear();
-    for (const { group, version } of losses) this.newest.set(group ?? '', version ?? 0);
+    this.newestIndex = 0;
+    for (const { group, version } of losses) this.record(group ?? '', version ?? 0);
   }
 }
--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -20,6 +20,7 @@
 import { ClusterJoiner, loadIdentity } from '../../consensus/cluster_joiner.js';
 import { AppointmentLease, type Proposer } from '../failover/appointment_lease.js';
 import { CaughtUpInstances } from '../failover/caught_up_instances.js';
+import { CommitWatermarks } from '../failover/commit_watermarks.js';
 import { DepartureMonitor } from '../failover/departure_monitor.js';
 import { FailoverController } from '../failover/failover_controller.js';
 import { InstanceAdministrator } from '../failover/instance_administrator.js';
@@ -116,6 +117,7 @@
   private readonly persistentConnections: PersistentConnections;
   private readonly caughtUp: CaughtUpInstances;
   private readonly departures: DepartureMonitor;
+  private readonly watermarks: CommitWatermarks;
   private readonly controller: FailoverController;
   private readonly joiner: ClusterJoiner;
   private seeds: readonly string[];
@@ -156,10 +158,16 @@
     const administrator = new InstanceAdministrator(connector, this.persistentConnections);
     this.caughtUp = new CaughtUpInstances({ ...shared, administrator, isLeading });
     this.departures = new DepartureMonitor({ ...shared, connector, isLeading });
-    const { caughtUp, departures, document } = this;
+    this.watermarks = new CommitWatermarks({
+      ...shared,
+      administrator,
+      positionRequestedAfter: (group, epoch, time) => positions.requestedAfter(group, epoch, time),
+      isLeading,
+    });
+    const { caughtUp, departures, watermarks, document } = this;
     const { regionByZone } = options.placementRules;
     const appointment = { administrator, appointmentLease, isLeading };
-    const evidence = { ledger, monitor, caughtUp, departures };
+    const evidence = { ledger, monitor, caughtUp, departures, watermarks };
     const context = { ...shared, ...appointment, ...evidence, document, regionByZone };
     this.controller = new FailoverController(context, monitor, health);
     this.joiner = this.makeJoiner();
@@ -195,6 +203,7 @@
     this.persistentConnections.start();
     this.caughtUp.start();
     this.departures.start();
+    this.watermarks.start();
     this.scheduleUpkeep();
     this.schedulePositionProbes();
   }
@@ -205,6 +214,7 @@
     this.controller.stop();
     this.caughtUp.stop();
     this.departures.stop();
+    this.watermarks.stop();
     this.persistentConnections.stop();
     this.contact.stop();
     this.joiner.stop();
--- a/src/appointed/control/primary_position_cache.ts
+++ b/src/appointed/control/primary_position_cache.ts
@@ -11,7 +11,7 @@
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { InstanceConnector } from '../instance/instance_connection.js';
 import type { Clock } from '../../runtime/runtime.js';
-import { type PrimaryPosition, START } from '../../positions/position.js';
+import { type Position, type PrimaryPosition, START } from '../../positions/position.js';
 import { positionOf } from '../../positions/position_message.js';
 
 const { GroupPhase } = whinyoke;
@@ -87,6 +87,15 @@
     };
   }
 
+  /**
+   * Position of the primary of an epoch that was requested after a time on this leader's clock;
+   * undefined if none is known.
+   */
+  requestedAfter(group: string, epoch: number, time: number): Position | undefined {
+    const known = this.positions.get(group);
+    return known && known.epoch === epoch && known.askedAt > time ? known.position : undefined;
+  }
+
   private usablePosition(entry: GroupEntry, now: number): PrimaryPosition | undefined {
     const known = this.positions.get(entry.group ?? '');
     if (!known || known.epoch !== entry.epoch || entry.phase === GroupPhase.CHANGING) {
--- a/src/appointed/failover/candidate.ts
+++ b/src/appointed/failover/candidate.ts
@@ -5,9 +5,14 @@
  * commit, the one that may serve most routes of its group is chosen, and among these the one with the newest position.
  * It must hold what was acknowledged in earlier epochs, and what was acknowledged in the old primary's own epoch. For the
  * latter there are three proofs; without one of them no instance is chosen:
- * - `allReplicas`: every replica answered and none is ahead of it;
- * - `oldPrimary`: it holds what the old primary held;
- * - `confirmations`: every proxy confirmed, and it holds what the proxies had acknowledged.
+ * - `allReplicas`: every instance that served as a replica since the replica watermark answered, with the incarnation that
+ *   served, and none is ahead of it. A commit is acknowledged only after a replica received it and all before it.
+ * - `oldPrimary`: it holds what the old primary held, in the incarnation that led the epoch, after all leases had ended.
+ * - `confirmations`: every registered proxy confirmed the end of its lease in its present incarnation, and it holds what they
+ *   acknowledged in the epoch, and the proxy watermark.
+ *
+ * A watermark accounts for evidence that was lost (`commit_watermarks.ts`). Of an instance that control never heard of nothing
+ * is known: one may not serve as a replica before its first heartbeat is recorded.
  *
  * Pure.
  */
@@ -35,10 +40,10 @@
   readonly oldPrimary: InstanceStatus | undefined;
   /** What the proxies reported when their leases ended. */
   readonly revocation: Pick<RevocationState, 'isConfirmedByAll' | 'acknowledged'>;
-  /** Whether the confirmations cover everything acknowledged in the epoch: no proxy was lost during it. */
-  readonly isProxyHistoryComplete: boolean;
-  /** Whether no instance left the group, with its log, since the epoch of the old primary began. */
-  readonly isMembershipUnchanged: boolean;
+  /** At or after every commit acknowledged before the newest loss of a proxy; undefined if not known. */
+  readonly proxyWatermark: Position | undefined;
+  /** At or after every commit acknowledged before the newest end of an instance of the group; undefined if not known. */
+  readonly replicaWatermark: Position | undefined;
   /** At or after every commit acknowledged before the epoch of the old primary began. */
   readonly inheritedPosition: Position;
   /** Term of the old primary. */
@@ -64,22 +69,38 @@
   return acknowledged && acknowledged.term >= oldTerm ? acknowledged : undefined;
 }
 
-/** Proof that a position covers every acknowledged commit; undefined when there is none. */
-function evidenceFor(status: InstanceStatus, input: ChoiceInput): CandidateEvidence | undefined {
-  const { received } = status;
-  if (!contains(received, input.inheritedPosition)) return undefined;
-  const isNewest = input.reports.every((report) => covers(received, report.status.received));
-  const isNewestOfAllReplicas = input.missing === 0 && isNewest;
-  // The reported position may lie beyond what any replica received: the answer to one commit names the end of a log in
-  // which others still wait for their replica.
-  if (isNewestOfAllReplicas && input.isMembershipUnchanged) return 'allReplicas';
-  // A replica that has left may have been the only one with the reported position, so the position must be covered.
+/** Whether what the proxies reported is all that was acknowledged in the epoch, and a log contains it. */
+function isProvenByProxies(received: Position, input: ChoiceInput): boolean {
+  const { revocation, proxyWatermark } = input;
+  if (!revocation.isConfirmedByAll || !proxyWatermark) return false;
   const acknowledged = acknowledgedInEpoch(input);
-  if (acknowledged && !covers(received, acknowledged)) return undefined;
-  if (isNewestOfAllReplicas) return 'allReplicas';
+  const isCovered = acknowledged === undefined || covers(received, acknowledged);
+  return isCovered && contains(received, proxyWatermark);
+}
+
+/**
+ * Whether the reports are of all replicas that may have confirmed a commit since the watermark, and a log is the newest. The
+ * position that proxies reported may lie beyond it: the answer to one commit names the end of a log in which others still
+ * wait for their replica.
+ */
+function isProvenByReplicas(
+  received: Position,
+  { reports, missing, replicaWatermark }: ChoiceInput,
+): boolean {
+  if (missing > 0 || !replicaWatermark) return false;
+  const isNewest = reports.every((report) => covers(received, report.status.received));
+  return isNewest && contains(received, replicaWatermark);
+}
+
+/** Proof that a log contains every acknowledged commit; undefined when there is none. */
+function evidenceFor(
+  { received }: InstanceStatus,
+  input: ChoiceInput,
+): CandidateEvidence | undefined {
+  if (!contains(received, input.inheritedPosition)) return undefined;
+  if (isProvenByReplicas(received, input)) return 'allReplicas';
   if (input.oldPrimary && covers(received, input.oldPrimary.received)) return 'oldPrimary';
-  const isHistoryComplete = input.revocation.isConfirmedByAll && input.isProxyHistoryComplete;
-  return isHistoryComplete ? 'confirmations' : undefined;
+  return isProvenByProxies(received, input) ? 'confirmations' : undefined;
 }
 
 /** Chooses an eligible instance that provably holds every acknowledged commit; undefined when there is none. */
--- a/src/appointed/failover/caught_up_instances.ts
+++ b/src/appointed/failover/caught_up_instances.ts
@@ -8,8 +8,7 @@
  * The state is in this leader's memory; a new leader asks anew. An instance whose primary does not answer continues to count
  * as missing.
  */
-import type { Catalog, GroupEntry, InstanceEntry } from '../catalog/catalog.js';
-import { coversEpochMinimum } from '../leases/epoch_incarnation.js';
+import type { Catalog, InstanceEntry } from '../catalog/catalog.js';
 import type { DecisionLog } from '../../observability/decision_logger.js';
 import { Events } from '../../observability/events.js';
 import { type Position, covers } from '../../positions/position.js';
@@ -17,6 +16,7 @@
 import type { Clock, Timer } from '../../runtime/runtime.js';
 import type { InstanceAdministrator } from './instance_administrator.js';
 import { targetOf } from './instance_target.js';
+import { askPrimaryPosition } from './primary_position_request.js';
 
 const { GroupPhase } = whinyoke;
 
@@ -83,7 +83,8 @@
     const { administrator, log } = this.context;
     const name = incarnationName(instance);
     const required =
-      this.requiredPositions.get(name) ?? (await this.primaryPosition(instance.group ?? ''));
+      this.requiredPositions.get(name) ??
+      (await askPrimaryPosition(this.context, instance.group ?? ''));
     if (!required) return;
     this.requiredPositions.set(name, required);
     const status = await administrator.status(targetOf(instance));
@@ -96,23 +97,4 @@
       incarnation: instance.incarnation ?? 0,
     });
   }
-
-  /** Received position of the primary if it is still the incarnation for which the epoch was begun. */
-  private async primaryPosition(group: string): Promise<Position | undefined> {
-    const { catalog, administrator } = this.context;
-    const entry = catalog.group(group);
-    const primary = catalog.instance(entry?.primary ?? '');
-    if (!entry || !primary) return undefined;
-    const status = await administrator.status(targetOf(primary));
-    const isLeading = status?.role === 'primary' && status.term === entry.term;
-    if (!isLeading || !coversEpochMinimum(entry, status.received)) return undefined;
-    return this.isSameEpochAndIncarnation(entry, primary) ? status.received : undefined;
-  }
-
-  private isSameEpochAndIncarnation(entry: GroupEntry, primary: InstanceEntry): boolean {
-    const { catalog } = this.context;
-    const isEpoch = catalog.group(entry.group ?? '')?.epoch === entry.epoch;
-    const present = catalog.instance(primary.id ?? '')?.incarnation ?? 0;
-    return isEpoch && present === (entry.primaryIncarnation ?? 0);
-  }
 }
--- a/src/appointed/failover/primary_change_log.ts
+++ b/src/appointed/failover/primary_change_log.ts
@@ -1,11 +1,9 @@
 /** Log lines of one change of primary, with the time since this process took it up. */
-import type { InstanceStatus } from '../instance/instance_connection.js';
 import type { DecisionLog } from '../../observability/decision_logger.js';
 import { Events } from '../../observability/events.js';
-import { formatPosition } from '../../positions/position.js';
+import { type Position, formatPosition } from '../../positions/position.js';
 import type { Clock } from '../../runtime/runtime.js';
-import type { CandidateReport, CandidateChoice } from './candidate.js';
-import type { RevocationState } from './lease_ledger.js';
+import type { CandidateChoice, ChoiceInput } from './candidate.js';
 
 export class PrimaryChangeLog {
   private readonly startedAt: number;
@@ -30,23 +28,27 @@
     this.log(Events.primaryChangeStep, { group, epoch, step, elapsed_ms: elapsed, detail });
   }
 
-  /** Logs the candidates and the choice, if one could be made. */
-  logChoice(
-    reports: readonly CandidateReport[],
-    oldPrimary: InstanceStatus | undefined,
-    { acknowledged, isConfirmedByAll }: RevocationState,
-    choice: CandidateChoice | undefined,
-  ): void {
+  /** Logs the candidates, what the proofs are based on, and the choice, if one could be made. */
+  logChoice(input: ChoiceInput, choice: CandidateChoice | undefined): void {
+    const { acknowledged, isConfirmedByAll } = input.revocation;
     this.log(Events.primaryCandidates, {
       group: this.group,
       epoch: this.epoch,
-      candidates: reports
+      candidates: input.reports
         .map(({ instance, status }) => `${instance}@${formatPosition(status.received)}`)
         .join(' '),
-      old_primary: oldPrimary ? formatPosition(oldPrimary.received) : 'silent',
-      acknowledged: acknowledged ? formatPosition(acknowledged) : 'none',
+      missing: input.missing,
+      old_primary: input.oldPrimary ? formatPosition(input.oldPrimary.received) : 'silent',
+      inherited: formatPosition(input.inheritedPosition),
+      acknowledged: textOf(acknowledged),
       confirmed_by_all: isConfirmedByAll,
+      proxy_watermark: textOf(input.proxyWatermark),
+      replica_watermark: textOf(input.replicaWatermark),
       choice: choice ? `${choice.instance} by ${choice.evidence}` : 'none',
     });
   }
 }
+
+function textOf(position: Position | undefined): string {
+  return position ? formatPosition(position) : 'none';
+}
--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -20,7 +20,13 @@
 import { type Clock, delay } from '../../runtime/runtime.js';
 import { appointmentObjection } from './appointment_fence.js';
 import type { AppointmentLease, Proposer } from './appointment_lease.js';
-import { type CandidateReport, type CandidateChoice, chooseCandidate } from './candidate.js';
+import {
+  type CandidateReport,
+  type CandidateChoice,
+  type ChoiceInput,
+  chooseCandidate,
+} from './candidate.js';
+import type { CommitWatermarks } from './commit_watermarks.js';
 import type { DepartureMonitor } from './departure_monitor.js';
 import type { InstanceAdministrator } from './instance_administrator.js';
 import { targetOf } from './instance_target.js';
@@ -72,6 +78,8 @@
   readonly caughtUp: Pick<CaughtUpInstances, 'has'>;
   /** Instances that have deregistered and still serve. */
   readonly departures: Pick<DepartureMonitor, 'isServing'>;
+  /** Positions that account for lost evidence. */
+  readonly watermarks: Pick<CommitWatermarks, 'of'>;
   readonly administrator: InstanceAdministrator;
   readonly appointmentLease: AppointmentLease;
   /** Proposes a command to the replicated log. */
@@ -162,16 +170,6 @@
     return this.members.find((instance) => instance.id === this.entry.primary);
   }
 
-  /** Whether no incarnation of a proxy ended since the old primary's epoch began. */
-  private isProxyHistoryComplete(): boolean {
-    return this.context.catalog.proxyLossVersion < (this.entry.steadySince ?? 0);
-  }
-
-  /** Whether no instance of the group ended since the old primary's epoch began. */
-  private isMembershipUnchanged(): boolean {
-    return this.context.catalog.replicaLossVersion(this.group) <= (this.entry.steadySince ?? 0);
-  }
-
   /** Whether an instance is asked: one that has deregistered and does not answer would only delay the others. */
   private isAsked(instance: InstanceEntry): boolean {
     return instance.state !== InstanceState.GONE || this.context.departures.isServing(instance);
@@ -320,23 +318,23 @@
     missing: number,
     oldPrimary: CandidateReport | undefined,
   ): CandidateChoice | undefined {
-    const input = {
+    const { watermarks, catalog } = this.context;
+    const input: ChoiceInput = {
+      reports: replicas,
       missing,
       oldPrimary: oldPrimary?.status,
       revocation: this.currentRevocation(),
-      isProxyHistoryComplete: this.isProxyHistoryComplete(),
-      isMembershipUnchanged: this.isMembershipUnchanged(),
+      proxyWatermark: watermarks.of(this.entry, 'proxies'),
+      replicaWatermark: watermarks.of(this.entry, 'replicas'),
       inheritedPosition: inheritedPositionOf(this.entry) ?? START,
       oldTerm: this.oldTerm,
-      servedRoutes: (id: string) =>
-        countServableRoutes(this.context.catalog.instance(id), this.context),
+      servedRoutes: (id: string) => countServableRoutes(catalog.instance(id), this.context),
     };
-    const replicaChoice = chooseCandidate({ ...input, reports: [...replicas] });
     // Where no replica provably holds everything, the old primary does, and may lead again.
     const choice =
-      replicaChoice ??
+      chooseCandidate(input) ??
       (oldPrimary && chooseCandidate({ ...input, reports: [...replicas, oldPrimary] }));
-    this.changeLog.logChoice(replicas, oldPrimary?.status, this.currentRevocation(), choice);
+    this.changeLog.logChoice(input, choice);
     return choice;
   }
 
--- a/src/observability/control_events.ts
+++ b/src/observability/control_events.ts
@@ -85,7 +85,7 @@
     'primary_candidates',
     'info',
     'candidates for a primary were compared',
-    '`choice` is none while no replica provably has every acknowledged commit.',
+    '`choice` is none while no replica provably has every acknowledged commit. A candidate must have `inherited`, and what a proof needs: `proxy_watermark` or `replica_watermark` none means that a proxy or an instance was lost and the primary has reported no position since.',
   ),
   primaryAsked: define(
     347,
@@ -150,6 +150,13 @@
     'a deregistered instance has ended, and its log with it',
     '`sign` is the evidence: not_listening, another_instance, or silent for too long. Until then its log counts when a primary is chosen.',
   ),
+  evidenceRenewed: define(
+    334,
+    'evidence_renewed',
+    'info',
+    'the primaries have reported their positions since the newest loss of a proxy or an instance',
+    '`source` proxies or replicas: until then the reports of the others prove nothing when a primary is chosen; `group` was the last. `after_ms` counts from when the leader noticed the loss.',
+  ),
   evacuationOrdered: define(
     335,
     'evacuation_ordered',
--- a/test/tools/primary_change_scenario.ts
+++ b/test/tools/primary_change_scenario.ts
@@ -18,7 +18,9 @@
   InstanceTarget,
 } from '../../src/appointed/instance/instance_connection.js';
 import { ConnectError } from '../../src/appointed/instance/instance_connection.js';
-import { START } from '../../src/positions/position.js';
+import { CommitWatermarks } from '../../src/appointed/failover/commit_watermarks.js';
+import { type Position, START } from '../../src/positions/position.js';
+import type { Clock } from '../../src/runtime/runtime.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { Scheduler } from '../../lab/simulation/scheduler.js';
 
@@ -53,6 +55,20 @@
   readonly openedAt = new Map<string, number>();
   /** Called when an instance is appointed, before the call returns. */
   onAppoint: (instance: string) => void = () => undefined;
+  /** Newest position of the primary that proxies reported, and when it was requested. */
+  reportedPosition: Position = START;
+  reportedAt = -Infinity;
+  readonly clock: Clock = {
+    now: () => this.scheduler.now,
+    setTimer: (delayMs, callback) => {
+      const event = this.scheduler.schedule(delayMs, callback);
+      return { cancel: () => this.scheduler.cancel(event) };
+    },
+  };
+  private readonly administrator = new InstanceAdministrator(this.connector(), {
+    of: (target) => this.persistentConnectionTo(target),
+  });
+  readonly watermarks = this.createWatermarks();
   private index = 0;
 
   /**
@@ -67,6 +83,7 @@
       minimumSequence === 0 ? START : { term: TERM, sequence: minimumSequence };
     const leastPosition = born === 0 ? undefined : inheritedPosition;
     this.apply({ putGroup: { ...epoch, leastPosition, inheritedPosition } });
+    this.watermarks.start();
   }
 
   apply(command: whinyoke.ICatalogCommand): whinyoke.CatalogResult {
@@ -116,10 +133,17 @@
     this.apply({ putGroup: { ...epoch, epoch: next, phase: GroupPhase.CHANGING } });
     const hasPosition = acknowledged !== undefined;
     const position = { term: TERM, sequence: acknowledged ?? 0 };
-    this.ledger.confirm(PROXIES[0]!, { group: 'g', epoch: next, hasPosition, position });
+    const revocation = { group: 'g', epoch: next, hasPosition, position };
+    this.ledger.confirm(this.catalog.proxy('p1')!, revocation);
     return this.createChanger().run();
   }
 
+  /** Restarts p1: what it had acknowledged is not known any more. */
+  restartProxy(): void {
+    if (!this.catalog.proxy('p1')) this.apply({ putProxy: PROXIES[0]! });
+    this.apply({ putProxy: { id: 'p1', incarnation: 'restarted' } });
+  }
+
   /** Lets p2 confirm as well, having acknowledged nothing. */
   confirmAll(): void {
     this.ledger.confirm(PROXIES[1]!, { group: 'g', epoch: this.catalog.group('g')!.epoch });
@@ -130,23 +154,26 @@
     return this.scheduler.runUntil(this.scheduler.now + durationMs);
   }
 
+  private createWatermarks(): CommitWatermarks {
+    const { clock, catalog, administrator } = this;
+    return new CommitWatermarks({
+      clock,
+      catalog,
+      administrator,
+      positionRequestedAfter: (_group, _epoch, time) =>
+        this.reportedAt > time ? this.reportedPosition : undefined,
+      log: () => undefined,
+      isLeading: () => true,
+    });
+  }
+
   private createChanger(): PrimaryChanger {
-    const { scheduler, catalog, ledger, monitor } = this;
-    const clock = {
-      now: () => scheduler.now,
-      setTimer: (delayMs: number, callback: () => void) => {
-        const event = scheduler.schedule(delayMs, callback);
-        return { cancel: () => scheduler.cancel(event) };
-      },
-    };
+    const { clock, catalog, ledger, monitor, administrator, watermarks } = this;
     const appoint = (_group: string, instance: string): Promise<whinyoke.AppointOutcome> => {
       this.appointed.push(instance);
       this.onAppoint(instance);
       return Promise.resolve(AppointOutcome.APPOINTED);
     };
-    const persistentConnections = {
-      of: (target: InstanceTarget) => this.persistentConnectionTo(target),
-    };
     const context: PrimaryChangerContext = {
       clock,
       catalog,
@@ -156,7 +183,8 @@
       departures: { isServing: ({ id }) => this.statuses.has(id ?? '') },
       document: { table: tableWithGroup('g') },
       regionByZone: new Map(),
-      administrator: new InstanceAdministrator(this.connector(), persistentConnections),
+      administrator,
+      watermarks,
       appointmentLease: { appoint } as unknown as AppointmentLease,
       propose: (command) => Promise.resolve(this.apply(command)),
       log: () => undefined,
--- a/test/unit/candidate.test.ts
+++ b/test/unit/candidate.test.ts
@@ -28,8 +28,8 @@
     missing: 0,
     oldPrimary: undefined,
     revocation: { isConfirmedByAll: false, acknowledged: undefined },
-    isProxyHistoryComplete: false,
-    isMembershipUnchanged: false,
+    proxyWatermark: undefined,
+    replicaWatermark: START,
     inheritedPosition: START,
     oldTerm: 3,
     ...change,
@@ -58,7 +58,7 @@
     undefined,
     'the old primary holds more',
   );
-  const complete = { reports: ONLY_A, missing: 1, isProxyHistoryComplete: true };
+  const complete = { reports: ONLY_A, missing: 1, proxyWatermark: START };
   t.equal(choiceOf({ ...complete, revocation: confirmed(10) }), 'a confirmations');
   t.equal(choiceOf({ ...complete, revocation: confirmed(11) }), undefined);
   t.equal(choiceOf({ ...complete, revocation: confirmed() }), 'a confirmations', 'same term');
@@ -67,12 +67,7 @@
     undefined,
     'a lost proxy may have acknowledged more',
   );
-  t.equal(
-    choiceOf({ revocation: confirmed(13) }),
-    undefined,
-    'a replica that left may have been the only one with an acknowledged commit',
-  );
-  const reported = { revocation: confirmed(13), isMembershipUnchanged: true };
+  const reported = { revocation: confirmed(13) };
   t.equal(
     choiceOf(reported),
     'b allReplicas',
@@ -84,10 +79,38 @@
   t.end();
 });
 
+// Guards against the loss of a commit whose replica has ended and whose proxy can't name it any more.
+void t.test('after a loss a proof needs the position of the primary', (t) => {
+  const at = (sequence: number) => ({ term: 3, sequence });
+  for (const revocation of [confirmed(), confirmed(12), confirmed(13)]) {
+    t.equal(
+      choiceOf({ replicaWatermark: undefined, revocation }),
+      undefined,
+      'a replica that ended may have been the only one with an acknowledged commit',
+    );
+  }
+  t.equal(choiceOf({ replicaWatermark: at(13) }), undefined, 'the primary held more');
+  t.equal(choiceOf({ replicaWatermark: at(12) }), 'b allReplicas');
+  const proxies = { reports: ONLY_A, missing: 1, revocation: confirmed(9) };
+  t.equal(choiceOf({ ...proxies, proxyWatermark: at(11) }), undefined);
+  t.equal(choiceOf({ ...proxies, proxyWatermark: at(10) }), 'a confirmations');
+  t.equal(
+    choiceOf({ ...proxies, proxyWatermark: at(10), replicaWatermark: undefined }),
+    'a confirmations',
+    'what all proxies acknowledged needs no other replica',
+  );
+  t.equal(
+    choiceOf({ replicaWatermark: undefined, oldPrimary: statusAt(12) }),
+    'b oldPrimary',
+    'nor does what the old primary held',
+  );
+  t.end();
+});
+
 // Guards against the loss of a commit of an earlier epoch whose proxy restarted and whose other holders are down.
 void t.test('no proof holds without what was acknowledged in earlier epochs', (t) => {
   const inherit = (sequence: number, term = 3) => ({ inheritedPosition: { term, sequence } });
-  const complete = { reports: ONLY_A, missing: 1, isProxyHistoryComplete: true };
+  const complete = { reports: ONLY_A, missing: 1, proxyWatermark: START };
   t.equal(
     choiceOf({ ...complete, ...inherit(10), revocation: confirmed() }),
     'a confirmations',
@@ -97,25 +120,20 @@
   const earlier = { ...complete, oldTerm: 4, revocation: confirmed(10) };
   t.equal(choiceOf({ ...earlier, ...inherit(11) }), undefined, 'a lost proxy acknowledged 3.11');
   t.equal(choiceOf({ ...earlier, ...inherit(10) }), 'a confirmations');
-  const all = { isMembershipUnchanged: true };
-  t.equal(choiceOf({ ...all, ...inherit(13) }), undefined, 'only the old primary held 3.13');
-  t.equal(choiceOf({ ...all, ...inherit(12) }), 'b allReplicas');
+  t.equal(choiceOf(inherit(13)), undefined, 'only the old primary held 3.13');
+  t.equal(choiceOf(inherit(12)), 'b allReplicas');
   t.equal(
-    choiceOf({ ...all, ...inherit(12), oldTerm: 4, revocation: confirmed(13) }),
+    choiceOf({ ...inherit(12), oldTerm: 4, revocation: confirmed(13) }),
     'b allReplicas',
     'in an earlier epoch no more than what was inherited was acknowledged',
   );
   t.equal(
-    choiceOf({ ...all, ...inherit(13), oldTerm: 4, revocation: confirmed(13) }),
+    choiceOf({ ...inherit(13), oldTerm: 4, revocation: confirmed(13) }),
     undefined,
     'acknowledged in an earlier epoch',
   );
-  t.equal(choiceOf({ ...all, ...inherit(12, 2) }), 'b allReplicas', 'numbers go on in a new term');
-  t.equal(
-    choiceOf({ ...all, ...inherit(13, 2) }),
-    undefined,
-    'a later term with a lower number lacks it',
-  );
+  t.equal(choiceOf(inherit(12, 2)), 'b allReplicas', 'numbers go on in a new term');
+  t.equal(choiceOf(inherit(13, 2)), undefined, 'a later term with a lower number lacks it');
   t.end();
 });
 
--- a/test/unit/primary_allowed_regions.test.ts
+++ b/test/unit/primary_allowed_regions.test.ts
@@ -54,13 +54,7 @@
     position,
     position,
     fc.tuple(fc.boolean(), fc.boolean(), fc.boolean()),
-    (
-      drawn,
-      missing,
-      old,
-      acknowledged,
-      [isConfirmedByAll, isProxyHistoryComplete, isMembershipUnchanged],
-    ) => {
+    (drawn, missing, old, acknowledged, [isConfirmedByAll, areProxiesKnown, areReplicasKnown]) => {
       const reports = drawn.map(({ sequence, isEligible }, index) => {
         return { instance: `${index}`, status: status(sequence), isEligible };
       });
@@ -73,8 +67,8 @@
           acknowledged:
             acknowledged === undefined ? undefined : { term: 3, sequence: acknowledged },
         },
-        isProxyHistoryComplete,
-        isMembershipUnchanged,
+        proxyWatermark: areProxiesKnown ? START : undefined,
+        replicaWatermark: areReplicasKnown ? START : undefined,
         inheritedPosition: START,
         oldTerm: 3,
       };
--- a/test/unit/primary_evacuation.test.ts
+++ b/test/unit/primary_evacuation.test.ts
@@ -4,6 +4,7 @@
 import { Scheduler } from '../../lab/simulation/scheduler.js';
 import { VirtualProcess } from '../../lab/simulation/virtual_process.js';
 import { Catalog } from '../../src/appointed/catalog/catalog.js';
+import { CommitWatermarks } from '../../src/appointed/failover/commit_watermarks.js';
 import { FailoverController } from '../../src/appointed/failover/failover_controller.js';
 import { InstanceMonitor } from '../../src/appointed/failover/instance_monitor.js';
 import { LeaseLedger } from '../../src/appointed/failover/lease_ledger.js';
@@ -15,6 +16,7 @@
   InstanceTarget,
 } from '../../src/appointed/instance/instance_connection.js';
 import type { RouteTable } from '../../src/appointed/catalog/route_table.js';
+import { START } from '../../src/positions/position.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
 
@@ -40,22 +42,26 @@
     const { clock } = new VirtualProcess('10.8.0.1', this.scheduler, new SeededRandom(1), 0);
     const answer = ({ id }: InstanceTarget): Promise<InstanceStatus | undefined> =>
       Promise.resolve(this.statusOf(id));
+    const administrator = { status: answer, pause: answer, stepDown: answer, resume: answer };
+    const log = ({ name }: { name: string }, fields: Record<string, unknown>): void => {
+      if (name === 'primary_change_begun') this.causes.push(String(fields['cause']));
+      if (name === 'evacuation_progress') this.progress.push(fields);
+    };
+    const { catalog } = this;
+    const isLeading = (): boolean => true;
+    const shared = { clock, catalog, administrator, log, isLeading };
+    const positionRequestedAfter = (): undefined => undefined;
     const context = {
-      clock,
-      catalog: this.catalog,
+      ...shared,
       ledger: new LeaseLedger(),
       monitor: this.monitor,
       caughtUp: { has: () => false },
       document: this.document,
       regionByZone: new Map(),
-      administrator: { status: answer, pause: answer, stepDown: answer, resume: answer },
+      departures: { isServing: () => false },
+      watermarks: new CommitWatermarks({ ...shared, positionRequestedAfter }),
       appointmentLease: { appoint: (group: string, id: string) => this.appoint(group, id) },
       propose: (command: whinyoke.ICatalogCommand) => Promise.resolve(this.apply(command)),
-      log: ({ name }: { name: string }, fields: Record<string, unknown>) => {
-        if (name === 'primary_change_begun') this.causes.push(String(fields['cause']));
-        if (name === 'evacuation_progress') this.progress.push(fields);
-      },
-      isLeading: () => true,
     } as unknown as PrimaryChangerContext;
     this.controller = new FailoverController(context, this.monitor, this.healthReports);
   }
@@ -85,7 +91,8 @@
     for (const [index, zone] of zones.entries()) this.putInstance(group, index, zone);
     this.terms.set(`${group}-0`, 1);
     const { STEADY: phase } = GroupPhase;
-    this.apply({ putGroup: { group, epoch: 1, phase, primary: `${group}-0`, term: 1 } });
+    const first = { group, epoch: 1, phase, inheritedPosition: START };
+    this.apply({ putGroup: { ...first, primary: `${group}-0`, term: 1 } });
   }
 
   putInstance(group: string, index: number, zone: string, state = InstanceState.READY): void {
