A late request of a killed proxy does not replace its successor

Cause: an incarnation is a random name, and the catalog took whichever came last for the newest.

The proxies of the catalog are in a module of their own now.

--- a/src/appointed/catalog/catalog.ts
+++ b/src/appointed/catalog/catalog.ts
@@ -9,15 +9,11 @@
 import { type EvacuationEntry, EvacuationTable } from './evacuation_table.js';
 import { type GroupEntry, GroupTable } from './group_table.js';
 import { type InstanceEntry, InstanceTable } from './instance_table.js';
+import { type ProxyEntry, ProxyTable } from './proxy_table.js';
 
 export { type GroupEntry, compareNames } from './group_table.js';
 export type { InstanceEntry } from './instance_table.js';
-
-/**
- * A registered proxy process. A proxy that restarts registers under the same id with a new
- * incarnation.
- */
-export type ProxyEntry = Readonly<whinyoke.IProxyEntry>;
+export type { ProxyEntry } from './proxy_table.js';
 
 /** Called after a change was applied. */
 export type CatalogListener = () => void;
@@ -27,7 +23,7 @@
   private readonly instanceTable = new InstanceTable();
   private readonly groupTable = new GroupTable();
   private readonly evacuationTable = new EvacuationTable();
-  private readonly proxyById = new Map<string, ProxyEntry>();
+  private readonly proxyTable = new ProxyTable();
   /**
    * Operations in each tenant's bucket that a leader must leave to its successor. Takes about 20
    * bytes per tenant that ever ran an operation.
@@ -35,7 +31,6 @@
   private readonly successorReserveByTenant = new Map<string, number>();
   private currentLease: whinyoke.IDutyEntry = {};
   private currentVersion = 0;
-  private proxyLossIndex = 0;
   private readonly listeners = new Set<CatalogListener>();
 
   /**
@@ -66,7 +61,7 @@
    * acknowledged commits is lost with it.
    */
   get proxyLossVersion(): number {
-    return this.proxyLossIndex;
+    return this.proxyTable.lossVersion;
   }
 
   /** All instances, including those that are gone. */
@@ -148,7 +143,7 @@
   }
 
   get proxies(): readonly ProxyEntry[] {
-    return [...this.proxyById.values()];
+    return this.proxyTable.all;
   }
 
   instance(id: string): InstanceEntry | undefined {
@@ -165,7 +160,7 @@
   }
 
   proxy(id: string): ProxyEntry | undefined {
-    return this.proxyById.get(id);
+    return this.proxyTable.get(id);
   }
 
   /**
@@ -203,7 +198,8 @@
       proxies: this.proxies,
       duty: this.currentLease,
       version: this.currentVersion,
-      proxyLossVersion: this.proxyLossIndex,
+      proxyLossVersion: this.proxyLossVersion,
+      formerProxies: this.proxyTable.former,
       forgottenVersion: this.instanceTable.forgottenVersion,
       floors: [...this.successorReserveByTenant].map(([tenant, operations]) => ({
         tenant,
@@ -222,12 +218,10 @@
     this.currentDocument = snapshot.document ?? undefined;
     this.currentLease = snapshot.duty ?? {};
     this.currentVersion = snapshot.version;
-    this.proxyLossIndex = snapshot.proxyLossVersion;
     this.instanceTable.restore(snapshot);
     this.groupTable.restore(snapshot.groups);
     this.evacuationTable.restore(snapshot.evacuations);
-    this.proxyById.clear();
-    for (const item of snapshot.proxies) this.proxyById.set(item.id ?? '', item);
+    this.proxyTable.restore(snapshot);
     this.successorReserveByTenant.clear();
     this.putSuccessorReserves(snapshot.floors);
     this.notify();
@@ -245,12 +239,11 @@
       case 'setTarget':
         return this.groupTable.setTarget(command.setTarget!);
       case 'putProxy':
-        return this.putProxies(index, [command.putProxy!]);
+        return this.proxyTable.put(index, [command.putProxy!]);
       case 'putProxies':
-        return this.putProxies(index, command.putProxies!.proxies ?? []);
+        return this.proxyTable.put(index, command.putProxies!.proxies ?? []);
       case 'removeProxy':
-        this.proxyLossIndex = index;
-        return this.proxyById.delete(command.removeProxy!);
+        return this.proxyTable.remove(index, command.removeProxy!);
       case 'putFloors':
         return this.putSuccessorReserves(command.putFloors!.floors ?? []);
       case 'putEvacuation':
@@ -273,14 +266,6 @@
     return true;
   }
 
-  private putProxies(index: number, proxies: readonly whinyoke.IProxyEntry[]): boolean {
-    for (const proxy of proxies) {
-      if (this.proxyById.has(proxy.id ?? '')) this.proxyLossIndex = index;
-      this.proxyById.set(proxy.id ?? '', { ...proxy, version: index });
-    }
-    return proxies.length > 0;
-  }
-
   private putSuccessorReserves(floors: readonly whinyoke.IAllowanceFloor[]): boolean {
     for (const { tenant, operations } of floors) {
       this.successorReserveByTenant.set(tenant ?? '', operations ?? 0);
--- a/src/appointed/control/proxy_registrar.ts
+++ b/src/appointed/control/proxy_registrar.ts
@@ -1,6 +1,7 @@
 /**
  * Registers incarnations of proxies in the replicated log, with one entry for all that wait.
- * Without a majority a proxy stays unregistered, is refused and asks again.
+ * Without a majority a proxy stays unregistered, is refused and asks again. A request of a killed
+ * process may arrive after its successor has registered; it is refused for good.
  */
 import type { Catalog, ProxyEntry } from '../catalog/catalog.js';
 import type { Proposer } from '../failover/appointment_lease.js';
