A commit that is answered without a log position is in doubt

Found while writing down what makes the proof by confirmations complete: it rests on each acknowledged commit having a position that its proxy reports. A single write was in doubt without one; a COMMIT was acknowledged and not recorded. Instances do name a position in each answer, so no caller was seen to be harmed.

Evidence: the new check in session_commits.test.ts fails on the code before, for the transaction alone.

--- a/src/appointed/sessions/caller_transaction.ts
+++ b/src/appointed/sessions/caller_transaction.ts
@@ -165,12 +165,13 @@
       return { reply: refuse(this.context, refusal, 'aborted', cause) };
     }
     if (!answer || answer.error) return { reply: this.commitFailed(refusal, cause) };
-    if (this.hasWritten && !isTargetTrusted(this.context, pinned.target)) {
-      return { reply: this.commitFailed(refusal, { kind: 'leaseEnded' }) };
-    }
     const { rows, signature, position } = answer;
     const reply: CallerReply = { rows, signature, state: 'idle', position };
-    if (!this.hasWritten || !position) return { reply };
+    if (!this.hasWritten) return { reply };
+    // A change of primary must know the position of each acknowledged commit.
+    if (!position || !isTargetTrusted(this.context, pinned.target)) {
+      return { reply: this.commitFailed(refusal, { kind: 'leaseEnded' }) };
+    }
     this.context.leases.recordAcknowledged(this.route.group, position);
     return { reply, commitPosition: position };
   }
--- a/test/tools/single_proxy_harness.ts
+++ b/test/tools/single_proxy_harness.ts
@@ -19,7 +19,7 @@
 import { TenantDirectory } from '../../src/appointed/tenancy/tenant.js';
 import { BackendConnectionLostError } from '../../src/errors/errors.js';
 import type { EventKind } from '../../src/observability/events.js';
-import type { Position } from '../../src/positions/position.js';
+import { type Position, START } from '../../src/positions/position.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { type MessageBody, type Runtime, delay } from '../../src/runtime/runtime.js';
 import { SeededRandom } from '../../src/runtime/seeded_random.js';
@@ -63,8 +63,10 @@
     if (command.kind === 'commit' || command.kind === 'rollback') this.state = 'idle';
     const { received } = harness;
     const role = harness.catalog.group('g')?.primary === instance ? 'primary' : 'replica';
-    const status = { role, term: 1, received, fencedTerm: 0, lagMs: 0 } as const;
-    return { rows: [], signature: 's', state: this.state, position: received, status };
+    const state = { role, term: 1, fencedTerm: 0, lagMs: 0 } as const;
+    const status = { ...state, received: received ?? START };
+    const position = received && { position: received };
+    return { rows: [], signature: 's', state: this.state, status, ...position };
   }) as FakeConnection['run'];
 }
 
@@ -90,8 +92,8 @@
   readonly unresponsiveInstances = new Set<string>();
   /** Names of the logged events. */
   readonly events: string[] = [];
-  /** Log position that all instances report. */
-  received: Position = { term: 1, sequence: 1 };
+  /** Log position that all instances report; undefined if they report none. */
+  received: Position | undefined = { term: 1, sequence: 1 };
   /** Whether control does not answer. */
   isControlUnresponsive = false;
   /** Group of each database. */
--- a/test/unit/session_commits.test.ts
+++ b/test/unit/session_commits.test.ts
@@ -70,3 +70,20 @@
   t.same(commits.newestIn('h'), { term: 1, sequence: 3 });
   t.end();
 });
+
+// Guards against an acknowledged commit that no proxy can name when a primary is chosen.
+void t.test('a write that is answered without a log position is in doubt', async (t) => {
+  const proxy = await createProxy();
+  const { execute } = proxy.session('own');
+  proxy.received = undefined;
+  const single = await proxy.runUntilSettled(execute(WRITE));
+  t.equal(single.error?.kind, 'inDoubt');
+  await proxy.runUntilSettled(execute({ kind: 'begin', readOnly: false }));
+  await proxy.runUntilSettled(execute(WRITE));
+  const committed = await proxy.runUntilSettled(execute({ kind: 'commit' }));
+  t.equal(committed.error?.kind, 'inDoubt', 'a transaction');
+  await proxy.runUntilSettled(execute({ kind: 'begin', readOnly: false }));
+  await proxy.runUntilSettled(execute(READ));
+  const unchanged = await proxy.runUntilSettled(execute({ kind: 'commit' }));
+  t.equal(unchanged.error, undefined, 'a transaction that wrote nothing');
+});
