Simulator: instances that leave for good, lone holders of a commit, routes that move

A commit is judged by the group that ran it. Two protections can be taken away, departures and commit-watermarks; the judge then reports lost commits.

--- a/lab/appointed/appointed_faults.ts
+++ b/lab/appointed/appointed_faults.ts
@@ -2,6 +2,8 @@
 import type { RandomSource } from '../../src/runtime/runtime.js';
 import { drawFailures } from '../simulation/disk_failures.js';
 import type { SimulatedMachine } from '../simulation/simulated_machine.js';
+import { DEPARTURE_FAULTS, DEPARTURE_STARTERS } from './departure_faults.js';
+import { type EndFault, crash, kill, pick, primaryOf, replicasOf } from './fault_targets.js';
 import type { AppointedDeployment } from './appointed_deployment.js';
 import type { AppointedWorld } from './appointed_world.js';
 import type { EmulatedGroup, InstanceMachine } from './emulated_group.js';
@@ -48,8 +50,11 @@
 /** Failures of disks that strike only where they are named: the others keep their seeds. */
 const APPOINTED_DISK_FAULTS = ['fail-control-disk'] as const;
 
+export type { EndFault } from './fault_targets.js';
+
 /** Kind of a fault. */
 export type AppointedFaultKind =
+  | (typeof DEPARTURE_FAULTS)[number]
   | (typeof APPOINTED_FAULTS)[number]
   | (typeof TENANT_FAULTS)[number]
   | (typeof INCARNATION_FAULTS)[number]
@@ -70,6 +75,10 @@
   'leave-replica',
   'change-configuration',
   'evacuate-zone',
+  'replace-replica',
+  'deregister-replica',
+  'hear-alone',
+  'move-route',
 ]);
 
 /** Kinds of faults that may strike a deployment. */
@@ -82,34 +91,12 @@
 
 /** Kinds of faults that may be named for a deployment. */
 export function nameableFaultsOf(deployment: AppointedDeployment): readonly AppointedFaultKind[] {
-  return [...faultsOf(deployment), ...OPERATOR_ACTS, ...APPOINTED_DISK_FAULTS];
+  const named = [...OPERATOR_ACTS, ...APPOINTED_DISK_FAULTS, ...DEPARTURE_FAULTS];
+  return [...faultsOf(deployment), ...named];
 }
 
-/** Ends a fault. */
-export type EndFault = () => void;
-
 type Starter = (world: AppointedWorld, random: RandomSource) => EndFault | undefined;
 
-function pick<T>(items: readonly T[], random: RandomSource): T {
-  return items[random.integer(0, items.length - 1)]!;
-}
-
-function primaryOf(group: EmulatedGroup): InstanceMachine | undefined {
-  const { leader } = group;
-  return leader && group.machines.find((machine) => machine.current === leader);
-}
-
-function replicasOf(group: EmulatedGroup): InstanceMachine[] {
-  const primary = primaryOf(group);
-  return group.machines.filter((machine) => machine !== primary && machine.running);
-}
-
-function crash(group: EmulatedGroup, machine: InstanceMachine | undefined): EndFault | undefined {
-  if (!machine?.running) return undefined;
-  machine.running.process.kill();
-  return () => group.startMachine(machine);
-}
-
 function cutBothWays(
   world: AppointedWorld,
   left: readonly string[],
@@ -123,11 +110,6 @@
   return machines.map((machine) => machine.host);
 }
 
-function kill(machines: readonly SimulatedMachine[]): EndFault {
-  for (const machine of machines) machine.kill();
-  return () => machines.forEach((machine) => machine.start());
-}
-
 /** Ends an instance, and starts it again, empty, a moment later. */
 function restartEmpty(
   world: AppointedWorld,
@@ -159,6 +141,7 @@
 const RESTART_MS = 30;
 
 const STARTERS: Readonly<Record<AppointedFaultKind, Starter>> = {
+  ...DEPARTURE_STARTERS,
   'crash-primary': (world, random) => {
     const group = pick(world.groups, random);
     return crash(group, primaryOf(group));
--- a/lab/appointed/appointed_judge.ts
+++ b/lab/appointed/appointed_judge.ts
@@ -182,8 +182,12 @@
     for (const request of record.requests) this.recordOf.set(request, record);
   }
 
-  /** A caller was told that a write or a commit succeeded. */
-  onAcknowledged(group: string, session: string, requests: readonly string[]): void {
+  /**
+   * A caller was told that a write or a commit succeeded.
+   * @param home - group of the caller's route, unless that has moved
+   */
+  onAcknowledged(home: string, session: string, requests: readonly string[]): void {
+    const group = this.groupOf(requests[0]) ?? home;
     const leadership = this.leaderships.get(group);
     this.acknowledgedByGroup.set(group, (this.acknowledgedByGroup.get(group) ?? 0) + 1);
     for (const request of requests) {
@@ -327,6 +331,12 @@
     }
   }
 
+  /** Group whose instance ran a request; undefined if none did. */
+  private groupOf(request: string | undefined): string | undefined {
+    const [run] = this.runs.get(request ?? '') ?? [];
+    return run?.report.instance.options.group;
+  }
+
   /** Whether the first `length` records of a log hold a request. Sequence numbers begin with 1. */
   private holds(log: readonly LogRecord[], length: number, request: string): boolean {
     const record = this.recordOf.get(request);
--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -23,6 +23,8 @@
   type AppointedProtection,
   WeakenedConnector,
   disableEmptyPrimaryCheck,
+  disableCommitWatermarks,
+  disableDepartures,
   disableIncarnations,
   disableLease,
   disableEvacuatedZones,
@@ -168,6 +170,8 @@
       .then(async (core) => {
         if (!process.alive) return;
         if (surroundings.disabled.has('instance-lives')) disableIncarnations(core);
+        if (surroundings.disabled.has('departures')) disableDepartures(core);
+        if (surroundings.disabled.has('commit-watermarks')) disableCommitWatermarks(core);
         this.core = core;
         process.onEnd(() => core.stop());
         await core.start();
--- a/lab/appointed/appointed_world.ts
+++ b/lab/appointed/appointed_world.ts
@@ -100,6 +100,9 @@
   readonly orderedZones = new Set<string>();
   /** Slow start that the next document gives all groups. */
   slowStart: AppointedDeployment['slowStart'];
+  /** Groups of routes that have moved, by database. */
+  private readonly movedRoutes = new Map<string, string>();
+  private addedInstances = 0;
   /** Newest start of each instance that sent a heartbeat. */
   private readonly starts = new Map<string, InstanceStart>();
   private nextVersion = 1;
@@ -268,6 +271,40 @@
     return isDone;
   }
 
+  /** Deregisters an instance, which sends no more heartbeats and serves on; resolves once that is acknowledged. */
+  async deregister(machine: InstanceMachine): Promise<void> {
+    const { id } = machine.site.options;
+    const { born } = machine.storage;
+    machine.hasDeregistered = true;
+    for (let attempt = 0; attempt < SUBMISSIONS; attempt++) {
+      const reply = await Promise.race([
+        this.callControl({ beat: { instance: { id, born }, leaves: true } }),
+        delay(this.outside.clock, SUBMISSION_TIMEOUT_MS),
+      ]);
+      if (reply && reply.outcome === CatalogOutcome.DONE) {
+        this.judge.onLeaving(id);
+        return;
+      }
+    }
+  }
+
+  /** Starts another replica of a group, with an identifier and an address of its own. */
+  addInstance(group: EmulatedGroup): void {
+    const number = ++this.addedInstances;
+    const { options } = group.machines[0]!.site;
+    const zone = `zone-${number % ZONES}`;
+    const site = {
+      host: `10.9.100.${number}`,
+      options: { ...options, id: `${group.name}-added-${number}`, zone },
+    };
+    this.beat(group.add(site));
+  }
+
+  /** Lets the next documents lead a database to a group. */
+  moveRoute(database: string, group: string): void {
+    this.movedRoutes.set(database, group);
+  }
+
   private async applyDocument(): Promise<void> {
     let isDone = false;
     for (let attempt = 0; attempt < 20 && !isDone; attempt++) {
@@ -279,9 +316,10 @@
   }
 
   private routeFields(version: number): object {
-    const routes: [string, WrittenRoute][] = this.groups.flatMap(({ name: group }) =>
+    const routes: [string, WrittenRoute][] = this.groups.flatMap(({ name }) =>
       POLICIES.map((policy): [string, WrittenRoute] => {
-        const database = databaseOf(group, policy);
+        const database = databaseOf(name, policy);
+        const group = this.movedRoutes.get(database) ?? name;
         const { residency } = this.deployment;
         const allowedRegions = residency?.group === group ? [...residency.homes] : undefined;
         const route: WrittenRoute = {
@@ -382,6 +420,7 @@
   }
 
   private beat(machine: InstanceMachine): void {
+    if (machine.hasDeregistered) return;
     if (machine.running?.process.running) {
       void this.callControl({ beat: this.beatOf(machine) }, machine.site.host);
     }
--- a/lab/appointed/disabled_protections.ts
+++ b/lab/appointed/disabled_protections.ts
@@ -11,6 +11,8 @@
 } from '../../src/appointed/leases/replica_lease.js';
 import type { AppointedControl } from '../../src/appointed/control/appointed_control.js';
 import type { AppointedProxy } from '../../src/appointed/proxy/appointed_proxy.js';
+import { inheritedPositionOf } from '../../src/appointed/failover/inherited_position.js';
+import { START } from '../../src/positions/position.js';
 import type { InstanceCommand } from '../../src/appointed/instance/statement.js';
 
 /** Protections that can be taken away. */
@@ -27,6 +29,8 @@
   'evacuated-zones',
   'slow-start',
   'issuer-lease',
+  'departures',
+  'commit-watermarks',
 ] as const;
 
 /** One protection. */
@@ -100,6 +104,16 @@
   };
 }
 
+/** Makes control take a deregistered instance for one that has ended before. */
+export function disableDepartures({ catalog }: AppointedControl): void {
+  Object.defineProperty(catalog, 'departingInstances', { get: () => [] });
+}
+
+/** Makes control take what proxies and replicas report as complete, whatever was lost. */
+export function disableCommitWatermarks({ watermarks }: AppointedControl): void {
+  watermarks.of = (entry) => inheritedPositionOf(entry) ?? START;
+}
+
 /** Makes a proxy trust a primary that has started again until control tells of it. */
 export function disableEmptyPrimaryCheck({ leases }: AppointedProxy): void {
   leases.distrust = () => false;
--- a/lab/appointed/emulated_group.ts
+++ b/lab/appointed/emulated_group.ts
@@ -30,6 +30,8 @@
   readonly storage: InstanceStorage;
   /** Heartbeats that its incarnation has sent. */
   beats = 0;
+  /** Whether it has deregistered, and sends no more heartbeats. */
+  hasDeregistered = false;
   current: EmulatedInstance | undefined;
 
   constructor(
@@ -57,7 +59,7 @@
 
 /** All instances of one group. */
 export class EmulatedGroup {
-  readonly machines: readonly InstanceMachine[];
+  private members: readonly InstanceMachine[];
   private appointing: string | undefined;
 
   constructor(
@@ -70,7 +72,27 @@
     tellsBorn: boolean,
   ) {
     const born = tellsBorn ? FIRST_BORN : 0;
-    this.machines = sites.map((site, index) => new InstanceMachine(site, index === 0, born));
+    this.members = sites.map((site, index) => new InstanceMachine(site, index === 0, born));
+  }
+
+  /** All machines that have not left for good. */
+  get machines(): readonly InstanceMachine[] {
+    return this.members;
+  }
+
+  /** Adds and starts a replica that is empty. */
+  add(site: InstanceSite): InstanceMachine {
+    const machine = new InstanceMachine(site, false, 0);
+    Object.assign(machine.storage, { term: 0, isWhole: false });
+    this.members = [...this.members, machine];
+    this.startMachine(machine);
+    return machine;
+  }
+
+  /** Ends an instance for good; its log goes with it. */
+  remove(machine: InstanceMachine): void {
+    machine.running?.process.kill();
+    this.members = this.members.filter((other) => other !== machine);
   }
 
   /** Whether an instance may lose its log: all others run, and none of them lacks what it had before. */
--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -117,7 +117,8 @@
   private readonly persistentConnections: PersistentConnections;
   private readonly caughtUp: CaughtUpInstances;
   private readonly departures: DepartureMonitor;
-  private readonly watermarks: CommitWatermarks;
+  /** Positions that account for lost evidence. */
+  readonly watermarks: CommitWatermarks;
   private readonly controller: FailoverController;
   private readonly joiner: ClusterJoiner;
   private seeds: readonly string[];
