--- a/src/appointed/connections/concurrency_limit.ts
+++ b/src/appointed/connections/concurrency_limit.ts
@@ -14,8 +14,9 @@
 
 const LIMIT_DECREASE_FACTOR = 0.5;
 const MIN_BUSY_PAUSE_MS = 10;
+/** Six doublings of the shortest pause. */
 const MAX_BUSY_PAUSE_MS = 640;
-/** Factor by which the pause shrinks with each statement served. */
+/** Factor by which the pause shrinks with each statement served: slowly, so that many proxies take turns. */
 const BUSY_PAUSE_DECAY = 0.8;
 /** BUSY answers within this time count once: they result from the same overload. */
 const BUSY_COALESCE_WINDOW_MS = 20;
--- a/src/appointed/connections/connection_quota.ts
+++ b/src/appointed/connections/connection_quota.ts
@@ -8,6 +8,9 @@
  * opened on demand and closed after the idle timeout (see {@link IdleTimeout}). Connection owners
  * have quotas of their own (see `relay/connection_owners.ts`).
  *
+ * Known fault: with a fair share between one and two, each proxy could keep one connection, but
+ * keeps none (docs/measurements/large.md).
+ *
  * Design: docs/design/connection-shares.md
  */
 
--- a/src/appointed/connections/instance_load.ts
+++ b/src/appointed/connections/instance_load.ts
@@ -25,10 +25,12 @@
 /** Mean deviations above the latency at which an answer counts as lost. */
 const SLOW_ANSWER_DEVIATIONS = 6;
 const INITIAL_EJECTION_MS = 200;
+/** Three doublings of the initial ejection. */
 const MAX_EJECTION_MS = 1600;
 /**
  * An instance that lacked a position is not asked for it for this time, doubled with each
- * consecutive miss.
+ * consecutive miss: without the doubling, a replica that is far behind turns away many statements
+ * (docs/incidents/toplina-inc-7036.md).
  */
 const INITIAL_LAGGING_RECHECK_MS = 60;
 const MAX_LAGGING_RECHECK_MS = 1000;
--- a/src/appointed/routing/retry_backoff.ts
+++ b/src/appointed/routing/retry_backoff.ts
@@ -4,6 +4,10 @@
  */
 import { type Clock, delay } from '../../runtime/runtime.js';
 
+/**
+ * Doubled with each pause: at a constant interval of this length a full instance refuses far more statements than it runs
+ * (docs/design/overload.md).
+ */
 const INITIAL_PAUSE_MS = 10;
 const MAX_PAUSE_MS = 80;
 
--- a/src/appointed/scheduling/service_order.ts
+++ b/src/appointed/scheduling/service_order.ts
@@ -22,7 +22,8 @@
 
 /**
  * Every n-th start goes to the request that has waited longest and can still meet its objective, regardless of priority and
- * tenant, so that a burst of urgent requests can't starve the others.
+ * tenant, so that a burst of urgent requests can't starve the others. Given to the request with the nearest deadline instead,
+ * these starts leave nearly all of the least urgent ones late (docs/design/scheduling.md).
  */
 const STARTS_PER_LONGEST_WAIT = 8;
 
--- a/src/appointed/tenancy/operation_budget.ts
+++ b/src/appointed/tenancy/operation_budget.ts
@@ -27,7 +27,7 @@
 const RETURN_DEADLINE_MS = 350;
 /** Batch window of background requests when a reserve is at most half of the wanted size. */
 export const SHORT_RESERVE_BATCH_WINDOW_MS = 150;
-/** Batch window of background requests when the reserve is larger than that. */
+/** Batch window when the reserve is larger than that; with the short one, twice as many requests reach the leader. */
 export const SUFFICIENT_RESERVE_BATCH_WINDOW_MS = 600;
 /** Batch window of returned operations. A longer one leaves fewer operations returnable within {@link RETURN_DEADLINE_MS}. */
 export const RETURN_BATCH_WINDOW_MS = 40;
@@ -37,11 +37,15 @@
 export const LEADER_OVERLAP_MS = LEADERSHIP_PROOF_MAX_AGE_MS + CLOCK_DRIFT_MARGIN_MS;
 /** A reserve that is not renewed expires after this time; as long as the leases on primaries. */
 export const RESERVE_LEASE_MS = 3000;
-/** Fraction of the bucket that may be granted as reserves. A new leader grants from the rest until its bucket is refilled. */
+/**
+ * Fraction of the bucket that may be granted as reserves. A new leader grants from the rest until its bucket is refilled: for
+ * {@link LEADER_OVERLAP_MS} the rate adds nothing to it.
+ */
 const RESERVE_FRACTION = 0.5;
 /**
  * Fraction of the rate that may be leased to issuers if the reserves don't last for a whole lease. A new leader that does
- * not know the leases yet can grant only the rest of the rate.
+ * not know the leases yet can grant only the rest of the rate; with half of it leased, it would refuse a tenant that is well
+ * below its limit (test/unit/tenancy.test.ts).
  */
 const LEASABLE_FRACTION = 0.3;
 /** Margin for rounding: the proof holds for the tolerance less one operation. */
--- a/src/appointed/tenancy/tenant_allowance.ts
+++ b/src/appointed/tenancy/tenant_allowance.ts
@@ -54,7 +54,7 @@
 const RATE_SMOOTHING_MS = 2000;
 /** A reserve is renewed when less than this fraction of its lease remains, so that it outlasts a failed leader by over 2 s. */
 const RENEWAL_FRACTION = 0.8;
-/** A reserve is refilled when at most this fraction of the wanted size is left. */
+/** A reserve is refilled when at most this fraction of the wanted size is left: with less, more is refused without a leader. */
 const LOW_RESERVE_FRACTION = 0.75;
 /** At or below this fraction of the wanted size, requests use the shorter batch window. */
 const SHORT_RESERVE_FRACTION = 0.5;
--- a/src/appointed/trust/replica_lease_confirmer.ts
+++ b/src/appointed/trust/replica_lease_confirmer.ts
@@ -35,7 +35,7 @@
 const RECENT_USE_MS = 400;
 /** Interval between rounds of the one group that is confirmed without being needed; shorter than the lease. */
 const UNUSED_GROUP_ROUND_INTERVAL_MS = 600;
-/** Timeout to get a connection, and for an answer on it. */
+/** Timeout to get a connection, and for an answer on it: more than a round trip within a region and a short queue. */
 const ANSWER_TIMEOUT_MS = 250;
 /** Ahead of all requests of callers, which depend on the answer. */
 const PRIORITY = 0;
