--- a/src/daemon/settings_watcher.ts
+++ b/src/daemon/settings_watcher.ts
@@ -1,14 +1,21 @@
 /**
  * Detects changes of a settings file, at SIGHUP and by polling its content. While the file is missing or unreadable, the
- * last content stays in force.
+ * last content stays in force. A change between the start of the process and the call counts, too.
  */
 import { readFileSync } from 'node:fs';
 
 const POLL_MS = 2000;
 
-/** Calls `onChange` with the new content whenever it differs from the last one. */
-export function watchSettings(file: string, onChange: (text: string) => void): void {
-  let known = readFileSync(file, 'utf8');
+/**
+ * Calls `onChange` with the new content whenever it differs from the last one.
+ * @param inForce - content that the process started with
+ */
+export function watchSettings(
+  file: string,
+  inForce: string,
+  onChange: (text: string) => void,
+): void {
+  let known = inForce;
   const check = (): void => {
     const text = readIfPresent(file);
     if (text === undefined || text === known) return;
@@ -17,6 +24,7 @@
   };
   setInterval(check, POLL_MS).unref();
   process.on('SIGHUP', check);
+  check();
 }
 
 function readIfPresent(file: string): string | undefined {
