A second SIGTERM does not cut a graceful shutdown short

The handler was removed by the first SIGTERM, so a second one ended the process at once, with requests in progress. Found while the soak was written, which sends signals in series. A second SIGINT still ends a process, as at a terminal.

--- a/src/daemon/stop_signal.ts
+++ b/src/daemon/stop_signal.ts
@@ -12,10 +12,13 @@
   logger.event(Events.stopping, { signal, ...fields() });
 }
 
-/** Resolves with the name of the signal at the first SIGTERM or SIGINT. */
+/**
+ * Resolves with the name of the signal at the first SIGTERM or SIGINT. Further SIGTERMs must not cut the graceful shutdown
+ * short; a second SIGINT ends the process.
+ */
 export function stopSignal(): Promise<string> {
   return new Promise((resolve) => {
-    process.once('SIGTERM', () => resolve('SIGTERM'));
+    process.on('SIGTERM', () => resolve('SIGTERM'));
     process.once('SIGINT', () => resolve('SIGINT'));
   });
 }
