--- a/test/unit/settings_watcher.test.ts
+++ b/test/unit/settings_watcher.test.ts
@@ -19,13 +19,12 @@
   t.end();
 });
 
-/** Runs a program until it prints `ready`, sends it signals, and resolves with how it ended. */
+/** Runs a program and sends it the next signal after each line that it prints; resolves with how it ended. */
 function signalled(source: string, signals: readonly NodeJS.Signals[]): Promise<string> {
+  const remaining = [...signals];
   return new Promise((resolve) => {
     const child = spawn(process.execPath, ['--input-type=module', '-e', source]);
-    child.stdout.on('data', () => {
-      for (const signal of signals) child.kill(signal);
-    });
+    child.stdout.on('data', () => child.kill(remaining.shift() ?? 0));
     child.once('exit', (code, signal) => resolve(String(code ?? signal)));
   });
 }
@@ -38,6 +37,7 @@
     const stopped = stopSignal();
     console.log('ready');
     await stopped;
+    console.log('stopping');
     setTimeout(() => process.exit(0), 300);
   `;
   t.equal(await signalled(source, ['SIGTERM']), '0');
