Test of a second SIGTERM keeps its process alive

Without anything to wait for, the process of the test could end by itself between the signals. Now the second check fails on the former code (ended by SIGTERM) and holds here.

--- a/test/unit/settings_watcher.test.ts
+++ b/test/unit/settings_watcher.test.ts
@@ -34,6 +34,7 @@
   const module = new URL('../../src/daemon/stop_signal.js', import.meta.url).href;
   const source = `
     import { stopSignal } from '${module}';
+    setInterval(() => undefined, 1000);
     const stopped = stopSignal();
     console.log('ready');
     await stopped;
