Soak of the platform's interface by real processes

Checked: LOST at each promotion and at the end, STALE for own commits, MIXED, ends by themselves, and that each proxy serves writes within 12 s of the calm.

--- /dev/null
+++ b/test/soak/verdicts.js
@@ -0,0 +1,124 @@
+/** What callers of the soak were told, and the rules checked against it. */
+import { pause, until } from '../../review/record.js';
+
+/** Time for a proxy to serve again after the last fault. */
+const RECOVERY_MS = 12_000;
+
+export class Verdicts {
+  constructor(site) {
+    this.site = site;
+    this.breaks = [];
+    /** Acknowledged commits: service, request of the commit, when. */
+    this.commits = [];
+    /** Newest acknowledged value of a thing in the session's present service. */
+    this.values = new Map();
+    this.reads = 0;
+    /** Processes that are being stopped, killed or frozen. */
+    this.stopping = new Set();
+  }
+
+  get summary() {
+    const promotions = this.site.platform.promotions.length;
+    return `${this.commits.length} commits, ${this.reads} reads, ${promotions} promotions`;
+  }
+
+  /** A new session must see nothing of earlier ones on an own_writes route; on a primary route all. */
+  beginSession(thing) {
+    this.values.set(thing, new Map());
+  }
+
+  acknowledge(thing, id, value, writeId = id) {
+    const service = this.serviceOf(writeId);
+    if (!service) {
+      this.breaks.push(`MIXED: ${id} was acknowledged, and no instance ran it`);
+      return;
+    }
+    this.commits.push({ service, id, thing, value, at: performance.now() });
+    const known = this.values.get(thing);
+    known.set(service, Math.max(value, known.get(service) ?? 0));
+  }
+
+  newestOf(thing) {
+    return new Map(this.values.get(thing));
+  }
+
+  /** A read sees the session's own commits that were acknowledged before it was sent. */
+  checkRead(thing, { id, rows }, minimum) {
+    this.reads++;
+    const service = this.serviceOf(id);
+    if (!service) {
+      this.breaks.push(`MIXED: ${id} was answered, and no instance ran it`);
+      return;
+    }
+    const seen = Number(rows[0] === 'none' ? 0 : rows[0]);
+    const least = minimum.get(service) ?? 0;
+    if (seen < least) {
+      this.breaks.push(`STALE: ${id} in ${service} got ${thing} = ${seen} after ${least}`);
+    }
+  }
+
+  /** Checks each promotion at the moment at which it takes effect. */
+  watchPromotions() {
+    const { platform } = this.site;
+    const takeEffect = platform.takeEffect.bind(platform);
+    platform.takeEffect = (instance) => {
+      const before = platform.promotions.length;
+      const at = performance.now();
+      takeEffect(instance);
+      if (platform.promotions.length === before) return;
+      this.checkLog(instance, at, `${instance.id} was promoted`);
+    };
+  }
+
+  checkLog(instance, at, what) {
+    const held = new Set(instance.log.map(({ request }) => request));
+    const lost = this.commits.filter(
+      (commit) =>
+        commit.service === instance.group.service && commit.at < at && !held.has(commit.id),
+    );
+    if (lost.length > 0) {
+      this.breaks.push(`LOST: ${what} without ${lost.length} commits, first ${lost[0].id}`);
+    }
+  }
+
+  /** After the calm end every proxy serves writes, all logs are whole, and no process has ended by itself. */
+  async checkEnd(proxies) {
+    const { site } = this;
+    for (const [service, group] of Object.entries(site.groups)) {
+      if (group.primary)
+        this.checkLog(group.primary, Infinity, `${group.primary.id} leads at the end`);
+      else this.breaks.push(`RECOVER: ${service} has no primary`);
+    }
+    for (let proxy = 0; proxy < proxies; proxy++) {
+      for (const database of ['bookings', 'payments', 'agenda']) {
+        const write = async () => {
+          const text = `WRITE end-${proxy} done`;
+          const { outcome } = await site.runAlone('reader-end', proxy, database, text);
+          if (outcome !== 'ok') await pause(200);
+          return outcome === 'ok';
+        };
+        const what = `proxy ${proxy + 1} writes to ${database}`;
+        await until(what, RECOVERY_MS, write).catch(() => this.breaks.push(`RECOVER: not ${what}`));
+      }
+    }
+    this.checkEnds();
+  }
+
+  /** A process that was told to stop ends without an error, and not at a second signal. */
+  checkPlannedEnd(name, { exitCode, signalCode }) {
+    if (exitCode !== 0) this.breaks.push(`FAULT: ${name} ended with ${exitCode ?? signalCode}`);
+  }
+
+  checkEnds() {
+    for (const line of this.site.record.lines) {
+      if (line.includes('ended by itself')) this.breaks.push(`FAULT: ${line.trim()}`);
+    }
+  }
+
+  serviceOf(id) {
+    const found = Object.entries(this.site.groups).find(([, group]) =>
+      group.runs.some((run) => run.id === id),
+    );
+    return found?.[0];
+  }
+}
