Soak: own commits are compared by position

Traced: the log of the primary had 57 at 2.564 and then, at 2.576, the commit 48 that an earlier session of the same caller had left in doubt (request 1835, given up after 3 s); the read ran on a log with both. Values of one thing are not ordered over sessions, so the check was wrong.

--- a/test/soak/soak_client.js
+++ b/test/soak/soak_client.js
@@ -52,13 +52,13 @@
   async write() {
     const value = ++this.sequence;
     const answer = await this.send(`WRITE ${this.thing} ${value}`);
-    if (answer.outcome === 'ok') this.verdicts.acknowledge(this.thing, answer.id, value);
+    if (answer.outcome === 'ok') this.verdicts.acknowledge(this.thing, answer);
   }
 
   async read() {
-    const minimum = this.verdicts.newestOf(this.thing);
+    const newest = this.verdicts.newestOf(this.thing);
     const answer = await this.send(`READ ${this.thing}`);
-    if (answer.outcome === 'ok') this.verdicts.checkRead(this.thing, answer, minimum);
+    if (answer.outcome === 'ok') this.verdicts.checkRead(answer, newest);
   }
 
   async transact() {
@@ -69,7 +69,7 @@
     if (written.outcome === 'ok' && this.random() < 0.8) {
       const committed = await this.send('COMMIT');
       if (committed.outcome === 'ok') {
-        this.verdicts.acknowledge(this.thing, committed.id, value, written.id);
+        this.verdicts.acknowledge(this.thing, committed, written.id);
       }
       return;
     }
--- a/test/soak/verdicts.js
+++ b/test/soak/verdicts.js
@@ -4,14 +4,21 @@
 /** Time for a proxy to serve again after the last fault. */
 const RECOVERY_MS = 12_000;
 
+/** Whether a position `TERM.NUMBER` is before another one. */
+function isBefore(left, right) {
+  const [leftTerm, leftNumber] = left.split('.').map(Number);
+  const [rightTerm, rightNumber] = right.split('.').map(Number);
+  return leftTerm < rightTerm || (leftTerm === rightTerm && leftNumber < rightNumber);
+}
+
 export class Verdicts {
   constructor(site) {
     this.site = site;
     this.breaks = [];
     /** Acknowledged commits: service, request of the commit, when. */
     this.commits = [];
-    /** Newest acknowledged value of a thing in the session's present service. */
-    this.values = new Map();
+    /** Newest acknowledged commit of the session that writes a thing, by service. */
+    this.newestByThing = new Map();
     this.reads = 0;
     /** Processes that are being stopped, killed or frozen. */
     this.stopping = new Set();
@@ -22,39 +29,43 @@
     return `${this.commits.length} commits, ${this.reads} reads, ${promotions} promotions`;
   }
 
-  /** A new session must see nothing of earlier ones on an own_writes route; on a primary route all. */
+  /** A session must see its own commits; it is promised nothing of earlier ones. */
   beginSession(thing) {
-    this.values.set(thing, new Map());
+    this.newestByThing.set(thing, new Map());
   }
 
-  acknowledge(thing, id, value, writeId = id) {
+  acknowledge(thing, { id, position }, writeId = id) {
     const service = this.serviceOf(writeId);
     if (!service) {
       this.breaks.push(`MIXED: ${id} was acknowledged, and no instance ran it`);
       return;
     }
-    this.commits.push({ service, id, thing, value, at: performance.now() });
-    const known = this.values.get(thing);
-    known.set(service, Math.max(value, known.get(service) ?? 0));
+    this.commits.push({ service, id, at: performance.now() });
+    this.newestByThing.get(thing).set(service, { id, position });
   }
 
+  /** Newest commit of the session in each service. */
   newestOf(thing) {
-    return new Map(this.values.get(thing));
+    return new Map(this.newestByThing.get(thing));
   }
 
-  /** A read sees the session's own commits that were acknowledged before it was sent. */
-  checkRead(thing, { id, rows }, minimum) {
+  /**
+   * A read runs on a log with the session's own commits that were acknowledged before it was sent. Positions are compared and
+   * not values: a commit that an earlier session left in doubt may follow in the log.
+   */
+  checkRead({ id }, newest) {
     this.reads++;
     const service = this.serviceOf(id);
     if (!service) {
       this.breaks.push(`MIXED: ${id} was answered, and no instance ran it`);
       return;
     }
-    const seen = Number(rows[0] === 'none' ? 0 : rows[0]);
-    const least = minimum.get(service) ?? 0;
-    if (seen < least) {
-      this.breaks.push(`STALE: ${id} in ${service} got ${thing} = ${seen} after ${least}`);
-    }
+    const commit = newest.get(service);
+    const run = this.site.groups[service].runs.findLast((item) => item.id === id);
+    if (!commit || !isBefore(run.applied, commit.position)) return;
+    this.breaks.push(
+      `STALE: ${id} ran on ${run.instance} at ${run.applied} after ${commit.id} at ${commit.position}`,
+    );
   }
 
   /** Checks each promotion at the moment at which it takes effect. */
