Soak: a session whose START is not answered in time is closed

Traced: a proxy was frozen for over 3 s while a session began; the caller went on without the answer to START and took each later answer for the one to the statement after it (the COMMIT 0227 was acknowledged when its WRITE was answered). PROTOCOL.md has clients close such a session.

--- a/test/soak/soak_client.js
+++ b/test/soak/soak_client.js
@@ -27,6 +27,8 @@
       const proxy = between(0, this.site.deployment.proxyHosts.length - 1, this.random);
       this.session = await this.site.session(this.name, proxy, this.database);
       this.verdicts.beginSession(this.thing);
+      // Without an answer to START in time, that answer would be taken for one to the first statement.
+      if (this.session.waiting) this.session.close();
       while (!this.session.isClosed && !this.isStopped) await this.operate();
       this.session.close();
       await pause(BACKOFF_MS);
