--- a/test/unit/primary_failure.test.ts
+++ b/test/unit/primary_failure.test.ts
@@ -16,6 +16,7 @@
 } from '../../src/appointed/failover/primary_failure.js';
 import type { InstanceStatus } from '../../src/appointed/instance/instance_connection.js';
 import { PrimaryHealthTracker } from '../../src/appointed/trust/primary_health_tracker.js';
+import { START } from '../../src/positions/position.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { RealClock } from '../../src/runtime/real_clock.js';
 import { tableWithGroup } from '../tools/route_table.js';
@@ -202,6 +203,9 @@
     document: { table: tableWithGroup('g') },
     regionByZone: new Map(),
     administrator,
+    departures: { isServing: () => false },
+    // Nothing was lost since the epoch began, and nothing acknowledged before.
+    watermarks: { of: () => START },
     appointmentLease: {
       appoint: () => Promise.resolve(whinyoke.AppointOutcome.APPOINTED),
     },
