--- a/review/bed/database.js
+++ b/review/bed/database.js
@@ -212,6 +212,13 @@
     return new Promise((resolve) => this.server.listen(this.port, this.ip, resolve));
   }
 
+  /** Ends the process for good. */
+  end() {
+    this.isGone = true;
+    this.server.close();
+    for (const { socket } of this.connections) socket.resetAndDestroy();
+  }
+
   get newestApplied() {
     return this.log[this.applied - 1] ?? { term: this.term, number: 0 };
   }
@@ -294,7 +301,7 @@
     primary.applied = primary.log.length;
     await pause(2);
     for (;;) {
-      if (primary.role !== 'primary') return false;
+      if (primary.role !== 'primary' || primary.isGone) return false;
       const receivers = this.receiversOf(primary);
       for (const replica of receivers) this.replicate(primary, replica);
       if (receivers.length > 0) return true;
@@ -304,8 +311,12 @@
 
   receiversOf(primary) {
     return this.instances.filter(
-      ({ role, fencedTerm, term }) =>
-        role === 'replica' && fencedTerm === 0 && term <= primary.term,
+      ({ role, fencedTerm, term, isGone }) =>
+        role === 'replica' &&
+        fencedTerm === 0 &&
+        term <= primary.term &&
+        !isGone &&
+        !primary.isGone,
     );
   }
 
@@ -315,7 +326,7 @@
       const primaries = this.instances.filter(({ role }) => role === 'primary');
       const newest = primaries.toSorted((left, right) => right.term - left.term)[0];
       if (newest) for (const replica of this.receiversOf(newest)) this.replicate(newest, replica);
-      for (const old of primaries) if (old !== newest) this.retire(old, newest);
+      for (const old of primaries) if (old !== newest && !old.isGone) this.retire(old, newest);
       await pause(20);
     }
   }
@@ -344,7 +355,7 @@
   /** Carries out `POST /promotion`; returns the status of the answer. */
   promote(id) {
     const next = this.instances.find((instance) => instance.id === id);
-    if (!next) return 409;
+    if (!next || next.isGone) return 409;
     if (next.role === 'primary') return 200;
     setTimeout(() => {
       next.term = Math.max(...this.instances.map(({ term }) => term)) + 1;
--- a/review/bed/small_fleet.js
+++ b/review/bed/small_fleet.js
@@ -59,6 +59,8 @@
     this.processes = new Map();
     this.ends = [];
     this.promotions = [];
+    /** A disruption: how late the platform answers what it has carried out. */
+    this.answerDelayMs = 0;
     this.controls = [11, 12, 13].map((host) => `${this.net}.${host}`);
     this.proxies = Array.from({ length: proxies }, (_, index) => `${this.net}.${21 + index}`);
     this.services = services.map(
@@ -154,6 +156,18 @@
     rmSync(this.folder, { recursive: true, force: true });
   }
 
+  killAll() {
+    for (const child of this.processes.values()) child.kill('SIGKILL');
+  }
+
+  /** Starts all programs again on the disks that they had. */
+  restartAll() {
+    for (const [index, ip] of this.controls.entries())
+      this.startControl(`core-${index + 1}`, ip, index, false);
+    for (const [index, ip] of this.proxies.entries())
+      this.startProxy(`front-${index + 1}`, ip, index, false);
+  }
+
   startPlatform() {
     const server = createServer((incoming, response) => {
       let text = '';
@@ -164,8 +178,10 @@
           incoming.headers;
         const status = this.services.find(({ name }) => name === service)?.promote(id) ?? 409;
         this.promotions.push({ at: Date.now(), service, id, holder, token: Number(token), status });
-        response.writeHead(status);
-        response.end('{}');
+        setTimeout(() => {
+          response.writeHead(status);
+          response.end('{}');
+        }, this.answerDelayMs);
       });
     });
     return new Promise((resolve) => server.listen(PLATFORM_PORT, `${this.net}.200`, resolve));
@@ -174,7 +190,7 @@
   /** Sends the heartbeats of an instance until the deployment stops. */
   async beat(instance) {
     for (let turn = 0; !this.isStopped; turn++) {
-      await this.sendBeat(instance, turn);
+      if (!instance.isGone) await this.sendBeat(instance, turn);
       await pause(HEARTBEAT_MS);
     }
   }
