--- a/review/bed/case.js
+++ b/review/bed/case.js
@@ -72,6 +72,7 @@
   const deployment = new Deployment(options);
   let code = NOT_RUN;
   const timer = setTimeout(() => void finish(), TIME_LIMIT_MS);
+  for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => void finish());
   const finish = async () => {
     clearTimeout(timer);
     await deployment.stop();
--- a/review/bed/database.js
+++ b/review/bed/database.js
@@ -200,6 +200,9 @@
     this.connections = new Set();
     this.connectionCount = 0;
     this.sequence = 0;
+    /** A disruption: receives nothing from the primary. */
+    this.isDeaf = false;
+    this.isGone = false;
     this.born = Date.now();
     /** A disruption: returns the error with which a statement is refused. */
     this.fault = undefined;
@@ -212,6 +215,21 @@
     return new Promise((resolve) => this.server.listen(this.port, this.ip, resolve));
   }
 
+  /** Ends the process for a while; it comes back with its log, as a replica if another instance leads by then. */
+  async crash(ms) {
+    this.end();
+    await pause(ms);
+    const { instances } = this.service;
+    if (instances.some(({ role, term }) => role === 'primary' && term > this.term)) {
+      this.role = 'replica';
+    }
+    this.fencedTerm = 0;
+    this.busy = 0;
+    this.waiting = [];
+    this.isGone = false;
+    await this.listen();
+  }
+
   /** Ends the process for good. */
   end() {
     this.isGone = true;
@@ -286,6 +304,20 @@
     this.instances = members.map((member) => new Instance(this, member));
   }
 
+  /** Adds an instance, an empty replica that receives from the primary. */
+  add(member) {
+    const instance = new Instance(this, member);
+    instance.term = 0;
+    this.instances.push(instance);
+    return instance;
+  }
+
+  /** The primary of the newest term. */
+  get leader() {
+    const primaries = this.instances.filter(({ role }) => role === 'primary');
+    return primaries.toSorted((left, right) => right.term - left.term)[0];
+  }
+
   get primary() {
     return this.instances.findLast(({ role }) => role === 'primary');
   }
@@ -310,13 +342,10 @@
   }
 
   receiversOf(primary) {
+    if (primary.isGone) return [];
     return this.instances.filter(
-      ({ role, fencedTerm, term, isGone }) =>
-        role === 'replica' &&
-        fencedTerm === 0 &&
-        term <= primary.term &&
-        !isGone &&
-        !primary.isGone,
+      ({ role, fencedTerm, term, isGone, isDeaf }) =>
+        role === 'replica' && fencedTerm === 0 && term <= primary.term && !isGone && !isDeaf,
     );
   }
 
@@ -324,7 +353,7 @@
   async keepInStep(isOver) {
     while (!isOver()) {
       const primaries = this.instances.filter(({ role }) => role === 'primary');
-      const newest = primaries.toSorted((left, right) => right.term - left.term)[0];
+      const newest = this.leader;
       if (newest) for (const replica of this.receiversOf(newest)) this.replicate(newest, replica);
       for (const old of primaries) if (old !== newest && !old.isGone) this.retire(old, newest);
       await pause(20);
@@ -362,6 +391,7 @@
       next.fencedTerm = 0;
       next.applied = next.log.length;
       next.role = 'primary';
+      this.onPromoted?.(next);
     }, PROMOTE_MS);
     return 200;
   }
--- a/review/bed/small_fleet.js
+++ b/review/bed/small_fleet.js
@@ -88,6 +88,17 @@
     };
   }
 
+  /** Starts a new instance of a service, which sends its first heartbeat after `firstBeatAfterMs`. */
+  async addInstance(service, number, firstBeatAfterMs) {
+    const id = `i-${service.name}-new-${number}`;
+    const ip = `${this.net}.${160 + number}`;
+    const zone = ZONES[number % ZONES.length];
+    const instance = service.add({ id, ip, port: INSTANCE_PORT, zone, role: 'replica' });
+    await instance.listen();
+    setTimeout(() => void this.beat(instance), firstBeatAfterMs);
+    return instance;
+  }
+
   membersOf(name, index) {
     return ZONES.map((zone, copy) => ({
       id: `i-${name}-${copy}`,
