--- a/review/bed/case.js
+++ b/review/bed/case.js
@@ -1,13 +1,14 @@
 /**
  * Runs one case: a scenario against a small deployment, with or without its disruption, and the check of one rule.
  *
- * Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. `TROUBLE=0` leaves the disruption out.
+ * Exits with 10 if the rule was broken, 0 if it held, 2 if the case couldn't run; `run.sh` turns 10 into 1, since Node.js
+ * ends with 1 itself after an error. `TROUBLE=0` leaves the disruption out.
  */
 import { createWriteStream } from 'node:fs';
 import { join } from 'node:path';
 import { Deployment } from './small_fleet.js';
 
-const BROKEN = 1;
+const BROKEN = 10;
 const HELD = 0;
 const NOT_RUN = 2;
 const TIME_LIMIT_MS = 115_000;
@@ -72,8 +73,17 @@
   const deployment = new Deployment(options);
   let code = NOT_RUN;
   const timer = setTimeout(() => void finish(), TIME_LIMIT_MS);
+  let isFinishing = false;
   for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => void finish());
+  process.on('uncaughtException', (problem) => {
+    if (isFinishing) return;
+    record.note(`the case couldn't run: ${problem.message}`);
+    code = NOT_RUN;
+    void finish();
+  });
   const finish = async () => {
+    if (isFinishing) return;
+    isFinishing = true;
     clearTimeout(timer);
     await deployment.stop();
     await record.end();
@@ -89,6 +99,7 @@
     console.log(breaks.length > 0 ? breaks.slice(0, 3).join('\n') : 'the rule held');
   } catch (problem) {
     record.note(`the case couldn't run: ${problem instanceof Error ? problem.message : problem}`);
+    code = NOT_RUN;
     console.error(problem);
   }
   await finish();
