--- a/review/bed/case.js
+++ b/review/bed/case.js
@@ -5,7 +5,6 @@
  * ends with 1 itself after an error. `TROUBLE=0` leaves the disruption out.
  */
 import { createWriteStream } from 'node:fs';
-import { join } from 'node:path';
 import { Deployment } from './small_fleet.js';
 
 const BROKEN = 10;
@@ -13,11 +12,11 @@
 const NOT_RUN = 2;
 const TIME_LIMIT_MS = 115_000;
 
-/** Writes what was sent, answered and run to `record.txt`, with milliseconds since the start. */
+/** Writes what was sent, answered and run to the record, with milliseconds since the start. */
 class CaseRecord {
-  constructor(folder) {
+  constructor(path) {
     this.startedAt = Date.now();
-    this.file = createWriteStream(join(folder, 'record.txt'));
+    this.file = createWriteStream(path);
   }
 
   note(text) {
@@ -63,13 +62,13 @@
 
 /**
  * Runs a case and ends this process.
- * @param folder - where `record.txt` goes
+ * @param recordPath - the `record.txt` to write
  * @param options - of the deployment
  * @param scenario - gets the deployment, the record and whether there is trouble; resolves with the breaks of the rule
  */
-export async function runCase(folder, options, scenario) {
+export async function runCase(recordPath, options, scenario) {
   const hasTrouble = process.env.TROUBLE !== '0';
-  const record = new CaseRecord(folder);
+  const record = new CaseRecord(recordPath);
   const deployment = new Deployment(options);
   let code = NOT_RUN;
   const timer = setTimeout(() => void finish(), TIME_LIMIT_MS);
