Control: log each stage of a call that appoints a primary (event 315)

The record of the incident could not tell a call that was sent late from one that was delivered late: the log named neither the token nor the time of sending, and nothing at a holder that calls for a leader. Each call now logs intended, checked, sent and answered with group, instance, holder and token.

Order, timeout and outcomes are unchanged: the check comes before the connection is opened. No logic is changed.

--- a/lab/appointed/appointed_world.ts
+++ b/lab/appointed/appointed_world.ts
@@ -454,7 +454,10 @@
 
   private appointerFor(process: VirtualProcess): PrimaryAppointer {
     return {
-      appoint: (group, instance, authority) => this.appoint(process, group, instance, authority),
+      appoint: (group, instance, authority, onSent) => {
+        onSent();
+        return this.appoint(process, group, instance, authority);
+      },
     };
   }
 
--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -288,10 +288,10 @@
 
   private makeAppointmentLease(propose: Proposer): AppointmentLease {
     const { catalog, contact, options } = this;
-    const { name, address, appointer } = options;
+    const { name, address, appointer, log } = options;
     const { messenger } = this.runtime;
     const self = { name, address };
-    return new AppointmentLease({ self, catalog, messenger, appointer, propose, contact });
+    return new AppointmentLease({ self, catalog, messenger, appointer, propose, contact, log });
   }
 
   private makeJoiner(): ClusterJoiner {
--- a/src/appointed/failover/appointment_lease.ts
+++ b/src/appointed/failover/appointment_lease.ts
@@ -10,6 +10,8 @@
  */
 import type { Catalog } from '../catalog/catalog.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
+import { Events } from '../../observability/events.js';
+import type { DecisionLog } from '../../observability/decision_logger.js';
 import type { Messenger } from '../../runtime/runtime.js';
 import type { AppointmentAuthority, PrimaryAppointer } from './primary_appointer.js';
 
@@ -36,8 +38,12 @@
   /** Proposes a command to the replicated log. */
   readonly propose: Proposer;
   readonly contact: ControlContact;
+  readonly log: DecisionLog;
 }
 
+/** Stages of a call to the platform, in their order. */
+type CallStage = 'intended' | 'checked' | 'sent' | 'answered';
+
 /** The appointment lease as seen by one control machine. */
 export class AppointmentLease {
   constructor(private readonly dependencies: AppointmentLeaseDependencies) {}
@@ -45,6 +51,7 @@
   /** Appoints through the holder, or takes the lease over when the holder is unreachable. Called on the leader. */
   async appoint(group: string, instance: string): Promise<whinyoke.AppointOutcome> {
     const { appointmentLeaseEntry: lease } = this.dependencies.catalog;
+    this.logStage('intended', group, instance);
     const address = lease.holderAddress ?? '';
     const isHeldByOther =
       lease.holder !== undefined && lease.holder !== this.dependencies.self.name;
@@ -75,17 +82,34 @@
     });
   }
 
-  private appointAsHolder(group: string, instance: string): Promise<whinyoke.AppointOutcome> {
+  private async appointAsHolder(group: string, instance: string): Promise<whinyoke.AppointOutcome> {
     const { appointmentLeaseEntry: lease } = this.dependencies.catalog;
     // A holder that stalled may have been replaced and must not call under its old token.
     if (lease.holder !== this.dependencies.self.name || !this.dependencies.contact.isCurrent) {
-      return Promise.resolve(whinyoke.AppointOutcome.TRY_LATER);
+      return whinyoke.AppointOutcome.TRY_LATER;
     }
     const authority: AppointmentAuthority = {
       holder: this.dependencies.self.name,
       token: lease.token ?? 0,
     };
-    return this.dependencies.appointer.appoint(group, instance, authority);
+    this.logStage('checked', group, instance);
+    const onSent = (): void => this.logStage('sent', group, instance);
+    const { appointer } = this.dependencies;
+    const outcome = await appointer.appoint(group, instance, authority, onSent);
+    this.logStage('answered', group, instance, whinyoke.AppointOutcome[outcome]);
+    return outcome;
+  }
+
+  private logStage(stage: CallStage, group: string, instance: string, outcome = ''): void {
+    const { appointmentLeaseEntry: lease } = this.dependencies.catalog;
+    this.dependencies.log(Events.appointmentCall, {
+      stage,
+      group,
+      instance,
+      holder: lease.holder ?? '',
+      token: lease.token ?? 0,
+      outcome,
+    });
   }
 
   private async forwardToHolder(
--- a/src/appointed/failover/primary_appointer.ts
+++ b/src/appointed/failover/primary_appointer.ts
@@ -11,10 +11,14 @@
 
 /** Appoints primaries through the platform. */
 export interface PrimaryAppointer {
-  /** Asks for an instance to become primary; may fail, safe to repeat. */
+  /**
+   * Asks for an instance to become primary; may fail, safe to repeat.
+   * @param onSent - called when the request was written to the connection
+   */
   appoint(
     group: string,
     instance: string,
     authority: AppointmentAuthority,
+    onSent: () => void,
   ): Promise<whinyoke.AppointOutcome>;
 }
--- a/src/observability/control_events.ts
+++ b/src/observability/control_events.ts
@@ -17,6 +17,13 @@
     'an accepted revision was applied',
     'The machine serves the revision to proxies on request.',
   ),
+  appointmentCall: define(
+    315,
+    'appointment_call',
+    'info',
+    'a call to the platform that appoints a primary reached a stage',
+    '`stage` is intended, checked, sent or answered, `token` the fencing token. A long time between checked and sent points to a stalled process; answered without sent means that nothing was called.',
+  ),
   callRefused: define(
     343,
     'call_refused',
--- a/test/unit/appointment_lease.test.ts
+++ b/test/unit/appointment_lease.test.ts
@@ -26,6 +26,7 @@
         },
       },
       propose: () => Promise.reject(new Error('unused')),
+      log: () => undefined,
       contact: {
         isInTouch: () => true,
         get isCurrent() {
