--- /dev/null
+++ b/test/soak/relayed_site.js
@@ -0,0 +1,56 @@
+/** A site of `review/` whose platform is behind a relay, and whose log lines are seen as they are written. */
+import { readFileSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { Deployment } from '../../review/deployment.js';
+import { Platform } from '../../review/platform.js';
+import { Site } from '../../review/site.js';
+import { PlatformRelay } from './platform_relay.js';
+
+class RelayedPlatform extends Platform {
+  constructor(record, relay) {
+    super(record);
+    this.relay = relay;
+  }
+
+  /** Listens at a free port; callers reach the relay at the given one. */
+  async listen(host, port) {
+    await super.listen(host, 0);
+    await this.relay.listen(host, port, { host, port: this.server.address().port });
+  }
+
+  close() {
+    this.relay.close();
+    super.close();
+  }
+}
+
+class WatchedDeployment extends Deployment {
+  constructor(options) {
+    super(options);
+    /** Called with the name of a process and what it has just written to its log. */
+    this.onOutput = () => {};
+  }
+
+  start(name) {
+    super.start(name);
+    const { stdout } = this.processes.get(name);
+    stdout.prependListener('data', (chunk) => this.onOutput(name, chunk));
+  }
+
+  /** Control machines found their cluster at their very first start only. */
+  forgetFirstStart() {
+    for (const index of this.controls.keys()) {
+      const file = join(this.folder, `core-${index + 1}.conf`);
+      writeFileSync(file, readFileSync(file, 'utf8').replace('bootstrap=true', 'bootstrap=false'));
+    }
+  }
+}
+
+export class RelayedSite extends Site {
+  constructor(record, cleanUp, plan) {
+    super(record, cleanUp, plan);
+    this.deployment = new WatchedDeployment({ record, proxies: plan.proxies });
+    this.relay = new PlatformRelay(record);
+    this.platform = new RelayedPlatform(record, this.relay);
+  }
+}
--- a/test/soak/verdicts.js
+++ b/test/soak/verdicts.js
@@ -115,6 +115,15 @@
     this.checkEnds();
   }
 
+  /** No process calls the platform once another one holds the appointment lease, that is, under a higher token. */
+  checkCalls() {
+    for (const call of this.site.relay.lateCalls) {
+      this.breaks.push(
+        `AUTHORITY: sent under a lower token after a higher one: ${call.description}`,
+      );
+    }
+  }
+
   /** A process that was told to stop ends without an error, and not at a second signal. */
   checkPlannedEnd(name, { exitCode, signalCode }) {
     if (exitCode !== 0) this.breaks.push(`FAULT: ${name} ended with ${exitCode ?? signalCode}`);
