Consensus: a leader lease that ends before another member can lead

A leader that is to have an effect outside the log needs to know that no other member leads at that moment. isReadyLeader says that none led half a second ago.

holdsLeaderLease: a majority replied to requests that were sent within two thirds of an election timeout. For that to exclude a successor, a member that hears a leader must not vote, either: so far it granted no pre-vote, but a candidate whose pre-vote was granted just before could still get its vote. Limits: a voter that restarts has forgotten the leader; a process takes longer to start than the lease lasts. A machine that is suspended with its clock does not notice it.

Not used yet. Without the check in onVoteRequest "a member that hears a leader votes for no other candidate" fails.

--- a/src/consensus/leader_election.ts
+++ b/src/consensus/leader_election.ts
@@ -4,8 +4,8 @@
  *
  * A member first runs a pre-vote, which changes no state, and starts a new term only if a majority
  * grants it. A voter grants one vote per term, to a candidate whose log is at least as up to date
- * as its own. It grants no pre-vote while it receives messages of a leader or waits for a candidate
- * that it voted for. A candidate with the votes of a majority of the voters becomes leader.
+ * as its own. It grants no vote while it receives messages of a leader, and no pre-vote while it
+ * waits for a candidate that it voted for, either. A candidate with the votes of a majority of the voters becomes leader.
  *
  * Between distant regions votes arrive late. A candidate therefore waits for its votes for twice
  * the duration of its pre-vote, and a voter gives the candidate the time that the request asks for,
@@ -90,6 +90,9 @@
     const term = request.term ?? 0;
     if (request.receiver !== state.id) return this.voteReply(false);
     if (request.preVote) return this.voteReply(this.grantsPreVote(request));
+    // The leader may rely on this member's reply for an election timeout: a candidate whose pre-vote
+    // was granted before that reply gets no vote.
+    if (this.heardLeaderRecently) return this.voteReply(false);
     if (term < state.term) return this.voteReply(false);
     if (term > state.term) state.stepDown(term);
     const candidate = request.candidate ?? '';
--- a/src/consensus/log_replication.ts
+++ b/src/consensus/log_replication.ts
@@ -13,7 +13,11 @@
 import type { MemberState, RaftRuntime } from './member_state.js';
 import { type AppendSource, PeerReplicator } from './peer_replicator.js';
 import type { LogEntry } from './log_entry.js';
-import { LEADERSHIP_PROOF_MAX_AGE_MS, type RaftOptions } from './raft_options.js';
+import {
+  LEADERSHIP_PROOF_MAX_AGE_MS,
+  LEADER_LEASE_FRACTION,
+  type RaftOptions,
+} from './raft_options.js';
 
 export class LogReplication implements AppendSource {
   private readonly replicators = new Map<string, PeerReplicator>();
@@ -128,6 +132,16 @@
     return this.state.role === 'leader' && isCurrent && this.hasQuorum;
   }
 
+  /**
+   * Whether no other member leads now: this member leads, and a majority replied to requests that were sent within the
+   * last `LEADER_LEASE_FRACTION` of an election timeout. Until that timeout has passed, none of them votes for another one.
+   */
+  get holdsLeaderLease(): boolean {
+    const leaseMs = this.options.electionTimeoutMs * LEADER_LEASE_FRACTION;
+    const oldest = this.runtime.clock.now() - leaseMs;
+    return this.isReadyLeader && this.isQuorumOf((peer) => peer.lastAnsweredRequestAt >= oldest);
+  }
+
   /** Whether the first entry of this member's newest leadership is applied at an index. */
   hasAppliedLeadershipEntry(appliedIndex: number): boolean {
     return this.state.role === 'leader' && appliedIndex >= this.leadershipIndex;
--- a/src/consensus/raft_node.ts
+++ b/src/consensus/raft_node.ts
@@ -110,6 +110,11 @@
     return this.replication.isReadyLeader;
   }
 
+  /** Whether this member leads and no other member leads at the same time; see `log_replication.ts`. */
+  get holdsLeaderLease(): boolean {
+    return this.replication.holdsLeaderLease;
+  }
+
   /** Milliseconds since the newest reply of a member; infinite if this member does not lead. */
   contactAgeMs(id: string): number {
     return id === this.id ? 0 : this.replication.contactAgeMs(id);
--- a/src/consensus/raft_options.ts
+++ b/src/consensus/raft_options.ts
@@ -37,3 +37,9 @@
  * (docs/design/tenancy.md).
  */
 export const LEADERSHIP_PROOF_MAX_AGE_MS = 500;
+
+/**
+ * Length of a leader lease, as a share of an election timeout. The rest allows for an effect shortly after the check, and
+ * for clocks that run at different rates.
+ */
+export const LEADER_LEASE_FRACTION = 2 / 3;
--- a/test/unit/election.test.ts
+++ b/test/unit/election.test.ts
@@ -104,3 +104,56 @@
     node.stop();
   },
 );
+
+void t.test('a member that hears a leader votes for no other candidate', async (t) => {
+  const node = await openMemberB(() => Promise.reject(new Error('not answered')));
+  const preVote = { ...VOTE_REQUEST_FROM_A, term: 2, preVote: true };
+  const isGranted = async (voteRequest: whinyoke.IVoteRequest): Promise<boolean> =>
+    (await node.handle({ voteRequest })).voteReply?.granted ?? false;
+  t.equal(await isGranted(preVote), true);
+  const appendRequest = { term: 1, leader: 'c', receiver: 'b', previousIndex: 1, previousTerm: 1 };
+  t.match((await node.handle({ appendRequest })).appendReply, { follower: 'b', term: 1 });
+  const vote = { ...VOTE_REQUEST_FROM_A, term: 2 };
+  t.equal(await isGranted(vote), false, 'its pre-vote was granted before');
+  t.equal(node.currentTerm, 1);
+  await new Promise((resolve) => setTimeout(resolve, 2 * ELECTION_MS));
+  t.equal(await isGranted(vote), true);
+  node.stop();
+});
+
+void t.test('the leader lease ends before the members that replied may vote', async (t) => {
+  const electionTimeoutMs = 300;
+  let isReplying = true;
+  let askedAt = -Infinity;
+  const answer: PeerAnswerer = ({ voteRequest, appendRequest }) => {
+    if (!isReplying) return UNREACHABLE_PEERS({});
+    if (voteRequest) {
+      const { preVote, receiver, term } = voteRequest;
+      const voteReply = { term: preVote ? 0 : (term ?? 0), granted: true, voter: receiver ?? '' };
+      return Promise.resolve({ voteReply });
+    }
+    askedAt = performance.now();
+    const { term = 0, previousIndex, entries, receiver } = appendRequest ?? {};
+    const matchIndex = (previousIndex ?? 0) + (entries?.length ?? 0);
+    const follower = receiver ?? '';
+    return Promise.resolve({ appendReply: { term, success: true, matchIndex, follower } });
+  };
+  const node = await openSingleMember(DISCARDING_FOLDER, answer, {
+    electionTimeoutMs,
+    initialElectionTimeoutMs: ELECTION_MS,
+  });
+  t.equal(node.holdsLeaderLease, false);
+  node.start();
+  const hasLease = (): boolean => node.holdsLeaderLease;
+  while (!hasLease()) await new Promise((resolve) => setTimeout(resolve, 1));
+  t.equal(node.role, 'leader');
+  isReplying = false;
+  let leaseMs = 0;
+  while (hasLease()) {
+    leaseMs = performance.now() - askedAt;
+    await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+  t.equal(node.role, 'leader', 'it has not noticed that it is alone');
+  t.ok(leaseMs < electionTimeoutMs, `it lasted ${leaseMs} ms`);
+  node.stop();
+});
