A change of primary ends once its target leads, also without an answer of the platform

Seen by callers (review/5, RECOVER): while the platform carried promotions out at once and answered after 2 s, a group stayed without a primary.

Cause: the call is given up after 1.5 s; the next attempt found the instance leading a newer term and called again, which was given up again, and so on.

Change: an instance that reports a newer term was appointed by an earlier call; the change ends with it. If a call for another instance may still take effect, an instance that leads does not count, since that one would replace it.

The unit test fails on the parent: it calls again.

--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -6,7 +6,7 @@
  * 3. the replicas stop receiving from the old primary, which steps down if it can be reached;
  * 4. the replica that provably holds every acknowledged commit is chosen and recorded in the log; while a call for one
  *    instance may still take effect, only that one is chosen;
- * 5. it is appointed, and reports itself that it is primary of a new term;
+ * 5. it is appointed, unless an earlier call did so, and reports itself that it is primary of a new term;
  * 6. the epoch is raised and its phase is STEADY.
  *
  * Every step can be repeated, and decisions are in the replicated log, so that the next leader continues where this one
@@ -97,6 +97,8 @@
   readonly instance: string;
   readonly incarnation: number;
   readonly position: Position;
+  /** Its status if it leads a newer term already. */
+  readonly leading?: InstanceStatus;
 }
 
 /** The instance that a former leader appointed in this change before it could finish. */
@@ -220,7 +222,7 @@
   private async attemptChange(): Promise<boolean> {
     const appointee = await this.chooseAppointee();
     if (!appointee || !this.isCurrent()) return false;
-    const status = await this.appoint(appointee);
+    const status = appointee.leading ?? (await this.appoint(appointee));
     if (!status) return false;
     await this.beginNextEpoch(appointee, status);
     this.changeLog.logStep('primary_appointed', `${appointee.instance} term ${status.term}`);
@@ -250,8 +252,9 @@
     const asked = replicas.filter((replica) => this.isAsked(replica));
     const reports = await this.replicaFence.fenceAll(asked, newTerm);
     const unrestarted = reports.filter((report) => this.evidence.holdsRecordedPosition(report));
-    const appointed = findAppointed(unrestarted, this.oldTerm);
-    if (appointed) return this.appointeeOf(appointed);
+    const bound = unrestarted.filter(({ instance }) => !this.isBoundToOther(instance));
+    const appointed = findAppointed(bound, this.oldTerm);
+    if (appointed) return { ...this.appointeeOf(appointed), leading: appointed.status };
     const kept = this.keptTarget(unrestarted);
     if (kept) return this.isSafeToAppoint(kept.instance) ? this.appointeeOf(kept) : undefined;
     const missing = this.evidence.countMissing(replicas, reports);
@@ -328,11 +331,14 @@
     return isEvacuated ? { ...report, isEligible: false } : report;
   }
 
-  /** A call for another instance that takes effect later would make that one the primary, with fewer commits. */
-  private excludeUnlessPending(report: CandidateReport): CandidateReport {
+  /** Whether a call for another instance may still take effect: that one would become primary, with fewer commits. */
+  private isBoundToOther(instance: string): boolean {
     const { pendingInstance } = this;
-    const isExcluded = pendingInstance !== undefined && pendingInstance !== report.instance;
-    return isExcluded ? { ...report, isEligible: false } : report;
+    return pendingInstance !== undefined && pendingInstance !== instance;
+  }
+
+  private excludeIfBoundToOther(report: CandidateReport): CandidateReport {
+    return this.isBoundToOther(report.instance) ? { ...report, isEligible: false } : report;
   }
 
   /**
@@ -358,7 +364,7 @@
   ): CandidateChoice | undefined {
     const { watermarks, catalog } = this.context;
     const input: ChoiceInput = {
-      reports: replicas.map((report) => this.excludeUnlessPending(report)),
+      reports: replicas.map((report) => this.excludeIfBoundToOther(report)),
       missing,
       oldPrimary: oldPrimary?.status,
       revocation: this.currentRevocation(),
@@ -374,7 +380,7 @@
       (oldPrimary &&
         chooseCandidate({
           ...input,
-          reports: [...input.reports, this.excludeUnlessPending(oldPrimary)],
+          reports: [...input.reports, this.excludeIfBoundToOther(oldPrimary)],
         }));
     this.changeLog.logChoice(input, choice);
     return choice;
--- a/test/unit/late_appointments.test.ts
+++ b/test/unit/late_appointments.test.ts
@@ -55,6 +55,20 @@
   t.same(group.appointed, ['b', 'c']);
 });
 
+void t.test('a change ends without a further call once its target leads', async (t) => {
+  const group = createGroup();
+  group.onAppoint = (instance) => {
+    group.lead(instance);
+    return AppointOutcome.UNKNOWN;
+  };
+  void group.changePrimary(100);
+  group.confirmAll();
+  await group.run(CHANGE_ATTEMPTS_MS);
+  t.same(group.appointed, ['b'], 'the platform carried the call out, its answer was lost');
+  t.match(group.catalog.group('g'), { epoch: 3, primary: 'b' });
+  t.equal(group.catalog.pendingAppointment('g'), undefined);
+});
+
 void t.test('the target of an earlier leader is kept without a new proof', async (t) => {
   const group = createGroup();
   group.onAppoint = () => AppointOutcome.UNKNOWN;
