--- a/test/unit/appointment_lease.test.ts
+++ b/test/unit/appointment_lease.test.ts
@@ -281,3 +281,58 @@
     t.equal(await checkAt(CALL_LIFETIME_MS * 2.6), undefined);
   },
 );
+
+void t.test('a lost holder that had no permit leaves no pending call', async (t) => {
+  const log = logWithChange();
+  const leader = new ControlMachine(log, 'control-2');
+  const appointing = leader.lease.appoint('g', TARGET);
+  await leader.scheduler.runUntil(2 * PERMIT_MS);
+  t.equal(await appointing, AppointOutcome.APPOINTED);
+  log.beginEpoch(TARGET);
+  t.equal(log.catalog.pendingAppointment('g'), undefined, 'the lost holder can not have called');
+  log.change('i-2');
+  t.equal(await leader.lease.appoint('g', 'i-2'), AppointOutcome.APPOINTED, 'the next failure');
+});
+
+void t.test('a holder whose permits always come too late is replaced', async (t) => {
+  const log = logWithChange();
+  const leader = new ControlMachine(log, 'control-2');
+  const holder = new ControlMachine(log, 'control-1');
+  holder.isLeading = false;
+  holder.holdsLeaderLease = false;
+  holder.answer = async ({ appointPermitRequest }) => {
+    const appointPermitReply = leader.lease.onPermitRequest(appointPermitRequest!);
+    await holder.scheduler.runUntil(holder.scheduler.now + PERMIT_MS);
+    return { appointPermitReply };
+  };
+  leader.answer = async ({ appointRequest }) => ({
+    appointReply: await holder.lease.onRequest(appointRequest!),
+  });
+  const outcomes = new Set<whinyoke.AppointOutcome>();
+  for (let attempt = 0; attempt < 40; attempt++) {
+    const appointing = leader.lease.appoint('g', TARGET).then((outcome) => outcomes.add(outcome));
+    await leader.scheduler.runUntil(leader.scheduler.now + 2 * PERMIT_MS);
+    await appointing;
+  }
+  t.ok(outcomes.has(AppointOutcome.APPOINTED), 'in 40 attempts');
+});
+
+void t.test(
+  'a new leader takes the lease over once permits of the former leader have ended',
+  async (t) => {
+    const log = logWithChange();
+    const former = new ControlMachine(log, 'control-2');
+    const successor = new ControlMachine(log, 'control-3');
+    const id = log.apply({ beginAppointmentCall: { group: 'g', instance: TARGET, token: 1 } });
+    const call = { group: 'g', token: 1, id: id.version };
+    t.equal(former.permits.grant(call), true);
+    // The former leader grants a candidate its vote; the successor can't reach the holder.
+    former.isLeading = false;
+    former.holdsLeaderLease = false;
+    const appointing = successor.lease.appoint('g', TARGET);
+    await successor.scheduler.runUntil(PERMIT_MS - 1);
+    t.same(successor.sent, [], 'the holder may still call');
+    await successor.scheduler.runUntil(3 * PERMIT_MS);
+    t.equal(await appointing, AppointOutcome.APPOINTED);
+  },
+);
