--- a/test/unit/late_appointments.test.ts
+++ b/test/unit/late_appointments.test.ts
@@ -94,3 +94,37 @@
   await group.run(CHANGE_ATTEMPTS_MS);
   t.same(group.appointed, ['b']);
 });
+
+void t.test('a target that received again meanwhile is not kept without a proof', async (t) => {
+  for (const born of [1000, 0]) {
+    const group = new PrimaryChangeScenario(90, born);
+    group.statuses.set('b', statusUpTo(101));
+    group.statuses.set('c', statusUpTo(100));
+    group.onAppoint = () => AppointOutcome.UNKNOWN;
+    void group.changePrimary(100);
+    await group.run(CHANGE_ATTEMPTS_MS);
+    t.equal(group.appointed[0], 'b');
+    // Both replicas start again with their logs, which lifts their fences; p2, which is cut off from control, has them
+    // confirm its lease, and c alone receives its next commits.
+    const before = group.appointed.length;
+    group.statuses.set('b', statusUpTo(101));
+    group.statuses.set('c', statusUpTo(110));
+    await group.run(CHANGE_ATTEMPTS_MS);
+    t.same(group.appointed.slice(before), [], 'b lacks acknowledged commits');
+  }
+});
+
+void t.test('a change ends once the old primary leads again without an answer', async (t) => {
+  const group = createGroup();
+  group.statuses.set('a', statusUpTo(110, 'primary'));
+  group.statuses.delete('c');
+  group.onAppoint = (instance) => {
+    group.lead(instance);
+    return AppointOutcome.UNKNOWN;
+  };
+  void group.changePrimary(105);
+  group.confirmAll();
+  await group.run(2 * CHANGE_ATTEMPTS_MS);
+  t.same(group.appointed, ['a'], 'the platform carried the call out, its answer was lost');
+  t.match(group.catalog.group('g'), { epoch: 3, primary: 'a' });
+});
