A change of primary: the bound target is proven again, and may be the old primary

A proxy that is cut off from control may have had its lease confirmed meanwhile, and another replica its commits. The target is kept without a proof only where all proxies have confirmed, or none can use the old primary any more. - The old primary as target that led again by a call without an answer was told to step down and called for again, without end. It is asked for its status instead, and the change ends with it.

BoundTarget holds what binds a change; PrimaryChanger had grown by it.

--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -21,6 +21,7 @@
 import { type Clock, delay } from '../../runtime/runtime.js';
 import { appointmentObjection } from './appointment_fence.js';
 import type { AppointmentLease, Proposer } from './appointment_lease.js';
+import { BoundTarget } from './bound_target.js';
 import {
   type CandidateReport,
   type CandidateChoice,
@@ -36,7 +37,7 @@
 import { evacuatedZoneOf } from './primary_evacuation.js';
 import { PrimaryChangeLog } from './primary_change_log.js';
 import type { CaughtUpInstances } from './caught_up_instances.js';
-import { type Position, START, contains, covers } from '../../positions/position.js';
+import { type Position, START, covers } from '../../positions/position.js';
 import { positionOf } from '../../positions/position_message.js';
 import { inheritedPositionOf } from './inherited_position.js';
 import { ReplicaEvidence } from './replica_evidence.js';
@@ -101,8 +102,8 @@
   readonly leading?: InstanceStatus;
 }
 
-/** The instance that a former leader appointed in this change before it could finish. */
-function findAppointed(
+/** The instance that leads the newest term after that of the old primary. */
+function newestPrimary(
   reports: readonly CandidateReport[],
   oldTerm: number,
 ): CandidateReport | undefined {
@@ -121,6 +122,7 @@
   private readonly oldTerm: number;
   private readonly replicaFence: ReplicaFence;
   private readonly evidence: ReplicaEvidence;
+  private readonly boundTarget: BoundTarget;
   private readonly changeLog: PrimaryChangeLog;
 
   constructor(
@@ -133,6 +135,7 @@
     this.oldTerm = entry.term ?? 0;
     this.replicaFence = new ReplicaFence(clock, administrator, this.oldTerm);
     this.evidence = new ReplicaEvidence(context, entry);
+    this.boundTarget = new BoundTarget(context.catalog, this.group);
     this.changeLog = new PrimaryChangeLog(clock, log, this.group, this.epoch);
   }
 
@@ -243,19 +246,15 @@
 
   /** Steps 3 and 4: fences the replicas, ends the old primary's term, and records the chosen instance in the log. */
   private async chooseAppointee(): Promise<Appointee | undefined> {
-    const { replicas, oldPrimary } = this;
-    const { newTerm } = this.replicaFence;
-    const isOldPrimaryAsked = oldPrimary !== undefined && this.isAsked(oldPrimary);
-    const stepDown = isOldPrimaryAsked
-      ? this.context.administrator.stepDown(targetOf(oldPrimary), newTerm)
-      : undefined;
+    const { replicas, oldPrimary, boundTarget } = this;
+    const oldStatus = this.endOldTerm();
     const asked = replicas.filter((replica) => this.isAsked(replica));
-    const reports = await this.replicaFence.fenceAll(asked, newTerm);
+    const reports = await this.replicaFence.fenceAll(asked, this.replicaFence.newTerm);
     const unrestarted = reports.filter((report) => this.evidence.holdsRecordedPosition(report));
-    const bound = unrestarted.filter(({ instance }) => !this.isBoundToOther(instance));
-    const appointed = findAppointed(bound, this.oldTerm);
+    const appointed = await this.findAppointed(unrestarted, oldStatus);
     if (appointed) return { ...this.appointeeOf(appointed), leading: appointed.status };
-    const kept = this.keptTarget(unrestarted);
+    const now = this.context.clock.now();
+    const kept = boundTarget.keptTarget(unrestarted, this.currentRevocation(), now);
     if (kept) return this.isSafeToAppoint(kept.instance) ? this.appointeeOf(kept) : undefined;
     const missing = this.evidence.countMissing(replicas, reports);
     // An unresponsive old primary delays the change only when its answer is needed.
@@ -263,7 +262,7 @@
     const candidates = reports.map((report) => this.excludeEvacuated(report));
     let choice = this.choose(candidates, missing, undefined);
     if (!choice) {
-      old = await this.oldPrimaryReport(oldPrimary, stepDown, reports);
+      old = await this.oldPrimaryReport(oldPrimary, oldStatus, reports);
       choice = this.chooseWithOldPrimary(reports, missing, old);
     }
     const chosen = [...reports, ...(old ? [old] : [])].find(
@@ -275,23 +274,27 @@
     return appointee;
   }
 
-  /** Instance that calls may still make the primary; undefined if there are none. */
-  private get pendingInstance(): string | undefined {
-    return this.context.catalog.pendingAppointment(this.group)?.instance ?? undefined;
+  /** Lets the old primary step down, unless it may lead again by a call; resolves with its status. */
+  private endOldTerm(): Promise<InstanceStatus | undefined> | undefined {
+    const { oldPrimary } = this;
+    const { administrator } = this.context;
+    if (!oldPrimary || !this.isAsked(oldPrimary)) return undefined;
+    const target = targetOf(oldPrimary);
+    if (this.boundTarget.instance === oldPrimary.id) return administrator.status(target);
+    return administrator.stepDown(target, this.replicaFence.newTerm);
   }
 
-  /**
-   * The target of this change, if a call for it may still take effect. It needs no further proof while it holds what it was
-   * chosen with: nothing has been acknowledged since.
-   */
-  private keptTarget(reports: readonly CandidateReport[]): CandidateReport | undefined {
-    const { catalog } = this.context;
-    const { target, targetIncarnation, targetPosition } = catalog.group(this.group) ?? {};
-    const chosenWith = positionOf(targetPosition);
-    const report = reports.find(({ instance }) => instance === target);
-    if (!report || !chosenWith || report.instance !== this.pendingInstance) return undefined;
-    const isSameIncarnation = this.incarnationOf(report.instance) === (targetIncarnation ?? 0);
-    return isSameIncarnation && contains(report.status.received, chosenWith) ? report : undefined;
+  /** The instance that an earlier call appointed in this change. */
+  private async findAppointed(
+    replicas: readonly CandidateReport[],
+    oldStatus: Promise<InstanceStatus | undefined> | undefined,
+  ): Promise<CandidateReport | undefined> {
+    const { boundTarget, oldPrimary, oldTerm } = this;
+    const bound = replicas.filter(({ instance }) => !boundTarget.excludes(instance));
+    if (boundTarget.instance !== oldPrimary?.id) return newestPrimary(bound, oldTerm);
+    const status = await oldStatus;
+    const old = { instance: oldPrimary?.id ?? '', isEligible: true };
+    return status && newestPrimary([{ ...old, status }], oldTerm);
   }
 
   private appointeeOf({ instance, status }: CandidateReport): Appointee {
@@ -331,26 +334,16 @@
     return isEvacuated ? { ...report, isEligible: false } : report;
   }
 
-  /** Whether a call for another instance may still take effect: that one would become primary, with fewer commits. */
-  private isBoundToOther(instance: string): boolean {
-    const { pendingInstance } = this;
-    return pendingInstance !== undefined && pendingInstance !== instance;
-  }
-
-  private excludeIfBoundToOther(report: CandidateReport): CandidateReport {
-    return this.isBoundToOther(report.instance) ? { ...report, isEligible: false } : report;
-  }
-
   /**
    * The old primary's report; it holds everything and may lead again when no replica can, unless it has restarted
    * meanwhile.
    */
   private async oldPrimaryReport(
     old: InstanceEntry | undefined,
-    stepDown: Promise<InstanceStatus | undefined> | undefined,
+    oldStatus: Promise<InstanceStatus | undefined> | undefined,
     replicas: readonly CandidateReport[],
   ): Promise<CandidateReport | undefined> {
-    const status = await stepDown;
+    const status = await oldStatus;
     if (!old || !status || !this.evidence.isAnswerOfOldPrimary(old, status, replicas))
       return undefined;
     const isEligible = old.state === InstanceState.READY;
@@ -364,7 +357,7 @@
   ): CandidateChoice | undefined {
     const { watermarks, catalog } = this.context;
     const input: ChoiceInput = {
-      reports: replicas.map((report) => this.excludeIfBoundToOther(report)),
+      reports: replicas.map((report) => this.boundTarget.restrict(report)),
       missing,
       oldPrimary: oldPrimary?.status,
       revocation: this.currentRevocation(),
@@ -380,7 +373,7 @@
       (oldPrimary &&
         chooseCandidate({
           ...input,
-          reports: [...input.reports, this.excludeIfBoundToOther(oldPrimary)],
+          reports: [...input.reports, this.boundTarget.restrict(oldPrimary)],
         }));
     this.changeLog.logChoice(input, choice);
     return choice;
