Appointment lease: permits that last, calls that were not sent, and a wait for a predecessor's permits

A permit lasts 250 ms now, and a holder that could not send three times in a row loses the lease. NOT_SENT is an outcome of its own. - A lost holder left a recorded call although it had had no permit: its group was bound for 10 s although nothing could have been sent. It waits for them now, only while a call is recorded. - A request for a permit that was not answered within 75 ms closed the connection between the two control machines. Its timeout is 1 s; the clock decides whether the answer is a permit. Also: a held-back evacuation no longer counts against the changes of others; the record of a call for an instance that has ended ends at once; the state machine refuses an epoch of another primary while a call is recorded; permits stay refused while any of several take-overs goes on.

--- a/src/appointed/catalog/catalog.ts
+++ b/src/appointed/catalog/catalog.ts
@@ -301,11 +301,14 @@
     return change !== 'none';
   }
 
+  /** No other instance becomes primary while a call may still appoint one. */
   private putGroup(index: number, entry: whinyoke.IGroupEntry): boolean {
-    const { group, primary, phase } = entry;
+    const { group, primary } = entry;
+    if (entry.phase === whinyoke.GroupPhase.CHANGING) return this.groupTable.put(index, entry);
+    const pending = this.pendingAppointment(group ?? '');
+    if (pending && pending.instance !== primary) return false;
     if (!this.groupTable.put(index, entry)) return false;
-    const isChanging = phase === whinyoke.GroupPhase.CHANGING;
-    if (!isChanging) this.pendingAppointmentTable.recordPrimary(group ?? '', primary ?? '');
+    this.pendingAppointmentTable.recordPrimary(group ?? '', primary ?? '');
     return true;
   }
 
--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -321,6 +321,7 @@
     this.ledger.beginLeadership(now + LEASE_MS + STALE_LEADER_MS, now);
     this.monitor.beginLeadership(now);
     this.controller.beginLeadership();
+    this.appointmentLease.beginLeadership();
     this.health.clear();
     this.positions.begin();
     this.allowanceService.begin();
--- a/src/appointed/failover/appointment_call.ts
+++ b/src/appointed/failover/appointment_call.ts
@@ -14,6 +14,9 @@
 
 const { AppointOutcome } = whinyoke;
 
+/** Timeout for the leader's answer; one that comes after the end of the permit is no permit. */
+const TIMEOUT_MS = 1000;
+
 /** Stages of a call, in their order; a call that may not be sent ends with `withheld`. */
 type CallStage = 'intended' | 'connected' | 'withheld' | 'sent' | 'answered';
 
@@ -59,7 +62,7 @@
     private readonly call: RecordedCall,
   ) {}
 
-  /** Connects and calls; `TRY_LATER` if nothing was sent. */
+  /** Connects and calls; `NOT_SENT` if nothing was sent. */
   async run(): Promise<whinyoke.AppointOutcome> {
     const { appointer, self, isLeading, permits, clock } = this.context;
     const { group, instance, token } = this.call;
@@ -82,7 +85,7 @@
 
   private withhold(): whinyoke.AppointOutcome {
     this.logStage('withheld');
-    return AppointOutcome.TRY_LATER;
+    return AppointOutcome.NOT_SENT;
   }
 
   /** Resolves with a check whether the call may be sent at the moment of the check. */
@@ -100,7 +103,7 @@
     const askedAt = clock.now();
     const appointPermitRequest = { group, token, call };
     try {
-      const body = await messenger.request(leaderAddress(), { appointPermitRequest }, PERMIT_MS);
+      const body = await messenger.request(leaderAddress(), { appointPermitRequest }, TIMEOUT_MS);
       return body.appointPermitReply?.granted ? askedAt + PERMIT_MS : -Infinity;
     } catch {
       // Without an answer there is no permit; the call is logged as withheld, and the leader tries again.
--- a/src/appointed/failover/appointment_lease.ts
+++ b/src/appointed/failover/appointment_lease.ts
@@ -18,9 +18,19 @@
 
 const { AppointOutcome } = whinyoke;
 
+/** Outcomes of calls that have had no effect and never will. */
+const OUTCOMES_WITHOUT_EFFECT: ReadonlySet<whinyoke.AppointOutcome> = new Set([
+  AppointOutcome.TRY_LATER,
+  AppointOutcome.NOT_RUNNING,
+  AppointOutcome.NOT_SENT,
+]);
+
 /** Timeout for the holder to call the platform and answer. */
 const REQUEST_TIMEOUT_MS = 2500;
 
+/** After this many calls in a row that a reachable holder could not send, the leader takes the lease over. */
+const MAX_UNSENT_CALLS = 3;
+
 /** Proposes a command to the replicated log. */
 export type Proposer = (command: whinyoke.ICatalogCommand) => Promise<whinyoke.CatalogResult>;
 
@@ -34,8 +44,17 @@
 
 /** The appointment lease as seen by one control machine. */
 export class AppointmentLease {
+  /** Calls in a row that another holder could not send. */
+  private unsentCalls = 0;
+
   constructor(private readonly dependencies: AppointmentLeaseDependencies) {}
 
+  /** Called when this machine begins to lead. */
+  beginLeadership(): void {
+    this.unsentCalls = 0;
+    this.dependencies.permits.beginLeadership();
+  }
+
   /**
    * Appoints the target of a group's change through the holder, or takes the lease over when the holder is unreachable.
    * Called on the leader. `UNKNOWN` if the call may still take effect.
@@ -44,7 +63,8 @@
     const { self, catalog, isInTouch } = this.dependencies;
     const { holder, holderAddress } = catalog.appointmentLeaseEntry;
     const isHeldByOther = holder !== undefined && holder !== self.name;
-    if (isHeldByOther && isInTouch(holderAddress ?? '')) {
+    const isHolderAble = isInTouch(holderAddress ?? '') && this.unsentCalls < MAX_UNSENT_CALLS;
+    if (isHeldByOther && isHolderAble) {
       const outcome = await this.appointThrough(holderAddress ?? '', group, instance);
       if (outcome !== undefined) return outcome;
     }
@@ -64,7 +84,7 @@
     const { self, catalog } = this.dependencies;
     const { holder, token } = catalog.appointmentLeaseEntry;
     if (holder !== self.name || token !== request.token) {
-      return { outcome: AppointOutcome.TRY_LATER };
+      return { outcome: AppointOutcome.NOT_SENT };
     }
     const { group = '', instance = '', call: id = 0 } = request;
     const call = { group: group ?? '', instance: instance ?? '', token: token ?? 0, id: id ?? 0 };
@@ -82,18 +102,22 @@
     return { granted };
   }
 
-  private takeOver(): Promise<void> {
-    const { name: holder, address: holderAddress } = this.dependencies.self;
-    return this.dependencies.permits.runWithout(async () => {
-      await this.dependencies.propose({ takeDuty: { holder, holderAddress } });
+  /** Takes the lease over once no call can be sent under the present token. */
+  private async takeOver(): Promise<void> {
+    const { self, permits, propose } = this.dependencies;
+    const takeDuty = { holder: self.name, holderAddress: self.address };
+    await permits.refuseDuring(async () => {
+      await permits.awaitEnd();
+      await propose({ takeDuty });
     });
+    this.unsentCalls = 0;
   }
 
   private async appointAsHolder(group: string, instance: string): Promise<whinyoke.AppointOutcome> {
     const { catalog, self } = this.dependencies;
     const isHolder = catalog.appointmentLeaseEntry.holder === self.name;
     const call = isHolder ? await this.record(group, instance) : undefined;
-    if (!call) return AppointOutcome.TRY_LATER;
+    if (!call) return AppointOutcome.NOT_SENT;
     const outcome = await new AppointmentCall(this.dependencies, call).run();
     return this.conclude(call, outcome);
   }
@@ -105,9 +129,20 @@
     instance: string,
   ): Promise<whinyoke.AppointOutcome | undefined> {
     const call = await this.record(group, instance);
-    if (!call) return AppointOutcome.TRY_LATER;
+    if (!call) return AppointOutcome.NOT_SENT;
     const outcome = await this.requestCall(address, call);
-    return outcome === undefined ? undefined : this.conclude(call, outcome);
+    this.unsentCalls = outcome === AppointOutcome.NOT_SENT ? this.unsentCalls + 1 : 0;
+    if (outcome !== undefined) return this.conclude(call, outcome);
+    await this.endUnlessPermitted(call);
+    return undefined;
+  }
+
+  /** Ends the record of a call that the holder can't have sent, since it had no permit and gets none. */
+  private endUnlessPermitted(call: RecordedCall): Promise<void> {
+    const { permits } = this.dependencies;
+    return permits.refuseDuring(async () => {
+      if (!permits.wasGranted(call)) await this.end(call);
+    });
   }
 
   private async requestCall(
@@ -138,14 +173,14 @@
 
   /** Ends the record of a call that certainly has no effect. */
   private async conclude(
-    { group, id: newestCall }: RecordedCall,
+    call: RecordedCall,
     outcome: whinyoke.AppointOutcome,
   ): Promise<whinyoke.AppointOutcome> {
-    const isWithoutEffect =
-      outcome === AppointOutcome.TRY_LATER || outcome === AppointOutcome.NOT_RUNNING;
-    if (isWithoutEffect) {
-      await this.dependencies.propose({ endAppointmentCalls: { group, newestCall } });
-    }
+    if (OUTCOMES_WITHOUT_EFFECT.has(outcome)) await this.end(call);
     return outcome;
   }
+
+  private async end({ group, id: newestCall }: RecordedCall): Promise<void> {
+    await this.dependencies.propose({ endAppointmentCalls: { group, newestCall } });
+  }
 }
--- a/src/appointed/failover/appointment_permits.ts
+++ b/src/appointed/failover/appointment_permits.ts
@@ -3,19 +3,16 @@
  *
  * A holder of the appointment lease that leads may send while it holds the leader lease: no other machine leads then, so none
  * takes the appointment lease over. A holder that follows asks the leader for a permit, which ends {@link PERMIT_MS} after the
- * holder asked for it, on the holder's clock. The leader takes the lease over only after all permits that it has granted
- * have ended, and a permit ends before another machine can lead.
+ * holder asked for it, on the holder's clock. A leader takes the lease over only after all permits have ended that it or a
+ * former leader may have granted for a call that is still recorded.
  *
  * Without a leader lease no permit is granted; the change of primary tries again.
  */
 import type { Catalog } from '../catalog/catalog.js';
 import { type Clock, delay } from '../../runtime/runtime.js';
 
-/**
- * Time from the request for a permit to its end. With the leader lease, it is shorter than an election timeout
- * (`APPOINTED_RAFT_OPTIONS`).
- */
-export const PERMIT_MS = 75;
+/** Time from the request for a permit to its end. */
+export const PERMIT_MS = 250;
 /** Allowance for clocks that run at different rates. */
 const CLOCK_MARGIN_MS = 25;
 
@@ -29,6 +26,9 @@
   readonly id: number;
 }
 
+/** What identifies a call. */
+type CallIdentity = Omit<RecordedCall, 'instance'>;
+
 interface AppointmentPermitsContext {
   readonly clock: Clock;
   readonly catalog: Catalog;
@@ -38,13 +38,23 @@
 
 /** Permits that one control machine grants while it leads. */
 export class AppointmentPermits {
+  /** Until when a holder may send a call under a permit, also under one of a former leader. */
   private grantedUntil = -Infinity;
-  private isRefusing = false;
+  /** Calls for which this leader granted a permit. */
+  private readonly grantedCalls = new Set<number>();
+  /** Number of reasons for which no permit is granted. */
+  private refusals = 0;
 
   constructor(private readonly context: AppointmentPermitsContext) {}
 
+  /** A former leader may just have granted a permit. */
+  beginLeadership(): void {
+    this.grantedCalls.clear();
+    this.extendGrants();
+  }
+
   /** Whether this machine, which holds the appointment lease, may send a call at this moment. */
-  mayCall({ group, id, token }: Omit<RecordedCall, 'instance'>): boolean {
+  mayCall({ group, id, token }: CallIdentity): boolean {
     const { catalog, holdsLeaderLease } = this.context;
     const isRecorded = catalog.pendingAppointment(group)?.newestCall === id;
     const isOfHolder = catalog.appointmentLeaseEntry.token === token;
@@ -52,21 +62,36 @@
   }
 
   /** Permits the holder, another machine, to send a call; returns false if it may not. */
-  grant(call: Omit<RecordedCall, 'instance'>): boolean {
-    if (this.isRefusing || !this.mayCall(call)) return false;
-    this.grantedUntil = this.context.clock.now() + PERMIT_MS + CLOCK_MARGIN_MS;
+  grant(call: CallIdentity): boolean {
+    if (this.refusals > 0 || !this.mayCall(call)) return false;
+    this.grantedCalls.add(call.id);
+    this.extendGrants();
     return true;
   }
 
-  /** Grants nothing while `action` runs, which begins once all permits have ended. */
-  async runWithout(action: () => Promise<void>): Promise<void> {
-    const { clock } = this.context;
-    this.isRefusing = true;
+  /** Whether this leader permitted a call. */
+  wasGranted({ id }: CallIdentity): boolean {
+    return this.grantedCalls.has(id);
+  }
+
+  /** Grants nothing while `action` runs. */
+  async refuseDuring(action: () => Promise<void>): Promise<void> {
+    this.refusals++;
     try {
-      await delay(clock, Math.max(0, this.grantedUntil - clock.now()));
       await action();
     } finally {
-      this.isRefusing = false;
+      this.refusals--;
     }
   }
+
+  /** Resolves once no permit allows to send a call that is recorded. */
+  async awaitEnd(): Promise<void> {
+    const { clock, catalog } = this.context;
+    if (catalog.pendingAppointments.length === 0) return;
+    await delay(clock, Math.max(0, this.grantedUntil - clock.now()));
+  }
+
+  private extendGrants(): void {
+    this.grantedUntil = this.context.clock.now() + PERMIT_MS + CLOCK_MARGIN_MS;
+  }
 }
--- a/src/appointed/failover/failover_controller.ts
+++ b/src/appointed/failover/failover_controller.ts
@@ -165,8 +165,6 @@
     this.recordEpoch(entry);
     if (this.changingGroups.has(entry.group ?? '')) return;
     const cause = this.causeOfChange(entry);
-    // A healthy primary stays while no other instance could be appointed.
-    if (cause?.isPlanned && this.context.catalog.pendingAppointment(entry.group ?? '')) return;
     if (cause) void this.beginChange(entry, cause.text, cause.isPlanned);
   }
 
@@ -202,13 +200,20 @@
     const isSameIncarnation = (primary?.incarnation ?? 0) === (entry.primaryIncarnation ?? 0);
     if (primary && !isSameIncarnation) return { text: 'the primary restarted', isPlanned: false };
     if (primary?.state === InstanceState.READY) {
-      return (
-        this.causeByHealth(entry) ??
-        this.causeByEvacuation(entry) ??
-        this.causeByAllowedRegions(entry, primary)
-      );
+      return this.causeByHealth(entry) ?? this.causeByPlacement(entry, primary);
     }
-    return { text: 'the primary leaves', isPlanned: primary?.state === InstanceState.DRAINING };
+    const isPlanned = primary?.state === InstanceState.DRAINING;
+    return isPlanned && this.isBound(entry) ? undefined : { text: 'the primary leaves', isPlanned };
+  }
+
+  /** Whether a call binds a group to its instance: a healthy primary stays, since no other one could be appointed. */
+  private isBound({ group }: GroupEntry): boolean {
+    return this.context.catalog.pendingAppointment(group ?? '') !== undefined;
+  }
+
+  private causeByPlacement(entry: GroupEntry, primary: InstanceEntry): ChangeCause | undefined {
+    if (this.isBound(entry)) return undefined;
+    return this.causeByEvacuation(entry) ?? this.causeByAllowedRegions(entry, primary);
   }
 
   private causeByHealth(entry: GroupEntry): ChangeCause | undefined {
--- a/src/appointed/failover/pending_appointments.ts
+++ b/src/appointed/failover/pending_appointments.ts
@@ -41,17 +41,24 @@
     this.knownCalls.clear();
   }
 
-  /** Ends the records that are older than {@link CALL_LIFETIME_MS}. Called periodically on the leader. */
+  /** Ends the records that are older than {@link CALL_LIFETIME_MS}, or whose instance has ended. Called periodically on the leader. */
   endOverdue(): void {
     const now = this.context.clock.now();
     for (const appointment of this.context.catalog.pendingAppointments) {
       const known = this.knownCall(appointment, now);
-      if (known.isEnding || now - known.since <= CALL_LIFETIME_MS) continue;
+      const isOver = now - known.since > CALL_LIFETIME_MS || this.hasEnded(appointment);
+      if (known.isEnding || !isOver) continue;
       known.isEnding = true;
       void this.end(appointment).finally(() => (known.isEnding = false));
     }
   }
 
+  /** Whether the instance has ended for good, so that no call can appoint it. */
+  private hasEnded({ instance: id }: PendingAppointment): boolean {
+    const { presentInstances, departingInstances } = this.context.catalog;
+    return ![...presentInstances, ...departingInstances].some((instance) => instance.id === id);
+  }
+
   private knownCall({ group, newestCall }: PendingAppointment, now: number): KnownCall {
     const known = this.knownCalls.get(group ?? '');
     if (known && known.id === newestCall) return known;
