Control: PAUSE, RESUME and STEPDOWN are sent only by the machine that leads at that moment

Seen by callers: a replica that nobody lets receive again, so that commits which need it wait until the next change of primary; beside a proxy that control can't reach, a fence that a former leader lifts, so that this proxy reads from a replaced primary (STALE).

Cause: the commands were checked before something else was awaited, or not at all. A PAUSE followed a status request of up to a second and the end of a RESUME in flight, a STEPDOWN followed the opening of a connection, both without another check. A process that was stopped there sent its command when it went on, after its successor had finished the change and released the replicas. And without any stop, the fencing that runs while leases end could reach a slow replica after the same change had released it. RESUME was checked against a proof of leadership that may be 500 ms old.

Change: the administrator checks right before each write, on the persistent connection and on a new one, that this machine holds the leader lease (no other one leads) and that the change still goes on.

What is left: a stop between the check and the write, in one turn of the event loop; bytes that the network delivers late. A late PAUSE or STEPDOWN carries a term that the instance compares with its own; a RESUME carries none.

--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -155,7 +155,11 @@
       connector,
       isLeading,
     });
-    const administrator = new InstanceAdministrator(connector, this.persistentConnections);
+    const administrator = new InstanceAdministrator(
+      connector,
+      this.persistentConnections,
+      () => node.holdsLeaderLease,
+    );
     this.caughtUp = new CaughtUpInstances({ ...shared, administrator, isLeading });
     this.departures = new DepartureMonitor({ ...shared, connector, isLeading });
     this.watermarks = new CommitWatermarks({
--- a/src/appointed/failover/instance_administrator.ts
+++ b/src/appointed/failover/instance_administrator.ts
@@ -3,6 +3,9 @@
  *
  * A command without an answer has the result undefined. A resume sent by an earlier change of primary must not lift the fence
  * of a later one, so a pause waits for resume commands in flight to the same instance.
+ *
+ * A command that changes an instance is sent right after a check that no other machine leads and that the change of primary
+ * still needs it. So no machine sends one after its successor has begun to lead, also if it was stopped on the way.
  */
 import {
   ConnectError,
@@ -32,9 +35,11 @@
   /** Resume commands in flight, by instance. */
   private readonly pendingResumes = new Map<string, Promise<unknown>>();
 
+  /** @param holdsLeaderLease - whether this machine leads and no other one does */
   constructor(
     private readonly connector: InstanceConnector,
     private readonly persistentConnections: Pick<PersistentConnections, 'of'>,
+    private readonly holdsLeaderLease: () => boolean,
   ) {}
 
   /** Status of an instance; undefined when it does not answer. */
@@ -42,21 +47,28 @@
     return this.run(target, { kind: 'status' });
   }
 
-  /** Stops a replica from receiving from primaries below `term`, after any resume command in flight. */
-  async pause(target: InstanceTarget, term: number): Promise<InstanceStatus | undefined> {
+  /**
+   * Stops a replica from receiving from primaries below `term`, after any resume command in flight.
+   * @param isStillNeeded - checked right before the command is sent
+   */
+  async pause(
+    target: InstanceTarget,
+    term: number,
+    isStillNeeded: () => boolean,
+  ): Promise<InstanceStatus | undefined> {
     await this.pendingResumes.get(target.id);
-    return this.run(target, { kind: 'pause', term });
+    return this.order(target, { kind: 'pause', term }, isStillNeeded);
   }
 
   /**
    * Lets a replica receive again.
-   * @param isStillNeeded - checked before the command is sent a second time
+   * @param isStillNeeded - checked right before the command is sent
    */
   async resume(
     target: InstanceTarget,
     isStillNeeded: () => boolean,
   ): Promise<InstanceStatus | undefined> {
-    const pending = this.run(target, { kind: 'resume' }, isStillNeeded);
+    const pending = this.order(target, { kind: 'resume' }, isStillNeeded);
     this.pendingResumes.set(target.id, pending);
     try {
       return await pending;
@@ -65,9 +77,16 @@
     }
   }
 
-  /** Makes a primary of a term below `term` step down to replica. */
-  stepDown(target: InstanceTarget, term: number): Promise<InstanceStatus | undefined> {
-    return this.run(target, { kind: 'stepDown', term });
+  /**
+   * Makes a primary of a term below `term` step down to replica.
+   * @param isStillNeeded - checked right before the command is sent
+   */
+  stepDown(
+    target: InstanceTarget,
+    term: number,
+    isStillNeeded: () => boolean,
+  ): Promise<InstanceStatus | undefined> {
+    return this.order(target, { kind: 'stepDown', term }, isStillNeeded);
   }
 
   /** Probes an instance; an answer that it is full or busy counts as an answer. */
@@ -91,28 +110,41 @@
     }
   }
 
-  /** Runs a command on the persistent connection, or on a new one where there is none or it fails. */
+  /** Runs a command that changes an instance, if this machine may still send it. */
+  private order(
+    target: InstanceTarget,
+    command: InstanceCommand,
+    isStillNeeded: () => boolean,
+  ): Promise<InstanceStatus | undefined> {
+    return this.run(target, command, () => this.holdsLeaderLease() && isStillNeeded());
+  }
+
+  /**
+   * Runs a command on the persistent connection, or on a new one where there is none or it fails.
+   * @param maySend - checked right before the command is sent
+   */
   private async run(
     target: InstanceTarget,
     command: InstanceCommand,
-    isStillNeeded: () => boolean = () => true,
+    maySend: () => boolean = () => true,
   ): Promise<InstanceStatus | undefined> {
     const persistent = this.persistentConnections.of(target);
+    if (!maySend()) return undefined;
     const answer = persistent && (await runCommand(persistent.connection, command));
     if (persistent && answer) return statusOf(answer, persistent.openedAt);
-    return this.runOnNewConnection(target, command, isStillNeeded);
+    return this.runOnNewConnection(target, command, maySend);
   }
 
   private async runOnNewConnection(
     target: InstanceTarget,
     command: InstanceCommand,
-    isStillNeeded: () => boolean,
+    maySend: () => boolean,
   ): Promise<InstanceStatus | undefined> {
-    if (!isStillNeeded()) return undefined;
+    if (!maySend()) return undefined;
     try {
       const { connection } = await this.connector.connect(target, COMMAND_TIMEOUT_MS);
       try {
-        if (!isStillNeeded()) return undefined;
+        if (!maySend()) return undefined;
         const answer = await runCommand(connection, command);
         return answer && statusOf(answer, undefined);
       } finally {
--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -129,7 +129,8 @@
     this.group = entry.group ?? '';
     this.epoch = entry.epoch ?? 0;
     this.oldTerm = entry.term ?? 0;
-    this.replicaFence = new ReplicaFence(clock, administrator, this.oldTerm);
+    const isNeeded = (): boolean => this.isCurrent();
+    this.replicaFence = new ReplicaFence(clock, administrator, this.oldTerm, isNeeded);
     this.evidence = new ReplicaEvidence(context, entry);
     this.changeLog = new PrimaryChangeLog(clock, log, this.group, this.epoch);
   }
@@ -245,7 +246,7 @@
     const { newTerm } = this.replicaFence;
     const isOldPrimaryAsked = oldPrimary !== undefined && this.isAsked(oldPrimary);
     const stepDown = isOldPrimaryAsked
-      ? this.context.administrator.stepDown(targetOf(oldPrimary), newTerm)
+      ? this.context.administrator.stepDown(targetOf(oldPrimary), newTerm, () => this.isCurrent())
       : undefined;
     const asked = replicas.filter((replica) => this.isAsked(replica));
     const reports = await this.replicaFence.fenceAll(asked, newTerm);
--- a/src/appointed/failover/replica_fence.ts
+++ b/src/appointed/failover/replica_fence.ts
@@ -25,11 +25,13 @@
 
   /**
    * @param oldTerm - term of the old primary
+   * @param isNeeded - whether the change still goes on
    */
   constructor(
     private readonly clock: Clock,
     private readonly administrator: InstanceAdministrator,
     private readonly oldTerm: number,
+    private readonly isNeeded: () => boolean,
   ) {
     this.newestTerm = oldTerm;
   }
@@ -70,7 +72,8 @@
     this.recordStatus(name, known);
     if (known && this.fencedSinceByIncarnation.has(name)) return known;
     const status =
-      (await this.administrator.pause(target, term)) ?? (await this.administrator.status(target));
+      (await this.administrator.pause(target, term, this.isNeeded)) ??
+      (await this.administrator.status(target));
     this.recordStatus(name, status);
     return status;
   }
--- a/test/tools/primary_change_scenario.ts
+++ b/test/tools/primary_change_scenario.ts
@@ -65,9 +65,11 @@
       return { cancel: () => this.scheduler.cancel(event) };
     },
   };
-  private readonly administrator = new InstanceAdministrator(this.connector(), {
-    of: (target) => this.persistentConnectionTo(target),
-  });
+  private readonly administrator = new InstanceAdministrator(
+    this.connector(),
+    { of: (target) => this.persistentConnectionTo(target) },
+    () => true,
+  );
   readonly watermarks = this.createWatermarks();
   private index = 0;
 
