Control: a new leader counts contacts that proxies may have had with a former one

Seen by callers: a read from a primary that has been replaced (STALE), through a proxy that lost control 12 s ago and still reaches its instances.

Cause: beside a proxy that did not confirm, control appoints a replica that was not fenced long enough only once that proxy has stopped asking replicas for its lease, which is counted from its last contact with control. For contacts before its leadership a new leader took the moment at which that began. But a former leader answers proxies for up to STALE_LEADER_MS longer: leases were counted like that, contacts were not.

Change: the last contact of a proxy that did not confirm is taken to be STALE_LEADER_MS after the leadership began, or later.

Evidence: test/unit/failover.test.ts "a proxy may have been in contact with a former leader after this one began" fails without the margin (mutated compiled module: two assertions) and passes with it. Passed once each: fenced_replicas, departing_replicas, incarnations, primary_failure, proxy_registration (test/unit).

--- a/src/appointed/failover/lease_ledger.ts
+++ b/src/appointed/failover/lease_ledger.ts
@@ -2,14 +2,16 @@
  * Ledger of the leases that proxies hold on primaries; decides when all leases of an epoch have ended.
  *
  * A proxy holds no lease once it has confirmed the current epoch, or once its newest lease has expired. A new leader counts
- * leases of former leaders until LEASE_MS + STALE_LEADER_MS after it began to lead. The ledger counts from when the leader
- * answered, a proxy from when it sent its request, so no lease outlasts its entry here. Times are milliseconds on the
- * leader's clock. The state is in this leader's memory.
+ * leases of former leaders until LEASE_MS + STALE_LEADER_MS after it began to lead, and takes every proxy to have been in
+ * contact with one until STALE_LEADER_MS after that. The ledger counts from when the leader answered, a proxy from when it
+ * sent its request, so no lease outlasts its entry here. Times are milliseconds on the leader's clock. The state is in this
+ * leader's memory.
  */
 import type { ProxyEntry } from '../catalog/catalog.js';
 import { type Position, START, latest } from '../../positions/position.js';
 import { positionOf } from '../../positions/position_message.js';
 import type { whinyoke } from '../../protocol/generated/messages.js';
+import { STALE_LEADER_MS } from '../leases/lease_times.js';
 import { MAX_REPLICA_LEASE_TRUST_MS, type UnconfirmedProxies } from './appointment_fence.js';
 
 /** State of the revocation of an epoch's leases. */
@@ -41,7 +43,8 @@
   private readonly confirmations = new Map<string, Confirmation>();
   private readonly contacts = new Map<string, Contact>();
   private formerLeasesUntil = -Infinity;
-  private leadingSince = -Infinity;
+  /** Until when a former leader may have answered a proxy. */
+  private formerContactsUntil = -Infinity;
 
   /** Starts a leadership at `now`: earlier leaders may have granted leases that last until `until`. */
   beginLeadership(until: number, now: number): void {
@@ -49,7 +52,7 @@
     this.confirmations.clear();
     this.contacts.clear();
     this.formerLeasesUntil = until;
-    this.leadingSince = now;
+    this.formerContactsUntil = now + STALE_LEADER_MS;
   }
 
   /** Records a request of a proxy that knows the catalog up to a version. */
@@ -94,12 +97,10 @@
         continue;
       }
       isConfirmedByAll = false;
-      const contact = this.contacts.get(incarnationKey(proxy)) ?? {
-        receivedAt: this.leadingSince,
-        knownVersion: 0,
-      };
-      knownVersion = Math.min(knownVersion, contact.knownVersion);
-      trustUntil = Math.max(trustUntil, contact.receivedAt + MAX_REPLICA_LEASE_TRUST_MS);
+      const contact = this.contacts.get(incarnationKey(proxy));
+      knownVersion = Math.min(knownVersion, contact?.knownVersion ?? 0);
+      const contactAt = Math.max(contact?.receivedAt ?? -Infinity, this.formerContactsUntil);
+      trustUntil = Math.max(trustUntil, contactAt + MAX_REPLICA_LEASE_TRUST_MS);
       if (this.mayHoldLease(group, proxy, now)) isComplete = false;
     }
     const unconfirmed = { knownVersion, trustUntil };
--- a/test/unit/failover.test.ts
+++ b/test/unit/failover.test.ts
@@ -16,6 +16,7 @@
 import { PrimaryHealthReports } from '../../src/appointed/failover/primary_health_reports.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import type { InstanceStatus } from '../../src/appointed/instance/instance_connection.js';
+import { STALE_LEADER_MS } from '../../src/appointed/leases/lease_times.js';
 import {
   MAX_REPLICA_LEASE_SILENCE_MS,
   REPLICA_LEASE_MS,
@@ -91,6 +92,18 @@
   t.end();
 });
 
+void t.test('a proxy may have been in contact with a former leader after this one began', (t) => {
+  const ledger = new LeaseLedger();
+  ledger.beginLeadership(-Infinity, 5000);
+  const trustUntil = (): number =>
+    ledger.revocationState('g', 2, PROXIES, 5000).unconfirmed.trustUntil;
+  const leastTrust = 5000 + STALE_LEADER_MS + MAX_REPLICA_LEASE_SILENCE_MS + REPLICA_LEASE_MS;
+  t.ok(trustUntil() > leastTrust, 'it may have asked the former leader just before that stopped');
+  for (const proxy of PROXIES) ledger.recordContact(proxy, 7, 5001);
+  t.ok(trustUntil() > leastTrust, 'also after it asked this one');
+  t.end();
+});
+
 void t.test('a fenced replica, a primary or a newer term does not confirm a lease', (t) => {
   const answer = (change: Partial<InstanceStatus>): string | undefined =>
     replicaLeaseObjection(
