Control: a proxy that comes back while it is being removed is registered before it gets a lease

Seen by callers: a read or write at a primary that has been replaced (STALE, ONE), through a proxy that had been silent for 20 s and came back at that moment.

Cause: the leader decided by the last contact to remove a proxy, and awaited the log. A request of the proxy that arrived meanwhile found it registered and was answered with a lease; then the removal took effect. No change of primary waits for the lease of a proxy that is not registered, nor asks it what it acknowledged, until its next request, up to 2 s later. A new process that registered just before the removal of its predecessor was committed was removed with it.

Change: registrations and removals go through the registrar. A proxy that is being registered is not removed, and requests of a proxy that is being removed wait for the end of that and register it again.

--- a/src/appointed/control/sync_service.ts
+++ b/src/appointed/control/sync_service.ts
@@ -105,11 +105,10 @@
 
   /** Removes a proxy without requests for so long that it can't hold a lease any more. */
   private async removeExpired(): Promise<void> {
-    const { catalog, propose } = this.dependencies;
-    const expired = catalog.proxies.find(
+    const expired = this.dependencies.catalog.proxies.find(
       (proxy) => this.directory.contactAgeMs(proxy) > PROXY_REMOVAL_TIMEOUT_MS,
     );
-    if (expired) await propose({ removeProxy: expired.id });
+    if (expired) await this.registrar.remove(expired);
   }
 
   private get isLeading(): boolean {
--- a/test/unit/proxy_registration.test.ts
+++ b/test/unit/proxy_registration.test.ts
@@ -15,6 +15,29 @@
   return { catalog, registrar };
 }
 
+/** Log entries that are committed one by one, when the test says so. */
+class SlowLog {
+  readonly catalog = new Catalog();
+  readonly registrar = new ProxyRegistrar(this.catalog, (command) => this.propose(command));
+  private readonly entries: (() => void)[] = [];
+  private index = 0;
+
+  async commitNext(): Promise<void> {
+    await new Promise(setImmediate);
+    this.entries.shift()?.();
+    await new Promise(setImmediate);
+  }
+
+  private propose(command: whinyoke.ICatalogCommand): Promise<whinyoke.CatalogResult> {
+    const bytes = whinyoke.CatalogCommand.encode(command).finish();
+    return new Promise((resolve) => {
+      this.entries.push(() => {
+        resolve(whinyoke.CatalogResult.decode(this.catalog.apply(++this.index, bytes)));
+      });
+    });
+  }
+}
+
 const KILLED = { id: 'p', incarnation: 'killed', address: '1' };
 const SUCCESSOR = { id: 'p', incarnation: 'successor', address: '1' };
 
@@ -53,3 +76,50 @@
   }
   t.ok(await registrar.register({ id: 'q', incarnation: 'i8' }), 'of another proxy');
 });
+
+// Guards against a change of primary that does not wait for a proxy's lease, since the proxy was removed right after it got it.
+void t.test(
+  'a proxy that comes back during its removal is registered when it is answered',
+  async (t) => {
+    const log = new SlowLog();
+    const first = log.registrar.register(SUCCESSOR);
+    await log.commitNext();
+    t.ok(await first);
+    const removal = log.registrar.remove(SUCCESSOR);
+    let isAnswered = false;
+    const again = log.registrar.register(SUCCESSOR).then((isRegistered) => {
+      isAnswered = true;
+      return isRegistered;
+    });
+    await new Promise(setImmediate);
+    t.notOk(isAnswered, 'its request waits for the removal');
+    await log.commitNext();
+    await removal;
+    await log.commitNext();
+    t.ok(await again);
+    t.equal(log.catalog.proxy('p')?.incarnation, 'successor');
+  },
+);
+
+void t.test('a proxy that is being registered is not removed', async (t) => {
+  const log = new SlowLog();
+  const first = log.registrar.register(KILLED);
+  await log.commitNext();
+  t.ok(await first);
+  const registration = log.registrar.register(SUCCESSOR);
+  await new Promise(setImmediate);
+  await log.registrar.remove(KILLED);
+  await log.commitNext();
+  t.ok(await registration);
+  await log.commitNext();
+  t.equal(log.catalog.proxy('p')?.incarnation, 'successor');
+});
+
+void t.test('requests of a proxy go on after a removal that failed', async (t) => {
+  const catalog = new Catalog();
+  const put = whinyoke.CatalogCommand.encode({ putProxies: { proxies: [SUCCESSOR] } }).finish();
+  catalog.apply(1, put);
+  const registrar = new ProxyRegistrar(catalog, () => Promise.reject(new Error('no majority')));
+  await t.rejects(registrar.remove(SUCCESSOR), /no majority/);
+  t.ok(await registrar.register(SUCCESSOR));
+});
