--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -133,7 +133,8 @@
     this.group = entry.group ?? '';
     this.epoch = entry.epoch ?? 0;
     this.oldTerm = entry.term ?? 0;
-    this.replicaFence = new ReplicaFence(clock, administrator, this.oldTerm);
+    const isNeeded = (): boolean => this.isCurrent();
+    this.replicaFence = new ReplicaFence(clock, administrator, this.oldTerm, isNeeded);
     this.evidence = new ReplicaEvidence(context, entry);
     this.boundTarget = new BoundTarget(context.catalog, this.group);
     this.changeLog = new PrimaryChangeLog(clock, log, this.group, this.epoch);
@@ -281,7 +282,7 @@
     if (!oldPrimary || !this.isAsked(oldPrimary)) return undefined;
     const target = targetOf(oldPrimary);
     if (this.boundTarget.instance === oldPrimary.id) return administrator.status(target);
-    return administrator.stepDown(target, this.replicaFence.newTerm);
+    return administrator.stepDown(target, this.replicaFence.newTerm, () => this.isCurrent());
   }
 
   /** The instance that an earlier call appointed in this change. */
