Simulation: calls to the platform have a module of their own

The world did them in a few lines, without a place for faults between the stages of a call.

The fencing tokens are judged when a call is sent, no longer when it is delivered.

--- a/lab/appointed/appointed_judge.ts
+++ b/lab/appointed/appointed_judge.ts
@@ -235,8 +235,8 @@
     this.leaderships.set(group, { at: this.now(), log: instance.storage.log, requests });
   }
 
-  /** The platform was called with a fencing token. */
-  onFence(holder: string, token: number): void {
+  /** A call to the platform was sent under a fencing token; a late delivery is no sending. */
+  onCallSent(holder: string, token: number): void {
     const known = this.fences.get(token);
     if (known !== undefined && known !== holder) {
       this.add('shared-fence', `${holder} and ${known} used token ${token}`);
--- a/lab/appointed/appointed_world.ts
+++ b/lab/appointed/appointed_world.ts
@@ -1,10 +1,6 @@
 /** A whole simulated deployment whose primaries are appointed. */
 import { documentOf, inflateSource } from '../../src/appointed/catalog/document_source.js';
 import { PEER_CONNECT_TIMEOUT_MS } from '../../src/daemon/managed_process.js';
-import type {
-  AppointmentAuthority,
-  PrimaryAppointer,
-} from '../../src/appointed/failover/primary_appointer.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import type { GroupLimits, ReadPolicy } from '../../src/appointed/catalog/route_table.js';
 import { hostOf } from '../../src/runtime/address.js';
@@ -30,10 +26,11 @@
   DEFAULT_PLACEMENT_RULES,
   type PlacementRules,
 } from '../../src/appointed/placement/placement_rules.js';
+import { SimulatedPlatform } from './simulated_platform.js';
 import { SimulatedTenancy } from './simulated_tenancy.js';
 import { VirtualInstanceConnector } from './virtual_instances.js';
 
-const { AppointOutcome, CatalogOutcome, InstanceRole, InstanceState } = whinyoke;
+const { CatalogOutcome, InstanceRole, InstanceState } = whinyoke;
 
 const MAXIMUM_SEED = 2 ** 31 - 1;
 const JITTER_MS = 0.3;
@@ -43,9 +40,6 @@
 const BEAT_MS = 1200;
 /** Pause of the operator between two calls, in milliseconds. */
 const ORDER_PAUSE_MS = 200;
-/** Time for a connection to the platform, and for the answer to a call, in milliseconds. */
-const CALL_TIMEOUT_MS = 1500;
-const PLATFORM_HOST = '10.200.0.1';
 const SUBMISSIONS = 20;
 const SUBMISSION_TIMEOUT_MS = 500;
 const TRANSACTION_IDLE_MS = 3000;
@@ -90,6 +84,7 @@
   readonly network: VirtualNetwork;
   readonly judge: AppointedJudge;
   readonly groups: readonly EmulatedGroup[];
+  readonly platform: SimulatedPlatform;
   readonly coordinators: readonly SimulatedCoordinator[];
   readonly routers: readonly SimulatedRouter[];
   readonly lines: SimulatedLogLine[] = [];
@@ -130,6 +125,7 @@
     this.judge.isCold = (instance) => this.isKnownCold(instance);
     this.outside = new VirtualProcess(CALLERS_HOST, this.scheduler, this.random, 0);
     this.groups = this.createGroups();
+    this.platform = new SimulatedPlatform(this);
     const controlAddresses = Array.from(
       { length: deployment.controls },
       (_, index) => `10.8.0.${index + 1}:7000`,
@@ -152,7 +148,7 @@
           this.network,
           (address) => this.machineAt(address)?.running,
         ),
-      appointerFor: (process) => this.appointerFor(process),
+      appointerFor: (process) => this.platform.appointerFor(process),
     };
     this.coordinators = controlAddresses.map(
       (address, index) =>
@@ -451,52 +447,4 @@
       });
     });
   }
-
-  // ---- the platform ----
-
-  private appointerFor(process: VirtualProcess): PrimaryAppointer {
-    return {
-      prepare: async (group, instance, authority) => {
-        if (!(await this.connectToPlatform(process))) return undefined;
-        return {
-          send: () => this.callPlatform(process, group, instance, authority),
-          discard: () => undefined,
-        };
-      },
-    };
-  }
-
-  /** Resolves with whether the platform accepted a connection of a process in time. */
-  private connectToPlatform(process: VirtualProcess): Promise<boolean> {
-    const { network, scheduler } = this;
-    const { host } = process;
-    return new Promise((resolve) => {
-      process.clock.setTimer(CALL_TIMEOUT_MS, () => resolve(false));
-      if (network.isCut(host, PLATFORM_HOST)) return;
-      const roundTripMs = network.delay(host, PLATFORM_HOST) + network.delay(PLATFORM_HOST, host);
-      scheduler.schedule(roundTripMs, () => process.deliver(() => resolve(true)));
-    });
-  }
-
-  private callPlatform(
-    process: VirtualProcess,
-    group: string,
-    instance: string,
-    authority: AppointmentAuthority,
-  ): Promise<whinyoke.AppointOutcome> {
-    const { network, scheduler } = this;
-    const { host } = process;
-    return new Promise((resolve) => {
-      process.clock.setTimer(CALL_TIMEOUT_MS, () => resolve(AppointOutcome.UNKNOWN));
-      if (network.isCut(host, PLATFORM_HOST)) return;
-      scheduler.schedule(network.delay(host, PLATFORM_HOST), () => {
-        this.judge.onFence(authority.holder, authority.token);
-        const found = this.groups.find((item) => item.name === group);
-        const outcome = found?.appoint(instance) ?? AppointOutcome.NOT_RUNNING;
-        scheduler.schedule(network.delay(PLATFORM_HOST, host), () =>
-          process.deliver(() => resolve(outcome)),
-        );
-      });
-    });
-  }
 }
