Simulation: stopped callers, late calls to the platform, and a bound on recovery

The simulation of the incident had no fault between a decision to call the platform and its effect.

Runs with these faults go on for that much longer after the faults. Links can be made slower.

--- a/lab/appointed/appointed_faults.ts
+++ b/lab/appointed/appointed_faults.ts
@@ -7,6 +7,7 @@
 import type { AppointedDeployment } from './appointed_deployment.js';
 import type { AppointedWorld } from './appointed_world.js';
 import type { EmulatedGroup, InstanceMachine } from './emulated_group.js';
+import { LATE_CALL_FAULTS, LATE_CALL_STARTERS } from './late_call_faults.js';
 
 /** Kinds of faults. */
 export const APPOINTED_FAULTS = [
@@ -55,6 +56,7 @@
 /** Kind of a fault. */
 export type AppointedFaultKind =
   | (typeof DEPARTURE_FAULTS)[number]
+  | (typeof LATE_CALL_FAULTS)[number]
   | (typeof APPOINTED_FAULTS)[number]
   | (typeof TENANT_FAULTS)[number]
   | (typeof INCARNATION_FAULTS)[number]
@@ -91,7 +93,12 @@
 
 /** Kinds of faults that may be named for a deployment. */
 export function nameableFaultsOf(deployment: AppointedDeployment): readonly AppointedFaultKind[] {
-  const named = [...OPERATOR_ACTS, ...APPOINTED_DISK_FAULTS, ...DEPARTURE_FAULTS];
+  const named = [
+    ...OPERATOR_ACTS,
+    ...APPOINTED_DISK_FAULTS,
+    ...DEPARTURE_FAULTS,
+    ...LATE_CALL_FAULTS,
+  ];
   return [...faultsOf(deployment), ...named];
 }
 
@@ -142,6 +149,7 @@
 
 const STARTERS: Readonly<Record<AppointedFaultKind, Starter>> = {
   ...DEPARTURE_STARTERS,
+  ...LATE_CALL_STARTERS,
   'crash-primary': (world, random) => {
     const group = pick(world.groups, random);
     return crash(group, primaryOf(group));
--- a/lab/appointed/appointed_judge.ts
+++ b/lab/appointed/appointed_judge.ts
@@ -34,7 +34,8 @@
   | 'tenant'
   | 'quota'
   | 'homes'
-  | 'slow-start';
+  | 'slow-start'
+  | 'recovery';
 
 /** A broken promise. */
 export interface AppointedViolation {
@@ -105,6 +106,8 @@
   readonly violations: AppointedViolation[] = [];
   readonly counts = { runs: 0, acknowledged: 0, reads: 0, appointments: 0, refused: 0, inDoubt: 0 };
   readonly acknowledgedByGroup = new Map<string, number>();
+  /** When callers were last told of a success, by group. */
+  readonly lastAcknowledgedAt = new Map<string, number>();
   private readonly expectations = new Map<string, CallerExpectation>();
   private readonly runs = new Map<string, RunRecord[]>();
   private readonly acknowledged: AcknowledgedCommit[] = [];
@@ -190,6 +193,7 @@
     const group = this.groupOf(requests[0]) ?? home;
     const leadership = this.leaderships.get(group);
     this.acknowledgedByGroup.set(group, (this.acknowledgedByGroup.get(group) ?? 0) + 1);
+    this.lastAcknowledgedAt.set(group, this.now());
     for (const request of requests) {
       this.counts.acknowledged++;
       this.acknowledged.push({ at: this.now(), group, session, request });
--- a/lab/appointed/appointed_simulation.ts
+++ b/lab/appointed/appointed_simulation.ts
@@ -11,6 +11,8 @@
 import type { SimulatedLogLine } from './appointed_nodes.js';
 import type { AppointedProtection } from './disabled_protections.js';
 import { AppointedWorld } from './appointed_world.js';
+import { LATE_CALL_FAULTS } from './late_call_faults.js';
+import { RECOVERY_LIMIT_MS, RecoveryWatch } from './recovery_watch.js';
 
 /** What to run. */
 export interface AppointedRunOptions {
@@ -42,14 +44,22 @@
 const CALM_MS = 2000;
 const MOST_FAULTS = 5;
 
+/** Time after the faults; where calls come late, groups may wait for the end of their records. */
+function settleMs({ faults = [] }: AppointedRunOptions): number {
+  const areCallsLate = faults.some((kind) => LATE_CALL_FAULTS.some((late) => late === kind));
+  return areCallsLate ? SETTLE_MS + RECOVERY_LIMIT_MS : SETTLE_MS;
+}
+
 /** Runs one seed. */
 export async function runAppointed(options: AppointedRunOptions): Promise<AppointedReport> {
   const world = new AppointedWorld(options.deployment, options.seed, new Set(options.disabled));
   await world.start();
   const callers = createCallers(world);
   for (const caller of callers) void caller.run();
+  const watch = new RecoveryWatch(world);
+  watch.start();
   const faults = await strike(world, options);
-  await world.run(SETTLE_MS);
+  await world.run(settleMs(options));
   const { judge } = world;
   const before = new Map(judge.acknowledgedByGroup);
   await world.run(CALM_MS);
@@ -57,6 +67,7 @@
     .map((group) => group.name)
     .filter((name) => judge.acknowledgedByGroup.get(name) === before.get(name));
   void world.readDocument();
+  watch.stop();
   for (const caller of callers) caller.stop();
   await world.run(CALM_MS);
   for (const group of world.groups) {
--- a/lab/simulation/simulated_machine.ts
+++ b/lab/simulation/simulated_machine.ts
@@ -49,6 +49,11 @@
     return this.process?.alive ?? false;
   }
 
+  /** Whether its process runs and is not frozen. */
+  get isRunning(): boolean {
+    return this.process?.running ?? false;
+  }
+
   /** Starts the process unless it runs. */
   start(): void {
     this.cancelRestart();
--- a/lab/simulation/virtual_network.ts
+++ b/lab/simulation/virtual_network.ts
@@ -32,6 +32,8 @@
 /** Network of one simulation. */
 export class VirtualNetwork {
   private readonly cuts = new Map<string, number>();
+  /** What links take longer as a fault, in milliseconds. */
+  private readonly slowness = new Map<string, number>();
   private trafficByHost = new Map<string, Traffic>();
   private readonly healListeners = new Set<() => void>();
   /** Hosts without power: nothing reaches them, and nothing tells that they are gone. */
@@ -50,7 +52,8 @@
     if (from === to) return LOOPBACK_MS;
     const isCaller = from === CALLERS_HOST || to === CALLERS_HOST;
     const base = isCaller ? this.options.callerMs : this.options.hostMs;
-    const distance = this.options.distanceMs?.(from, to) ?? 0;
+    const slowness = this.slowness.get(`${from}>${to}`) ?? 0;
+    const distance = (this.options.distanceMs?.(from, to) ?? 0) + slowness;
     const jitter = -Math.log(1 - this.random.next()) * this.options.jitterMs;
     return base + distance + jitter + this.retransmissionMs();
   }
@@ -85,6 +88,20 @@
     };
   }
 
+  /** Makes one direction between two hosts slower, by milliseconds, until the returned function is called. */
+  slow(from: string, to: string, milliseconds: number): () => void {
+    const link = `${from}>${to}`;
+    const slowBy = (change: number): void =>
+      void this.slowness.set(link, (this.slowness.get(link) ?? 0) + change);
+    slowBy(milliseconds);
+    return () => slowBy(-milliseconds);
+  }
+
+  /** Whether any two hosts are cut, or one has no power. */
+  get isDisturbed(): boolean {
+    return this.darkHosts.size > 0 || [...this.cuts.values()].some((count) => count > 0);
+  }
+
   /** Calls `listener` after each heal until the returned function is called. */
   onHeal(listener: () => void): () => void {
     this.healListeners.add(listener);
