Late promotions: seven more scenarios, among them a promoted instance that drains before a late call

- A call is held for 6 s and given up after 1.5 s, the second one succeeds, the promoted instance drains and receives nothing, and the first call is delivered.
- The holder of the appointment lease follows while another machine leads, and is stopped at its connection; with its leader killed and the instance away meanwhile; for longer than the leader waits.
- The instance of a call that was withheld after a stop leads, and crashes for good.
- The platform carries calls out at once and answers after 2 s.

What all trials share is in PrimaryChangeTrial, unchanged. stopAtConnection can stop the holder that a leader asks, where it stopped the process that logged the call. AUTHORITY names the longest time between a check and a sending of that process. The record has the candidates of each choice.

--- a/test/soak/caught_call.js
+++ b/test/soak/caught_call.js
@@ -15,21 +15,24 @@
   while (performance.now() < endAt);
 }
 
-/** The instance that a caller intends to appoint, by its log. */
-function intendedInstance(output) {
+/** The intended call in what a control machine has written to its log; undefined if there is none. */
+function intendedCall(output) {
   const lines = output.toString().split('\n');
-  return JSON.parse(lines.find((line) => line.includes(INTENDED))).instance;
+  const line = lines.find((text) => text.includes(INTENDED) && text.endsWith('}'));
+  return line && JSON.parse(line);
 }
 
 /** Resolves with the control machine that begins the next call, which is stopped then; undefined if none comes in time. */
-async function stopNextCaller(deployment, timeoutMs) {
+async function stopNextCaller(deployment, timeoutMs, isHolderStopped) {
   const caller = new Promise((resolve) => {
-    deployment.onOutput = (name, chunk) => {
-      if (!chunk.includes(INTENDED)) return;
+    deployment.onOutput = (leader, chunk) => {
+      const call = intendedCall(chunk);
+      const name = isHolderStopped && call?.holder ? call.holder : leader;
+      const child = call && deployment.processes.get(name);
+      if (!child) return;
       deployment.onOutput = () => {};
-      const child = deployment.processes.get(name);
       child.kill('SIGSTOP');
-      resolve({ name, child, instance: intendedInstance(chunk) });
+      resolve({ name, child, leader, instance: call.instance, isFollower: name !== leader });
     };
   });
   const stopped = await Promise.race([caller, pause(timeoutMs)]);
@@ -56,11 +59,12 @@
 /**
  * Stops the next caller of the platform as its connection is accepted: from the begin of the call on it runs in short steps, so
  * that the stop comes before it can send.
- * @returns its name and process, which is stopped, the instance of its call, when it was stopped, and whether that was before it
- *   sent anything; undefined if no call was begun in time
+ * @param {boolean} [isHolderStopped] stops the holder of the appointment lease where the leader asks it to call, and not the leader
+ * @returns its name and process, which is stopped, the instance of its call, when it was stopped, whether that was before it
+ *   sent anything, and whether it calls for another machine; undefined if no call was begun in time
  */
-export async function stopAtConnection({ deployment, relay }, timeoutMs) {
-  const stopped = await stopNextCaller(deployment, timeoutMs);
+export async function stopAtConnection({ deployment, relay }, timeoutMs, isHolderStopped = false) {
+  const stopped = await stopNextCaller(deployment, timeoutMs, isHolderStopped);
   if (!stopped) return undefined;
   const sentBefore = relay.sentCalls.length;
   const isAccepted = await stepToConnection(stopped.child, relay);
--- a/test/soak/late_promotions.js
+++ b/test/soak/late_promotions.js
@@ -13,6 +13,7 @@
 import { parseArgs } from 'node:util';
 import { Record } from '../../review/record.js';
 import { LatePromotion } from './late_promotion.js';
+import { RandomStops } from './random_stops.js';
 
 /** A stop that ends before the caller's own timeout. */
 const SHORT_STOP = [950, 1400];
@@ -52,10 +53,41 @@
     name: 'a promotion is delivered after 4 s, its caller was killed and its instance away',
     plan: { at: 'sent', holdMs: 4000, awayMs: 3900 },
   },
+  {
+    name: 'a promotion is delivered after 6 s, and its instance led meanwhile and drains',
+    plan: { at: 'sent', stopMs: [0, 0], holdMs: 6000, isReplaced: true },
+  },
+  {
+    name: 'a holder that follows sends its promotion after a stop',
+    plan: { at: 'connection', stopMs: SHORT_STOP, isFollower: true },
+  },
+  {
+    name: 'a holder that follows sends its promotion after a stop, its leader was killed and its instance away',
+    plan: {
+      at: 'connection',
+      stopMs: [1350, 1450],
+      awayMs: 3000,
+      isFollower: true,
+      isLeaderKilled: true,
+    },
+  },
+  {
+    name: 'a holder that follows is stopped for longer than its leader waits, and its instance was away',
+    plan: { at: 'connection', stopMs: [3400, 4200], awayMs: 3900, isFollower: true },
+  },
+  {
+    name: 'a promotion is not sent after a stop, and its instance leads and crashes for good',
+    plan: { at: 'connection', stopMs: SHORT_STOP, isCrashedAgain: true },
+  },
+  { name: 'control machines are stopped at random moments', Trial: RandomStops },
+  {
+    name: 'the platform carries promotions out at once and answers after 2 s',
+    plan: { at: 'sent', stopMs: [0, 0], answerMs: 2000 },
+  },
 ];
 
 /** All scenarios once, with some attempts that are made again. */
-const LIMIT_MS = 300_000;
+const LIMIT_MS = 600_000;
 const EXIT = { passed: 0, failed: 1, impossible: 2 };
 /** A trial whose leader was not stopped at its connection is made again. */
 const MOST_ATTEMPTS = 8;
@@ -68,7 +100,7 @@
   },
 });
 const folder = mkdtempSync(join(tmpdir(), 'whinyoke-late-promotions-'));
-const LOGGED_EVENTS = ['role_changed', 'appointment_call', 'primary_change'];
+const LOGGED_EVENTS = ['role_changed', 'appointment_call', 'primary_change', 'primary_candidates'];
 let closers = [];
 
 function closeAll() {
@@ -84,9 +116,9 @@
 }
 
 /** One trial; undefined if the leader was not stopped where it was to be. */
-async function attempt({ plan, name }, seed, file) {
+async function attempt({ plan, name, Trial = LatePromotion }, seed, file) {
   const record = new Record(file);
-  const trial = new LatePromotion(plan, record, (close) => closers.push(close), seed);
+  const trial = new Trial(plan, record, (close) => closers.push(close), seed);
   try {
     const result = await trial.run();
     record.lines.push('', name, ...(result ? [result.summary, ...result.breaks] : []));
--- a/test/soak/platform_relay.js
+++ b/test/soak/platform_relay.js
@@ -45,11 +45,18 @@
     const { relay, caller } = this;
     if (this.holdMs > 0) relay.record.note('relay', `delivers the held call ${this.description}`);
     this.platform = connect(relay.target, () => this.platform.write(this.text, 'latin1'));
-    this.platform.on('data', (chunk) => !caller.destroyed && caller.write(chunk));
-    this.platform.on('close', () => caller.end());
+    this.platform.on('data', (chunk) => this.answer(() => caller.write(chunk)));
+    this.platform.on('close', () => this.answer(() => caller.end()));
     this.platform.on('error', () => this.platform.destroy());
   }
 
+  /** Passes on a part of the answer, late if the relay is to answer late. */
+  answer(pass) {
+    const passIfOpen = () => !this.caller.destroyed && pass();
+    if (this.relay.answerMs > 0) setTimeout(passIfOpen, this.relay.answerMs);
+    else passIfOpen();
+  }
+
   get description() {
     return `POST /promotion ${this.service} ${this.id} by ${this.holder}, token ${this.token}`;
   }
@@ -71,6 +78,8 @@
     this.onAccept = () => {};
     /** Called with each call whose bytes have arrived; may set its `holdMs`. */
     this.onSent = () => {};
+    /** How late answers are passed on, in ms. */
+    this.answerMs = 0;
   }
 
   /** Calls that were sent, in the order of their last bytes. */
--- a/test/soak/relayed_site.js
+++ b/test/soak/relayed_site.js
@@ -6,6 +6,9 @@
 import { Site } from '../../review/site.js';
 import { PlatformRelay } from './platform_relay.js';
 
+/** What a control machine logs when it begins to lead. */
+const LEADS = '"role":"leader"';
+
 class RelayedPlatform extends Platform {
   constructor(record, relay) {
     super(record);
@@ -29,12 +32,17 @@
     super(options);
     /** Called with the name of a process and what it has just written to its log. */
     this.onOutput = () => {};
+    /** Name of the control machine that began to lead last, by its log. */
+    this.leader = undefined;
   }
 
   start(name) {
     super.start(name);
     const { stdout } = this.processes.get(name);
-    stdout.prependListener('data', (chunk) => this.onOutput(name, chunk));
+    stdout.prependListener('data', (chunk) => {
+      if (chunk.includes(LEADS)) this.leader = name;
+      this.onOutput(name, chunk);
+    });
   }
 
   /** The longest time between check and sending of a call of a control machine, in ms, by its log. */
--- a/test/soak/verdicts.js
+++ b/test/soak/verdicts.js
@@ -123,8 +123,10 @@
   /** No process calls the platform once another one holds the appointment lease, that is, under a higher token. */
   checkCalls() {
     for (const call of this.site.relay.lateCalls) {
+      const heldMs = this.site.deployment.longestHeldMs(call.holder);
+      const details = `its process waited at most ${heldMs} ms between a check and its sending`;
       this.breaks.push(
-        `AUTHORITY: sent under a lower token after a higher one: ${call.description}`,
+        `AUTHORITY: sent under a lower token after a higher one: ${call.description}; ${details}`,
       );
     }
   }
