Soak: calls to the platform that are delivered late, callers that are stopped at them

The relay of the late promotions is in front of the platform. Primaries are replaced as planned: one drains, and after another instance leads, or after a while all the same, it ends, and a new instance at its address takes its log over (PROTOCOL.md). Checked in addition: no call is sent under a lower token after one under a higher token. The record of a broken run contains the changes of roles and primaries and the calls.

--- a/test/soak/fault_stream.js
+++ b/test/soak/fault_stream.js
@@ -52,6 +52,7 @@
       () => this.changeConfiguration(),
       () => this.moveRoute(),
       () => this.crashPrimary(),
+      () => this.replacePrimary(),
       () => this.replaceReplica(),
       () => this.hearAlone(),
       () => this.lag(),
@@ -208,6 +209,34 @@
     if (leaver.role === 'replica') leaver.end();
   }
 
+  /** A primary is replaced: it says that it drains, and ends once another instance leads, or after a while all the same. */
+  async replacePrimary() {
+    const group = this.group();
+    const { primary } = group;
+    if (!primary || group.isDisturbed) return;
+    group.isDisturbed = true;
+    await primary.drain();
+    const isReplaced = () => ![undefined, primary].includes(group.primary);
+    const endAt = performance.now() + GRACE_MS + SERVE_ON_MS;
+    while (!isReplaced() && performance.now() < endAt) await pause(20);
+    await pause(between(200, SERVE_ON_MS, this.random));
+    await primary.deregister();
+    primary.end();
+    await pause(RESTART_MS);
+    await this.succeed(primary);
+    group.isDisturbed = false;
+  }
+
+  /** Starts a new instance at the address of one that has ended as planned, with its log. */
+  async succeed({ id, group, host, port, zone, term, log }) {
+    const { controls } = this.deployment;
+    const options = { id: `${id}x`, role: 'replica', host, port, zone, controls };
+    const successor = group.add(options);
+    for (const entry of log) successor.append(entry);
+    successor.term = term;
+    await successor.start();
+  }
+
   async hearAlone() {
     const group = this.group();
     const replicas = group.instances.filter((item) => item.isRunning && item.role === 'replica');
--- a/test/soak/platform_soak.js
+++ b/test/soak/platform_soak.js
@@ -1,19 +1,22 @@
 /**
  * Soak of the platform's interface: real proxies and control machines before the stand-ins of `review/`, under faults that come
- * in series and overlap. Sessions keep using their connections until the process is gone.
+ * in series and overlap. Sessions keep using their connections until the process is gone. A relay in front of the platform
+ * delivers some calls late, and some of their callers are stopped or killed at the call.
  *
  *   node test/soak/platform_soak.js --seed N [--seconds S] [--proxies P] [--sessions C] [--streams F]
  *
  * The seed decides what is done in which order; times vary from run to run. Exit code 0: every rule held; 1: one was broken, and
  * the record of the run is kept in a temporary folder; 2: the run could not be made.
  */
-import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
 import { Record, pause } from '../../review/record.js';
-import { Site, configuration, route } from '../../review/site.js';
+import { configuration, route } from '../../review/site.js';
+import { CallFaults } from './call_faults.js';
 import { FaultStream } from './fault_stream.js';
+import { RelayedSite } from './relayed_site.js';
 import { SoakClient } from './soak_client.js';
 import { Verdicts } from './verdicts.js';
 
@@ -23,6 +26,8 @@
 const FIRST_SPARE_HOST = 41;
 /** Undisturbed time at the end, in which every proxy must serve again. */
 const CALM_MS = 14_000;
+/** Log events of the processes that the record of a broken run contains. */
+const LOGGED_EVENTS = ['role_changed', 'appointment_call', 'primary_change', 'primary_candidates'];
 const EXIT = { held: 0, broken: 1, impossible: 2 };
 
 const { values } = parseArgs({
@@ -53,10 +58,11 @@
 async function run(record, closers) {
   const proxies = Number(values.proxies);
   const cleanUp = (close) => closers.push(close);
-  const site = new Site(record, cleanUp, { proxies, services: SERVICES });
+  const site = new RelayedSite(record, cleanUp, { proxies, services: SERVICES });
   const verdicts = new Verdicts(site);
+  closers.push(() => noteEvents(site.deployment));
   await site.start(configurationFor(1, 'citas'));
-  forgetFirstStart(site.deployment);
+  site.deployment.forgetFirstStart();
   for (let count = 0; count < SPARE_INSTANCES; count++) {
     site.hosts.push(`127.0.0.${FIRST_SPARE_HOST + count}`);
   }
@@ -69,24 +75,25 @@
   const streams = [...Array(Number(values.streams)).keys()].map(
     (number) => new FaultStream(site, state, verdicts, seed * 100 + number),
   );
-  const until = performance.now() + Number(values.seconds) * 1000;
-  const counts = await Promise.all(streams.map((stream) => stream.run(until)));
+  const callFaults = new CallFaults(site, verdicts, seed * 100 + streams.length);
+  const endAt = performance.now() + Number(values.seconds) * 1000;
+  const [struckCalls, ...counts] = await Promise.all(
+    [callFaults, ...streams].map((stream) => stream.run(endAt)),
+  );
   record.note('soak', 'calm');
   await pause(CALM_MS);
   for (const client of clients) client.stop();
   await Promise.all(running);
+  verdicts.checkCalls();
   await verdicts.checkEnd(proxies);
   site.isOver = true;
   const faults = counts.reduce((sum, count) => sum + count, 0);
-  return { breaks: verdicts.breaks, summary: `${faults} faults, ${verdicts.summary}` };
+  const calls = `${site.relay.sentCalls.length} calls, ${struckCalls} of them struck`;
+  return { breaks: verdicts.breaks, summary: `${faults} faults, ${calls}, ${verdicts.summary}` };
 }
 
-/** Control machines found their cluster at their very first start only. */
-function forgetFirstStart({ folder, controls }) {
-  for (const index of controls.keys()) {
-    const file = join(folder, `core-${index + 1}.conf`);
-    writeFileSync(file, readFileSync(file, 'utf8').replace('bootstrap=true', 'bootstrap=false'));
-  }
+function noteEvents(deployment) {
+  if (deployment.folder) deployment.noteEvents(LOGGED_EVENTS);
 }
 
 const recordFile = join(mkdtempSync(join(tmpdir(), 'whinyoke-soak-')), 'record.txt');
