Calls to the platform are identified by their caller, which ends also what it may have recorded

Cause: a leader was stopped while it proposed the record of a call, and lost its lead. The record was committed by its successor; its proposer never learnt that ("leadership lost before the proposal was applied"), made no call and ended none. The group was bound to its instance for 10 s, in which that crashed as the primary.

Change: the proposer chooses the identifier of a call, and ends it also if it does not know whether it was recorded. One answer of a leader is enough: it has applied every entry that was proposed before. The identifier names machine, term and number, so the lines of event 315 of several machines can be joined by it.

Evidence: "a call that may have been recorded without its caller learning it is ended" fails without the change (the identifier was the log index).

--- a/src/appointed/catalog/catalog.ts
+++ b/src/appointed/catalog/catalog.ts
@@ -269,7 +269,7 @@
       case 'takeDuty':
         return this.takeLease(command.takeDuty!);
       case 'beginAppointmentCall':
-        return this.beginAppointmentCall(index, command.beginAppointmentCall!);
+        return this.beginAppointmentCall(command.beginAppointmentCall!);
       case 'endAppointmentCalls':
         return this.pendingAppointmentTable.end(command.endAppointmentCalls!);
       default:
@@ -313,11 +313,11 @@
   }
 
   /** Only the target of a group's change is called for, by the present holder of the lease. */
-  private beginAppointmentCall(index: number, call: whinyoke.IAppointmentCall): boolean {
+  private beginAppointmentCall(call: whinyoke.IAppointmentCall): boolean {
     const { phase, target } = this.groupTable.get(call.group ?? '') ?? {};
     if (phase !== whinyoke.GroupPhase.CHANGING || target !== call.instance) return false;
     if (call.token !== this.currentLease.token) return false;
-    return this.pendingAppointmentTable.begin(index, call);
+    return this.pendingAppointmentTable.begin(call);
   }
 
   private takeLease(next: whinyoke.IDutyEntry): boolean {
--- a/src/appointed/catalog/pending_appointment_table.ts
+++ b/src/appointed/catalog/pending_appointment_table.ts
@@ -22,11 +22,12 @@
     return this.entries.get(group);
   }
 
-  /** Records a call at a log index; returns false if calls for another instance may still take effect. */
-  begin(index: number, { group, instance }: whinyoke.IAppointmentCall): boolean {
+  /** Records a call; returns false if calls for another instance may still take effect. */
+  begin({ group, instance, id }: whinyoke.IAppointmentCall): boolean {
     const current = this.of(group ?? '');
     if (current && current.instance !== instance) return false;
-    this.entries.set(group ?? '', { group, instance, calls: [...(current?.calls ?? []), index] });
+    const calls = [...(current?.calls ?? []), id ?? ''];
+    this.entries.set(group ?? '', { group, instance, calls });
     return true;
   }
 
--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -311,6 +311,7 @@
       appointer,
       propose,
       permits,
+      term: () => node.currentTerm,
       isLeading: () => node.role === 'leader',
       leaderAddress: () => node.leaderAddress,
       isInTouch: (holder) => isInTouch(node, holder),
--- a/src/appointed/failover/appointment_call_ends.ts
+++ b/src/appointed/failover/appointment_call_ends.ts
@@ -32,15 +32,14 @@
 export class AppointmentCallEnds {
   constructor(private readonly context: AppointmentCallEndsContext) {}
 
-  /** Ends the record of a call once it can no longer take effect; never rejects. The record of one with an unknown outcome stays. */
+  /** Ends the record of a call once it can no longer take effect; never rejects. That of one with an unknown outcome stays. */
   async endAfter(call: RecordedCall, outcome: whinyoke.AppointOutcome): Promise<void> {
     const { clock } = this.context;
     if (outcome === AppointOutcome.UNKNOWN) return;
     const until = clock.now() + CALL_LIFETIME_MS;
     const isAnswered = outcome === AppointOutcome.APPOINTED;
     await delay(clock, isAnswered ? LONGEST_EFFECT_MS : RETRY_INTERVAL_MS);
-    while (this.isRecorded(call) && clock.now() < until) {
-      await this.tryToEnd(call);
+    while (!(await this.tryToEnd(call)) && clock.now() < until) {
       await delay(clock, RETRY_INTERVAL_MS);
     }
   }
@@ -54,14 +53,20 @@
     return this.context.catalog.pendingAppointment(group)?.calls?.includes(id) ?? false;
   }
 
-  private async tryToEnd(call: RecordedCall): Promise<void> {
+  /** Resolves with whether the record has certainly ended, or never was. */
+  private async tryToEnd(call: RecordedCall): Promise<boolean> {
     const { messenger, isLeading, leaderAddress } = this.context;
     const appointCallEndRequest = { group: call.group, call: call.id };
     try {
-      if (isLeading()) await this.end(call);
-      else await messenger.request(leaderAddress(), { appointCallEndRequest }, REQUEST_TIMEOUT_MS);
+      if (!isLeading()) {
+        await messenger.request(leaderAddress(), { appointCallEndRequest }, REQUEST_TIMEOUT_MS);
+      } else if (this.isRecorded(call)) {
+        await this.end(call);
+      }
+      return true;
     } catch {
       // The record stays; it is tried again, and the leader ends it at the end of its lifetime.
+      return false;
     }
   }
 }
--- a/src/appointed/failover/appointment_lease.ts
+++ b/src/appointed/failover/appointment_lease.ts
@@ -39,6 +39,8 @@
   readonly catalog: Catalog;
   /** Proposes a command to the replicated log. */
   readonly propose: Proposer;
+  /** Term in which this machine leads. */
+  readonly term: () => number;
   /** Whether the control machine at an address answered recently. */
   readonly isInTouch: (address: string) => boolean;
 }
@@ -47,6 +49,8 @@
 export class AppointmentLease {
   /** Calls in a row that another holder could not send. */
   private unsentCalls = 0;
+  /** Calls that this process has proposed to record. */
+  private recordedCalls = 0;
   private readonly callEnds: AppointmentCallEnds;
 
   constructor(private readonly dependencies: AppointmentLeaseDependencies) {
@@ -83,8 +87,8 @@
     if (holder !== self.name || token !== request.token) {
       return { outcome: AppointOutcome.NOT_SENT };
     }
-    const { group = '', instance = '', call: id = 0 } = request;
-    const call = { group: group ?? '', instance: instance ?? '', token: token ?? 0, id: id ?? 0 };
+    const { group, instance, call: id } = request;
+    const call = { group: group ?? '', instance: instance ?? '', token: token ?? 0, id: id ?? '' };
     return { outcome: await this.call(call) };
   }
 
@@ -92,7 +96,7 @@
   async onCallEnd(
     request: whinyoke.IAppointCallEndRequest,
   ): Promise<whinyoke.IAppointCallEndReply> {
-    await this.callEnds.end({ group: request.group ?? '', id: request.call ?? 0 });
+    await this.callEnds.end({ group: request.group ?? '', id: request.call ?? '' });
     return {};
   }
 
@@ -102,7 +106,7 @@
     const granted = this.dependencies.permits.grant({
       group: group ?? '',
       token: token ?? 0,
-      id: call ?? 0,
+      id: call ?? '',
     });
     return { granted };
   }
@@ -170,15 +174,28 @@
     }
   }
 
-  /** Records a call before it is made; undefined if it may not be made. */
+  /** Records a call before it is made; undefined if it may not be made. @throws what the proposal throws */
   private async record(group: string, instance: string): Promise<RecordedCall | undefined> {
     const { catalog, propose, self, log } = this.dependencies;
-    const { token = 0, holder } = catalog.appointmentLeaseEntry;
-    const call = { group, instance, token: token ?? 0 };
-    const { changed, version: id } = await propose({ beginAppointmentCall: call });
-    if (!changed) return undefined;
-    logCallStage(log, 'intended', holder ?? self.name, { ...call, id });
-    return { ...call, id };
+    const { token, holder } = catalog.appointmentLeaseEntry;
+    const call = { group, instance, token: token ?? 0, id: this.nextCallId() };
+    try {
+      const { changed } = await propose({ beginAppointmentCall: call });
+      if (!changed) return undefined;
+    } catch (error) {
+      // The call is not made, and may be recorded all the same.
+      void this.callEnds.endAfter(call, AppointOutcome.NOT_SENT);
+      throw error;
+    }
+    logCallStage(log, 'intended', holder ?? self.name, call);
+    return call;
+  }
+
+  /** A machine that starts again leads in a later term, so no identifier is used twice. */
+  private nextCallId(): string {
+    const { self, term } = this.dependencies;
+    this.recordedCalls++;
+    return `${self.name}/${term()}/${this.recordedCalls}`;
   }
 
   /** Ends the record of a call that certainly has no effect. */
--- a/src/appointed/failover/appointment_permits.ts
+++ b/src/appointed/failover/appointment_permits.ts
@@ -22,8 +22,8 @@
   readonly instance: string;
   /** Fencing token under which it is sent. */
   readonly token: number;
-  /** Log index of its record. */
-  readonly id: number;
+  /** Identifies its record. */
+  readonly id: string;
 }
 
 /** What identifies a call. */
@@ -41,7 +41,7 @@
   /** Until when a holder may send a call under a permit, also under one of a former leader. */
   private grantedUntil = -Infinity;
   /** Calls for which this leader granted a permit. */
-  private readonly grantedCalls = new Set<number>();
+  private readonly grantedCalls = new Set<string>();
   /** Number of reasons for which no permit is granted. */
   private refusals = 0;
 
--- a/src/appointed/failover/pending_appointments.ts
+++ b/src/appointed/failover/pending_appointments.ts
@@ -26,7 +26,7 @@
 /** The pending appointments as seen by one leader. */
 export class PendingAppointments {
   /** Since when this machine has led and known of each call, by its identifier. */
-  private readonly knownSince = new Map<number, number>();
+  private readonly knownSince = new Map<string, number>();
   private isEnding = false;
 
   constructor(private readonly context: PendingAppointmentsContext) {}
@@ -52,7 +52,7 @@
     }
   }
 
-  private overdueCalls(appointment: PendingAppointment, now: number): readonly number[] {
+  private overdueCalls(appointment: PendingAppointment, now: number): readonly string[] {
     const calls = appointment.calls ?? [];
     for (const call of calls) {
       if (!this.knownSince.has(call)) this.knownSince.set(call, now);
@@ -69,7 +69,7 @@
 
   private async end(
     { group, instance }: PendingAppointment,
-    calls: readonly number[],
+    calls: readonly string[],
   ): Promise<void> {
     const { propose, log } = this.context;
     const fields = { group: group ?? '', instance: instance ?? '' };
--- a/src/observability/control_events.ts
+++ b/src/observability/control_events.ts
@@ -22,7 +22,7 @@
     'appointment_call',
     'info',
     'a call to the platform that appoints a primary reached a stage',
-    '`stage` is intended (recorded in the log as `call`), connected, sent or withheld, and answered; `token` is the fencing token. A call is withheld if the platform could not be reached, or if its process was stopped or lost its authority. `held_ms` is the time between the last check and the sending: a stop exactly there is the only way in which a call is sent late.',
+    '`stage` is intended (recorded in the replicated log as `call`), connected, sent or withheld, and answered; `token` is the fencing token. A call is withheld if the platform could not be reached, or if its process was stopped or lost its authority. `held_ms` is the time between the last check and the sending: a stop exactly there is the only way in which a call is sent late.',
   ),
   appointmentCallsOverdue: define(
     316,
--- a/test/tools/primary_change_scenario.ts
+++ b/test/tools/primary_change_scenario.ts
@@ -113,10 +113,10 @@
   }
 
   /** Records a call to the platform for the target of the change; undefined if it may not be made. */
-  recordCall(instance: string): number | undefined {
-    const call = { group: 'g', instance, token: this.catalog.appointmentLeaseEntry.token };
-    const { changed, version } = this.apply({ beginAppointmentCall: call });
-    return changed ? version : undefined;
+  recordCall(instance: string): string | undefined {
+    const id = `control-1/1/${this.index}`;
+    const call = { group: 'g', instance, token: this.catalog.appointmentLeaseEntry.token, id };
+    return this.apply({ beginAppointmentCall: call }).changed ? id : undefined;
   }
 
   /** Ends all calls without a known outcome. */
@@ -126,7 +126,7 @@
   }
 
   /** An answered call has no effect after a while. */
-  private endCallLater(call: number): void {
+  private endCallLater(call: string): void {
     this.scheduler.schedule(1000, () => {
       this.apply({ endAppointmentCalls: { group: 'g', calls: [call] } });
     });
--- a/test/unit/appointment_lease.test.ts
+++ b/test/unit/appointment_lease.test.ts
@@ -73,6 +73,7 @@
       },
       propose: (command) => this.proposal(command),
       permits: this.permits,
+      term: () => 1,
       isLeading: () => this.isLeading,
       leaderAddress: () => 'leader',
       isInTouch: () => true,
@@ -113,7 +114,7 @@
 }
 
 /** Recorded calls of the group. */
-function callsOf({ catalog }: ReplicatedLog): readonly number[] {
+function callsOf({ catalog }: ReplicatedLog): readonly string[] {
   return catalog.pendingAppointment('g')?.calls ?? [];
 }
 
@@ -182,7 +183,7 @@
   async (t) => {
     const log = logWithChange();
     const leader = new ControlMachine(log, 'control-2');
-    const pendingCall = (): number => callsOf(log).at(-1) ?? 0;
+    const pendingCall = (): string => callsOf(log).at(-1) ?? '';
     let isPermitted = false;
     leader.answer = () => {
       isPermitted = leader.permits.grant({ group: 'g', token: 1, id: pendingCall() });
@@ -252,8 +253,12 @@
 
 void t.test('pending appointments are part of a snapshot', async (t) => {
   const log = logWithChange();
-  log.apply({ beginAppointmentCall: { group: 'g', instance: TARGET, token: 1 } });
-  log.apply({ beginAppointmentCall: { group: 'g', instance: TARGET, token: 1 } });
+  log.apply({
+    beginAppointmentCall: { group: 'g', instance: TARGET, token: 1, id: 'control-1/1/1' },
+  });
+  log.apply({
+    beginAppointmentCall: { group: 'g', instance: TARGET, token: 1, id: 'control-1/1/2' },
+  });
   const restored = new Catalog();
   restored.restore(0, log.catalog.serialize());
   t.match(restored.pendingAppointment('g'), { instance: TARGET, calls: callsOf(log) });
@@ -342,6 +347,28 @@
   t.equal(reports, 2);
 });
 
+void t.test(
+  'a call that may have been recorded without its caller learning it is ended',
+  async (t) => {
+    const log = logWithChange();
+    const leader = new ControlMachine(log, 'control-2');
+    const former = new ControlMachine(log, 'control-1');
+    former.proposal = (command) => {
+      former.isLeading = false;
+      log.apply(command);
+      return Promise.reject(new Error('leadership lost before the proposal was applied'));
+    };
+    former.answer = async ({ appointCallEndRequest }) => ({
+      appointCallEndReply: await leader.lease.onCallEnd(appointCallEndRequest!),
+    });
+    await t.rejects(former.lease.appoint('g', TARGET), /leadership lost/);
+    t.equal(callsOf(log).length, 1);
+    await former.scheduler.runUntil(CALL_END_MS);
+    t.equal(callsOf(log).length, 0);
+    t.same(former.sent, []);
+  },
+);
+
 void t.test('a lost holder that had no permit leaves no pending call', async (t) => {
   const log = logWithChange();
   const leader = new ControlMachine(log, 'control-2');
@@ -383,8 +410,8 @@
     const log = logWithChange();
     const former = new ControlMachine(log, 'control-2');
     const successor = new ControlMachine(log, 'control-3');
-    const id = log.apply({ beginAppointmentCall: { group: 'g', instance: TARGET, token: 1 } });
-    const call = { group: 'g', token: 1, id: id.version };
+    const call = { group: 'g', token: 1, id: 'control-2/1/1' };
+    log.apply({ beginAppointmentCall: { ...call, instance: TARGET } });
     t.equal(former.permits.grant(call), true);
     // The former leader grants a candidate its vote; the successor can't reach the holder.
     former.isLeading = false;
