Sessions: a COMMIT or statement that met BUSY is sent again only while it may be sent

Seen by callers: INDOUBT instead of ABORTED, so that a transaction of which nothing was kept is not run again; a statement repeated at an instance whose zone had been closed meanwhile.

Cause: lease, evacuation and allowed regions were checked before the first sending, and not again after the pauses between its repetitions.

Change: the same check stands right before each repetition; without it the answer BUSY, which says that nothing ran, ends the transaction with ABORTED.

--- a/src/appointed/sessions/caller_transaction.ts
+++ b/src/appointed/sessions/caller_transaction.ts
@@ -89,7 +89,8 @@
     const limitMs = deadline.statementTimeoutMs(
       this.pinned!.target.pool.load.slowAnswerThresholdMs,
     );
-    const attempt = await this.attempt(command, content, deadline, limitMs);
+    const maySend = (): boolean => !this.isZoneClosed && this.isWithinAllowedRegions();
+    const attempt = await this.attempt(command, content, deadline, maySend, limitMs);
     if (attempt.outcome !== 'answered') {
       const cause = this.failureCause(attempt);
       this.discard();
@@ -125,7 +126,8 @@
     }
     this.context.leases.onCommitStarted(this.route.group);
     try {
-      const attempt = await this.attempt({ kind: 'commit', id }, content, deadline);
+      const maySend = (): boolean => !this.isZoneClosed && !this.commitRefusalCause();
+      const attempt = await this.attempt({ kind: 'commit', id }, content, deadline, maySend);
       return this.evaluateCommit(attempt, refusal);
     } finally {
       this.context.leases.onCommitEnded(this.route.group);
@@ -182,11 +184,15 @@
     return refuse(this.context, refusal, 'aborted', cause);
   }
 
-  /** Runs a command on the pinned connection; retries while the instance answers that it is busy. */
+  /**
+   * Runs a command on the pinned connection; retries while the instance answers that it is busy.
+   * @param maySend - checked right before each retry
+   */
   private async attempt(
     command: InstanceCommand,
     content: SessionContent,
     deadline: RequestDeadline,
+    maySend: () => boolean,
     limitMs = Infinity,
   ): Promise<Attempt> {
     const backoff = new RetryBackoff(this.context.clock);
@@ -200,6 +206,7 @@
       const isBusy = answer?.error?.kind === 'busy' && answer.state === 'open';
       if (!isBusy || !deadline.allowsRetry(true)) return attempt;
       await backoff.wait();
+      if (!maySend()) return attempt;
     }
   }
 
--- a/test/tools/single_proxy_harness.ts
+++ b/test/tools/single_proxy_harness.ts
@@ -59,6 +59,10 @@
     do await delay(harness.clock, WORK_MS);
     while (harness.unresponsiveInstances.has(instance) && !this.closed);
     if (this.closed) throw new BackendConnectionLostError('connection was closed', { sent: true });
+    if (command.kind === 'commit' && harness.refusesCommits) {
+      const error = { kind: 'busy', text: instance } as const;
+      return { rows: [], signature: '', error, state: this.state };
+    }
     if (command.kind === 'begin') this.state = 'open';
     if (command.kind === 'commit' || command.kind === 'rollback') this.state = 'idle';
     const { received } = harness;
@@ -90,6 +94,8 @@
   readonly unreachableInstances = new Set<string>();
   /** Instances that do not answer commands. */
   readonly unresponsiveInstances = new Set<string>();
+  /** Whether instances answer COMMIT with BUSY. */
+  refusesCommits = false;
   /** Names of the logged events. */
   readonly events: string[] = [];
   /** Log position that all instances report; undefined if they report none. */
--- a/test/unit/session_commits.test.ts
+++ b/test/unit/session_commits.test.ts
@@ -87,3 +87,27 @@
   const unchanged = await proxy.runUntilSettled(execute({ kind: 'commit' }));
   t.equal(unchanged.error, undefined, 'a transaction that wrote nothing');
 });
+
+// Guards against a commit in doubt that the caller can't repeat, where nothing had been kept.
+void t.test(
+  'a COMMIT that the instance was too busy for is not sent again without a lease',
+  async (t) => {
+    const proxy = await createProxy();
+    const { execute } = proxy.session('own');
+    await proxy.runUntilSettled(execute({ kind: 'begin', readOnly: false }));
+    await proxy.runUntilSettled(execute(WRITE));
+    proxy.isControlUnresponsive = true;
+    for (const replica of ['g2', 'g3']) proxy.unresponsiveInstances.add(replica);
+    while (proxy.core.syncAgeMs < 2700) await proxy.run(10);
+    proxy.refusesCommits = true;
+    const committed = execute({ kind: 'commit' });
+    while (proxy.core.syncAgeMs <= 3000) await proxy.run(1);
+    const leaseEndedAt = proxy.now;
+    proxy.refusesCommits = false;
+    const { error } = await proxy.runUntilSettled(committed);
+    t.equal(error?.kind, 'aborted', 'the caller may run the transaction again');
+    const commits = proxy.sentCommands.filter(({ command }) => command.kind === 'commit');
+    t.ok(commits.length > 1, 'it was sent again while the lease lasted');
+    t.notOk(commits.some(({ at }) => at > leaseEndedAt));
+  },
+);
