--- a/test/soak/relayed_site.js
+++ b/test/soak/relayed_site.js
@@ -9,6 +9,8 @@
 /** What a control machine logs when it begins to lead. */
 const LEADS = '"role":"leader"';
 
+const FIRST_PROXY_HOST = 21;
+
 class RelayedPlatform extends Platform {
   constructor(record, relay) {
     super(record);
@@ -30,6 +32,8 @@
 class WatchedDeployment extends Deployment {
   constructor(options) {
     super(options);
+    // A network of their own: more than ten of them would reach the addresses of the instances.
+    this.proxyHosts = this.proxyHosts.map((_, index) => `127.0.1.${FIRST_PROXY_HOST + index}`);
     /** Called with the name of a process and what it has just written to its log. */
     this.onOutput = () => {};
     /** Name of the control machine that began to lead last, by its log. */
