--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -29,6 +29,8 @@
   disableLease,
   disableEvacuatedZones,
   disableIssuerLease,
+  disablePendingAppointments,
+  disablePermits,
   disableQuota,
   disableReplicaLeases,
   disableSlowStart,
@@ -172,6 +174,8 @@
         if (surroundings.disabled.has('instance-lives')) disableIncarnations(core);
         if (surroundings.disabled.has('departures')) disableDepartures(core);
         if (surroundings.disabled.has('commit-watermarks')) disableCommitWatermarks(core);
+        if (surroundings.disabled.has('appointment-permits')) disablePermits(core);
+        if (surroundings.disabled.has('pending-appointments')) disablePendingAppointments(core);
         this.core = core;
         process.onEnd(() => core.stop());
         await core.start();
--- a/lab/appointed/disabled_protections.ts
+++ b/lab/appointed/disabled_protections.ts
@@ -12,6 +12,7 @@
 import type { AppointedControl } from '../../src/appointed/control/appointed_control.js';
 import type { AppointedProxy } from '../../src/appointed/proxy/appointed_proxy.js';
 import { inheritedPositionOf } from '../../src/appointed/failover/inherited_position.js';
+import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { START } from '../../src/positions/position.js';
 import type { InstanceCommand } from '../../src/appointed/instance/statement.js';
 
@@ -31,6 +32,8 @@
   'issuer-lease',
   'departures',
   'commit-watermarks',
+  'appointment-permits',
+  'pending-appointments',
 ] as const;
 
 /** One protection. */
@@ -114,6 +117,33 @@
   watermarks.of = (entry) => inheritedPositionOf(entry) ?? START;
 }
 
+/** Makes every call to the platform permitted at any moment. */
+export function disablePermits({ permits }: AppointedControl): void {
+  permits.mayCall = () => true;
+  permits.grant = () => true;
+}
+
+/** Makes calls that may still take effect bind a group to no instance. */
+export function disablePendingAppointments({ catalog }: AppointedControl): void {
+  const pendingAppointment = catalog.pendingAppointment.bind(catalog);
+  catalog.pendingAppointment = (group) => {
+    const call = pendingAppointment(group);
+    return call && { ...call, instance: undefined };
+  };
+  const apply = catalog.apply.bind(catalog);
+  catalog.apply = (index, bytes) => {
+    const { beginAppointmentCall } = whinyoke.CatalogCommand.decode(bytes);
+    const group = beginAppointmentCall?.group ?? '';
+    const { instance, newestCall } = pendingAppointment(group) ?? {};
+    // A call for another instance would be refused while there is a record.
+    if (instance !== beginAppointmentCall?.instance) {
+      const endAppointmentCalls = { group, newestCall, all: true };
+      apply(index, whinyoke.CatalogCommand.encode({ endAppointmentCalls }).finish());
+    }
+    return apply(index, bytes);
+  };
+}
+
 /** Makes a proxy trust a primary that has started again until control tells of it. */
 export function disableEmptyPrimaryCheck({ leases }: AppointedProxy): void {
   leases.distrust = () => false;
--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -113,6 +113,8 @@
   private readonly syncService: SyncService;
   private readonly allowanceService: AllowanceService;
   private readonly catalogService: CatalogService;
+  /** Decides when a call to the platform may be sent. */
+  readonly permits: AppointmentPermits;
   private readonly appointmentLease: AppointmentLease;
   private readonly persistentConnections: PersistentConnections;
   private readonly caughtUp: CaughtUpInstances;
@@ -147,6 +149,8 @@
     this.syncService = new SyncService({ ...shared, ledger, health, positions, slowStarts });
     this.allowanceService = new AllowanceService({ ...shared, documents }, options.quotaRules);
     this.catalogService = this.makeCatalogService(shared);
+    const holdsLeaderLease = (): boolean => node.holdsLeaderLease;
+    this.permits = new AppointmentPermits({ clock, catalog, holdsLeaderLease });
     this.appointmentLease = this.makeAppointmentLease(propose);
     const { appointmentLease } = this;
     this.persistentConnections = new PersistentConnections({
@@ -288,10 +292,9 @@
   }
 
   private makeAppointmentLease(propose: Proposer): AppointmentLease {
-    const { catalog, node, options } = this;
+    const { catalog, node, options, permits } = this;
     const { name, address, appointer, log } = options;
     const { messenger, clock } = this.runtime;
-    const holdsLeaderLease = (): boolean => node.holdsLeaderLease;
     return new AppointmentLease({
       self: { name, address },
       clock,
@@ -299,7 +302,7 @@
       messenger,
       appointer,
       propose,
-      permits: new AppointmentPermits({ clock, catalog, holdsLeaderLease }),
+      permits,
       isLeading: () => node.role === 'leader',
       leaderAddress: () => node.leaderAddress,
       isInTouch: (holder) => isInTouch(node, holder),
