Consensus: a property test of the leader lease under random faults

Groups of three and five members in one or two regions; members are frozen, killed (for 400 ms and more), cut off and slowed down, and the leader is stopped for about an election timeout. While a member holds the leader lease no other one leads in a higher term, and none begins to within PERMIT_MS after it.

--- a/test/tools/consensus_group.ts
+++ b/test/tools/consensus_group.ts
@@ -74,6 +74,9 @@
   readonly changes: RoleChange[] = [];
   readonly machines: readonly MemberMachine[];
   readonly random: SeededRandom;
+  readonly network: VirtualNetwork;
+  /** Called at each change of a role, at the moment of the change. */
+  onRoleChange: (change: RoleChange) => void = () => undefined;
 
   /**
    * @param regionOf - region of each member; all members vote
@@ -89,7 +92,7 @@
     const regionByHost = new Map(
       members.map(({ address }, index) => [hostOf(address), regionOf[index]!]),
     );
-    const network = new VirtualNetwork(this.scheduler, this.random, {
+    this.network = new VirtualNetwork(this.scheduler, this.random, {
       hostMs: ZONE_MS,
       callerMs: ZONE_MS,
       jitterMs: JITTER_MS,
@@ -98,13 +101,16 @@
     });
     const surroundings = {
       scheduler: this.scheduler,
-      network,
+      network: this.network,
       addresses: new AddressBook(),
       random: this.random,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       syncMs: SYNC_MS,
     };
-    const recordRoleChange = (change: RoleChange): void => void this.changes.push(change);
+    const recordRoleChange = (change: RoleChange): void => {
+      this.changes.push(change);
+      this.onRoleChange(change);
+    };
     this.machines = members.map(
       (member) => new MemberMachine(member, members, surroundings, recordRoleChange),
     );
