A change of primary finds the instance that leads also if the old primary has ended

Found while reading the change: "no instance is bound" and "the old primary is not in the catalog" were both undefined, and compared as equal. A group whose old primary had ended, and whose new one an earlier leader had appointed without telling, was not found to have a primary; without a proof it stayed without one. The new test of late_appointments.test.ts fails on the parent.

--- a/src/appointed/failover/primary_changer.ts
+++ b/src/appointed/failover/primary_changer.ts
@@ -271,13 +271,19 @@
     return appointee;
   }
 
+  /** Whether calls may still make the old primary lead again. */
+  private get isBoundToOldPrimary(): boolean {
+    const { instance } = this.boundTarget;
+    return instance !== undefined && instance === this.oldPrimary?.id;
+  }
+
   /** Lets the old primary step down, unless it may lead again by a call; resolves with its status. */
   private endOldTerm(): Promise<InstanceStatus | undefined> | undefined {
     const { oldPrimary } = this;
     const { administrator } = this.context;
     if (!oldPrimary || !this.isAsked(oldPrimary)) return undefined;
     const target = targetOf(oldPrimary);
-    if (this.boundTarget.instance === oldPrimary.id) return administrator.status(target);
+    if (this.isBoundToOldPrimary) return administrator.status(target);
     return administrator.stepDown(target, this.replicaFence.newTerm, () => this.isCurrent());
   }
 
@@ -288,7 +294,7 @@
   ): Promise<CandidateReport | undefined> {
     const { boundTarget, oldPrimary, oldTerm } = this;
     const bound = replicas.filter(({ instance }) => !boundTarget.excludes(instance));
-    if (boundTarget.instance !== oldPrimary?.id) return newestPrimary(bound, oldTerm);
+    if (!this.isBoundToOldPrimary) return newestPrimary(bound, oldTerm);
     const status = await oldStatus;
     const old = { instance: oldPrimary?.id ?? '', isEligible: true };
     return status && newestPrimary([{ ...old, status }], oldTerm);
--- a/test/unit/late_appointments.test.ts
+++ b/test/unit/late_appointments.test.ts
@@ -127,3 +127,18 @@
   t.same(group.appointed, ['a'], 'the platform carried the call out, its answer was lost');
   t.match(group.catalog.group('g'), { epoch: 3, primary: 'a' });
 });
+
+void t.test(
+  'a change ends with an instance that leads, also if the old primary has ended',
+  async (t) => {
+    const group = createGroup();
+    group.statuses.delete('c');
+    group.statuses.set('b', { ...statusUpTo(101, 'primary'), term: 5 });
+    group.deregister('a');
+    group.end('a');
+    void group.changePrimary(100);
+    await group.run(CHANGE_ATTEMPTS_MS);
+    t.same(group.appointed, [], 'a former leader appointed it');
+    t.match(group.catalog.group('g'), { epoch: 3, primary: 'b' });
+  },
+);
