Log each request that a planned stop ends

Cause: the only trace of a request that a stop cuts was the number cut_off of event 104.

Change: event 265 names each request that has been read and has no delivered reply when its connection is closed by a stop, with its stage (queued, waiting, sent, answered), age, time left and the reason. A request that is read on a connection that is being closed is logged as well. No decision is changed.

--- a/src/appointed/proxy/graceful_stop.ts
+++ b/src/appointed/proxy/graceful_stop.ts
@@ -32,6 +32,6 @@
     if (isDone && clock.now() - startedAt > graceMs * MIN_DURATION_FRACTION) break;
   }
   const cutOff = listener.busyCount;
-  listener.close();
+  listener.close('the time for a graceful shutdown is over');
   return cutOff;
 }
--- a/src/appointed/sessions/routed_session.ts
+++ b/src/appointed/sessions/routed_session.ts
@@ -10,6 +10,7 @@
 import { AdmittedOperation } from '../tenancy/admitted_operation.js';
 import { type CallerReply, successReply, errorReply } from './caller_reply.js';
 import type { TransactionState } from '../instance/instance_connection.js';
+import { RequestProgress } from './request_progress.js';
 import { refuse, refuseCredential } from '../routing/refusal.js';
 import { RequestDeadline } from '../routing/request_deadline.js';
 import type { Route } from '../catalog/route_table.js';
@@ -48,6 +49,8 @@
   private transactionState: TransactionState = 'idle';
   private readonly commits = new SessionCommits();
   private idleTimer: Timer | undefined;
+  /** Progress of the statement that is being run. */
+  private progress: RequestProgress | undefined;
   private isRunning = false;
   private isClosed = false;
 
@@ -56,7 +59,10 @@
     private readonly database: string,
     private readonly credential: string,
   ) {
-    this.runner = new StatementRunner(context);
+    this.runner = new StatementRunner(context, {
+      onSent: () => this.setStage('sent'),
+      onEnded: () => this.setStage('waiting'),
+    });
     this.singleStatements = new SingleStatementRunner(context, this.runner);
   }
 
@@ -66,12 +72,20 @@
   }
 
   /** Runs one statement. Never rejects. */
-  async execute(id: string, statement: CallerStatement): Promise<CallerReply> {
+  async execute(
+    id: string,
+    statement: CallerStatement,
+    progress = new RequestProgress(id, this.context.clock.now()),
+  ): Promise<CallerReply> {
     this.idleTimer?.cancel();
     this.isRunning = true;
     const startedAt = this.context.clock.now();
     const route = this.transaction?.route ?? this.route;
+    progress.timeoutMs = route?.timeoutMs;
+    progress.stage = 'waiting';
+    this.progress = progress;
     const reply = await this.dispatch(id, statement);
+    this.progress = undefined;
     this.transactionState = reply.state;
     this.isRunning = false;
     if (this.isClosed) this.endTransaction('-');
@@ -92,6 +106,10 @@
     if (!this.isRunning) this.endTransaction('-');
   }
 
+  private setStage(stage: RequestProgress['stage']): void {
+    if (this.progress) this.progress.stage = stage;
+  }
+
   private get route(): Route | undefined {
     return this.context.table?.routeByDatabase.get(this.database);
   }
--- a/src/appointed/sessions/session_listener.ts
+++ b/src/appointed/sessions/session_listener.ts
@@ -6,10 +6,14 @@
  * closes the session.
  */
 import type { Socket } from 'node:net';
+import type { DecisionLog } from '../../observability/decision_logger.js';
+import { Events } from '../../observability/events.js';
+import type { Clock } from '../../runtime/runtime.js';
 import type { SocketAcceptor } from '../../runtime/socket_acceptor.js';
 import type { CallerErrorKind, CallerReply } from './caller_reply.js';
 import type { TransactionState } from '../instance/instance_connection.js';
 import type { RoutedSession } from './routed_session.js';
+import { RequestProgress } from './request_progress.js';
 import { causeText } from '../routing/refusal_cause.js';
 import { retryAfterMs } from '../routing/retry_after.js';
 import type { CallerStatement } from '../instance/statement.js';
@@ -41,6 +45,8 @@
 
 /** What the listener needs from the proxy. */
 export interface SessionSource {
+  readonly clock: Clock;
+  readonly log: DecisionLog;
   /** Waits for a configuration; resolves with false after `timeoutMs`. */
   awaitTable(timeoutMs: number): Promise<boolean>;
   /** Whether the credential belongs to a tenant, or the database's route requires none. */
@@ -57,10 +63,22 @@
  */
 const CONFIGURATION_WAIT_MS = 1200;
 
+/** Why a request was ended that arrived while its connection was being closed. */
+const CLOSED_BEFORE = 'the connection was being closed';
+
+/** A message that was read, with the progress of the request that it is part of. */
+interface ReadMessage {
+  readonly message: CallerMessage;
+  /** Undefined if the message is no request. */
+  readonly progress: RequestProgress | undefined;
+}
+
 /** Connection of one caller. */
 class CallerConnection {
   private readonly reader;
-  private readonly queue: CallerMessage[] = [];
+  private readonly queue: ReadMessage[] = [];
+  /** Requests that were read and whose replies have not been taken over by the operating system. */
+  private readonly requests = new Set<RequestProgress>();
   private session: RoutedSession | undefined;
   private isRunning = false;
   private isDraining = false;
@@ -91,6 +109,17 @@
     this.closeIfDrained();
   }
 
+  /** Closes the connection at once; requests without a delivered reply are logged with the reason. */
+  abort(reason: string): void {
+    for (const progress of this.requests) this.logEnded(progress, reason);
+    this.end();
+  }
+
+  private logEnded(progress: RequestProgress, reason: string): void {
+    const { clock, log } = this.source;
+    log(Events.requestEndedByStop, { ...progress.fieldsAt(clock.now()), reason });
+  }
+
   /** Closes the connection immediately. */
   end(): void {
     if (this.isEnded) return;
@@ -101,10 +130,22 @@
   }
 
   private receive(chunk: Buffer): void {
-    this.queue.push(...this.reader.push(chunk));
+    const messages = this.reader.push(chunk).map((message) => this.track(message));
+    if (this.isEnded) {
+      for (const { progress } of messages) if (progress) this.logEnded(progress, CLOSED_BEFORE);
+      return;
+    }
+    this.queue.push(...messages);
     if (!this.isRunning) void this.runQueue();
   }
 
+  private track(message: CallerMessage): ReadMessage {
+    if (message.kind !== 'query') return { message, progress: undefined };
+    const progress = new RequestProgress(message.id, this.source.clock.now());
+    this.requests.add(progress);
+    return { message, progress };
+  }
+
   private async runQueue(): Promise<void> {
     this.isRunning = true;
     for (let next = this.queue.shift(); next && !this.isEnded; next = this.queue.shift()) {
@@ -118,13 +159,13 @@
     if (this.isDraining && !this.isBusy) this.endWith('');
   }
 
-  private async handle(message: CallerMessage): Promise<void> {
+  private async handle({ message, progress }: ReadMessage): Promise<void> {
     switch (message.kind) {
       case 'start':
         await this.start(message.database, message.credential);
         return;
       case 'query':
-        await this.query(message.id, message.statement);
+        await this.query(message.id, message.statement, progress!);
         return;
       case 'terminate':
         this.endWith('');
@@ -157,17 +198,22 @@
     else this.endWith(this.codec.encodeError('noDatabase', database));
   }
 
-  private async query(id: string, statement: CallerStatement): Promise<void> {
+  private async query(
+    id: string,
+    statement: CallerStatement,
+    progress: RequestProgress,
+  ): Promise<void> {
     if (!this.session) {
       this.endWith(this.codec.encodeError('malformed', 'the session has not started'));
       return;
     }
-    const reply = await this.session.execute(id, statement);
-    this.send(this.codec.encodeReply(reply));
+    const reply = await this.session.execute(id, statement, progress);
+    progress.stage = 'answered';
+    this.send(this.codec.encodeReply(reply), () => this.requests.delete(progress));
   }
 
-  private send(text: string): void {
-    if (!this.isEnded) this.socket.write(text, 'latin1');
+  private send(text: string, onWritten?: () => void): void {
+    if (!this.isEnded) this.socket.write(text, 'latin1', onWritten);
   }
 
   /** Sends a last message and closes the connection. */
@@ -213,10 +259,10 @@
     for (const connection of this.connections) if (!connection.isBusy) connection.end();
   }
 
-  /** Stops listening and closes all connections. */
-  close(): void {
+  /** Stops listening and closes all connections; requests that this ends are logged with the reason. */
+  close(reason: string): void {
     this.acceptor.close();
-    for (const connection of this.connections) connection.end();
+    for (const connection of this.connections) connection.abort(reason);
   }
 
   private accept(socket: Socket): void {
--- a/src/appointed/sessions/statement_runner.ts
+++ b/src/appointed/sessions/statement_runner.ts
@@ -85,8 +85,17 @@
   /** The statement may have run, but there is no usable answer. */
   | { readonly outcome: 'lost'; readonly cause: AttemptFailure };
 
+/** Told when a caller's statement is sent to an instance, and when that instance is done with it. */
+export interface StatementObserver {
+  onSent(): void;
+  onEnded(): void;
+}
+
 export class StatementRunner {
-  constructor(private readonly context: ProxyContext) {}
+  constructor(
+    private readonly context: ProxyContext,
+    private readonly observer?: StatementObserver,
+  ) {}
 
   /** Acquires a connection to a target. @throws AcquireError if none was available in time */
   async acquire(
@@ -148,7 +157,7 @@
     const loading = loadingCommands(pinned.pooled, content).map((loadingCommand) =>
       this.load(pinned, loadingCommand, timeoutMs),
     );
-    const running = this.exchange(pinned, command, timeoutMs);
+    const running = this.runObserved(pinned, command, timeoutMs);
     const [loaded, [result]] = await Promise.all([
       Promise.all(loading),
       Promise.allSettled([running]),
@@ -163,6 +172,20 @@
     return { outcome: isHarmless ? 'notRun' : 'lost', cause };
   }
 
+  private async runObserved(
+    pinned: PinnedConnection,
+    command: InstanceCommand,
+    timeoutMs: number,
+  ): Promise<InstanceAnswer> {
+    // BEGIN is no statement of the caller: it was answered before, or is part of the first statement.
+    if (command.kind !== 'begin') this.observer?.onSent();
+    try {
+      return await this.exchange(pinned, command, timeoutMs);
+    } finally {
+      if (command.kind !== 'begin') this.observer?.onEnded();
+    }
+  }
+
   private async load(
     pinned: PinnedConnection,
     loadingCommand: InstanceCommand,
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -118,6 +118,13 @@
     'a request is retried',
     'An attempt on `instance` gave no usable result; `cause` is the reason. Nothing ran twice.',
   ),
+  requestEndedByStop: define(
+    265,
+    'request_ended_by_stop',
+    'error',
+    'a graceful shutdown ended a request without an answer',
+    'Its caller saw the connection close. `stage` is `queued`, `waiting`, `sent` (to an instance) or `answered` (the reply was not delivered), `remaining_ms` the time left until its timeout, `reason` what ended it.',
+  ),
   linesLeftOut: define(
     231,
     'lines_left_out',
