A planned stop answers every request that was read

Cause: two clocks that did not know of each other. Requests were accepted and passed on until 85% of the grace period, and all connections were destroyed at that moment; the deadline of a request was that of its route alone. Whatever was sent to an instance within its own answer time before the end was cut. Class: something is closed while work is on it that was started without regard to the close.

Change: - ShutdownDeadline: a request is started only if it can take its whole timeout before the answers end (a read, which may be refused at any time, its latency objective; BEGIN two timeouts; none more than a quarter of the time, so that routes with long timeouts are served too). Otherwise it is refused at once as not run, with 50 ms to come back: another proxy may serve it. All waits of a request end with the process. - At the end nothing may be sent any more: connections to instances are closed, what ran there gets its verdict, each remaining request is answered, then callers are asked to close. A proxy that only refuses ends early. - The close of a connection is announced by an error that nobody asked for, which the protocol provides. The caller closes. A request that crosses the announcement takes it as its answer: it is not run, and the answer is completed. Before, it was read and dropped. - A connection counts until it is closed, and a reply until the operating system has it; the process exited once the last bytes had been handed to the socket. - Connections of an isolated proxy are closed in the same way; they were destroyed. - The signal is awaited before callers are read; until then its default action ended the process.

--- a/src/appointed/connections/instance_directory.ts
+++ b/src/appointed/connections/instance_directory.ts
@@ -245,6 +245,14 @@
     for (const { localPool } of this.accesses.values()) localPool.maintain();
   }
 
+  /** Closes all pools and all connections in use; statements in flight end with an error. */
+  closeInUse(): void {
+    for (const access of this.accesses.values()) {
+      access.localPool.close();
+      access.closeInUse();
+    }
+  }
+
   /** Closes all pools. */
   close(): void {
     for (const { localPool } of this.accesses.values()) localPool.close();
--- a/src/appointed/daemon/proxy_daemon.ts
+++ b/src/appointed/daemon/proxy_daemon.ts
@@ -10,7 +10,8 @@
 import type { PlacementRules } from '../placement/placement_rules.js';
 import type { QuotaRules } from '../tenancy/operation_budget.js';
 import { AppointedProxy } from '../proxy/appointed_proxy.js';
-import { type CallerCodec, SessionListener } from '../sessions/session_listener.js';
+import { SessionListener } from '../sessions/session_listener.js';
+import type { CallerCodec } from '../sessions/socket_channel.js';
 import {
   type ManagedProcess,
   addDroppedLines,
@@ -21,7 +22,7 @@
 } from '../../daemon/managed_process.js';
 import { SocketAcceptor } from '../../runtime/socket_acceptor.js';
 import { ProxyMetrics } from './proxy_metrics.js';
-import { awaitStop } from '../../daemon/stop_signal.js';
+import { awaitStop, stopSignal } from '../../daemon/stop_signal.js';
 
 /** Settings of a proxy for groups with appointed primaries. */
 export interface AppointedProxySettings {
@@ -72,6 +73,8 @@
   protocols: AppointedProxyProtocols,
   openAcceptor?: SocketAcceptor,
 ): Promise<RunningAppointedProxy> {
+  // Awaited before callers are read: until then a signal ends the process.
+  const signal = stopSignal();
   const acceptor = openAcceptor ?? (await SocketAcceptor.open(settings.listen));
   const process = await openProcess('whinyoke-proxy', settings);
   const { logger } = process;
@@ -93,7 +96,7 @@
     internal: settings.internal,
   });
   const stop = async (): Promise<void> => {
-    await awaitStop(logger, () => ({ callers: listener.connectionCount }));
+    await awaitStop(logger, () => ({ callers: listener.connections.size }), signal);
     const cutOff = await stopProxy(core, listener, settings.graceMs);
     server?.close();
     logger.event(Events.stopped, { cut_off: cutOff });
@@ -129,19 +132,27 @@
 /** Closes idle caller connections while the proxy is isolated from control, so that callers reconnect to another proxy. */
 function closeIdleCallersWhileIsolated(core: AppointedProxy, listener: SessionListener): void {
   const timer = setInterval(() => {
-    if (core.isIsolated) listener.closeIdle();
+    if (core.isIsolated) listener.connections.closeIdle({ kind: 'isolated' });
   }, ISOLATION_CHECK_INTERVAL_MS);
   timer.unref();
 }
 
-/** Shuts a proxy down gracefully; resolves with the number of callers whose connections were closed while busy. */
+/** Shuts a proxy down gracefully; resolves with the number of callers whose connections were closed without a reply. */
 async function stopProxy(
   core: AppointedProxy,
   listener: SessionListener,
   graceMs: number,
 ): Promise<number> {
   core.startLeaving();
-  const cutOff = await stopGracefully(core.clock, listener, graceMs, () => core.relayedCount);
+  const parts = {
+    clock: core.clock,
+    shutdown: core.shutdown,
+    connections: listener.connections,
+    relayedCount: () => core.relayedCount,
+    closeInstances: () => core.closeInstances(),
+    stopAccepting: () => listener.stopAccepting(),
+  };
+  const cutOff = await stopGracefully(parts, graceMs);
   core.stop();
   return cutOff;
 }
--- a/src/appointed/proxy/appointed_proxy.ts
+++ b/src/appointed/proxy/appointed_proxy.ts
@@ -22,6 +22,7 @@
 import { SlowStartGate } from '../placement/slow_start_gate.js';
 import { IssuerSelector } from '../tenancy/issuer_selector.js';
 import type { PlacementRules } from '../placement/placement_rules.js';
+import { ShutdownDeadline } from '../routing/shutdown_deadline.js';
 import type { QuotaRules } from '../tenancy/operation_budget.js';
 import { PrimaryHealthTrackers } from '../trust/primary_health_trackers.js';
 import { PrimaryLeases } from '../trust/primary_leases.js';
@@ -84,6 +85,8 @@
   readonly evacuatedZones: EvacuatedZones;
   /** Limits requests to instances that are warming up. */
   readonly slowStarts: SlowStartGate;
+  /** Time limit of all requests once the proxy shuts down. */
+  readonly shutdown: ShutdownDeadline;
   private readonly document: DocumentInForce;
   private readonly contact: ControlContact;
   private readonly synchronisation: ControlSynchronisation;
@@ -96,6 +99,7 @@
     private readonly options: AppointedProxyOptions,
   ) {
     this.clock = runtime.clock;
+    this.shutdown = new ShutdownDeadline(runtime.clock);
     this.zone = options.zone;
     this.regionByZone = options.placementRules.regionByZone;
     this.log = options.log;
@@ -156,6 +160,11 @@
     this.allowances.returnReserves();
   }
 
+  /** Closes all connections to instances; statements in flight there end with an error. */
+  closeInstances(): void {
+    this.instances.closeInUse();
+  }
+
   /** Updates the addresses of control machines after a change of settings. */
   updateSeeds(seeds: readonly string[]): void {
     this.synchronisation.updateSeeds(seeds);
@@ -220,6 +229,12 @@
     return outcome !== 'unknown';
   }
 
+  /** Whether the process ends before a new session could run a statement. */
+  isTooLateFor(database: string): boolean {
+    const route = this.table?.routeByDatabase.get(database);
+    return route !== undefined && !this.shutdown.admits('read', route);
+  }
+
   /** Opens the session of a caller; undefined if no route has that database. */
   openSession(database: string, credential = ''): RoutedSession | undefined {
     if (!this.table?.routeByDatabase.has(database)) return undefined;
--- a/src/appointed/proxy/proxy_context.ts
+++ b/src/appointed/proxy/proxy_context.ts
@@ -10,6 +10,7 @@
 import type { CancelReservation } from '../placement/slow_start_gate.js';
 import type { ReadCandidate } from '../routing/replica_selector.js';
 import type { RouteTable } from '../catalog/route_table.js';
+import type { ShutdownDeadline } from '../routing/shutdown_deadline.js';
 import type { PrimaryPositions } from './primary_positions.js';
 
 /** Counts requests by outcome. */
@@ -78,4 +79,6 @@
   readonly primaryHealth: SessionPrimaryHealth;
   readonly positions: SessionPositions;
   readonly instances: SessionInstances;
+  /** End of this process, if it shuts down. */
+  readonly shutdown: ShutdownDeadline;
 }
--- a/src/appointed/proxy/proxy_instances.ts
+++ b/src/appointed/proxy/proxy_instances.ts
@@ -164,6 +164,11 @@
     this.directory.maintain();
   }
 
+  /** Closes all connections, those in use included: their statements end with an error, and no other one can be sent. */
+  closeInUse(): void {
+    this.directory.closeInUse();
+  }
+
   close(): void {
     this.directory.close();
   }
--- a/src/appointed/routing/refusal_cause.ts
+++ b/src/appointed/routing/refusal_cause.ts
@@ -61,7 +61,11 @@
   /** Control has not confirmed the document recently, so the credential may have been revoked. */
   | { readonly kind: 'credentialUnproven' }
   /** The proxy is starting and has received no configuration yet. */
-  | { readonly kind: 'noConfiguration' };
+  | { readonly kind: 'noConfiguration' }
+  /** The proxy shuts down, and the request may need longer than that takes. */
+  | { readonly kind: 'shuttingDown' }
+  /** The proxy can't reach control and holds no lease. */
+  | { readonly kind: 'isolated' };
 
 /** Why another attempt follows, as reported by the retry metric and the retry log line. */
 export type RetryCause =
@@ -116,6 +120,10 @@
       return 'whether the credential still holds is not known';
     case 'noConfiguration':
       return 'no configuration yet';
+    case 'shuttingDown':
+      return 'the proxy is shutting down';
+    case 'isolated':
+      return 'the proxy is cut off from control';
     case 'readAttempt':
       return cause.ending;
   }
--- a/src/appointed/routing/request_deadline.ts
+++ b/src/appointed/routing/request_deadline.ts
@@ -12,11 +12,12 @@
  * 5. for an answer: `readAnswerTimeoutMs`, counted from when the statement is sent;
  * 6. between two rounds over all instances: retry_backoff.ts.
  *
- * It is refused once `allowsRetry` or `allowsAttempt` is false. Writes wait in the same order, but for an answer until the
+ * No wait lasts longer than the shutdown of the process. It is refused once `allowsRetry` or `allowsAttempt` is false. Writes wait in the same order, but for an answer until the
  * timeout. Statements of a transaction wait for `statementTimeoutMs`.
  */
 import type { Clock } from '../../runtime/runtime.js';
 import type { Route } from '../catalog/route_table.js';
+import type { ShutdownDeadline } from './shutdown_deadline.js';
 import { EXPECTED_PRIMARY_CHANGE_MS } from './retry_after.js';
 
 /** Fraction of the target latency that a request may wait before it is first sent to an instance. */
@@ -39,6 +40,8 @@
 /** Timeout of a ROLLBACK, which runs in the background; afterwards the connection is closed. */
 export const ROLLBACK_TIMEOUT_MS = 1000;
 
+const NO_SHUTDOWN = { remainingMs: Infinity };
+
 /** Time limits of one request on the clock of this process. */
 export class RequestDeadline {
   /** When the request arrived. */
@@ -47,6 +50,7 @@
   constructor(
     private readonly clock: Clock,
     readonly route: Route,
+    private readonly shutdown: Pick<ShutdownDeadline, 'remainingMs'> = NO_SHUTDOWN,
   ) {
     this.arrivedAt = clock.now();
   }
@@ -56,9 +60,9 @@
     return this.clock.now() - this.arrivedAt;
   }
 
-  /** Milliseconds until the timeout of the statement. */
+  /** Milliseconds until the timeout of the statement, or until the process ends. */
   get remainingMs(): number {
-    return this.route.timeoutMs - this.elapsedMs;
+    return this.limit(this.route.timeoutMs - this.elapsedMs);
   }
 
   /** Milliseconds until the latency objective is missed; negative afterwards. */
@@ -134,11 +138,15 @@
 
   /** Milliseconds until the request is refused instead of retried. */
   private get retryRemainingMs(): number {
-    return this.route.timeoutMs * RETRY_TIMEOUT_FRACTION - this.elapsedMs;
+    return this.limit(this.route.timeoutMs * RETRY_TIMEOUT_FRACTION - this.elapsedMs);
   }
 
   private remainingOfTargetMs(fraction: number): number {
     const limitMs = Math.max(MIN_FIRST_ATTEMPT_WAIT_MS, this.route.targetLatencyMs * fraction);
-    return Math.min(limitMs, this.route.timeoutMs) - this.elapsedMs;
+    return this.limit(Math.min(limitMs, this.route.timeoutMs) - this.elapsedMs);
+  }
+
+  private limit(remainingMs: number): number {
+    return Math.min(remainingMs, this.shutdown.remainingMs);
   }
 }
--- a/src/appointed/routing/retry_after.ts
+++ b/src/appointed/routing/retry_after.ts
@@ -45,6 +45,9 @@
     case 'credentialUnproven':
     case 'noConfiguration':
       return CONTROL_RETRY_MS;
+    case 'shuttingDown':
+    case 'isolated':
+      return SHORT_RETRY_MS;
     default:
       return primaryStatus ? groupRetryMs(primaryStatus) : CONTROL_RETRY_MS;
   }
--- a/src/appointed/sessions/caller_transaction.ts
+++ b/src/appointed/sessions/caller_transaction.ts
@@ -67,14 +67,14 @@
   beginEarly(content: SessionContent): void {
     void this.ensureBegun(
       INTERNAL_REQUEST_ID,
-      new RequestDeadline(this.context.clock, this.route),
+      new RequestDeadline(this.context.clock, this.route, this.context.shutdown),
       content,
     );
   }
 
   /** Runs a statement; after an error the transaction has failed and its connection is released. */
   async run(id: string, statement: DataStatement, content: SessionContent): Promise<CallerReply> {
-    const deadline = new RequestDeadline(this.context.clock, this.route);
+    const deadline = new RequestDeadline(this.context.clock, this.route, this.context.shutdown);
     const refusal = { id, deadline, state: 'failed' as const };
     const beginFailure = await this.ensureBegun(id, deadline, content);
     if (beginFailure !== undefined) return refuse(this.context, refusal, 'busy', beginFailure);
@@ -112,7 +112,7 @@
   }
 
   async commit(id: string, content: SessionContent): Promise<WriteReply> {
-    const deadline = new RequestDeadline(this.context.clock, this.route);
+    const deadline = new RequestDeadline(this.context.clock, this.route, this.context.shutdown);
     const refusal = { id, deadline, state: 'idle' as const };
     const beginFailure = await this.ensureBegun(id, deadline, content);
     if (beginFailure !== undefined) {
--- a/src/appointed/sessions/routed_session.ts
+++ b/src/appointed/sessions/routed_session.ts
@@ -10,11 +10,12 @@
 import { AdmittedOperation } from '../tenancy/admitted_operation.js';
 import { type CallerReply, successReply, errorReply } from './caller_reply.js';
 import type { TransactionState } from '../instance/instance_connection.js';
-import { RequestProgress } from './request_progress.js';
 import { refuse, refuseCredential } from '../routing/refusal.js';
+import { causeText } from '../routing/refusal_cause.js';
 import { RequestDeadline } from '../routing/request_deadline.js';
 import type { Route } from '../catalog/route_table.js';
 import type { ProxyContext } from '../proxy/proxy_context.js';
+import { RequestProgress } from './request_progress.js';
 import { type SingleStatementRequest, SingleStatementRunner } from './single_statement.js';
 import {
   type CallerStatement,
@@ -22,6 +23,7 @@
   type PreparedShape,
   accessOf,
 } from '../instance/statement.js';
+import type { ShutdownNeed } from '../routing/shutdown_deadline.js';
 import { SessionCommits } from './session_commits.js';
 import type { SessionContent } from './session_loader.js';
 import { StatementRunner } from './statement_runner.js';
@@ -99,6 +101,19 @@
     return reply;
   }
 
+  /**
+   * Reply to the statement that is being run when the process ends and nothing can be sent any more; undefined if none is being
+   * run.
+   */
+  abandonedReply(): CallerReply | undefined {
+    const { progress, transactionState } = this;
+    if (!progress) return undefined;
+    const text = `${causeText({ kind: 'shuttingDown' })}; its outcome was not awaited`;
+    const state = transactionState === 'open' ? 'failed' : transactionState;
+    if (progress.stage === 'sent') return errorReply('inDoubt', text, state);
+    return errorReply(state === 'failed' ? 'aborted' : 'busy', text, state);
+  }
+
   /** Ends the session after its caller has disconnected; an open transaction is rolled back. */
   close(): void {
     this.isClosed = true;
@@ -160,7 +175,7 @@
   private async begin(id: string, readOnly: boolean): Promise<CallerReply> {
     if (this.transaction) return this.refuseMalformed('a transaction is open');
     const beganAt = this.context.clock.now();
-    const admission = await this.admit(id);
+    const admission = await this.admit(id, readOnly ? 'read' : 'transaction');
     if ('refusal' in admission) return admission.refusal;
     const { route, operation } = admission;
     this.transaction = new CallerTransaction(
@@ -183,7 +198,7 @@
   ): Promise<CallerReply> {
     const content: SessionContent = { values: this.values, prepared };
     if (this.transaction) return this.runInTransaction(this.transaction, id, statement, content);
-    const admission = await this.admit(id);
+    const admission = await this.admit(id, accessOf(statement));
     if ('refusal' in admission) return admission.refusal;
     return this.runSingle(admission, id, statement, content);
   }
@@ -195,6 +210,7 @@
     content: SessionContent,
   ): Promise<CallerReply> {
     if (!this.isStillAuthorized(transaction)) return this.abortUnauthorized(id, 'failed');
+    if (!this.canEndInTime(transaction)) return this.abortShuttingDown(id, 'failed');
     if (transaction.readOnly && accessOf(statement) === 'write') {
       return this.failStatement('readOnly', 'the transaction is read-only');
     }
@@ -232,12 +248,15 @@
     return reply;
   }
 
-  /** Admits an operation if the credential is valid and the tenant is within its limit. */
-  private async admit(id: string): Promise<AdmissionResult> {
+  /** Admits an operation if it can end before the process does, the credential is valid and the tenant is within its limit. */
+  private async admit(id: string, need: ShutdownNeed): Promise<AdmissionResult> {
     const { context, route, credential } = this;
     if (!route) return { refusal: errorReply('noDatabase', this.database, 'idle') };
-    const deadline = new RequestDeadline(context.clock, route);
+    const deadline = new RequestDeadline(context.clock, route, context.shutdown);
     const request = { id, deadline, state: 'idle' as const };
+    if (!context.shutdown.admits(need, route)) {
+      return { refusal: refuse(context, request, 'busy', { kind: 'shuttingDown' }) };
+    }
     const cachedCheck = context.admission.check(credential, route);
     const check =
       cachedCheck.outcome === 'unknown'
@@ -261,12 +280,27 @@
     return check.outcome === 'admitted' && check.tenant.name === operation.tenant.name;
   }
 
+  /** Whether the transaction's next statement, or its COMMIT, can end before the process does. */
+  private canEndInTime({ route, readOnly }: CallerTransaction): boolean {
+    return this.context.shutdown.admits(readOnly ? 'read' : 'write', route);
+  }
+
+  /** Rolls the transaction back because the process ends too soon. */
+  private abortShuttingDown(id: string, state: TransactionState): CallerReply {
+    const { context } = this;
+    const { route } = this.transaction!;
+    this.endTransaction('-');
+    const deadline = new RequestDeadline(context.clock, route, context.shutdown);
+    return refuse(context, { id, deadline, state }, 'aborted', { kind: 'shuttingDown' });
+  }
+
   /** Rolls the transaction back because the credential is no longer valid or can't be verified. */
   private abortUnauthorized(id: string, state: TransactionState): CallerReply {
+    const { context } = this;
     const { route } = this.transaction!;
     this.endTransaction('-');
-    const request = { id, deadline: new RequestDeadline(this.context.clock, route), state };
-    return refuseCredential(this.context, request, 'unproven');
+    const deadline = new RequestDeadline(context.clock, route, context.shutdown);
+    return refuseCredential(context, { id, deadline, state }, 'unproven');
   }
 
   private async commit(id: string): Promise<CallerReply> {
@@ -277,6 +311,7 @@
     const { transaction } = this;
     if (!transaction) return this.refuseMalformed('no transaction is open');
     if (!this.isStillAuthorized(transaction)) return this.abortUnauthorized(id, 'idle');
+    if (!this.canEndInTime(transaction)) return this.abortShuttingDown(id, 'idle');
     const { reply, commitPosition } = await transaction.commit(id, { values: this.values });
     this.transaction = undefined;
     this.recordCommit(transaction.route.group, commitPosition);
--- a/src/daemon/stop_signal.ts
+++ b/src/daemon/stop_signal.ts
@@ -7,9 +7,10 @@
   logger: EventLogger,
   /** Additional fields of the log line, evaluated when the signal arrives. */
   fields: () => EventFields = () => ({}),
+  /** A signal that is awaited already. */
+  signal = stopSignal(),
 ): Promise<void> {
-  const signal = await stopSignal();
-  logger.event(Events.stopping, { signal, ...fields() });
+  logger.event(Events.stopping, { signal: await signal, ...fields() });
 }
 
 /**
--- a/test/soak/planned_stops.js
+++ b/test/soak/planned_stops.js
@@ -29,32 +29,26 @@
 const SCENARIOS = [
   {
     name: 'callers of all kinds keep arriving',
-    isKnownRed: true,
     plan: { proxies: [0], staying: 10, single: 10 },
   },
   {
     name: 'both proxies of a zone stop within a second',
-    isKnownRed: true,
     plan: { proxies: [0, 3], staying: 12, single: 12, gapMs: [0, 1000] },
   },
   {
     name: 'more signals and changed configurations arrive',
-    isKnownRed: true,
     plan: { proxies: [1], staying: 8, single: 8, disturb: signalAndConfigure },
   },
   {
     name: 'a process stops that has just started',
-    isKnownRed: true,
     plan: { proxies: [2], staying: 6, single: 6, startedMs: [250, 950] },
   },
   {
     name: 'large answers go to callers that read slowly',
-    isKnownRed: true,
     plan: { proxies: [3], staying: 2, single: 4, largeReaders: 6 },
   },
   {
     name: 'a process is frozen for a second while it stops',
-    isKnownRed: true,
     plan: { proxies: [1], staying: 8, single: 8, disturb: freeze },
   },
 ];
--- a/test/unit/session_listener.test.ts
+++ b/test/unit/session_listener.test.ts
@@ -55,6 +55,7 @@
       log: ({ name: event }, fields) => void logged.push({ event, fields }),
       awaitTable: () => Promise.resolve(true),
       isCredentialKnown: () => Promise.resolve(true),
+      isTooLateFor: () => false,
       openSession: () => session as unknown as RoutedSession,
     },
     acceptor,
@@ -68,7 +69,8 @@
   await until(() => received.includes('READY'));
   t.teardown(() => {
     caller.destroy();
-    listener.close('the test is over');
+    listener.stopAccepting();
+    listener.connections.abort('the test is over');
   });
   return { listener, session, caller, logged, received: () => received };
 }
@@ -77,7 +79,7 @@
   const { listener, session, caller, logged } = await setUp(t);
   caller.write('QUERY r1 WRITE x 1\r\nQUERY r2 READ x\r\n');
   await until(() => session.progresses.length === 1);
-  listener.close('the time is over');
+  listener.connections.abort('the time is over');
   t.match(logged, [
     {
       event: 'request_ended_by_stop',
@@ -98,6 +100,6 @@
   await until(() => session.progresses.length === 1);
   session.answer();
   await until(() => received().includes('COMPLETE'));
-  listener.close('the time is over');
+  listener.connections.abort('the time is over');
   t.same(logged, []);
 });
