Close connections of a stopping proxy when they are idle, and not between two statements

Cause: from the second part of a shutdown on, each connection was closed at the first poll at which nothing was in flight: between START and the first statement, or between SET and the statement that follows. Callers that have no other proxy found each new connection closed.

Change: a connection is closed once it has not been used for 100 ms. Once the proxy refuses requests for lack of time, it is closed as soon as nothing is in flight, as before.

--- a/src/appointed/daemon/proxy_daemon.ts
+++ b/src/appointed/daemon/proxy_daemon.ts
@@ -132,7 +132,7 @@
 /** Closes idle caller connections while the proxy is isolated from control, so that callers reconnect to another proxy. */
 function closeIdleCallersWhileIsolated(core: AppointedProxy, listener: SessionListener): void {
   const timer = setInterval(() => {
-    if (core.isIsolated) listener.connections.closeIdle({ kind: 'isolated' });
+    if (core.isIsolated) listener.connections.closeIdle({ kind: 'isolated' }, 0);
   }, ISOLATION_CHECK_INTERVAL_MS);
   timer.unref();
 }
--- a/src/appointed/proxy/graceful_stop.ts
+++ b/src/appointed/proxy/graceful_stop.ts
@@ -2,7 +2,7 @@
  * Graceful shutdown of a proxy: no request that was read is left without a whole answer.
  *
  * 1. The proxy reports that it is not ready and keeps serving, until new callers use other proxies.
- * 2. Connections are closed as soon as nothing is in flight on them. New ones are still served: callers may have no other proxy.
+ * 2. Connections are closed when they are idle. New ones are still served: callers may have no other proxy.
  *    Throughout, a request that may need longer than the shutdown lasts is refused at once (ShutdownDeadline).
  * 3. When nothing is left, or nothing may be started any more, connections to instances are closed, which ends what still runs there.
  *    Each remaining request is answered, and the callers are asked to close their connections.
@@ -19,6 +19,8 @@
 const ANSWER_FRACTION = 0.92;
 /** Fraction of the grace period that requests and callers get at the end to conclude. */
 const CONCLUSION_FRACTION = 0.04;
+/** How long a connection must be unused to be closed while its caller's requests could still be served. */
+const MIN_IDLE_MS = 100;
 const DRAIN_POLL_INTERVAL_MS = 50;
 const CONCLUSION_POLL_INTERVAL_MS = 5;
 const SHUTTING_DOWN = { kind: 'shuttingDown' } as const;
@@ -44,8 +46,8 @@
   shutdown.begin(graceMs * ANSWER_FRACTION);
   await delay(clock, graceMs * SERVING_FRACTION);
   while (shutdown.remainingMs > 0) {
-    // Repeated, because new connections may still arrive.
-    connections.drain(SHUTTING_DOWN);
+    // Callers that were refused should use another proxy at once.
+    connections.closeIdle(SHUTTING_DOWN, shutdown.hasRefused ? 0 : MIN_IDLE_MS);
     await delay(clock, DRAIN_POLL_INTERVAL_MS);
     if (isDone(proxy) && clock.now() - startedAt > graceMs * MIN_DURATION_FRACTION) break;
   }
--- a/src/appointed/sessions/caller_connection.ts
+++ b/src/appointed/sessions/caller_connection.ts
@@ -59,10 +59,10 @@
   private session: RoutedSession | undefined;
   private phase: Phase = 'open';
   private isRunning = false;
-  /** Why the connection is to be closed once it is not busy. */
-  private closeCause: CloseCause | undefined;
-  /** Whether an open transaction does not delay the close. */
-  private endsTransaction = false;
+  /** Why the connection is to be closed as soon as its request is answered. */
+  private leaveCause: CloseCause | undefined;
+  /** When the connection was accepted, or the last message in either direction. */
+  private usedAt: number;
   /** Gives the running request a reply in place of its session's. */
   private replyInstead: ((reply: CallerReply) => void) | undefined;
 
@@ -70,7 +70,9 @@
     private readonly channel: CallerChannel,
     private readonly source: SessionSource,
     private readonly onClosed: () => void,
-  ) {}
+  ) {
+    this.usedAt = source.clock.now();
+  }
 
   /** Whether a request is in progress or not delivered, or a transaction is open. */
   get isBusy(): boolean {
@@ -88,17 +90,20 @@
     if (!this.isRunning) void this.runQueue();
   }
 
-  /** Closes the connection as soon as it is not busy. */
-  drain(cause: CloseCause): void {
-    this.closeCause = cause;
-    this.closeIfDrained();
+  /**
+   * Closes the connection if it is not busy and has not been used for `minIdleMs`: a caller may be about to send the next statement of
+   * the same operation, such as the one after SET.
+   */
+  closeIfIdle(cause: CloseCause, minIdleMs: number): void {
+    if (!this.isBusy && this.source.clock.now() - this.usedAt >= minIdleMs) {
+      this.announceClose(cause);
+    }
   }
 
   /** Closes the connection as soon as its request is answered; an open transaction is rolled back. */
   leave(cause: CloseCause): void {
-    this.closeCause = cause;
-    this.endsTransaction = true;
-    this.closeIfDrained();
+    this.leaveCause = cause;
+    this.leaveIfAnswered();
   }
 
   /** Answers the message in progress with an error that fits its progress, if it has no answer yet. */
@@ -150,12 +155,12 @@
     this.isRunning = true;
     for (let next = this.queue.shift(); next; next = this.queue.shift()) await this.handle(next);
     this.isRunning = false;
-    this.closeIfDrained();
+    this.usedAt = this.source.clock.now();
+    this.leaveIfAnswered();
   }
 
-  private closeIfDrained(): void {
-    const isWaiting = this.endsTransaction ? this.hasRequest : this.isBusy;
-    if (this.closeCause && !isWaiting) this.announceClose(this.closeCause);
+  private leaveIfAnswered(): void {
+    if (this.leaveCause && !this.hasRequest) this.announceClose(this.leaveCause);
   }
 
   private announceClose(cause: CloseCause): void {
@@ -247,7 +252,7 @@
     if (this.phase !== 'open') return;
     this.channel.sendReply(reply, () => {
       this.requests.delete(progress);
-      this.closeIfDrained();
+      this.leaveIfAnswered();
     });
   }
 
--- a/src/appointed/sessions/caller_connections.ts
+++ b/src/appointed/sessions/caller_connections.ts
@@ -31,14 +31,9 @@
     return this.count(({ hasRequest }) => hasRequest);
   }
 
-  /** Closes each connection as soon as it is not busy. */
-  drain(cause: CloseCause): void {
-    for (const connection of this.connections) connection.drain(cause);
-  }
-
-  /** Closes the connections that are not busy now. */
-  closeIdle(cause: CloseCause): void {
-    for (const connection of this.connections) if (!connection.isBusy) connection.drain(cause);
+  /** Closes the connections that are not busy and have not been used for `minIdleMs`. */
+  closeIdle(cause: CloseCause, minIdleMs: number): void {
+    for (const connection of this.connections) connection.closeIfIdle(cause, minIdleMs);
   }
 
   /** Closes each connection as soon as its request is answered; open transactions are rolled back. */
