--- a/src/appointed/proxy/graceful_stop.ts
+++ b/src/appointed/proxy/graceful_stop.ts
@@ -16,9 +16,9 @@
 /** Fraction of the grace period before which an idle proxy does not stop, because new callers may still connect. */
 const MIN_DURATION_FRACTION = SERVING_FRACTION + 0.1;
 /** Fraction of the grace period until which requests are answered. The rest is for delivery and the end of the process. */
-const ANSWER_FRACTION = 0.92;
-/** Fraction of the grace period that requests and callers get at the end to conclude. */
-const CONCLUSION_FRACTION = 0.04;
+const ANSWER_FRACTION = 0.9;
+/** Fraction of the grace period for the last answers, and once more for the callers to close their connections. */
+const CONCLUSION_FRACTION = 0.03;
 /** How long a connection must be unused to be closed while its caller's requests could still be served. */
 const MIN_IDLE_MS = 100;
 const DRAIN_POLL_INTERVAL_MS = 50;
@@ -48,7 +48,7 @@
   while (shutdown.remainingMs > 0) {
     // Callers that were refused should use another proxy at once.
     connections.closeIdle(SHUTTING_DOWN, shutdown.hasRefused ? 0 : MIN_IDLE_MS);
-    await delay(clock, DRAIN_POLL_INTERVAL_MS);
+    await delay(clock, Math.min(DRAIN_POLL_INTERVAL_MS, shutdown.remainingMs));
     if (isDone(proxy) && clock.now() - startedAt > graceMs * MIN_DURATION_FRACTION) break;
   }
   await conclude(proxy, graceMs * CONCLUSION_FRACTION);
--- a/src/appointed/routing/shutdown_deadline.ts
+++ b/src/appointed/routing/shutdown_deadline.ts
@@ -14,13 +14,13 @@
   /** A BEGIN: a statement and a COMMIT follow at least. */
   | 'transaction';
 
-/** Largest part of the time for a shutdown that is reserved for the answer to a write. */
-const MAX_WRITE_RESERVE_FRACTION = 0.25;
+/** Largest part of the time for a shutdown that is reserved for the answer to one statement, however long its timeout is. */
+const MAX_RESERVE_FRACTION = 0.25;
 
 /** Time limit that a shutdown sets. */
 export class ShutdownDeadline {
   private endsAt = Infinity;
-  private maxWriteReserveMs = Infinity;
+  private maxReserveMs = Infinity;
   private hasRefusedRequests = false;
 
   constructor(private readonly clock: Clock) {}
@@ -28,7 +28,7 @@
   /** Begins a shutdown that ends `durationMs` from now. */
   begin(durationMs: number): void {
     this.endsAt = this.clock.now() + durationMs;
-    this.maxWriteReserveMs = durationMs * MAX_WRITE_RESERVE_FRACTION;
+    this.maxReserveMs = durationMs * MAX_RESERVE_FRACTION;
   }
 
   /** Ends the time now: nothing may be started or sent any more. */
@@ -60,14 +60,14 @@
 
   /** Whether an answer would come in time if it takes as long as its timeout. */
   coversTimeout(timeoutMs: number): boolean {
-    return this.remainingMs >= Math.min(timeoutMs, this.maxWriteReserveMs);
+    return this.remainingMs >= Math.min(timeoutMs, this.maxReserveMs);
   }
 
   private neededMs(need: ShutdownNeed, { timeoutMs, targetLatencyMs }: Route): number {
-    const writeMs = Math.min(timeoutMs, this.maxWriteReserveMs);
+    const writeMs = Math.min(timeoutMs, this.maxReserveMs);
     switch (need) {
       case 'read':
-        return Math.min(timeoutMs, targetLatencyMs);
+        return Math.min(writeMs, targetLatencyMs);
       case 'write':
         return writeMs;
       case 'transaction':
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -122,8 +122,8 @@
     265,
     'request_ended_by_stop',
     'error',
-    'a graceful shutdown ended a request without an answer',
-    'Its caller saw the connection close. `stage` is `queued`, `waiting`, `sent` (to an instance) or `answered` (the reply was not delivered), `remaining_ms` the time left until its timeout, `reason` what ended it.',
+    'a request ended without an answer, since its connection was closed',
+    'Its caller saw the connection close; during a graceful shutdown this must not happen. `stage` is `queued`, `waiting`, `sent` (to an instance) or `answered` (the reply was not delivered), `remaining_ms` the time left until its timeout, `reason` what ended it.',
   ),
   linesLeftOut: define(
     231,
