Deliver replies to other processes before a proxy ends

Cause: the end of a process closed the connections of the messenger with whatever was on them. A proxy that answers a relayed statement, or forwards a sync request, could exit before its reply was written or while it was in the send buffer; the other proxy then sees a closed connection, and has to treat the statement as one that may have run.

Change: TcpMessenger.finish stops listening, waits for the answers to requests that were read, ends each connection after what was written and waits for the peer's close, all within a limit.

--- a/src/daemon/managed_process.ts
+++ b/src/daemon/managed_process.ts
@@ -12,9 +12,9 @@
 import { EventLogger } from '../observability/logger.js';
 import { RealFolder } from '../runtime/real_folder.js';
 import type { MessageTraffic } from '../runtime/message_traffic.js';
-import type { DataFolder, Runtime } from '../runtime/runtime.js';
+import type { DataFolder } from '../runtime/runtime.js';
 import { type MetricsSource, startMetricsServer } from './metrics_server.js';
-import { openRealRuntime } from './real_runtime.js';
+import { type ProcessRuntime, openRealRuntime } from './real_runtime.js';
 
 /** Settings of every process. */
 interface ProcessSettings {
@@ -27,7 +27,7 @@
 
 /** Runtime and loggers of one process. */
 export interface ManagedProcess {
-  readonly runtime: Runtime;
+  readonly runtime: ProcessRuntime;
   readonly logger: EventLogger;
   readonly decisions: DecisionLogger;
   /** Number of log lines dropped since the start because the output buffer was full. */
--- a/src/runtime/tcp_messenger.ts
+++ b/src/runtime/tcp_messenger.ts
@@ -5,11 +5,14 @@
  * that they know it before the first request (see `shared_key_handshake.ts`). Requests to the same address and lane use
  * one connection. When a peer or the network fails, requests are rejected with an error that says whether they were sent.
  */
+import { once } from 'node:events';
 import { type Server, type Socket, connect, createServer } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import { PeerUnreachableError, messageOf } from '../errors/errors.js';
 import { type Envelope, decodeEnvelope, encodeEnvelope } from '../protocol/envelope.js';
 import { splitAddress } from './address.js';
 import { FRAME_HEADER_BYTES, FrameReader, frame } from './frame.js';
+import { OperationsInFlight } from './operations_in_flight.js';
 import { MessageTraffic } from './message_traffic.js';
 import type { MessageBody, Messenger, RequestHandler } from './runtime.js';
 import { type SharedKey, acceptPeer, introduceSelf } from './shared_key_handshake.js';
@@ -94,6 +97,11 @@
     this.fail('closed');
   }
 
+  /** Closes the connection after everything that was sent on it; resolves once it is closed. */
+  async finish(): Promise<void> {
+    if (this.socket && !this.socket.connecting) await endSocket(this.socket);
+  }
+
   private async open(): Promise<Socket> {
     const { sharedKey, connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS } = this.options;
     const socket = connect(splitAddress(this.address));
@@ -133,6 +141,15 @@
   }
 }
 
+/** Closes a socket after everything that was written to it; resolves once the peer has closed it too. */
+async function endSocket(socket: Socket): Promise<void> {
+  if (socket.destroyed) return;
+  const closed = once(socket, 'close');
+  socket.end();
+  // An error ends the connection as well, and its own listener handles it.
+  await closed.catch(() => undefined);
+}
+
 /** Messenger over TCP. */
 export class TcpMessenger implements Messenger {
   /** Counts of the messages that this process sent and received. */
@@ -140,6 +157,8 @@
   /** Connections by address and lane. */
   private readonly peers = new Map<string, PeerConnection>();
   private readonly incoming = new Set<Socket>();
+  /** Requests of other processes that are being answered. */
+  private readonly answering = new OperationsInFlight();
   private server: Server | undefined;
   private localAddress = '';
   private setHandler: (handler: RequestHandler) => void = () => undefined;
@@ -183,14 +202,31 @@
     this.setHandler(handler);
   }
 
+  /**
+   * Shuts down: stops listening, answers the requests that were read, and closes each connection after the peer got everything
+   * that was sent. What is left after `limitMs` is closed at once.
+   */
+  async finish(limitMs: number): Promise<void> {
+    const limit = delay(limitMs, undefined, { ref: false });
+    this.server?.close();
+    await Promise.race([this.answering.settled(), limit]);
+    const peers = [...this.peers.values()].map((peer) => peer.finish());
+    await Promise.race([Promise.all([...[...this.incoming].map(endSocket), ...peers]), limit]);
+    this.destroyConnections();
+  }
+
   /** Closes the listener and all connections. */
   async close(): Promise<void> {
-    for (const peer of this.peers.values()) peer.close();
-    for (const socket of this.incoming) socket.destroy();
+    this.destroyConnections();
     const server = this.server;
     if (server) await new Promise<void>((resolve) => server.close(() => resolve()));
   }
 
+  private destroyConnections(): void {
+    for (const peer of this.peers.values()) peer.close();
+    for (const socket of this.incoming) socket.destroy();
+  }
+
   private async accept(socket: Socket): Promise<void> {
     this.incoming.add(socket);
     socket.setNoDelay(true);
@@ -205,7 +241,7 @@
       socket.destroy();
       return;
     }
-    reader.start(socket, (bytes) => void this.answer(socket, bytes));
+    reader.start(socket, (bytes) => void this.answering.track(this.answer(socket, bytes)));
   }
 
   private async answer(socket: Socket, bytes: Buffer): Promise<void> {
--- a/test/unit/messenger.test.ts
+++ b/test/unit/messenger.test.ts
@@ -1,5 +1,6 @@
-/** TCP messenger: unresponsive peers, connections without a shared key, and requests before the handler is set. */
+/** TCP messenger: unresponsive peers, connections without a shared key, requests before the handler is set, and the close at a shutdown. */
 import { type Socket, createServer } from 'node:net';
+import { setTimeout } from 'node:timers/promises';
 import t from 'tap';
 import { TcpMessenger } from '../../src/runtime/tcp_messenger.js';
 
@@ -48,10 +49,49 @@
     const address = await server.listen();
     const client = new TcpMessenger({ host: HOST, port: 0, sharedKey: undefined });
     const answered = client.request(address, { statusRequest: {} }, 2000);
-    await new Promise((resolve) => setTimeout(resolve, 100));
+    await setTimeout(100);
     server.serve(() => Promise.resolve({ refusal: { reason: 'served late' } }));
     t.equal((await answered).refusal?.reason, 'served late');
     await client.close();
     await server.close();
   },
 );
+
+void t.test('a shutdown does not lose the reply to a request that is being answered', async (t) => {
+  const server = new TcpMessenger({ host: HOST, port: 0, sharedKey: undefined });
+  const address = await server.listen();
+  const reason = 'x'.repeat(4 * 1024 * 1024);
+  let onReceived: () => void = () => undefined;
+  const received = new Promise<void>((resolve) => {
+    onReceived = resolve;
+  });
+  server.serve(async () => {
+    onReceived();
+    await setTimeout(50);
+    return { refusal: { reason } };
+  });
+  const client = new TcpMessenger({ host: HOST, port: 0, sharedKey: undefined });
+  const answered = client.request(address, { statusRequest: {} }, 2000);
+  await received;
+  const startedAt = performance.now();
+  await server.finish(1000);
+  t.ok(performance.now() - startedAt < 900, 'it ends when the reply has been delivered');
+  t.equal((await answered).refusal?.reason?.length, reason.length, 'the whole reply arrives');
+  await t.rejects(client.request(address, { statusRequest: {} }, 500), 'nothing is accepted later');
+  await client.close();
+});
+
+void t.test('a shutdown does not wait for a request that is never answered', async (t) => {
+  const server = new TcpMessenger({ host: HOST, port: 0, sharedKey: undefined });
+  const address = await server.listen();
+  server.serve(() => new Promise(() => undefined));
+  const client = new TcpMessenger({ host: HOST, port: 0, sharedKey: undefined });
+  const answered = t.rejects(client.request(address, { statusRequest: {} }, 2000));
+  await setTimeout(50);
+  const startedAt = performance.now();
+  await server.finish(100);
+  const durationMs = performance.now() - startedAt;
+  t.ok(durationMs >= 90 && durationMs < 500, 'it ends at its limit');
+  await answered;
+  await client.close();
+});
