Refuse late statements on relayed connections at a shutdown

Cause: a connection owner that shuts down refuses new relayed statements, but ran those on connections pinned by transactions of other proxies until its end, whatever time they needed. The conclusion of the shutdown waited for requests of its own callers only, so the process could end before the reply to a relayed statement whose connection it had just closed.

Change: a relayed statement that may need longer than the shutdown lasts is refused as not run and its connection is closed, which rolls back, so that a COMMIT refused in this way can't take effect; the caller of the other proxy gets a promise in place of a doubt. Pinned connections without a statement are closed with those to the instances, and the conclusion waits for the replies to the others.

--- a/src/appointed/proxy/appointed_proxy.ts
+++ b/src/appointed/proxy/appointed_proxy.ts
@@ -163,6 +163,7 @@
   /** Closes all connections to instances; statements in flight there end with an error. */
   closeInstances(): void {
     this.instances.closeInUse();
+    this.relayServer.closePinnedConnections();
   }
 
   /** Updates the addresses of control machines after a change of settings. */
--- a/src/appointed/proxy/graceful_stop.ts
+++ b/src/appointed/proxy/graceful_stop.ts
@@ -65,11 +65,11 @@
 
 /** Answers all requests and asks all callers to close; takes at most twice `limitMs`. */
 async function conclude(proxy: StoppingProxy, limitMs: number): Promise<void> {
-  const { clock, shutdown, connections } = proxy;
+  const { clock, shutdown, connections, relayedCount } = proxy;
   proxy.stopAccepting();
   shutdown.expire();
   proxy.closeInstances();
-  const areAnswered = (): boolean => connections.unansweredCount === 0;
+  const areAnswered = (): boolean => connections.unansweredCount === 0 && relayedCount() === 0;
   await waitUntil(clock, areAnswered, limitMs / 2);
   connections.answerNow();
   await waitUntil(clock, areAnswered, limitMs / 2);
--- a/src/appointed/relay/relay_server.ts
+++ b/src/appointed/relay/relay_server.ts
@@ -3,6 +3,9 @@
  * owner of the instance. The reply says whether the statement ran, did not run, or may have run.
  * Connections pinned by transactions of other proxies are closed when they have been idle for too
  * long, since the other proxy may have crashed.
+ *
+ * A statement that may need longer than the shutdown of this process lasts is refused, and its
+ * connection is closed, which rolls back an open transaction.
  */
 import { messageOf } from '../../errors/errors.js';
 import { Events } from '../../observability/events.js';
@@ -89,6 +92,11 @@
     return reply;
   }
 
+  /** Closes all pinned connections, which rolls their transactions back. Those in use end with a reply. */
+  closePinnedConnections(): void {
+    for (const connection of this.pinnedConnections.keys()) this.closePinned(connection);
+  }
+
   /** Closes pinned connections that their proxy abandoned; called periodically. */
   maintain(): void {
     const oldest = this.context.clock.now() - PINNED_IDLE_TIMEOUT_MS;
@@ -210,6 +218,11 @@
     command: RelayedCommand,
     timeoutMs: number,
   ): Promise<whinyoke.IRelayReply> {
+    if (command.kind !== 'rollback' && !this.context.shutdown.coversTimeout(timeoutMs)) {
+      this.pinnedConnections.delete(connection);
+      this.runner.discard(pinned);
+      return notRunReply(causeText({ kind: 'shuttingDown' }));
+    }
     const attempt = await this.runner.attempt(pinned, content, command, timeoutMs);
     // The other proxy may not have had contact with the primary before, and then cannot detect that
     // the primary lost its log.
