Soak: callers keep using a proxy that stops, and a request that the stop cuts off breaks a rule

The soak did not see what a planned stop did to requests: its callers left a proxy whose connection was closed for another one, its instances answered at once, so that hardly anything was in flight, no two proxies were in one zone, and a closed connection was taken for an answer like any other.

Callers come back to a stopping proxy until its process is gone; one in three has a connection for each operation. Instances delay three in ten statements by up to 300 ms, some up to 700 ms. A stream of planned stops runs beside the others (--stops), of one proxy or of all in a zone within a second, beside a changed configuration or SIGHUPs. Four proxies are the default, two of them in one zone, and 20 sessions. A request that an instance received, or that was sent over 200 ms before the close, must have a whole answer if its proxy got SIGTERM and was not killed before the end of its grace period; so must a START. The checks before stay as they were.

--- a/test/soak/caller_session.js
+++ b/test/soak/caller_session.js
@@ -7,13 +7,16 @@
   isConnected = false;
   /** When the connection ended, on the monotonic clock. */
   closedAt = Infinity;
+  /** Answer to START. */
+  startAnswer = undefined;
   /** A message that arrived while nothing was asked. */
   unasked = undefined;
 
-  open(address, database) {
+  async open(address, database) {
     const opened = super.open(address, database);
     this.socket.once('connect', () => (this.isConnected = true));
-    return opened;
+    this.startAnswer = await opened;
+    return this.startAnswer;
   }
 
   take(line) {
--- a/test/soak/fault_stream.js
+++ b/test/soak/fault_stream.js
@@ -8,6 +8,9 @@
 const RESTART_MS = 400;
 /** Time in which a process has started, also beside load. */
 const START_MS = 3000;
+/** Proxies take the zones of the site in turns. */
+const ZONES = 3;
+const ZONE_STOP_MS = 1000;
 /** Time that the platform gives a process after SIGTERM. */
 const GRACE_MS = 6000;
 /** Deregistered instances serve on for a part of this time. */
@@ -40,12 +43,13 @@
     this.deployment = site.deployment;
   }
 
-  /** Causes faults until a time; resolves with their number once all have ended. */
-  async run(until) {
-    const actions = [
+  /** What the stream may do next. */
+  get actions() {
+    return [
       () => this.hangUp(this.proxyName()),
       () => this.hangUp(this.controlName()),
       () => this.stopAndStart(this.proxyName()),
+      () => this.stopZone(),
       () => this.killAndStart(this.proxyName()),
       () => this.freeze(this.proxyName()),
       () => this.disturbControl(),
@@ -57,10 +61,14 @@
       () => this.hearAlone(),
       () => this.lag(),
     ];
+  }
+
+  /** Causes faults until a time; resolves with their number once all have ended. */
+  async run(until) {
     let count = 0;
     while (performance.now() < until) {
       await pause(this.random() * LONGEST_PAUSE_MS);
-      await pick(actions, this.random)();
+      await pick(this.actions, this.random)();
       count++;
     }
     return count;
@@ -105,6 +113,7 @@
     if (!child || this.verdicts.stopping.has(name) || this.isStarting(name)) return;
     this.verdicts.stopping.add(name);
     this.deployment.signal(name, 'SIGTERM');
+    const stop = this.verdicts.plannedStops.begin(name);
     // As after SIGKILL: its end is expected.
     this.deployment.processes.delete(name);
     if (this.random() < 0.4) {
@@ -114,6 +123,7 @@
     const isCut = this.random() < 0.2;
     const endAt = performance.now() + (isCut ? between(100, 3000, this.random) : GRACE_MS);
     while (isRunning(child) && performance.now() < endAt) await pause(20);
+    this.verdicts.plannedStops.end(stop, { isKilled: isCut && isRunning(child) });
     if (isRunning(child)) child.kill('SIGKILL');
     else this.verdicts.checkPlannedEnd(name, child);
     await pause(RESTART_MS);
@@ -121,6 +131,21 @@
     this.verdicts.stopping.delete(name);
   }
 
+  /** Stops all proxies of a zone within a second; meanwhile the configuration changes, or signals come. */
+  async stopZone() {
+    const zone = between(0, ZONES - 1, this.random);
+    const names = this.deployment.proxyHosts
+      .map((_, index) => `front-${index + 1}`)
+      .filter((_, index) => index % ZONES === zone);
+    const disturbance =
+      this.random() < 0.5 ? this.changeConfiguration() : this.hangUp(pick(names, this.random));
+    const stops = names.map(async (name) => {
+      await pause(between(0, ZONE_STOP_MS, this.random));
+      await this.stopAndStart(name);
+    });
+    await Promise.all([disturbance, ...stops]);
+  }
+
   async killAndStart(name) {
     if (!this.deployment.processes.has(name) || this.verdicts.stopping.has(name)) return;
     this.verdicts.stopping.add(name);
@@ -231,7 +256,7 @@
   async succeed({ id, group, host, port, zone, term, log }) {
     const { controls } = this.deployment;
     const options = { id: `${id}x`, role: 'replica', host, port, zone, controls };
-    const successor = group.add(options);
+    const successor = this.site.pace.applyTo(group.add(options));
     for (const entry of log) successor.append(entry);
     successor.term = term;
     await successor.start();
--- a/test/soak/planned_stop.js
+++ b/test/soak/planned_stop.js
@@ -33,7 +33,7 @@
     Object.assign(this, { site, plan, random });
     this.breaks = [];
     this.signalledAt = new Map();
-    this.ledger = new StopLedger((id) => site.receivedIds.has(id), this.signalledAt);
+    this.ledger = new StopLedger((id) => site.pace.receivedIds.has(id), this.signalledAt);
     this.children = new Map();
     /** How long each process ran after SIGTERM. */
     this.endedMs = [];
--- a/test/soak/platform_soak.js
+++ b/test/soak/platform_soak.js
@@ -1,9 +1,10 @@
 /**
  * Soak of the platform's interface: real proxies and control machines before the stand-ins of `review/`, under faults that come
- * in series and overlap. Sessions keep using their connections until the process is gone. A relay in front of the platform
- * delivers some calls late, and some of their callers are stopped or killed at the call.
+ * in series and overlap. Callers keep using a proxy that stops until the process is gone, on sessions that stay and with a
+ * connection for each operation; a request that a planned stop cuts off breaks a rule. A relay in front of the platform delivers
+ * some calls late, and some of their callers are stopped or killed at the call.
  *
- *   node test/soak/platform_soak.js --seed N [--seconds S] [--proxies P] [--sessions C] [--streams F]
+ *   node test/soak/platform_soak.js --seed N [--seconds S] [--proxies P] [--sessions C] [--streams F] [--stops F]
  *
  * The seed decides what is done in which order; times vary from run to run. Exit code 0: every rule held; 1: one was broken, and
  * the record of the run is kept in a temporary folder; 2: the run could not be made.
@@ -16,6 +17,8 @@
 import { configuration, route } from '../../review/site.js';
 import { CallFaults } from './call_faults.js';
 import { FaultStream } from './fault_stream.js';
+import { InstancePace } from './instance_pace.js';
+import { PlannedStopStream } from './planned_stop_stream.js';
 import { RelayedSite } from './relayed_site.js';
 import { SoakClient } from './soak_client.js';
 import { Verdicts } from './verdicts.js';
@@ -27,16 +30,27 @@
 /** Undisturbed time at the end, in which every proxy must serve again. */
 const CALM_MS = 14_000;
 /** Log events of the processes that the record of a broken run contains. */
-const LOGGED_EVENTS = ['role_changed', 'appointment_call', 'primary_change', 'primary_candidates'];
+const LOGGED_EVENTS = [
+  'role_changed',
+  'appointment_call',
+  'primary_change',
+  'primary_candidates',
+  '"stopping"',
+  '"stopped"',
+  'request_ended_by_stop',
+];
+/** Share of the statements that instances delay. */
+const DELAYED = 0.3;
 const EXIT = { held: 0, broken: 1, impossible: 2 };
 
 const { values } = parseArgs({
   options: {
     seed: { type: 'string' },
     seconds: { type: 'string', default: '25' },
-    proxies: { type: 'string', default: '3' },
-    sessions: { type: 'string', default: '10' },
+    proxies: { type: 'string', default: '4' },
+    sessions: { type: 'string', default: '20' },
     streams: { type: 'string', default: '3' },
+    stops: { type: 'string', default: '1' },
   },
 });
 const seed = Number(values.seed ?? '1');
@@ -58,7 +72,8 @@
 async function run(record, closers) {
   const proxies = Number(values.proxies);
   const cleanUp = (close) => closers.push(close);
-  const site = new RelayedSite(record, cleanUp, { proxies, services: SERVICES });
+  const pace = new InstancePace(seed, DELAYED);
+  const site = new RelayedSite(record, cleanUp, { proxies, services: SERVICES }, pace);
   const verdicts = new Verdicts(site);
   closers.push(() => noteEvents(site.deployment));
   await site.start(configurationFor(1, 'citas'));
@@ -72,9 +87,11 @@
     (number) => new SoakClient(site, verdicts, number, seed),
   );
   const running = clients.map((client) => client.run());
-  const streams = [...Array(Number(values.streams)).keys()].map(
-    (number) => new FaultStream(site, state, verdicts, seed * 100 + number),
-  );
+  const kinds = [
+    ...Array(Number(values.streams)).fill(FaultStream),
+    ...Array(Number(values.stops)).fill(PlannedStopStream),
+  ];
+  const streams = kinds.map((Kind, number) => new Kind(site, state, verdicts, seed * 100 + number));
   const callFaults = new CallFaults(site, verdicts, seed * 100 + streams.length);
   const endAt = performance.now() + Number(values.seconds) * 1000;
   const [struckCalls, ...counts] = await Promise.all(
@@ -85,6 +102,7 @@
   for (const client of clients) client.stop();
   await Promise.all(running);
   verdicts.checkCalls();
+  verdicts.checkPlannedStops();
   await verdicts.checkEnd(proxies);
   site.isOver = true;
   const faults = counts.reduce((sum, count) => sum + count, 0);
--- a/test/soak/relayed_site.js
+++ b/test/soak/relayed_site.js
@@ -3,13 +3,19 @@
 import { join } from 'node:path';
 import { Deployment } from '../../review/deployment.js';
 import { Platform } from '../../review/platform.js';
+import { pause } from '../../review/record.js';
 import { Site } from '../../review/site.js';
+import { CallerSession } from './caller_session.js';
+import { InstancePace } from './instance_pace.js';
 import { PlatformRelay } from './platform_relay.js';
 
 /** What a control machine logs when it begins to lead. */
 const LEADS = '"role":"leader"';
 
 const FIRST_PROXY_HOST = 21;
+/** As in `review/site.js`. */
+const QUIET = 'reader-';
+const PATIENCE_MS = 3000;
 
 class RelayedPlatform extends Platform {
   constructor(record, relay) {
@@ -66,10 +72,24 @@
 }
 
 export class RelayedSite extends Site {
-  constructor(record, cleanUp, plan) {
+  /** @param {InstancePace} pace of the instances; by default none waits */
+  constructor(record, cleanUp, plan, pace = new InstancePace(0, 0)) {
     super(record, cleanUp, plan);
+    this.pace = pace;
     this.deployment = new WatchedDeployment({ record, proxies: plan.proxies });
     this.relay = new PlatformRelay(record);
     this.platform = new RelayedPlatform(record, this.relay);
   }
+
+  addInstance(service, id, role) {
+    return this.pace.applyTo(super.addInstance(service, id, role));
+  }
+
+  /** Opens a session of a client at a proxy. */
+  async session(name, proxy, database) {
+    const session = new CallerSession({ name, record: this.record, quiet: name.startsWith(QUIET) });
+    const opened = session.open(this.deployment.proxy(proxy), database);
+    await Promise.race([opened, pause(PATIENCE_MS)]);
+    return session;
+  }
 }
--- a/test/soak/soak_client.js
+++ b/test/soak/soak_client.js
@@ -1,11 +1,19 @@
-/** A caller of the soak: one session at a time, which it keeps until its connection is gone. */
+/**
+ * A caller of the soak: one session at a time, which it keeps until its connection is gone, or has for one operation only. It
+ * keeps coming back to a proxy that stops until the process is gone.
+ */
 import { pause } from '../../review/record.js';
-import { between, seededRandom } from './random.js';
+import { isWhole } from './caller_session.js';
+import { between, pick, seededRandom } from './random.js';
 
 const DATABASES = ['bookings', 'payments', 'agenda', 'agenda'];
 const THINK_MS = 40;
 /** A caller that was refused waits at least this long. */
 const BACKOFF_MS = 60;
+/** One in so many callers has a connection for each operation. */
+const SINGLE_EVERY = 3;
+/** Share of the sessions that are begun at a proxy that stops, if there is one. */
+const AT_STOPPING = 0.7;
 
 export class SoakClient {
   constructor(site, verdicts, number, seed) {
@@ -14,6 +22,7 @@
     this.name = `reader-${number}`;
     this.thing = `t${number}`;
     this.database = DATABASES[number % DATABASES.length];
+    this.isSingle = number % SINGLE_EVERY === SINGLE_EVERY - 1;
     this.isStopped = false;
     this.sequence = 0;
   }
@@ -24,17 +33,31 @@
 
   async run() {
     while (!this.isStopped) {
-      const proxy = between(0, this.site.deployment.proxyHosts.length - 1, this.random);
-      this.session = await this.site.session(this.name, proxy, this.database);
+      this.proxy = this.chooseProxy();
+      const sentAt = performance.now();
+      this.session = await this.site.session(this.name, this.proxy, this.database);
       this.verdicts.beginSession(this.thing);
+      const { startAnswer } = this.session;
+      if (startAnswer?.outcome === 'closed' && this.session.isConnected)
+        this.verdicts.addCut(this.proxy, this.session, { id: 'START', text: '', sentAt });
       // Without an answer to START in time, that answer would be taken for one to the first statement.
       if (this.session.waiting) this.session.close();
-      while (!this.session.isClosed && !this.isStopped) await this.operate();
+      while (!this.session.isClosed && !this.isStopped) {
+        await this.operate();
+        if (this.isSingle) break;
+      }
       this.session.close();
-      await pause(BACKOFF_MS);
+      await pause(this.isSingle ? THINK_MS * this.random() : BACKOFF_MS);
     }
   }
 
+  chooseProxy() {
+    const { stoppingProxies } = this.verdicts.plannedStops;
+    if (stoppingProxies.length > 0 && this.random() < AT_STOPPING)
+      return pick(stoppingProxies, this.random);
+    return between(0, this.site.deployment.proxyHosts.length - 1, this.random);
+  }
+
   async operate() {
     const choice = this.random();
     if (choice < 0.35) await this.write();
@@ -45,8 +68,13 @@
 
   /** Runs a statement; a session without an answer is given up. */
   async send(text) {
-    const answer = await this.site.run(this.session, text);
-    if (answer.outcome === 'none') this.session.close();
+    const { session, proxy } = this;
+    const wasClosed = session.isClosed;
+    const sentAt = performance.now();
+    const answer = await this.site.run(session, text);
+    const isCut = answer.outcome !== 'none' && !isWhole(answer);
+    if (isCut && !wasClosed) this.verdicts.addCut(proxy, session, { id: answer.id, text, sentAt });
+    if (answer.outcome === 'none') session.close();
     if (answer.outcome === 'error') await pause(BACKOFF_MS);
     return answer;
   }
--- a/test/soak/verdicts.js
+++ b/test/soak/verdicts.js
@@ -1,5 +1,6 @@
 /** What callers of the soak were told, and the rules checked against it. */
 import { pause, until } from '../../review/record.js';
+import { PlannedStopLog } from './planned_stop_log.js';
 
 /** Time for a proxy to serve again after the last fault. */
 const RECOVERY_MS = 12_000;
@@ -22,11 +23,13 @@
     this.reads = 0;
     /** Processes that are being stopped, killed or frozen. */
     this.stopping = new Set();
+    this.plannedStops = new PlannedStopLog();
   }
 
   get summary() {
     const promotions = this.site.platform.promotions.length;
-    return `${this.commits.length} commits, ${this.reads} reads, ${promotions} promotions`;
+    const { summary } = this.plannedStops;
+    return `${this.commits.length} commits, ${this.reads} reads, ${promotions} promotions, ${summary}`;
   }
 
   /** A session must see its own commits; it is promised nothing of earlier ones. */
@@ -68,6 +71,20 @@
     );
   }
 
+  /** A request was sent, and its connection ended without a whole answer. */
+  addCut(proxy, { closedAt }, { id, text, sentAt }) {
+    const name = `front-${proxy + 1}`;
+    const ms = Math.round(closedAt - sentAt);
+    this.site.record.note(name, `${id} ${text}: closed after ${ms} ms without a whole answer`);
+    this.plannedStops.addCut({ name, id, text, sentAt, closedAt });
+  }
+
+  /** No request is cut off by the planned stop of a proxy. */
+  checkPlannedStops() {
+    const wasReceived = (id) => this.site.pace.receivedIds.has(id);
+    this.breaks.push(...this.plannedStops.breaks(wasReceived));
+  }
+
   /** Checks each promotion at the moment at which it takes effect. */
   watchPromotions() {
     const { platform } = this.site;
