Answer every call that a control machine has read before it stops

Cause: at SIGTERM a control machine stopped at once and its process ended. Calls of operators and instances, requests of other control machines and sync requests that were in progress ended with a closed connection. The outcome of a change that was about to be committed was lost.

Change: control_shutdown.ts. From the signal on, calls that are read are refused with 503 and Connection: close, so that their senders use another machine at once; those read before get their outcome while the machine still leads, for 1 s at most, as long as callers wait. Then the machine stops: a change that is still not committed is answered with 503, which says nothing about its outcome, long polls are refused, so that proxies look for the next leader, and the process ends when the answers are delivered (300 ms at most). The line of event 104 holds the number of calls without an answer.

--- a/src/appointed/control/appointed_control.ts
+++ b/src/appointed/control/appointed_control.ts
@@ -6,6 +6,7 @@
  * - `allowance_service.ts`: grants operations of rate-limited tenants
  * - `catalog_service.ts`: changes and reads of the catalog by operators and instances
  * - `primary_position_cache.ts`: newest known positions of the primaries
+ * - `control_shutdown.ts`: graceful shutdown
  * - `cluster_contact.ts`: which other control machines reply
  * - `src/appointed/failover`: failed primaries, changes of primary, the appointment lease
  * - `src/consensus`: the replicated log and the cluster membership
@@ -38,6 +39,7 @@
 import type { RoutingDocumentReader } from '../catalog/route_table.js';
 import type { PlacementRules } from '../placement/placement_rules.js';
 import type { QuotaRules } from '../tenancy/operation_budget.js';
+import { OperationsInFlight } from '../../runtime/operations_in_flight.js';
 import type { Clock, MessageBody, Runtime, Timer } from '../../runtime/runtime.js';
 import { AddressClaims } from './address_claim.js';
 import { AllowanceService } from './allowance_service.js';
@@ -124,6 +126,8 @@
   private readonly controller: FailoverController;
   private readonly joiner: ClusterJoiner;
   private seeds: readonly string[];
+  /** Requests of other processes that are being answered, without long polls. */
+  private readonly requests = new OperationsInFlight();
   /** Whether this member serves proxies as the leader. */
   private isServing = false;
   private upkeepTimer: Timer | undefined;
@@ -215,6 +219,12 @@
     this.schedulePositionProbes();
   }
 
+  /** Resolves once the requests of other processes that were read are answered, except long polls. */
+  drain(): Promise<void> {
+    return this.requests.settled();
+  }
+
+  /** Stops all parts, and refuses the long polls of proxies. */
   stop(): void {
     this.upkeepTimer?.cancel();
     this.positionTimer?.cancel();
@@ -225,6 +235,7 @@
     this.persistentConnections.stop();
     this.joiner.stop();
     this.node.stop();
+    this.syncService.stop();
   }
 
   /** Replaces the control machine addresses after a change of settings. */
@@ -259,6 +270,10 @@
   /** Handles a message of another process. */
   async handle(body: MessageBody): Promise<MessageBody> {
     if (body.syncRequest) return { syncReply: await this.syncService.sync(body.syncRequest) };
+    return this.requests.track(this.answer(body));
+  }
+
+  private async answer(body: MessageBody): Promise<MessageBody> {
     if (body.catalogRequest) {
       return { catalogReply: await this.catalogService.handle(body.catalogRequest) };
     }
--- a/src/appointed/control/sync_service.ts
+++ b/src/appointed/control/sync_service.ts
@@ -2,6 +2,7 @@
  * Answers the sync requests of proxies on the leader: registers proxies, grants leases, sends
  * catalog updates. A sync request is a long poll. If this member does not lead, or a proxy can't be
  * registered for lack of a majority, the proxy is refused with the known leader and asks again.
+ * A machine that stops refuses all requests at once.
  */
 import type { Catalog, ProxyEntry } from '../catalog/catalog.js';
 import type { RaftNode } from '../../consensus/raft_node.js';
@@ -50,6 +51,7 @@
   private readonly directory: ProxyDirectory;
   private readonly updates: CatalogUpdates;
   private readonly notifier: ChangeNotifier;
+  private isStopped = false;
 
   constructor(private readonly dependencies: SyncServiceDependencies) {
     const { clock, node, catalog, propose } = dependencies;
@@ -97,6 +99,13 @@
     this.notifier.notifyAll();
   }
 
+  /** Refuses the waiting requests, and later ones without a wait. */
+  stop(): void {
+    this.isStopped = true;
+    this.leaderWaiters.wakeAll();
+    this.notifier.notifyAll();
+  }
+
   /** Refreshes the directory and removes expired proxies; called periodically. */
   async maintain(): Promise<void> {
     this.directory.refresh();
@@ -166,7 +175,7 @@
     const { clock, node } = this.dependencies;
     const until = clock.now() + maximumWaitMs;
     const hasOtherLeader = (): boolean => node.role !== 'leader' && node.leaderAddress !== '';
-    while (!this.isLeading && !hasOtherLeader() && clock.now() < until) {
+    while (!this.isStopped && !this.isLeading && !hasOtherLeader() && clock.now() < until) {
       await this.leaderWaiters.wait(until - clock.now());
     }
   }
--- a/src/appointed/daemon/control_daemon.ts
+++ b/src/appointed/daemon/control_daemon.ts
@@ -4,6 +4,7 @@
  */
 import { Gauge, Registry } from 'prom-client';
 import { AppointedControl } from '../control/appointed_control.js';
+import { type OperatorApi, stopControl } from '../control/control_shutdown.js';
 import { evacuatedPrimaries } from '../failover/primary_evacuation.js';
 import type { PrimaryAppointer } from '../failover/primary_appointer.js';
 import { addGauge } from '../../observability/gauges.js';
@@ -23,7 +24,7 @@
   openProcess,
   reloadSeeds,
 } from '../../daemon/managed_process.js';
-import { awaitStop } from '../../daemon/stop_signal.js';
+import { awaitStop, stopSignal } from '../../daemon/stop_signal.js';
 
 /** Settings of a control machine for groups with appointed primaries. */
 export interface AppointedControlSettings {
@@ -56,8 +57,8 @@
   readonly registry: Registry;
   /** Applies the list of control machines from changed settings; `readSeeds` throws if the settings are invalid. */
   reloadSeeds(readSeeds: () => readonly string[]): void;
-  /** Resolves after a graceful shutdown. */
-  readonly stopped: Promise<void>;
+  /** Runs until a signal requests a shutdown; resolves after the graceful shutdown. */
+  runUntilStopped(api: OperatorApi): Promise<void>;
 }
 
 export async function startAppointedControl(
@@ -81,18 +82,20 @@
     internal: settings.internal,
     member: core.node.id,
   });
-  const stop = async (): Promise<void> => {
-    await awaitStop(logger);
-    core.stop();
+  const signal = stopSignal();
+  const runUntilStopped = async (api: OperatorApi): Promise<void> => {
+    await awaitStop(logger, () => ({ role: core.node.role }), signal);
+    const { clock, messenger } = process.runtime;
+    const cutOff = await stopControl({ clock, api, core, messenger });
     server?.close();
-    logger.event(Events.stopped);
+    logger.event(Events.stopped, { cut_off: cutOff });
   };
   return {
     core,
     log: decisions.log,
     registry,
     reloadSeeds: (readSeeds) => reloadSeeds(readSeeds, logger, (seeds) => core.updateSeeds(seeds)),
-    stopped: stop(),
+    runUntilStopped,
   };
 }
 
--- a/src/runtime/operations_in_flight.ts
+++ b/src/runtime/operations_in_flight.ts
@@ -10,6 +10,11 @@
     return operation;
   }
 
+  /** Number of operations in flight. */
+  get count(): number {
+    return this.operations.size;
+  }
+
   /** Resolves when all operations that are in flight now have ended, whatever their outcome. */
   async settled(): Promise<void> {
     await Promise.allSettled(this.operations);
