--- a/src/appointed/daemon/proxy_daemon.ts
+++ b/src/appointed/daemon/proxy_daemon.ts
@@ -66,8 +66,8 @@
  * Together with the delay of the listener that follows, it must stay below the 2 s after which callers disconnect.
  */
 const INITIAL_CONFIGURATION_TIMEOUT_MS = 600;
-/** Time at the end of a shutdown for the delivery of replies to other processes, in milliseconds; more than a round trip. */
-const MESSAGE_DELIVERY_LIMIT_MS = 100;
+/** Fraction of the grace period, at its end, for the delivery of replies to other processes. */
+const MESSAGE_DELIVERY_FRACTION = 0.015;
 
 /** Starts a proxy. An `openAcceptor` passed by the caller may already have queued connections. */
 export async function startAppointedProxy(
@@ -100,7 +100,7 @@
   const stop = async (): Promise<void> => {
     await awaitStop(logger, () => ({ callers: listener.connections.size }), signal);
     const cutOff = await stopProxy(core, listener, settings.graceMs);
-    await process.runtime.messenger.finish(MESSAGE_DELIVERY_LIMIT_MS);
+    await process.runtime.messenger.finish(settings.graceMs * MESSAGE_DELIVERY_FRACTION);
     server?.close();
     logger.event(Events.stopped, { cut_off: cutOff });
   };
--- a/src/appointed/proxy/graceful_stop.ts
+++ b/src/appointed/proxy/graceful_stop.ts
@@ -19,7 +19,7 @@
 const ANSWER_FRACTION = 0.9;
 /** Fraction of the grace period for the last answers, and once more for the callers to close their connections. */
 const CONCLUSION_FRACTION = 0.03;
-/** How long a connection must be unused to be closed while its caller's requests could still be served. */
+/** How long a connection must be unused to be closed; it is longer than a caller takes to send the next statement of an operation. */
 const MIN_IDLE_MS = 100;
 const DRAIN_POLL_INTERVAL_MS = 50;
 const CONCLUSION_POLL_INTERVAL_MS = 5;
@@ -46,8 +46,8 @@
   shutdown.begin(graceMs * ANSWER_FRACTION);
   await delay(clock, graceMs * SERVING_FRACTION);
   while (shutdown.remainingMs > 0) {
-    // Callers that were refused should use another proxy at once.
-    connections.closeIdle(SHUTTING_DOWN, shutdown.hasRefused ? 0 : MIN_IDLE_MS);
+    // Repeated, because new connections may still arrive.
+    connections.closeIdle(SHUTTING_DOWN, MIN_IDLE_MS);
     await delay(clock, Math.min(DRAIN_POLL_INTERVAL_MS, shutdown.remainingMs));
     if (isDone(proxy) && clock.now() - startedAt > graceMs * MIN_DURATION_FRACTION) break;
   }
@@ -66,13 +66,16 @@
 /** Answers all requests and asks all callers to close; takes at most twice `limitMs`. */
 async function conclude(proxy: StoppingProxy, limitMs: number): Promise<void> {
   const { clock, shutdown, connections, relayedCount } = proxy;
-  proxy.stopAccepting();
   shutdown.expire();
+  // Reads the answers that arrived while the process was stalled.
+  await delay(clock, 1);
   proxy.closeInstances();
   const areAnswered = (): boolean => connections.unansweredCount === 0 && relayedCount() === 0;
   await waitUntil(clock, areAnswered, limitMs / 2);
   connections.answerNow();
   await waitUntil(clock, areAnswered, limitMs / 2);
+  // Callers that connect until now are refused; those that the system has queued are closed unread.
+  proxy.stopAccepting();
   connections.leave(SHUTTING_DOWN);
   await waitUntil(clock, () => connections.size === 0, limitMs);
 }
--- a/src/appointed/sessions/caller_channel.ts
+++ b/src/appointed/sessions/caller_channel.ts
@@ -3,10 +3,17 @@
 import type { CallerStatement } from '../instance/statement.js';
 import type { CallerErrorKind, CallerReply } from './caller_reply.js';
 
+/** A request: one statement with the caller's identifier. */
+export interface CallerQuery {
+  readonly kind: 'query';
+  readonly id: string;
+  readonly statement: CallerStatement;
+}
+
 /** A message from a caller. */
 export type CallerMessage =
   | { readonly kind: 'start'; readonly database: string; readonly credential: string }
-  | { readonly kind: 'query'; readonly id: string; readonly statement: CallerStatement }
+  | CallerQuery
   | { readonly kind: 'terminate' }
   | { readonly kind: 'broken'; readonly problem: string };
 
--- a/src/appointed/sessions/caller_connection.ts
+++ b/src/appointed/sessions/caller_connection.ts
@@ -10,7 +10,7 @@
 import type { CallerStatement } from '../instance/statement.js';
 import { type RefusalCause, causeText } from '../routing/refusal_cause.js';
 import { retryAfterMs } from '../routing/retry_after.js';
-import type { CallerChannel, CallerMessage } from './caller_channel.js';
+import type { CallerChannel, CallerMessage, CallerQuery } from './caller_channel.js';
 import type { CallerReply } from './caller_reply.js';
 import { RequestProgress } from './request_progress.js';
 import type { RoutedSession } from './routed_session.js';
@@ -37,10 +37,6 @@
  * (proxy_daemon.ts) it must be less than the 2 s after which callers close their session.
  */
 const CONFIGURATION_WAIT_MS = 1200;
-/** Time for the caller to close a connection whose close was announced; then this side closes its direction. */
-const ANNOUNCED_CLOSE_MS = 1000;
-/** Logged reason of a request that was read after the answers had ended. */
-const READ_TOO_LATE = 'it was read after its connection had been closed for sending';
 
 /** A message that was read, with the progress of the request that it is part of. */
 interface ReadMessage {
@@ -49,7 +45,7 @@
   readonly progress: RequestProgress | undefined;
 }
 
-/** `announced`: the close was announced; `ended`: nothing more is sent; `closed`: the connection is gone. */
+/** `announced`: the close was announced, and the caller is to close; `ended`: nothing more is sent; `closed`: the connection is gone. */
 type Phase = 'open' | 'announced' | 'ended' | 'closed';
 
 export class CallerConnection {
@@ -63,6 +59,10 @@
   private leaveCause: CloseCause | undefined;
   /** When the connection was accepted, or the last message in either direction. */
   private usedAt: number;
+  /** Why the close was announced. */
+  private announcement = '';
+  /** Whether the session runs on without an effect, after its request was answered in its place. */
+  private isAbandoned = false;
   /** Gives the running request a reply in place of its session's. */
   private replyInstead: ((reply: CallerReply) => void) | undefined;
 
@@ -110,7 +110,9 @@
   answerNow(): void {
     if (this.isRunning && !this.session) this.refuseStart({ kind: 'shuttingDown' });
     const reply = this.session?.abandonedReply();
-    if (reply) this.replyInstead?.(reply);
+    if (!reply || !this.replyInstead) return;
+    this.isAbandoned = true;
+    this.replyInstead(reply);
   }
 
   /** Closes the connection at once; requests without a delivered reply are logged with the reason. */
@@ -135,12 +137,10 @@
       this.queue.push(read);
       return;
     }
-    if (this.phase === 'announced' && read.message.kind === 'query') {
-      this.completeAnnouncement(read.message.statement);
-    } else if (read.progress) {
-      this.logEnded(read.progress, READ_TOO_LATE);
-    }
+    // What follows TERMINATE, a malformed message, or the request that took the announcement for its answer, is no request.
     if (read.progress) this.requests.delete(read.progress);
+    if (this.phase !== 'announced') return;
+    if (read.message.kind === 'query') this.completeAnnouncement(read.message);
     this.end();
   }
 
@@ -167,13 +167,17 @@
     if (this.phase !== 'open') return;
     const kind = this.session?.state === 'open' ? 'aborted' : 'busy';
     this.phase = 'announced';
+    this.announcement = causeText(cause);
+    if (kind === 'aborted') this.logAbortedTransaction(cause);
     this.session?.close();
-    this.channel.sendError(kind, `${causeText(cause)}; retry after ${retryAfterMs(cause)} ms`);
-    this.source.clock.setTimer(ANNOUNCED_CLOSE_MS, () => this.end());
+    const text = `${this.announcement}; retry after ${retryAfterMs(cause)} ms`;
+    this.channel.sendError(kind, text);
   }
 
-  /** Completes the announcement as the answer to a statement, which is not run. */
-  private completeAnnouncement({ kind }: CallerStatement): void {
+  /** Completes the announcement as the answer to a request, which is not run. */
+  private completeAnnouncement({ id, statement: { kind } }: CallerQuery): void {
+    const cause = this.announcement;
+    this.source.log(Events.requestRefused, { request: id, outcome: 'crossed the close', cause });
     const endsTransaction = kind === 'commit' || kind === 'rollback';
     const wasInTransaction = (this.session?.state ?? 'idle') !== 'idle';
     this.channel.sendReady(wasInTransaction && !endsTransaction ? 'failed' : 'idle');
@@ -254,6 +258,7 @@
       this.requests.delete(progress);
       this.leaveIfAnswered();
     });
+    if (this.isAbandoned) this.end();
   }
 
   /** Sends an error and closes the connection. */
@@ -263,6 +268,12 @@
     this.end();
   }
 
+  private logAbortedTransaction(cause: CloseCause): void {
+    const { clock, log } = this.source;
+    const idleMs = Math.round(clock.now() - this.usedAt);
+    log(Events.transactionEndedByClose, { idle_ms: idleMs, reason: causeText(cause) });
+  }
+
   private logEnded(progress: RequestProgress, reason: string): void {
     const { clock, log } = this.source;
     log(Events.requestEndedByStop, { ...progress.fieldsAt(clock.now()), reason });
--- a/src/appointed/sessions/caller_transaction.ts
+++ b/src/appointed/sessions/caller_transaction.ts
@@ -206,7 +206,7 @@
       const isBusy = answer?.error?.kind === 'busy' && answer.state === 'open';
       if (!isBusy || !deadline.allowsRetry(true)) return attempt;
       await backoff.wait();
-      if (!maySend()) return attempt;
+      if (!maySend() || !deadline.allowsAttempt) return attempt;
     }
   }
 
--- a/src/appointed/sessions/routed_session.ts
+++ b/src/appointed/sessions/routed_session.ts
@@ -53,6 +53,7 @@
   private idleTimer: Timer | undefined;
   /** Progress of the statement that is being run. */
   private progress: RequestProgress | undefined;
+  private isCommitting = false;
   private isRunning = false;
   private isClosed = false;
 
@@ -86,6 +87,7 @@
     progress.timeoutMs = route?.timeoutMs;
     progress.stage = 'waiting';
     this.progress = progress;
+    this.isCommitting = statement.kind === 'commit';
     const reply = await this.dispatch(id, statement);
     this.progress = undefined;
     this.transactionState = reply.state;
@@ -109,9 +111,10 @@
     const { progress, transactionState } = this;
     if (!progress) return undefined;
     const text = `${causeText({ kind: 'shuttingDown' })}; its outcome was not awaited`;
-    const state = transactionState === 'open' ? 'failed' : transactionState;
+    const isOpen = transactionState === 'open' && !this.isCommitting;
+    const state = isOpen ? 'failed' : 'idle';
     if (progress.stage === 'sent') return errorReply('inDoubt', text, state);
-    return errorReply(state === 'failed' ? 'aborted' : 'busy', text, state);
+    return errorReply(transactionState === 'open' ? 'aborted' : 'busy', text, state);
   }
 
   /** Ends the session after its caller has disconnected; an open transaction is rolled back. */
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -25,7 +25,7 @@
     'stopped',
     'info',
     'process stopped',
-    '`cut_off` is the number of callers whose connections were still busy at the stop deadline; it should be 0.',
+    '`cut_off` is the number of connections that were closed with a request that had no delivered reply; it should be 0.',
   ),
   connectionError: define(
     105,
@@ -125,6 +125,13 @@
     'a request ended without an answer, since its connection was closed',
     'Its caller saw the connection close; during a graceful shutdown this must not happen. `stage` is `queued`, `waiting`, `sent` (to an instance) or `answered` (the reply was not delivered), `remaining_ms` the time left until its timeout, `reason` what ended it.',
   ),
+  transactionEndedByClose: define(
+    267,
+    'transaction_ended_by_close',
+    'warn',
+    'an open transaction was rolled back, since its connection is closed',
+    'Its caller was told so, after `idle_ms` without a statement; during a graceful shutdown it had the time until the answers end.',
+  ),
   linesLeftOut: define(
     231,
     'lines_left_out',
--- a/src/runtime/tcp_messenger.ts
+++ b/src/runtime/tcp_messenger.ts
@@ -251,7 +251,8 @@
       const handle = await this.handler;
       const body = await handle(request.body, request.from);
       const reply: Envelope = { id: request.id, reply: true, from: this.localAddress, body };
-      if (socket.destroyed) return;
+      // After `end` a write would destroy the connection, with the replies that it still delivers.
+      if (socket.destroyed || socket.writableEnded) return;
       const written = frame(encodeEnvelope(reply));
       this.traffic.note('sent', body, written.length);
       socket.write(written);
