Keep a pinned connection while a long statement runs on it

Cause: a connection owner closes a connection that it pinned for another proxy 8 s after its last use, and took the start of a statement as the last use. A statement with a longer timeout was cut off on it; a COMMIT became one in doubt.

Change: a connection with a statement in flight is not idle.

--- a/src/appointed/relay/relay_server.ts
+++ b/src/appointed/relay/relay_server.ts
@@ -36,6 +36,8 @@
 /** A connection pinned by a transaction of another proxy. */
 interface RelayPinnedConnection {
   readonly pinned: PinnedConnection;
+  /** Whether a statement is in flight on it. */
+  isRunning: boolean;
   usedAt: number;
 }
 
@@ -100,8 +102,8 @@
   /** Closes pinned connections that their proxy abandoned; called periodically. */
   maintain(): void {
     const oldest = this.context.clock.now() - PINNED_IDLE_TIMEOUT_MS;
-    for (const [connection, { pinned, usedAt }] of this.pinnedConnections) {
-      if (usedAt > oldest) continue;
+    for (const [connection, { pinned, isRunning, usedAt }] of this.pinnedConnections) {
+      if (isRunning || usedAt > oldest) continue;
       this.pinnedConnections.delete(connection);
       this.runner.discard(pinned);
     }
@@ -205,7 +207,7 @@
       this.closePinned(connection);
       return notRunReply('the connection has ended');
     }
-    entry.usedAt = this.context.clock.now();
+    entry.isRunning = true;
     const { pinned } = entry;
     pinned.target.pool.markActive(pinned.pooled);
     return this.run(pinned, connection, contentOf(request, command), command, timeoutMs);
@@ -244,7 +246,11 @@
 
   private pin(pinned: PinnedConnection, existing: string): string {
     const connection = existing || `${this.incarnation}.${this.nextConnection++}`;
-    this.pinnedConnections.set(connection, { pinned, usedAt: this.context.clock.now() });
+    this.pinnedConnections.set(connection, {
+      pinned,
+      isRunning: false,
+      usedAt: this.context.clock.now(),
+    });
     pinned.target.pool.markIdleInTransaction(pinned.pooled);
     return connection;
   }
--- a/test/unit/relay_shutdown.test.ts
+++ b/test/unit/relay_shutdown.test.ts
@@ -1,7 +1,7 @@
 /**
- * Shutdown of a connection owner: statements of other proxies on its connections. Guards against
- * statements that are begun too late to be answered, and against replies that are lost because the
- * process ends first.
+ * Statements of other proxies on the connections of a connection owner that shuts down or looks for
+ * abandoned transactions. Guards against statements that are begun too late to be answered, and
+ * against replies that are lost because the process or the connection ends first.
  */
 import t from 'tap';
 import { CallerConnections } from '../../src/appointed/sessions/caller_connections.js';
@@ -14,6 +14,8 @@
 const { RelayOutcome } = whinyoke;
 const GRACE_MS = 6000;
 const TIMEOUT_MS = 1000;
+/** Longer than a pinned connection may be idle. */
+const LONG_TIMEOUT_MS = 12_000;
 const WRITE = { kind: 'data', id: 'r-1', statement: { kind: 'write', argument: 'x' } } as const;
 const BEGIN = { kind: 'begin', readOnly: false } as const;
 
@@ -31,6 +33,7 @@
   owner: SingleProxyHarness,
   command: Relayed,
   connection = '',
+  timeoutMs = TIMEOUT_MS,
 ): Promise<whinyoke.IRelayReply> {
   const relayRequest = {
     instance: 'i-1',
@@ -38,7 +41,7 @@
     command: encodeRelayCommand(command),
     anyTenant: true,
     waitMs: 100,
-    timeoutMs: TIMEOUT_MS,
+    timeoutMs,
   };
   const { relayReply } = await owner.handle({ relayRequest }, '10.7.0.2:7001');
   return relayReply ?? {};
@@ -110,3 +113,15 @@
     t.ok(owner.now - concludedAt < 100, 'pinned connections without a statement are closed');
   },
 );
+
+void t.test('a pinned connection is not abandoned while a long statement runs on it', async (t) => {
+  const owner = await startOwner();
+  const { connection } = await owner.runUntilSettled(relay(owner, BEGIN));
+  owner.unresponsiveInstances.add('i-1');
+  const running = relay(owner, WRITE, connection!, LONG_TIMEOUT_MS);
+  await owner.run(LONG_TIMEOUT_MS - 1000);
+  owner.unresponsiveInstances.clear();
+  t.equal((await owner.runUntilSettled(running)).outcome, RelayOutcome.ANSWERED);
+  await owner.run(LONG_TIMEOUT_MS);
+  t.equal(owner.core.relayedCount, 0, 'it is abandoned when nothing has followed for long');
+});
