--- a/test/unit/incarnations_at_proxies.test.ts
+++ b/test/unit/incarnations_at_proxies.test.ts
@@ -1,6 +1,7 @@
 /** Guards against proxies that use a restarted, empty instance as if it were its predecessor. */
 import t from 'tap';
 import { encodeRelayCommand } from '../../src/appointed/relay/relay_codec.js';
+import { ShutdownDeadline } from '../../src/appointed/routing/shutdown_deadline.js';
 import { RelayServer } from '../../src/appointed/relay/relay_server.js';
 import type { DocumentInForce } from '../../src/appointed/proxy/document_in_force.js';
 import { FleetDirectory } from '../../src/appointed/proxy/fleet_directory.js';
@@ -176,7 +177,8 @@
 
 void t.test('a connection owner refuses commands for another incarnation', async (t) => {
   const { clock, instances, leases, updateInstance, log } = createProxy(START);
-  const context = { clock, leases, log } as unknown as ProxyContext;
+  const shutdown = new ShutdownDeadline(clock);
+  const context = { clock, leases, log, shutdown } as unknown as ProxyContext;
   const server = new RelayServer(context, (id) => instances.localPool(id), 'run');
   updateInstance('b', 2);
   const outcomeFor = async (instanceIncarnation: number): Promise<string> => {
