--- a/test/soak/planned_stops.js
+++ b/test/soak/planned_stops.js
@@ -49,7 +49,12 @@
   },
   {
     name: 'a process is frozen for a second while it stops',
-    plan: { proxies: [1], staying: 8, single: 8, disturb: freeze },
+    plan: { proxies: [1], staying: 8, single: 8, disturb: (trial) => freeze(trial, [500, 3800]) },
+  },
+  {
+    name: 'a process is frozen until its stop has no time left',
+    isKnownRed: true,
+    plan: { proxies: [1], staying: 8, single: 8, disturb: (trial) => freeze(trial, [4550, 4700]) },
   },
 ];
 
@@ -87,9 +92,10 @@
   }
 }
 
-async function freeze(trial) {
+/** Freezes the process at a time after the signal. */
+async function freeze(trial, atMs) {
   const [proxy] = trial.plan.proxies;
-  await pause(between(500, 3800, trial.random));
+  await pause(between(...atMs, trial.random));
   trial.signal(proxy, 'SIGSTOP');
   await pause(FREEZE_MS);
   trial.signal(proxy, 'SIGCONT');
