--- a/test/soak/planned_stop.js
+++ b/test/soak/planned_stop.js
@@ -1,5 +1,5 @@
 /** One trial of planned stops: proxies get SIGTERM under callers that keep arriving until their processes are gone. */
-import { pause } from '../../review/record.js';
+import { pause, until } from '../../review/record.js';
 import { ArrivingCaller } from './arriving_caller.js';
 import { between } from './random.js';
 import { StopLedger } from './stop_ledger.js';
@@ -10,6 +10,8 @@
 const BEFORE_MS = 700;
 /** Time in which the last commits reach the replicas. */
 const SETTLED_MS = 500;
+/** Time for a change of primary, which a busy machine may cause. */
+const PRIMARY_MS = 20_000;
 const POLL_MS = 5;
 
 function isRunning({ exitCode, signalCode }) {
@@ -53,8 +55,9 @@
     await Promise.all(running);
     await pause(SETTLED_MS);
     await this.restart();
-    const { log } = Object.values(this.site.groups)[0].primary;
-    const breaks = [...this.breaks, ...this.ledger.breaks(log)];
+    const [group] = Object.values(this.site.groups);
+    await until('a primary leads', PRIMARY_MS, () => group.primary);
+    const breaks = [...this.breaks, ...this.ledger.breaks(group.primary.log)];
     const ends = `processes ended ${this.endedMs.join(', ')} ms after SIGTERM`;
     return { breaks, summary: [...this.ledger.summary, ends] };
   }
