Simulate planned stops of proxies while callers arrive

Cause: the simulator drew no planned stop of an appointed proxy, and its callers opened sessions without the product's connections, so it could not show the class of the cut-off request.

Change: five named kinds of faults stop proxies by the product's own stopGracefully with 6 s, alone, two at a time, beside a freeze, a crashed primary and slow instances. Callers of such runs go through CallerConnections over a virtual channel; half open a connection for two operations or so, and most new connections go to a proxy that stops. The check cut-off reports a message that the proxy has read and that a planned stop ends without a whole answer. Two protections can be taken away: shutdown-deadline (requests ignore the end, which closes everything) and announced-close.

--- a/lab/appointed/appointed_callers.ts
+++ b/lab/appointed/appointed_callers.ts
@@ -1,10 +1,8 @@
 /** Callers of the simulation: sessions that read, write and run transactions, and tell the judge. */
 import type { CallerReply } from '../../src/appointed/sessions/caller_reply.js';
 import type { ReadPolicy } from '../../src/appointed/catalog/route_table.js';
-import type { RoutedSession } from '../../src/appointed/sessions/routed_session.js';
 import type { CallerStatement, PreparedShape } from '../../src/appointed/instance/statement.js';
 import { type RandomSource, delay } from '../../src/runtime/runtime.js';
-import { StreamEnd } from '../simulation/virtual_stream.js';
 import {
   type AppointedWorld,
   BOUNDED_STALENESS_MS,
@@ -12,78 +10,18 @@
   POLICIES,
   databaseOf,
 } from './appointed_world.js';
+import { type CallerLink, SessionLink } from './caller_link.js';
+import { ConnectedLink } from './connected_link.js';
+import { pick } from './fault_targets.js';
 
-interface Request {
-  readonly id: string;
-  readonly statement: CallerStatement;
-}
-
-const ANSWER_TIMEOUT_MS = 3000;
 const THINK_MS = 40;
 const TRANSACTION_STATEMENTS = 4;
-
-/** One connection of a caller to a proxy. */
-class CallerLink {
-  private readonly near: StreamEnd;
-  private pending: ((reply: CallerReply | undefined) => void) | undefined;
-
-  private constructor(private readonly world: AppointedWorld) {
-    this.near = new StreamEnd(world.network, world.outside);
-    this.near.onMessage = (message) => this.settle(message as CallerReply);
-    this.near.onClosed = () => this.settle(undefined);
-  }
-
-  /** Connects to a proxy; undefined when it can't serve. */
-  static open(
-    world: AppointedWorld,
-    router: number,
-    database: string,
-    credential: string | undefined,
-  ): CallerLink | undefined {
-    const running = world.routers[router]?.running;
-    const session = running?.core.openSession(database, credential);
-    if (!running || !session) return undefined;
-    const link = new CallerLink(world);
-    const far = new StreamEnd(world.network, running.process);
-    StreamEnd.join(world.network, link.near, far);
-    serve(far, session);
-    return link;
-  }
-
-  /** Sends a statement; undefined when no answer came. */
-  send(request: Request): Promise<CallerReply | undefined> {
-    return new Promise((resolve) => {
-      const timer = this.world.outside.clock.setTimer(ANSWER_TIMEOUT_MS, () => {
-        this.settle(undefined);
-        this.near.close();
-      });
-      this.pending = (reply) => {
-        timer.cancel();
-        resolve(reply);
-      };
-      if (this.near.open) this.near.send(request);
-      else this.settle(undefined);
-    });
-  }
-
-  close(): void {
-    this.near.close();
-  }
-
-  private settle(reply: CallerReply | undefined): void {
-    const { pending } = this;
-    this.pending = undefined;
-    pending?.(reply);
-  }
-}
-
-function serve(end: StreamEnd, session: RoutedSession): void {
-  end.onClosed = () => session.close();
-  end.onMessage = (message) => {
-    const { id, statement } = message as Request;
-    void session.execute(id, statement).then((reply) => end.send(reply));
-  };
-}
+const DISCONNECT_SHARE = 0.03;
+const SHORT_SESSION_DISCONNECT_SHARE = 0.6;
+/** Pause of sessions that are mostly idle. */
+const IDLE_THINK_MS = 200;
+/** Share of the connections that are opened to a proxy that stops, if there is one. */
+const STOPPING_SHARE = 0.8;
 
 /** One caller with one route. */
 export class AppointedCaller {
@@ -102,16 +40,18 @@
     private readonly policy: ReadPolicy,
     private readonly random: RandomSource,
     private readonly number: number,
+    /** Whether it connects through the product's own connections of callers, or opens sessions directly. */
+    private readonly usesConnections: boolean,
   ) {}
 
   /** Runs operations until it is stopped. */
   async run(): Promise<void> {
     const { clock } = this.world.outside;
     while (!this.isStopped) {
-      await delay(clock, THINK_MS * 2 * this.random.next());
-      if (!this.link) this.connect();
+      await delay(clock, this.pauseMs * 2 * this.random.next());
+      if (!this.link) await this.connect();
       if (this.link) await this.operate();
-      if (this.link && this.random.next() < 0.03) this.disconnect();
+      if (this.link && this.random.next() < this.disconnectShare) this.disconnect();
     }
     this.disconnect();
   }
@@ -121,14 +61,40 @@
     this.isStopped = true;
   }
 
-  private connect(): void {
-    const router = this.random.integer(0, this.world.routers.length - 1);
+  private async connect(): Promise<void> {
+    const router = this.chooseRouter();
     this.credential ??= this.world.tenancy?.credentialFor(this.number);
+    const { world, credential } = this;
     const database = databaseOf(this.group, this.policy);
-    this.link = CallerLink.open(this.world, router, database, this.credential);
     this.session = `${this.name}-${this.nextRequest}`;
     this.values = new Map();
     this.prepared = new Map();
+    this.link = this.usesConnections
+      ? await ConnectedLink.open(world, world.routers[router]!, this.session, {
+          database,
+          credential,
+        })
+      : SessionLink.open(world, router, database, credential);
+  }
+
+  /** Number of the proxy to connect to; callers with connections prefer proxies that stop. */
+  private chooseRouter(): number {
+    const { random, world } = this;
+    const last = world.routers.length - 1;
+    if (!this.usesConnections || random.next() > STOPPING_SHARE) return random.integer(0, last);
+    const stopping = [...world.routers.keys()].filter((index) => world.routers[index]!.isStopping);
+    return stopping.length > 0 ? pick(stopping, random) : random.integer(0, last);
+  }
+
+  /** Mean pause before an operation; some callers with connections use them rarely. */
+  private get pauseMs(): number {
+    return this.usesConnections && this.number % 6 === 0 ? IDLE_THINK_MS : THINK_MS;
+  }
+
+  /** Share of the operations after which the caller disconnects; half of the callers with connections keep none for long. */
+  private get disconnectShare(): number {
+    const isShort = this.usesConnections && this.number % 2 === 1;
+    return isShort ? SHORT_SESSION_DISCONNECT_SHARE : DISCONNECT_SHARE;
   }
 
   private disconnect(): void {
@@ -288,11 +254,16 @@
   }
 }
 
-/** Callers of all groups and policies. */
-export function createCallers(world: AppointedWorld): AppointedCaller[] {
+/**
+ * Callers of all groups and policies.
+ * @param useConnections - whether they connect through the product's own connections of callers
+ */
+export function createCallers(world: AppointedWorld, useConnections: boolean): AppointedCaller[] {
   return Array.from({ length: world.deployment.callers }, (_, index) => {
     const group = world.groups[index % world.groups.length]!;
     const policy = POLICIES[Math.floor(index / world.groups.length) % POLICIES.length]!;
-    return new AppointedCaller(world, `c${index}`, group.name, policy, world.outside.random, index);
+    const { random } = world.outside;
+    const name = `c${index}`;
+    return new AppointedCaller(world, name, group.name, policy, random, index, useConnections);
   });
 }
--- a/lab/appointed/appointed_faults.ts
+++ b/lab/appointed/appointed_faults.ts
@@ -8,6 +8,7 @@
 import type { AppointedWorld } from './appointed_world.js';
 import type { EmulatedGroup, InstanceMachine } from './emulated_group.js';
 import { LATE_CALL_FAULTS, LATE_CALL_STARTERS } from './late_call_faults.js';
+import { PLANNED_STOP_FAULTS, PLANNED_STOP_STARTERS } from './planned_stop_faults.js';
 
 /** Kinds of faults. */
 export const APPOINTED_FAULTS = [
@@ -57,6 +58,7 @@
 export type AppointedFaultKind =
   | (typeof DEPARTURE_FAULTS)[number]
   | (typeof LATE_CALL_FAULTS)[number]
+  | (typeof PLANNED_STOP_FAULTS)[number]
   | (typeof APPOINTED_FAULTS)[number]
   | (typeof TENANT_FAULTS)[number]
   | (typeof INCARNATION_FAULTS)[number]
@@ -98,6 +100,7 @@
     ...APPOINTED_DISK_FAULTS,
     ...DEPARTURE_FAULTS,
     ...LATE_CALL_FAULTS,
+    ...PLANNED_STOP_FAULTS,
   ];
   return [...faultsOf(deployment), ...named];
 }
@@ -150,6 +153,7 @@
 const STARTERS: Readonly<Record<AppointedFaultKind, Starter>> = {
   ...DEPARTURE_STARTERS,
   ...LATE_CALL_STARTERS,
+  ...PLANNED_STOP_STARTERS,
   'crash-primary': (world, random) => {
     const group = pick(world.groups, random);
     return crash(group, primaryOf(group));
--- a/lab/appointed/appointed_judge.ts
+++ b/lab/appointed/appointed_judge.ts
@@ -35,6 +35,7 @@
   | 'quota'
   | 'homes'
   | 'slow-start'
+  | 'cut-off'
   | 'recovery';
 
 /** A broken promise. */
@@ -104,7 +105,15 @@
 /** Judge of one simulation. */
 export class AppointedJudge implements InstanceJournal {
   readonly violations: AppointedViolation[] = [];
-  readonly counts = { runs: 0, acknowledged: 0, reads: 0, appointments: 0, refused: 0, inDoubt: 0 };
+  readonly counts = {
+    runs: 0,
+    acknowledged: 0,
+    reads: 0,
+    appointments: 0,
+    refused: 0,
+    inDoubt: 0,
+    servedWhileStopping: 0,
+  };
   readonly acknowledgedByGroup = new Map<string, number>();
   /** When callers were last told of a success, by group. */
   readonly lastAcknowledgedAt = new Map<string, number>();
@@ -214,6 +223,16 @@
     this.counts.inDoubt++;
   }
 
+  /** A caller got an answer without an error from a proxy that stops. */
+  onServedWhileStopping(): void {
+    this.counts.servedWhileStopping++;
+  }
+
+  /** A planned stop ended the connection of a message that the proxy had read and not wholly answered. */
+  onCutOff(message: string): void {
+    this.add('cut-off', message);
+  }
+
   /** A caller got the answer to a read. */
   onRead(read: ReadCheck): void {
     this.counts.reads++;
--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -36,6 +36,7 @@
   disableSlowStart,
 } from './disabled_protections.js';
 import type { VirtualProcess } from '../simulation/virtual_process.js';
+import { SimulatedListener } from './simulated_listener.js';
 
 /** One line of a simulated process's log. */
 export interface SimulatedLogLine {
@@ -82,6 +83,7 @@
 /** A proxy. */
 export class SimulatedRouter extends SimulatedMachine<AppointedSurroundings> {
   private core: AppointedProxy | undefined;
+  private listener: SimulatedListener | undefined;
 
   constructor(
     name: string,
@@ -93,10 +95,26 @@
     super(name, address, surroundings);
   }
 
-  /** The running core and its process. */
-  get running(): { core: AppointedProxy; process: VirtualProcess } | undefined {
-    const { core, process } = this;
-    return this.isUp && core && process ? { core, process } : undefined;
+  /** The running core, its listener and its process. */
+  get running():
+    { core: AppointedProxy; listener: SimulatedListener; process: VirtualProcess } | undefined {
+    const { core, listener, process } = this;
+    return this.isUp && core && listener && process ? { core, listener, process } : undefined;
+  }
+
+  /** Whether its process runs and was told to stop. */
+  get isStopping(): boolean {
+    return this.running?.listener.isStopping ?? false;
+  }
+
+  /** Lets the process shut down as on SIGTERM, and starts it again after it has ended. */
+  stopAndRestart(graceMs: number, restartMs: number): void {
+    const { listener, process } = this.running ?? {};
+    if (!listener || !process) return;
+    void listener.stop(graceMs).then(() => {
+      this.kill();
+      this.surroundings.scheduler.schedule(restartMs, () => this.start());
+    });
   }
 
   /** Opens a caller's session; undefined while the proxy can't serve. */
@@ -127,6 +145,7 @@
     if (surroundings.disabled.has('slow-start')) disableSlowStart(core);
     if (surroundings.disabled.has('issuer-lease')) disableIssuerLease(core);
     this.core = core;
+    this.listener = new SimulatedListener(core, process, surroundings.disabled);
     core.start();
     process.onEnd(() => core.stop());
   }
--- a/lab/appointed/appointed_simulation.ts
+++ b/lab/appointed/appointed_simulation.ts
@@ -12,6 +12,7 @@
 import type { AppointedProtection } from './disabled_protections.js';
 import { AppointedWorld } from './appointed_world.js';
 import { LATE_CALL_FAULTS } from './late_call_faults.js';
+import { arePlannedStops } from './planned_stop_faults.js';
 import { RECOVERY_LIMIT_MS, RecoveryWatch } from './recovery_watch.js';
 
 /** What to run. */
@@ -54,7 +55,7 @@
 export async function runAppointed(options: AppointedRunOptions): Promise<AppointedReport> {
   const world = new AppointedWorld(options.deployment, options.seed, new Set(options.disabled));
   await world.start();
-  const callers = createCallers(world);
+  const callers = createCallers(world, arePlannedStops(options.faults));
   for (const caller of callers) void caller.run();
   const watch = new RecoveryWatch(world);
   watch.start();
--- a/lab/appointed/disabled_protections.ts
+++ b/lab/appointed/disabled_protections.ts
@@ -11,6 +11,8 @@
 } from '../../src/appointed/leases/replica_lease.js';
 import type { AppointedControl } from '../../src/appointed/control/appointed_control.js';
 import type { AppointedProxy } from '../../src/appointed/proxy/appointed_proxy.js';
+import type { StoppingProxy } from '../../src/appointed/proxy/graceful_stop.js';
+import { ShutdownDeadline } from '../../src/appointed/routing/shutdown_deadline.js';
 import { inheritedPositionOf } from '../../src/appointed/failover/inherited_position.js';
 import { whinyoke } from '../../src/protocol/generated/messages.js';
 import { START } from '../../src/positions/position.js';
@@ -34,6 +36,8 @@
   'commit-watermarks',
   'appointment-permits',
   'pending-appointments',
+  'shutdown-deadline',
+  'announced-close',
 ] as const;
 
 /** One protection. */
@@ -182,3 +186,13 @@
     }
   };
 }
+
+/** Makes requests know nothing of the end of a shutdown, which then closes all connections at once, busy or not. */
+export function withoutShutdownDeadline(proxy: StoppingProxy): StoppingProxy {
+  const { clock, connections } = proxy;
+  Object.defineProperty(connections, 'unansweredCount', { value: 0 });
+  connections.answerNow = () => undefined;
+  connections.leave = () => connections.abort('the shutdown has ended');
+  const shutdown = new ShutdownDeadline(clock);
+  return { ...proxy, shutdown, closeInstances: () => undefined };
+}
--- a/lab/appointed/emulated_instance.ts
+++ b/lab/appointed/emulated_instance.ts
@@ -110,6 +110,8 @@
   /** Whether it receives nothing, as a fault. */
   isDeaf = false;
   isLeaving = false;
+  /** How many times as long statements take, as a fault. */
+  slowness = 1;
   /** Share of the answers that are lost, as a fault. */
   lostAnswers = 0;
   /** Answers by kind; `ok` where nothing went wrong. */
@@ -349,7 +351,7 @@
       await new Promise<void>((resolve) => this.queue.push(resolve));
     }
     this.busy++;
-    await delay(this.process.clock, workMs * (0.5 + this.process.random.next()));
+    await delay(this.process.clock, this.slowness * workMs * (0.5 + this.process.random.next()));
     try {
       return await work();
     } finally {
