Fail all commands of a connection to an instance when it ends

Cause: MysqlConnection remembered only the command that was given to it last. A monitoring connection has several at once (a probe and the KILLs of the sessions that were closed); when it ended, all but the last one were left without an outcome.

Change: all commands without an answer fail.

Failed before: test/unit/mysql_connector.test.ts timed out (8 s, the first command had no outcome); it passes in 54 ms.

--- a/src/mysql/backend/mysql_connector.ts
+++ b/src/mysql/backend/mysql_connector.ts
@@ -17,7 +17,8 @@
 class MysqlConnection implements BackendConnection {
   closed = false;
   onClosed: (() => void) | undefined;
-  private current: CommandRequest | undefined;
+  /** Commands without an answer: a monitoring connection has several at once. */
+  private readonly unanswered = new Set<CommandRequest>();
 
   constructor(private readonly connection: Connection) {
     connection.on('error', (error) => this.fail(messageOf(error)));
@@ -60,15 +61,15 @@
     return new Promise((resolve, reject) => {
       const command = new CommandRequest(payload, sink, {
         resolve: (completion) => {
-          this.current = undefined;
+          this.unanswered.delete(command);
           resolve(completion);
         },
         reject: (error) => {
-          this.current = undefined;
+          this.unanswered.delete(command);
           reject(error);
         },
       });
-      this.current = command;
+      this.unanswered.add(command);
       this.client.addCommand(command);
     });
   }
@@ -76,8 +77,9 @@
   private fail(reason: string): void {
     if (this.closed) return;
     this.closed = true;
-    this.current?.fail(new BackendConnectionLostError(reason, { sent: true }));
-    this.current = undefined;
+    for (const command of [...this.unanswered]) {
+      command.fail(new BackendConnectionLostError(reason, { sent: true }));
+    }
     this.onClosed?.();
   }
 }
