Answer every command of the MySQL interface before a proxy stops

Cause: at the end of stop_deadline_ms the listener destroyed all connections, also those whose command was running at an instance or at another gateway. The caller saw a closed connection and no verdict. Then the stop waited up to stop_deadline_ms once more for the sessions of other proxies, and went on retrying to close sessions at a gateway.

Change: stopGracefully has one deadline for everything. A statement of another proxy that did not run is declined, so that another gateway can run it. What has no answer yet gets one (may_have_run for a write or COMMIT, otherwise not_run), and the connection is closed behind the answer. A statement in an open transaction that comes too late gets 50004 at once. New connections get 50005 in place of the greeting until the end, instead of a refused or reset connection. The simulator's proxies run the same code.

--- a/lab/bench/change_bench.ts
+++ b/lab/bench/change_bench.ts
@@ -98,7 +98,7 @@
     elapsed.add(performance.now() - startedAt);
   }
   const used = process.cpuUsage(processorBefore);
-  await core.finishStop(0);
+  core.finishStop();
   const processorMs = (used.user + used.system) / 1000 / CHANGES;
   await realFolder.close();
   rmSync(path, { recursive: true, force: true });
--- a/lab/database/mysql_endpoint.ts
+++ b/lab/database/mysql_endpoint.ts
@@ -14,6 +14,7 @@
 
 class EndpointSession implements CallerSession {
   readonly ended: Promise<void>;
+  readonly mayTakeEffect = true;
 
   constructor(private readonly session: InstanceSession) {
     this.ended = session.ended;
--- a/lab/fleet/fleet.ts
+++ b/lab/fleet/fleet.ts
@@ -31,6 +31,8 @@
   /** Delay between receiving and executing on secondaries, in milliseconds. */
   readonly lagMs: number;
   readonly electionTimeoutMs: number;
+  /** Longest planned stop of a proxy, in milliseconds; the program's default if undefined. */
+  readonly stopDeadlineMs?: number;
   /** Whether proxies reach the instances through links that can misbehave. */
   readonly withLinks?: boolean;
 }
@@ -161,6 +163,7 @@
       shared_key_file: 'shared.key',
       callers: [{ user: CALLER_ACCOUNT.user, password_file: 'caller.password' }],
       backend: { user: BACKEND_ACCOUNT.user, password_file: 'backend.password' },
+      stop_deadline_ms: this.options.stopDeadlineMs,
     });
   }
 
--- a/lab/simulation/simulated_nodes.ts
+++ b/lab/simulation/simulated_nodes.ts
@@ -3,6 +3,7 @@
 import type { PlatformMachine, PlatformSource } from '../../src/mysql/control/platform_watcher.js';
 import type { GatewayOptions } from '../../src/mysql/gateway/group_gateway.js';
 import type { ProtectionSet } from '../../src/mysql/gateway/protections.js';
+import { stopGracefully } from '../../src/mysql/proxy/graceful_stop.js';
 import { ProxyCore } from '../../src/mysql/proxy/proxy_core.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { DatabaseInstance } from '../database/instance.js';
@@ -182,7 +183,6 @@
 }
 
 const STOP_DEADLINE_MS = 5000;
-const STOP_POLL_MS = 10;
 
 /** A proxy. */
 export class SimulatedProxy extends SimulatedMachine<Surroundings> {
@@ -265,13 +265,7 @@
     listener: VirtualListener,
     process: VirtualProcess,
   ): Promise<void> {
-    await core.beginStop();
-    listener.drain();
-    const deadline = process.clock.now() + STOP_DEADLINE_MS;
-    while (listener.connectionCount > 0 && process.clock.now() < deadline) {
-      await new Promise<void>((resolve) => process.clock.setTimer(STOP_POLL_MS, resolve));
-    }
-    await core.finishStop(STOP_DEADLINE_MS);
+    await stopGracefully(core, listener, process.clock, STOP_DEADLINE_MS);
     this.endIfSame(process);
   }
 
--- a/lab/simulation/virtual_frontend.ts
+++ b/lab/simulation/virtual_frontend.ts
@@ -4,10 +4,13 @@
 import { ConnectionActivity } from '../../src/mysql/frontend/connection_activity.js';
 import {
   type ErrorAnswer,
+  abandonedAnswer,
   errorAnswer,
   stoppingAnswer,
 } from '../../src/mysql/frontend/error_answer.js';
 import { RequestError } from '../../src/errors/errors.js';
+import type { StoppingListener } from '../../src/mysql/proxy/graceful_stop.js';
+import type { Clock } from '../../src/runtime/runtime.js';
 import { textValues } from '../../src/mysql/topology/instance_report.js';
 import {
   type CallerAnswer,
@@ -33,6 +36,7 @@
   constructor(
     private readonly end: StreamEnd,
     private readonly session: CallerSession,
+    private readonly clock: Clock,
     onClosed: (connection: ServedConnection) => void,
   ) {
     end.onMessage = (message) => this.receive(message as string);
@@ -47,17 +51,35 @@
     this.activity.closeWhenIdle();
   }
 
+  get isAnswered(): boolean {
+    return this.activity.unanswered.length === 0;
+  }
+
+  conclude(): void {
+    if (this.activity.isOver) return;
+    const [running, ...queued] = this.activity.unanswered;
+    this.activity.end();
+    if (running) this.sendError(abandonedAnswer(this.session.mayTakeEffect));
+    for (let count = queued.length; count > 0; count--) this.sendError(stoppingAnswer());
+    if (!running) this.sendError(stoppingAnswer());
+    this.end.close();
+  }
+
   close(): void {
     this.end.close();
   }
 
   private receive(sql: string): void {
-    this.activity.commandStarted();
+    const readAt = this.clock.now();
+    this.activity.commandStarted({ name: 'query', isAnswered: true, readAt });
     this.previous = this.previous.then(() => this.run(sql));
   }
 
   private async run(sql: string): Promise<void> {
-    if (!this.activity.isOver && this.end.open) this.end.send(await this.reply(sql));
+    if (!this.activity.isOver && this.end.open) {
+      const reply = await this.reply(sql);
+      if (this.end.open) this.end.send(reply);
+    }
     this.activity.commandEnded();
   }
 
@@ -79,13 +101,17 @@
   }
 
   private closeIdle(): void {
-    this.end.send({ kind: 'error', error: stoppingAnswer() } satisfies Reply);
+    this.sendError(stoppingAnswer());
     this.end.close();
   }
+
+  private sendError(error: ErrorAnswer): void {
+    this.end.send({ kind: 'error', error } satisfies Reply);
+  }
 }
 
 /** Where a simulated proxy accepts callers. */
-export class VirtualListener {
+export class VirtualListener implements StoppingListener {
   private readonly connections = new Set<ServedConnection>();
   private isDraining = false;
 
@@ -102,10 +128,12 @@
   /** Takes a new connection. */
   accept(end: StreamEnd, schema: string): void {
     if (this.isDraining) {
+      end.send({ kind: 'error', error: stoppingAnswer() } satisfies Reply);
       end.close();
       return;
     }
-    const connection = new ServedConnection(end, this.openSession(schema), (closed) =>
+    const session = this.openSession(schema);
+    const connection = new ServedConnection(end, session, this.process.clock, (closed) =>
       this.connections.delete(closed),
     );
     this.connections.add(connection);
@@ -117,6 +145,33 @@
     for (const connection of [...this.connections]) connection.closeWhenIdle();
   }
 
+  /** Whether no caller is left. */
+  get isDrained(): boolean {
+    return this.connections.size === 0;
+  }
+
+  /** Whether each command has an answer. */
+  get isAnswered(): boolean {
+    return [...this.connections].every((connection) => connection.isAnswered);
+  }
+
+  /** The history tells what became of each command. */
+  logEndedCommands(): void {
+    // Nothing is logged in a simulation.
+  }
+
+  /** Answers each remaining command and closes all connections behind the answers. */
+  conclude(): void {
+    for (const connection of [...this.connections]) connection.conclude();
+  }
+
+  /** Closes what is left. */
+  abort(): number {
+    const { size } = this.connections;
+    this.closeAll();
+    return size;
+  }
+
   /** Closes every connection at once. */
   closeAll(): void {
     this.isDraining = true;
@@ -200,7 +255,12 @@
       StreamEnd.join(this.network, end, served);
       served.onMessage = (message) => listener.accept(served, message as string);
       end.onClosed = () => fail('connection lost');
-      end.onMessage = () => {
+      end.onMessage = (message) => {
+        const reply = message as Reply;
+        if (reply.kind === 'error') {
+          fail(reply.error.message);
+          return;
+        }
         timer.cancel();
         resolve(new VirtualCaller(end));
       };
--- a/src/mysql/daemon/proxy_daemon.ts
+++ b/src/mysql/daemon/proxy_daemon.ts
@@ -5,6 +5,7 @@
 import { MysqlListener } from '../frontend/mysql_listener.js';
 import { Events } from '../../observability/events.js';
 import { EventLogger } from '../../observability/logger.js';
+import { stopGracefully } from '../proxy/graceful_stop.js';
 import { ProxyCore } from '../proxy/proxy_core.js';
 import {
   type ProxySettings,
@@ -68,6 +69,14 @@
     maximumConnections: settings.maximum_callers,
     openSession: (identity) => Promise.resolve(core.openSession(identity)),
     onConnectionError: (reason) => log.event(Events.connectionError, { reason }),
+    onEndedByStop: ({ stage, connectionId: connection, name: command, ageMs: age_ms }) => {
+      if (stage === 'running') {
+        log.event(Events.requestAnsweredByStop, { connection, command, age_ms });
+        return;
+      }
+      const reason = 'its answer could not be delivered before the end of the process';
+      log.event(Events.requestEndedByStop, { connection, command, stage, age_ms, reason });
+    },
   });
 }
 
@@ -138,9 +147,7 @@
         });
   log.event(Events.started, { listen: settings.listen, internal: settings.internal });
   await awaitStop(log);
-  await core.beginStop();
-  const cutOff = await listener.drain(settings.stop_deadline_ms);
-  await core.finishStop(settings.stop_deadline_ms);
+  const cutOff = await stopGracefully(core, listener, runtime.clock, settings.stop_deadline_ms);
   await runtime.messenger.close();
   metrics?.close();
   log.event(Events.stopped, { cut_off: cutOff });
--- a/src/mysql/frontend/caller_connection.ts
+++ b/src/mysql/frontend/caller_connection.ts
@@ -2,8 +2,8 @@
 import type { Socket } from 'node:net';
 import { DatabaseError, RequestError, messageOf } from '../../errors/errors.js';
 import type { CallerIdentity, CallerSession } from './caller_session.js';
-import { ConnectionActivity } from './connection_activity.js';
-import { errorAnswer, stoppingAnswer } from './error_answer.js';
+import { ConnectionActivity, type PendingCommand } from './connection_activity.js';
+import { errorAnswer, stoppingAnswer, abandonedAnswer } from './error_answer.js';
 import type { MysqlListenerOptions } from './mysql_listener.js';
 import { verifyNativePassword } from './native_password.js';
 import { type Packet, payloadOf } from '../wire/packet.js';
@@ -33,6 +33,18 @@
 
 /** Longest time from an accepted connection to the end of its handshake, in milliseconds; guess, not measured. */
 const HANDSHAKE_TIMEOUT_MS = 5000;
+/** Number of the packet that answers a client's part of the handshake. */
+const HANDSHAKE_ANSWER_SEQUENCE = 2;
+/** Commands without an answer in the protocol. */
+const UNANSWERED_COMMANDS: ReadonlySet<number> = new Set([
+  Command.closeStatement,
+  Command.sendLongData,
+  Command.quit,
+]);
+const COMMAND_NAMES: ReadonlyMap<number, string> = new Map(
+  Object.entries(Command).map(([name, number]) => [number, name]),
+);
+
 /** Prepared statements of one connection; a caller that leaks them is told so before it fills the memory. Guess, not measured. */
 const MAXIMUM_PREPARED_STATEMENTS = 1024;
 
@@ -71,12 +83,13 @@
   private nextStatementId = 1;
   private readonly activity = new ConnectionActivity(() => this.closeIdle());
   private inTransaction = false;
+  private stopping = false;
   private closed = false;
 
   constructor(
     private readonly connection: ServerConnection,
     private readonly options: MysqlListenerOptions,
-    private readonly connectionId: number,
+    readonly connectionId: number,
     private readonly refuse: boolean,
   ) {
     this.writer = new ResultWriter(connection.stream);
@@ -103,9 +116,36 @@
     });
   }
 
-  /** Closes the connection as soon as no command and no transaction is under way. */
+  /** Closes the connection as soon as no handshake, command or transaction is under way. */
   closeWhenIdle(): void {
-    this.activity.closeWhenIdle();
+    this.stopping = true;
+    if (this.session) this.activity.closeWhenIdle();
+  }
+
+  /** Whether a caller has signed on. */
+  get isSignedOn(): boolean {
+    return this.session !== undefined;
+  }
+
+  /** Commands that have no answer. */
+  get unanswered(): readonly PendingCommand[] {
+    return this.activity.unanswered;
+  }
+
+  /** The command whose answer has not left this process. */
+  get undelivered(): PendingCommand | undefined {
+    return this.connection.stream.writableLength > 0 ? this.activity.lastCommand : undefined;
+  }
+
+  /** Gives each command that has no answer one, and closes the connection behind it. */
+  conclude(): void {
+    if (this.activity.isOver) return;
+    const [running, ...queued] = this.activity.unanswered;
+    this.activity.end();
+    if (running) this.writer.error(abandonedAnswer(this.session?.mayTakeEffect ?? false));
+    for (let count = queued.length; count > 0; count--) this.announceStop();
+    if (!running) this.announceStop();
+    this.connection.stream.end();
   }
 
   /** Cuts the connection off. */
@@ -133,6 +173,10 @@
       callback(null, { message: 'Too many connections', code: MysqlError.tooManyConnections });
       return;
     }
+    if (this.stopping) {
+      callback(null, stoppingAnswer());
+      return;
+    }
     const password = this.options.passwordOf(request.user);
     const challenge = Buffer.concat([request.authPluginData1, request.authPluginData2]);
     const token = Buffer.from(request.authToken);
@@ -159,6 +203,8 @@
       if (flags & CAPABILITY_SESSION_TRACK) this.writer.trackGtids();
       callback(null);
       this.takeOverCommands();
+      // The stop began while the session was being opened.
+      if (this.stopping) this.activity.closeWhenIdle();
     } catch (error) {
       const answer = errorAnswer(error);
       callback(null, { message: answer.message, code: answer.code });
@@ -179,7 +225,11 @@
 
   private enqueue(packet: Packet, command: number): void {
     this.connection.sequenceId = 0;
-    this.activity.commandStarted();
+    this.activity.commandStarted({
+      name: COMMAND_NAMES.get(command) ?? String(command),
+      isAnswered: !UNANSWERED_COMMANDS.has(command),
+      readAt: performance.now(),
+    });
     this.lastCommand = this.lastCommand.then(() => this.run(packet, command));
   }
 
@@ -197,13 +247,16 @@
 
   /** Commands that arrive from now on are not run, and their senders are told so. */
   private closeIdle(): void {
-    if (this.session) {
-      this.writer.begin(false);
-      this.writer.error(stoppingAnswer());
-    }
+    this.announceStop();
     this.connection.stream.end();
   }
 
+  private announceStop(): void {
+    if (this.session) this.writer.begin(false);
+    else this.writer.begin(false, HANDSHAKE_ANSWER_SEQUENCE);
+    this.writer.error(stoppingAnswer());
+  }
+
   private async dispatch(packet: Packet, command: number, session: CallerSession): Promise<void> {
     this.writer.begin(command === Command.execute);
     const payload = payloadOf(packet).subarray(1);
--- a/src/mysql/frontend/caller_session.ts
+++ b/src/mysql/frontend/caller_session.ts
@@ -18,6 +18,8 @@
   reset(): Promise<void>;
   /** Changes the default schema. */
   useSchema(schema: string): Promise<Completion>;
+  /** Whether the statement that runs may take effect although its outcome is not awaited any more. */
+  readonly mayTakeEffect: boolean;
   /** Resolves when the connection must be closed from this side. */
   readonly ended?: Promise<void>;
   /** The caller is gone. */
--- a/src/mysql/frontend/error_answer.ts
+++ b/src/mysql/frontend/error_answer.ts
@@ -5,6 +5,7 @@
   ErrorCode,
   RequestError,
   SQL_STATE_GENERAL,
+  mayHaveRun,
   messageOf,
   notRun,
 } from '../../errors/errors.js';
@@ -36,3 +37,12 @@
 export function stoppingAnswer(): ErrorAnswer {
   return errorAnswer(notRun('The proxy is stopping', ErrorCode.stopping, RetryAfterMs.stopping));
 }
+
+/**
+ * Answer to a command that a planned stop ends before its outcome is known.
+ * @param mayTakeEffect - whether it may have been run, or may be run by an instance that has it
+ */
+export function abandonedAnswer(mayTakeEffect: boolean): ErrorAnswer {
+  if (!mayTakeEffect) return stoppingAnswer();
+  return errorAnswer(mayHaveRun('The proxy stopped before the outcome of the statement was known'));
+}
--- a/src/mysql/frontend/mysql_listener.ts
+++ b/src/mysql/frontend/mysql_listener.ts
@@ -4,6 +4,9 @@
 import { messageOf } from '../../errors/errors.js';
 import { CallerConnection, type ServerConnection } from './caller_connection.js';
 import type { CallerIdentity, CallerSession } from './caller_session.js';
+import type { PendingCommand } from './connection_activity.js';
+import { stoppingAnswer } from './error_answer.js';
+import { ResultWriter } from './result_writer.js';
 
 /** Options of a listener. */
 export interface MysqlListenerOptions {
@@ -21,6 +24,19 @@
   readonly openSession: (identity: CallerIdentity) => Promise<CallerSession>;
   /** Called with anything unexpected on a connection. */
   readonly onConnectionError?: (message: string) => void;
+  /** Called for each command that a stop ends, and again if its answer could not be delivered. */
+  readonly onEndedByStop?: (command: EndedCommand) => void;
+}
+
+/** A command that a stop ended. */
+export interface EndedCommand {
+  /** Number of the connection, as told to the caller. */
+  readonly connectionId: number;
+  readonly name: string;
+  /** Milliseconds since it was read. */
+  readonly ageMs: number;
+  /** `running`: it is about to be answered; `answered`: its answer has not left this process. */
+  readonly stage: 'running' | 'answered';
 }
 
 interface LibraryServer {
@@ -32,6 +48,8 @@
 /** A listening MySQL server endpoint. */
 export class MysqlListener {
   private readonly connections = new Set<CallerConnection>();
+  /** Connections that get an error in place of a greeting. */
+  private readonly refused = new Set<Socket>();
   private readonly server: LibraryServer;
   private nextConnectionId = 1;
   private draining = false;
@@ -58,24 +76,59 @@
     return this.connections.size;
   }
 
-  /**
-   * Stops accepting, lets each connection finish its command or transaction, and closes it.
-   * @param deadlineMs - after this many milliseconds the rest is closed anyway
-   * @returns number of connections that had to be cut off
-   */
-  async drain(deadlineMs: number): Promise<number> {
+  /** Refuses new connections with an error, and closes each open one as soon as nothing is in progress on it. */
+  drain(): void {
     this.draining = true;
-    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
     for (const connection of this.connections) connection.closeWhenIdle();
-    let timeout: NodeJS.Timeout | undefined;
-    const deadline = new Promise<void>((resolve) => {
-      timeout = setTimeout(resolve, deadlineMs);
-    });
-    await Promise.race([closed, deadline]);
-    clearTimeout(timeout);
-    const remaining = this.connections.size;
-    for (const connection of this.connections) connection.destroy();
-    return remaining;
+  }
+
+  /** Whether no caller that has signed on is left. */
+  get isDrained(): boolean {
+    return ![...this.connections].some((connection) => connection.isSignedOn);
+  }
+
+  /** Logs the commands in progress, whose time is over. */
+  logEndedCommands(): void {
+    for (const connection of this.connections) {
+      for (const command of connection.unanswered) this.report(connection, command, 'running');
+    }
+  }
+
+  /** Whether each command has an answer that has left this process. */
+  get isAnswered(): boolean {
+    return [...this.connections].every(
+      ({ unanswered, undelivered }) => unanswered.length === 0 && undelivered === undefined,
+    );
+  }
+
+  /** Answers each remaining command and closes all connections behind the answers. */
+  conclude(): void {
+    for (const connection of this.connections) connection.conclude();
+  }
+
+  /** Stops accepting and closes what is left; returns the number of connections whose answers had not left this process. */
+  abort(): number {
+    this.server.close();
+    let cutOff = 0;
+    for (const connection of this.connections) {
+      const { undelivered } = connection;
+      if (undelivered) {
+        cutOff++;
+        this.report(connection, undelivered, 'answered');
+      }
+      connection.destroy();
+    }
+    for (const socket of this.refused) socket.destroy();
+    return cutOff;
+  }
+
+  private report(
+    { connectionId }: CallerConnection,
+    { name, readAt }: PendingCommand,
+    stage: EndedCommand['stage'],
+  ): void {
+    const ageMs = Math.round(performance.now() - readAt);
+    this.options.onEndedByStop?.({ connectionId, name, ageMs, stage });
   }
 
   private accept(connection: Connection): void {
@@ -85,6 +138,10 @@
     const socket: Socket = server.stream;
     socket.setNoDelay(true);
     socket.on('error', (error) => this.options.onConnectionError?.(messageOf(error)));
+    if (this.draining) {
+      this.refuse(server);
+      return;
+    }
     const isFull = this.connections.size >= this.options.maximumConnections;
     const caller = new CallerConnection(server, this.options, this.nextConnectionId++, isFull);
     this.connections.add(caller);
@@ -92,7 +149,18 @@
       this.connections.delete(caller);
       caller.onClosed();
     });
-    if (this.draining) socket.destroy();
-    else caller.start();
+    caller.start();
+  }
+
+  private refuse(connection: ServerConnection): void {
+    const socket = connection.stream;
+    connection.on('error', (error: Error) => {
+      this.options.onConnectionError?.(messageOf(error));
+      socket.destroy();
+    });
+    this.refused.add(socket);
+    socket.once('close', () => this.refused.delete(socket));
+    new ResultWriter(socket).refuseConnection(stoppingAnswer());
+    socket.end();
   }
 }
--- a/src/mysql/frontend/result_writer.ts
+++ b/src/mysql/frontend/result_writer.ts
@@ -69,9 +69,12 @@
 
   constructor(private readonly socket: Socket) {}
 
-  /** Starts the answer to a new command. */
-  begin(binary: boolean): void {
-    this.sequence = 1;
+  /**
+   * Starts the answer to a new command.
+   * @param sequence - number of its first packet
+   */
+  begin(binary: boolean, sequence = 1): void {
+    this.sequence = sequence;
     this.binary = binary;
     this.names = undefined;
     this.hasHeader = false;
@@ -138,6 +141,17 @@
     this.flush();
   }
 
+  /**
+   * Writes an error in place of the greeting. Nothing is agreed with the client yet, so the packet has no SQLSTATE.
+   */
+  refuseConnection({ code, message }: ErrorAnswer): void {
+    this.begin(false, 0);
+    this.payload(
+      Buffer.concat([Buffer.from([0xff, code & 0xff, code >> 8]), Buffer.from(message)]),
+    );
+    this.flush();
+  }
+
   /** Writes one packet of a payload made here. */
   payload(payload: Buffer): void {
     this.framedPacket(framed(payload));
@@ -156,7 +170,7 @@
     const bytes = this.pending.length === 1 ? this.pending[0]! : Buffer.concat(this.pending);
     this.pending = [];
     this.pendingBytes = 0;
-    if (!this.socket.destroyed) this.socket.write(bytes);
+    if (this.socket.writable) this.socket.write(bytes);
   }
 
   private ok(completion: Completion): void {
--- a/src/mysql/gateway/gateway_session.ts
+++ b/src/mysql/gateway/gateway_session.ts
@@ -181,7 +181,8 @@
       } catch (error) {
         lastError = error;
         const canRetry = provesNotRun(error) || !(error instanceof RequestError);
-        if (!canRetry || clock.now() >= deadline || !this.gateway.retryBudget.spend()) break;
+        const isOver = clock.now() >= deadline || this.gateway.isEnded;
+        if (!canRetry || isOver || !this.gateway.retryBudget.spend()) break;
         this.gateway.counters.retries++;
         await pause(this.gateway, attempt);
       }
--- a/src/mysql/gateway/group_gateway.ts
+++ b/src/mysql/gateway/group_gateway.ts
@@ -15,6 +15,7 @@
 import { SlotQueue } from '../pool/slot_queue.js';
 import { RetryBudget } from '../routing/retry_budget.js';
 import type { Clock, RandomSource } from '../../runtime/runtime.js';
+import { BackendConnectionLostError } from '../../errors/errors.js';
 import {
   DEFAULT_EVIDENCE_OPTIONS,
   type EvidenceOptions,
@@ -124,6 +125,9 @@
   private lastPrimary: string | undefined;
   private wantsSeats = false;
   private readonly busySessions = new Set<object>();
+  /** Ends the waits of {@link waitUntil}. */
+  private readonly waits = new Set<() => void>();
+  private hasEnded = false;
 
   constructor(
     private currentConfiguration: GroupConfiguration,
@@ -161,6 +165,26 @@
     this.monitor.start();
   }
 
+  /**
+   * Ends all statements and transactions, and starts no more. Monitoring goes on: evidence for a commit may still arrive, and the
+   * instances are told to end what runs.
+   */
+  endStatements(reason: string): void {
+    this.hasEnded = true;
+    const error = new BackendConnectionLostError(reason, { sent: false });
+    for (const { pool, slots } of this.resources.values()) {
+      pool.stop(reason);
+      slots.setMaximumWaiting(0);
+      slots.refuseWaiting(error);
+    }
+    for (const endWait of [...this.waits]) endWait();
+  }
+
+  /** Whether statements have been ended and no more may be started. */
+  get isEnded(): boolean {
+    return this.hasEnded;
+  }
+
   /** Stops everything at once. */
   stop(): void {
     this.monitor.stop();
@@ -252,7 +276,7 @@
   /** Address of the primary that may take work, if there is one. */
   trustedPrimary(): string | undefined {
     const { primary } = this.monitor.group;
-    if (primary === undefined) return undefined;
+    if (primary === undefined || this.hasEnded) return undefined;
     const instance = findInstance(this.monitor.group, primary);
     return instance && takesWork(instance, this.runtime.clock.now()) ? primary : undefined;
   }
@@ -322,7 +346,7 @@
   /** Waits until `condition` gives a value, looking again on each change of the group. */
   waitUntil<T>(condition: () => T | undefined, maximumWaitMs: number): Promise<T | undefined> {
     const now = condition();
-    if (now !== undefined) return Promise.resolve(now);
+    if (now !== undefined || this.hasEnded) return Promise.resolve(now);
     if (this.waitingForPrimary >= this.configuration.failover.buffer_statements) {
       return Promise.resolve(undefined);
     }
@@ -331,10 +355,13 @@
       const finish = (value: T | undefined): void => {
         unsubscribe();
         timer.cancel();
+        this.waits.delete(endWait);
         this.waitingForPrimary--;
         resolve(value);
       };
-      const timer = this.runtime.clock.setTimer(maximumWaitMs, () => finish(undefined));
+      const endWait = (): void => finish(undefined);
+      this.waits.add(endWait);
+      const timer = this.runtime.clock.setTimer(maximumWaitMs, endWait);
       const unsubscribe = this.monitor.subscribe(() => {
         const value = condition();
         if (value !== undefined) finish(value);
--- a/src/mysql/gateway/read_path.ts
+++ b/src/mysql/gateway/read_path.ts
@@ -86,7 +86,7 @@
   const { clock } = gateway.runtime;
   const deadline = clock.now() + gateway.configuration.reads.wait_ms;
   let chosen = chooseReplica(gateway, position, excluded);
-  while (chosen === undefined && clock.now() < deadline) {
+  while (chosen === undefined && clock.now() < deadline && !gateway.isEnded) {
     const lagging = readableSecondaries(gateway.monitor.group, clock.now()).filter(
       (instance) => !excluded.has(instance.address),
     );
@@ -196,7 +196,7 @@
     } catch (error) {
       lastError = error;
       if (replica) excluded.add(replica);
-      const canRetry = mayReadElsewhere(error) && !counting.started;
+      const canRetry = mayReadElsewhere(error) && !counting.started && !gateway.isEnded;
       if (!canRetry || !gateway.retryBudget.spend()) break;
       gateway.counters.retries++;
     }
--- a/src/mysql/gateway/write_path.ts
+++ b/src/mysql/gateway/write_path.ts
@@ -119,7 +119,7 @@
       return await attemptWrite(gateway, primary, request, sink);
     } catch (error) {
       lastError = error;
-      const canRetry = mayRetry(request, error) && clock.now() < deadline;
+      const canRetry = mayRetry(request, error) && clock.now() < deadline && !gateway.isEnded;
       if (!canRetry || !gateway.retryBudget.spend()) break;
       mayHaveRunBefore ||= !provesNotRun(error);
       gateway.counters.retries++;
--- a/src/mysql/pool/backend_pool.ts
+++ b/src/mysql/pool/backend_pool.ts
@@ -37,6 +37,7 @@
   /** Connections closed here that the instance may still have. */
   private closing = 0;
   private limit = 0;
+  private stopped = false;
   /** Called when a termination was noted. */
   onClosing: () => void = () => undefined;
 
@@ -70,6 +71,10 @@
    * @throws RequestError with verdict `not_run` when none gets free in time
    */
   acquire(maximumWaitMs: number): Promise<BackendConnection> {
+    if (this.stopped) {
+      const message = `no more connections to ${this.address} are used`;
+      return Promise.reject(new BackendConnectionLostError(message, { sent: false }));
+    }
     const connection = this.idle.pop();
     if (connection) return Promise.resolve(connection);
     if (this.waiting.length >= this.options.maximumWaiting) {
@@ -110,9 +115,8 @@
   }
 
   /** Closes all connections, also those in use; whoever waits may look for another instance. */
-  closeAll(): void {
+  closeAll(message = `${this.address} was given up`): void {
     this.idle.length = 0;
-    const message = `${this.address} was given up`;
     for (const connection of [...this.open]) connection.close(message);
     for (const waiter of this.waiting.splice(0)) {
       waiter.timer.cancel();
@@ -120,6 +124,12 @@
     }
   }
 
+  /** Closes all connections for good. */
+  stop(reason: string): void {
+    this.stopped = true;
+    this.closeAll(reason);
+  }
+
   /** Closes connections that are not in use. */
   closeIdle(): void {
     for (const connection of this.idle.splice(0)) this.closeConnection(connection);
@@ -140,7 +150,7 @@
   }
 
   private offer(connection: BackendConnection): void {
-    if (connection.closed || this.size > this.limit) {
+    if (connection.closed || this.stopped || this.size > this.limit) {
       this.closeConnection(connection);
       return;
     }
--- a/src/mysql/proxy/forward_server.ts
+++ b/src/mysql/proxy/forward_server.ts
@@ -5,6 +5,7 @@
 import type { ResultColumns, ResultRow, ResultSink } from '../wire/result.js';
 import { framed } from '../wire/packet.js';
 import { textRow } from '../wire/text_row.js';
+import { RequestError } from '../../errors/errors.js';
 import { GatewaySession } from '../gateway/gateway_session.js';
 import type { GroupGateway } from '../gateway/group_gateway.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
@@ -25,6 +26,7 @@
   private rows: Buffer[] = [];
   private bytes = 0;
   private outcome: Pick<whinyoke.IForwardReply, 'completion' | 'error'> | undefined;
+  private wasDeclined = false;
   private onAvailable: (() => void) | undefined;
   private onTaken: (() => void) | undefined;
 
@@ -52,6 +54,12 @@
     this.onAvailable?.();
   }
 
+  /** The statement did not run here; another gateway may run it. */
+  decline(): void {
+    this.wasDeclined = true;
+    this.finish({});
+  }
+
   /** Next chunk, as soon as it is full or the last one. */
   async take(): Promise<whinyoke.IForwardReply> {
     if (!this.outcome && this.bytes < CHUNK_BYTES) {
@@ -59,6 +67,7 @@
         this.onAvailable = resolve;
       });
     }
+    if (this.wasDeclined) return { accepted: false, finished: true };
     const columns = this.columnsToSend;
     const reply: whinyoke.IForwardReply = {
       accepted: true,
@@ -89,6 +98,7 @@
 export class ForwardServer {
   private readonly sessions = new Map<string, ForwardedSession>();
   private liveProxies: ReadonlySet<string> = new Set();
+  private ended = false;
 
   constructor(
     private readonly clock: Clock,
@@ -108,6 +118,12 @@
     this.liveProxies = proxies;
   }
 
+  /** Closes idle sessions; statements under way are answered as they end, and those that did not run are declined. */
+  end(): void {
+    this.ended = true;
+    for (const [key, { result }] of this.sessions) if (!result) this.close(key);
+  }
+
   /** Answers one message of another proxy. */
   async handle(message: whinyoke.IForwardRequest): Promise<MessageBody> {
     const key = `${message.proxy}\n${message.session}\n${message.group}`;
@@ -143,11 +159,20 @@
     const { session } = forwarded;
     session.run(decodeRequest(message), sink).then(
       (outcome) => sink.finish({ completion: encodeOutcome(outcome) }),
-      (error: unknown) => sink.finish({ error: encodeError(error, session.inTransaction) }),
+      (error: unknown) => {
+        if (this.shouldDecline(error, message)) sink.decline();
+        else sink.finish({ error: encodeError(error, session.inTransaction) });
+      },
     );
     return this.reply(key, forwarded);
   }
 
+  /** Whether a statement that this proxy ended as it stops may be repeated at another gateway. */
+  private shouldDecline(error: unknown, message: whinyoke.IForwardRequest): boolean {
+    const hasNotRun = error instanceof RequestError && error.verdict === 'not_run';
+    return this.ended && hasNotRun && !message.inTransaction;
+  }
+
   private open(key: string, message: whinyoke.IForwardRequest): ForwardedSession | undefined {
     // A transaction that was lost here must not go on as single statements.
     if (message.inTransaction) return undefined;
--- a/src/mysql/proxy/gateway_client.ts
+++ b/src/mysql/proxy/gateway_client.ts
@@ -25,6 +25,7 @@
   checkTimeoutMs: 400,
 };
 
+const STOPPED = 'this proxy is stopping';
 const CLOSE_RETRY_MS = 300;
 /** Afterwards the gateway has closed the silent session by itself. */
 const MAXIMUM_CLOSE_ATTEMPTS = 60;
@@ -39,6 +40,7 @@
 /** Client of all gateways. */
 export class GatewayClient {
   private readonly gateways = new Map<string, WatchedGateway>();
+  private stopped = false;
 
   constructor(
     private readonly clock: Clock,
@@ -54,6 +56,7 @@
     address: string,
     forwardRequest: whinyoke.IForwardRequest,
   ): Promise<whinyoke.IForwardReply> {
+    if (this.stopped) throw new PeerUnreachableError(STOPPED, { sent: false });
     const gateway = this.watch(address);
     let failure: Failure = () => undefined;
     const unreachable = new Promise<never>((_resolve, reject) => {
@@ -73,6 +76,19 @@
     }
   }
 
+  /** Whether no more requests are sent. */
+  get isStopped(): boolean {
+    return this.stopped;
+  }
+
+  /** Fails all requests under way and sends no more; sessions can still be closed. */
+  stop(): void {
+    this.stopped = true;
+    for (const { underWay } of [...this.gateways.values()]) {
+      for (const fail of [...underWay]) fail(new PeerUnreachableError(STOPPED));
+    }
+  }
+
   /**
    * Tells a gateway that a session is over, again and again until it confirms: a transaction that nobody
    * ends holds its locks.
@@ -85,6 +101,8 @@
         await this.messenger.request(address, { forwardRequest }, checkTimeoutMs);
         return;
       } catch {
+        // The gateway closes the sessions of a proxy that is gone.
+        if (this.stopped) return;
         await delay(this.clock, CLOSE_RETRY_MS);
       }
     }
--- a/src/mysql/proxy/proxy_core.ts
+++ b/src/mysql/proxy/proxy_core.ts
@@ -13,7 +13,7 @@
 import { RendezvousTable } from '../../hashing/rendezvous.js';
 import { seatsFor } from '../pool/shares.js';
 import type { whinyoke } from '../../protocol/generated/messages.js';
-import { type MessageBody, type Runtime, delay } from '../../runtime/runtime.js';
+import type { MessageBody, Runtime } from '../../runtime/runtime.js';
 import { StallDetector } from '../../runtime/stall_detector.js';
 import {
   ConfigurationKeeper,
@@ -33,6 +33,7 @@
 import { ProxySession } from './proxy_session.js';
 import { RemoteSession } from './remote_session.js';
 import { reportGroup } from './status_report.js';
+import { StopDeadline } from './stop_deadline.js';
 
 /** Identity and surroundings of a proxy. */
 export interface ProxyOptions {
@@ -53,7 +54,6 @@
   onSeats?(group: string, seats: readonly number[]): void;
 }
 
-const STOP_POLL_MS = 20;
 /** Time in which a replaced gateway ends its transactions, in milliseconds. */
 const REPLACED_GATEWAY_MS = 15_000;
 
@@ -84,10 +84,12 @@
   /** Addresses of the peers by name; looked up for each forwarded statement. */
   private peerAddresses: ReadonlyMap<string, string> = new Map();
   private leaving: ReadonlySet<string> = new Set();
-  private stopping = false;
+  private ended = false;
   private nextSession = 1;
   /** Tells this run of the process from former ones, whose sessions may still be open elsewhere. */
   private readonly incarnation: string;
+  /** Time limit of a planned stop. */
+  readonly stopDeadline: StopDeadline;
   /** Number of callers' connections, set by the listener's owner. */
   countClients: () => number = () => 0;
 
@@ -121,6 +123,7 @@
     );
     this.gatewayClient = new GatewayClient(clock, messenger);
     this.stalls = new StallDetector(clock);
+    this.stopDeadline = new StopDeadline(clock);
     this.updateHolders();
     this.forwardServer = new ForwardServer(clock, (group) => this.servingGateway(group));
   }
@@ -141,7 +144,7 @@
 
   /** Whether a planned stop has begun. */
   get isStopping(): boolean {
-    return this.stopping;
+    return this.stopDeadline.hasBegun;
   }
 
   /** Gateways that run here. */
@@ -155,26 +158,36 @@
       {
         directory: () => this.directory,
         openGroupSession: (group) => this.openGroupSession(group),
-        isStopping: () => this.stopping && this.gatewayOptions.protections.isOn('graceful-stop'),
+        isStopping: () => this.isStopping && this.gatewayOptions.protections.isOn('graceful-stop'),
+        admitsStatement: () => this.stopDeadline.admitsStatement,
       },
       identity,
     );
   }
 
   /** Begins a planned stop: announces it, so that others take over the seats. */
-  async beginStop(): Promise<void> {
-    this.stopping = true;
+  async beginStop(deadlineMs: number): Promise<void> {
+    this.stopDeadline.begin(deadlineMs);
     await this.membership.announce();
     this.updateHolders();
     this.assignSeats();
   }
 
+  /** Sessions of other proxies that have a transaction, a statement or unread rows here. */
+  get forwardedSessionCount(): number {
+    return this.forwardServer.sessionCount;
+  }
+
+  /** Ends all statements and transactions with their verdicts; nothing is sent to an instance any more. */
+  endStatements(): void {
+    this.ended = true;
+    this.gatewayClient.stop();
+    this.forwardServer.end();
+    for (const gateway of this.gateways.values()) gateway.endStatements('the proxy is stopping');
+  }
+
   /** Ends a planned stop, once the sessions of this proxy and forwarded ones are over. */
-  async finishStop(deadlineMs: number): Promise<void> {
-    const deadline = this.runtime.clock.now() + deadlineMs;
-    while (this.forwardServer.sessionCount > 0 && this.runtime.clock.now() < deadline) {
-      await delay(this.runtime.clock, STOP_POLL_MS);
-    }
+  finishStop(): void {
     this.stalls.stop();
     this.subscriber.stop();
     this.membership.stop();
@@ -200,7 +213,7 @@
       address,
       zone,
       revision: this.keeper.revision,
-      draining: this.stopping,
+      draining: this.isStopping,
       incarnation: this.incarnation,
       clientConnections: this.countClients(),
       groups: [...this.gateways.values()].map(reportGroup),
@@ -224,7 +237,7 @@
   /** The gateway that may take new sessions of a group. */
   private servingGateway(group: string): GroupGateway | undefined {
     const gateway = this.gateways.get(group);
-    return gateway?.acceptsSessions ? gateway : undefined;
+    return gateway?.acceptsSessions && !this.ended ? gateway : undefined;
   }
 
   private gatewayAddresses(group: string): readonly string[] {
@@ -270,7 +283,7 @@
       .filter((peer) => !peer.isDraining && peer.id !== this.options.id)
       .map((peer) => peer.id);
     const isAlone = others.length === 0;
-    const holders = this.stopping && !isAlone ? others : [...others, this.options.id];
+    const holders = this.isStopping && !isAlone ? others : [...others, this.options.id];
     return this.holders.setNodes(new Set(holders));
   }
 
--- a/src/mysql/proxy/proxy_session.ts
+++ b/src/mysql/proxy/proxy_session.ts
@@ -9,7 +9,7 @@
   emptyCompletion,
 } from '../gateway/statement_request.js';
 import { type Marks, readMarks, readToken } from '../routing/marks.js';
-import { classifyStatement, schemaOfUse } from '../routing/statement_class.js';
+import { type StatementClass, classifyStatement, schemaOfUse } from '../routing/statement_class.js';
 import { SessionToken } from '../session/token.js';
 import type { GroupDirectory } from './group_directory.js';
 
@@ -21,6 +21,8 @@
   readonly openGroupSession: (group: string) => GroupSession;
   /** Whether the proxy is stopping and takes no new transactions. */
   readonly isStopping: () => boolean;
+  /** Whether an open transaction has time for another statement. */
+  readonly admitsStatement: () => boolean;
 }
 
 const TOKEN_ATTRIBUTE = 'whinyoke_position';
@@ -36,6 +38,8 @@
   private hasConnectionToken = false;
   private schema: string;
   private readonly defaultGroup: string | undefined;
+  /** Class of the statement that was started last. */
+  private lastClass: StatementClass = 'empty';
   private current: { readonly group: string; readonly session: GroupSession } | undefined;
 
   constructor(
@@ -54,6 +58,7 @@
     const marks = readMarks(sql);
     if (marks.token) this.token = this.token.merge(marks.token);
     const statementClass = classifyStatement(sql);
+    this.lastClass = statementClass;
     switch (statementClass) {
       case 'empty':
       case 'session_default':
@@ -81,6 +86,12 @@
     this.closeGroupSession();
   }
 
+  get mayTakeEffect(): boolean {
+    // The end of the connection rolls an open transaction back.
+    if (this.inTransaction) return !['read', 'write', 'rollback'].includes(this.lastClass);
+    return !['read', 'begin', 'begin_read_only', 'rollback'].includes(this.lastClass);
+  }
+
   private get inTransaction(): boolean {
     return this.current?.session.inTransaction ?? false;
   }
@@ -91,7 +102,7 @@
   ): Promise<Completion> {
     const { sql, statementClass, marks } = statement;
     const group = this.groupFor(marks);
-    const session = this.sessionFor(group);
+    const session = this.sessionFor(group, statementClass);
     // A mark speaks for its statement only: a pooled connection serves many sessions in turn.
     const hasToken = this.hasConnectionToken || marks.token !== undefined;
     const position = hasToken ? this.token.positionOf(group) : undefined;
@@ -118,11 +129,14 @@
     throw notRun(`No database group is configured for ${what}`, ErrorCode.unknownGroup);
   }
 
-  private sessionFor(group: string): GroupSession {
+  private sessionFor(group: string, statementClass: StatementClass): GroupSession {
     const current = this.current;
     if (current?.session.inTransaction) {
-      if (current.group === group) return current.session;
-      throw notRun('A transaction can not span two database groups', ErrorCode.unsupported);
+      if (current.group !== group) {
+        throw notRun('A transaction can not span two database groups', ErrorCode.unsupported);
+      }
+      if (statementClass !== 'rollback' && !this.context.admitsStatement()) this.endTransaction();
+      return current.session;
     }
     if (this.context.isStopping()) {
       throw notRun('The proxy is stopping', ErrorCode.stopping, RetryAfterMs.stopping);
@@ -132,6 +146,13 @@
     return session;
   }
 
+  /** Ends a transaction that the end of the process would cut off. */
+  private endTransaction(): never {
+    this.closeGroupSession();
+    const message = 'The transaction was rolled back: the proxy is stopping';
+    throw notRun(message, ErrorCode.transactionLost, RetryAfterMs.stopping);
+  }
+
   private closeGroupSession(): void {
     this.current?.session.close();
     this.current = undefined;
--- a/src/mysql/proxy/remote_session.ts
+++ b/src/mysql/proxy/remote_session.ts
@@ -73,6 +73,9 @@
     for (let round = 0; round < MAXIMUM_ROUNDS; round++) {
       const outcome = await this.tryGateways(request, sink);
       if (outcome) return outcome;
+      if (this.context.client.isStopped) {
+        throw notRun('The proxy is stopping', ErrorCode.stopping, RetryAfterMs.stopping);
+      }
       // Gateways are changing hands.
       await delay(this.context.clock, GATEWAY_WAIT_MS);
     }
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -132,6 +132,13 @@
     'an open transaction was rolled back, since its connection is closed',
     'Its caller was told so, after `idle_ms` without a statement; during a graceful shutdown it had the time until the answers end.',
   ),
+  requestAnsweredByStop: define(
+    266,
+    'request_answered_by_stop',
+    'warn',
+    'a planned stop ended a request and answered it',
+    'MySQL interface: the request was still running at the stop deadline. Its caller gets an error with the verdict. `command` is the kind of command, `age_ms` the time since it was read.',
+  ),
   linesLeftOut: define(
     231,
     'lines_left_out',
--- a/test/tools/local_fleet.ts
+++ b/test/tools/local_fleet.ts
@@ -31,16 +31,31 @@
   stop(): Promise<void>;
 }
 
+/** What a test may choose of its deployment. */
+interface LocalFleetOptions {
+  /** Delay between receiving and executing on secondaries, in milliseconds. */
+  readonly lagMs?: number;
+  /** Time a statement takes on an instance, in milliseconds. */
+  readonly statementMs?: number;
+  /** Longest planned stop of a proxy, in milliseconds. */
+  readonly stopDeadlineMs?: number;
+}
+
 /** Starts the deployment and waits until its groups are available. */
-export async function startLocalFleet(lagMs = 30): Promise<LocalFleet> {
+export async function startLocalFleet({
+  lagMs = 30,
+  statementMs = 0,
+  stopDeadlineMs,
+}: LocalFleetOptions = {}): Promise<LocalFleet> {
   const folder = mkdtempSync(join(tmpdir(), 'whinyoke-test-'));
   const layout = layoutOf(SMALL, FIRST_NETWORK + (process.pid % NETWORK_COUNT));
   const fleet = new Fleet(layout, {
     folder,
     labProgram: LAB_PROGRAM,
     proxyProgram: PROXY_PROGRAM,
-    statementMs: 0,
+    statementMs,
     lagMs,
+    stopDeadlineMs,
     electionTimeoutMs: ELECTION_TIMEOUT_MS,
   });
   fleet.start();
