--- a/src/appointed/sessions/caller_connection.ts
+++ b/src/appointed/sessions/caller_connection.ts
@@ -59,7 +59,7 @@
   private leaveCause: CloseCause | undefined;
   /** When the connection was accepted, or the last message in either direction. */
   private usedAt: number;
-  /** Why the close was announced. */
+  /** Text of the error that announced the close. */
   private announcement = '';
   /** Whether the session runs on without an effect, after its request was answered in its place. */
   private isAbandoned = false;
@@ -79,14 +79,18 @@
     return this.hasRequest || (this.session?.state ?? 'idle') !== 'idle';
   }
 
-  /** Whether a message that was read has not been answered. */
+  /** Whether a message that was read has not been answered, or its answer is not delivered. */
   get hasRequest(): boolean {
-    return this.isRunning || this.queue.length > 0 || this.requests.size > 0;
+    const isOpen = this.phase === 'open';
+    return this.requests.size > 0 || (isOpen && (this.isRunning || this.queue.length > 0));
   }
 
   /** Takes messages that were read. */
   receive(messages: readonly CallerMessage[]): void {
-    for (const message of messages) this.take(this.track(message));
+    if (this.phase === 'announced') this.answerAnnounced(messages);
+    // What follows TERMINATE or a malformed message, or comes after the last answer, is no request.
+    if (this.phase !== 'open') return;
+    for (const message of messages) this.queue.push(this.track(message));
     if (!this.isRunning) void this.runQueue();
   }
 
@@ -132,15 +136,13 @@
     this.onClosed();
   }
 
-  private take(read: ReadMessage): void {
-    if (this.phase === 'open') {
-      this.queue.push(read);
-      return;
-    }
-    // What follows TERMINATE, a malformed message, or the request that took the announcement for its answer, is no request.
-    if (read.progress) this.requests.delete(read.progress);
-    if (this.phase !== 'announced') return;
-    if (read.message.kind === 'query') this.completeAnnouncement(read.message);
+  /** Answers what crossed the announced close, and closes. Nothing of it is run; the first request has the announcement's error. */
+  private answerAnnounced(messages: readonly CallerMessage[]): void {
+    const queries = messages.filter((message) => message.kind === 'query');
+    queries.forEach((query, index) => {
+      if (index > 0) this.channel.sendError('busy', this.announcement);
+      this.completeAnswer(query);
+    });
     this.end();
   }
 
@@ -167,17 +169,16 @@
     if (this.phase !== 'open') return;
     const kind = this.session?.state === 'open' ? 'aborted' : 'busy';
     this.phase = 'announced';
-    this.announcement = causeText(cause);
+    this.announcement = `${causeText(cause)}; retry after ${retryAfterMs(cause)} ms`;
     if (kind === 'aborted') this.logAbortedTransaction(cause);
     this.session?.close();
-    const text = `${this.announcement}; retry after ${retryAfterMs(cause)} ms`;
-    this.channel.sendError(kind, text);
+    this.channel.sendError(kind, this.announcement);
   }
 
-  /** Completes the announcement as the answer to a request, which is not run. */
-  private completeAnnouncement({ id, statement: { kind } }: CallerQuery): void {
-    const cause = this.announcement;
-    this.source.log(Events.requestRefused, { request: id, outcome: 'crossed the close', cause });
+  /** Completes the answer to a request that is not run, after its error. */
+  private completeAnswer({ id, statement: { kind } }: CallerQuery): void {
+    const fields = { request: id, outcome: 'crossed the close', cause: this.announcement };
+    this.source.log(Events.requestRefused, fields);
     const endsTransaction = kind === 'commit' || kind === 'rollback';
     const wasInTransaction = (this.session?.state ?? 'idle') !== 'idle';
     this.channel.sendReady(wasInTransaction && !endsTransaction ? 'failed' : 'idle');
--- a/src/appointed/sessions/routed_session.ts
+++ b/src/appointed/sessions/routed_session.ts
@@ -7,6 +7,7 @@
  */
 import type { Timer } from '../../runtime/runtime.js';
 import type { Position } from '../../positions/position.js';
+import { Events } from '../../observability/events.js';
 import { AdmittedOperation } from '../tenancy/admitted_operation.js';
 import { type CallerReply, successReply, errorReply } from './caller_reply.js';
 import type { TransactionState } from '../instance/instance_connection.js';
@@ -110,11 +111,14 @@
   abandonedReply(): CallerReply | undefined {
     const { progress, transactionState } = this;
     if (!progress) return undefined;
-    const text = `${causeText({ kind: 'shuttingDown' })}; its outcome was not awaited`;
-    const isOpen = transactionState === 'open' && !this.isCommitting;
-    const state = isOpen ? 'failed' : 'idle';
-    if (progress.stage === 'sent') return errorReply('inDoubt', text, state);
-    return errorReply(transactionState === 'open' ? 'aborted' : 'busy', text, state);
+    const cause = causeText({ kind: 'shuttingDown' });
+    const isInTransaction = transactionState === 'open';
+    const notRunKind = isInTransaction ? 'aborted' : 'busy';
+    const kind = progress.stage === 'sent' ? 'inDoubt' : notRunKind;
+    const { clock, log } = this.context;
+    const event = kind === 'inDoubt' ? Events.requestInDoubt : Events.requestRefused;
+    log(event, { ...progress.fieldsAt(clock.now()), outcome: kind, cause });
+    return errorReply(kind, cause, isInTransaction && !this.isCommitting ? 'failed' : 'idle');
   }
 
   /** Ends the session after its caller has disconnected; an open transaction is rolled back. */
--- a/src/mysql/daemon/proxy_daemon.ts
+++ b/src/mysql/daemon/proxy_daemon.ts
@@ -18,6 +18,8 @@
 import type { ProcessRuntime } from '../../daemon/real_runtime.js';
 import { awaitStop } from '../../daemon/stop_signal.js';
 
+/** Time at the end of a shutdown for the delivery of replies to other processes, in milliseconds. */
+const MESSAGE_DELIVERY_LIMIT_MS = 100;
 const SERVER_VERSION = '8.4.0-whinyoke';
 
 function createCore(
@@ -148,7 +150,7 @@
   log.event(Events.started, { listen: settings.listen, internal: settings.internal });
   await awaitStop(log);
   const cutOff = await stopGracefully(core, listener, runtime.clock, settings.stop_deadline_ms);
-  await runtime.messenger.close();
+  await runtime.messenger.finish(MESSAGE_DELIVERY_LIMIT_MS);
   metrics?.close();
   log.event(Events.stopped, { cut_off: cutOff });
 }
