A request that crosses an announced close in several parts is answered

A part of a request without its end was taken for the whole of what crossed, and the connection was closed for sending. The new test of announced_close failed before (no READY, the request not logged).

--- a/src/appointed/sessions/caller_connection.ts
+++ b/src/appointed/sessions/caller_connection.ts
@@ -85,8 +85,9 @@
     return this.requests.size > 0 || (isOpen && (this.isRunning || this.queue.length > 0));
   }
 
-  /** Takes messages that were read. */
+  /** Takes messages that were read; none if only a part of one has arrived. */
   receive(messages: readonly CallerMessage[]): void {
+    if (messages.length === 0) return;
     if (this.phase === 'announced') this.answerAnnounced(messages);
     // What follows TERMINATE or a malformed message, or comes after the last answer, is no request.
     if (this.phase !== 'open') return;
--- a/test/unit/announced_close.test.ts
+++ b/test/unit/announced_close.test.ts
@@ -71,3 +71,14 @@
     t.same(logged, ['request_refused'], 'it was refused, not dropped');
   },
 );
+
+void t.test('a request that crosses the announced close in two parts is answered', async (t) => {
+  const { listener, caller, logged, received } = await setUp(t);
+  listener.connections.closeIdle({ kind: 'shuttingDown' }, 0);
+  caller.write('QUERY r1 WRI');
+  await pause(100);
+  caller.write('TE x 1\r\n');
+  await pause(100);
+  t.match(received(), /ERROR BUSY[^]*READY I/, 'the answer is whole');
+  t.same(logged, ['request_refused']);
+});
