--- a/test/unit/foreign_heartbeats.test.ts
+++ b/test/unit/foreign_heartbeats.test.ts
@@ -10,7 +10,8 @@
 import { HEARTBEAT } from '../tools/heartbeat.js';
 import { LineCallerCodec } from '../../platform/caller_codec.js';
 import { ControlApi } from '../../platform/control_api.js';
-import { AnswerReader, encodeCommand, parseStatement } from '../../platform/line_codec.js';
+import { AnswerReader } from '../../platform/answer_reader.js';
+import { encodeCommand, parseStatement } from '../../platform/line_codec.js';
 import { LineReader } from '../../platform/line_reader.js';
 import { PlatformDocumentReader } from '../../platform/routing_document.js';
 import { Catalog } from '../../src/appointed/catalog/catalog.js';
@@ -308,17 +309,13 @@
   });
   fc.assert(property, { seed: 36, numRuns: 1000 });
   const word = fc.stringMatching(/^[!-~]{1,12}$/);
-  const roundTrip = fc.property(
-    word,
-    word,
-    fc.constantFrom('read', 'write'),
-    (id, argument, kind) => {
-      const line = encodeCommand({ kind: 'data', id, statement: { kind, argument } });
-      const [, , text] = /^QUERY (\S+) (.*)\r\n$/.exec(line)!;
-      const parsed = parseStatement(text!);
-      return parsed.kind === kind && 'argument' in parsed && parsed.argument === argument;
-    },
-  );
+  const roundTrip = fc.property(word, word, fc.constantFrom('read', 'write'), (id, thing, kind) => {
+    const argument = kind === 'write' ? `${thing} data` : thing;
+    const line = encodeCommand({ kind: 'data', id, statement: { kind, argument } });
+    const [, , text] = /^QUERY (\S+) (.*)\r\n$/.exec(line)!;
+    const parsed = parseStatement(text!);
+    return parsed.kind === kind && 'argument' in parsed && parsed.argument === argument;
+  });
   fc.assert(roundTrip, { seed: 36, numRuns: 300 });
   t.end();
 });
--- a/test/unit/platform_codec.test.ts
+++ b/test/unit/platform_codec.test.ts
@@ -5,8 +5,8 @@
 import t from 'tap';
 import { LineCallerCodec } from '../../platform/caller_codec.js';
 import { readPlainCommand } from '../../platform/command_line.js';
+import { AnswerReader } from '../../platform/answer_reader.js';
 import {
-  AnswerReader,
   encodeCommand,
   encodeReply,
   parsePosition,
@@ -15,6 +15,7 @@
 import { LineReader } from '../../platform/line_reader.js';
 import { PlatformDocumentReader } from '../../platform/routing_document.js';
 import { readControlSettings, readProxySettings } from '../../platform/settings.js';
+import { sharedPreparedName } from '../../src/appointed/instance/statement.js';
 import { successReply, errorReply } from '../../src/appointed/sessions/caller_reply.js';
 
 void t.test('a line split between chunks at any byte is reassembled without loss', (t) => {
@@ -30,6 +31,17 @@
   t.end();
 });
 
+void t.test('a message with a lone line feed or carriage return is one message', (t) => {
+  const line = 'ROW a\nCOMPLETE 7.1\rREADY I -\n\r\r';
+  const bytes = Buffer.from(`${line}\r\nREADY I -\r\n`, 'latin1');
+  for (let cut = 0; cut <= bytes.length; cut++) {
+    const reader = new LineReader();
+    const lines = [...reader.push(bytes.subarray(0, cut)), ...reader.push(bytes.subarray(cut))];
+    t.same(lines, [line, 'READY I -'], `cut at ${cut}`);
+  }
+  t.end();
+});
+
 void t.test('a line over 1 MiB is refused before its end arrives', (t) => {
   const reader = new LineCallerCodec().newReader();
   const messages = reader.push(Buffer.alloc(1024 * 1024 + 1, 'x'));
@@ -46,7 +58,19 @@
     name: 's1',
     prepared: { access: 'write', shape: 'q2c' },
   });
-  for (const text of ['', 'BEGIN NOW', 'READ', 'PREPARE s1 q', 'AFTER 1.2 READ k', 'RESET']) {
+  const unlisted = ['', 'BEGIN NOW', 'READ', 'PREPARE s1 q', 'AFTER 1.2 READ k', 'RESET', 'commit'];
+  const withWords = ['COMMIT now', 'COMMIT ', 'COMMIT\n', 'ROLLBACK x', 'BEGIN ', 'BEGIN READ '];
+  const withoutField = [
+    'WRITE k',
+    'WRITE  d',
+    'SET a',
+    'SET  v',
+    'EXECUTE s1',
+    'EXECUTE s1 ',
+    'EXECUTE  k',
+  ];
+  const withoutName = ['PREPARE  READ q', 'DEALLOCATE ', 'DEALLOCATE a b'];
+  for (const text of [...unlisted, ...withWords, ...withoutField, ...withoutName]) {
     t.equal(parseStatement(text).kind, 'malformed', text);
   }
   t.end();
@@ -60,6 +84,7 @@
   t.equal(read('QUERY 1'), 'broken');
   t.equal(read('HELLO'), 'broken');
   t.equal(read('TERMINATE'), 'terminate');
+  t.equal(read('TERMINATE now'), 'broken');
   t.end();
 });
 
@@ -74,7 +99,7 @@
   const execute = { kind: 'execute' as const, prepared, argument: '1a4 xk' };
   t.equal(
     encodeCommand({ kind: 'data', id: '5c', statement: execute }),
-    'QUERY 5c EXECUTE w_q2c 1a4 xk\r\n',
+    `QUERY 5c EXECUTE ${sharedPreparedName(prepared)} 1a4 xk\r\n`,
   );
   t.equal(encodeCommand({ kind: 'pause', term: 4 }), 'QUERY - PAUSE 4\r\n');
   t.equal(encodeCommand({ kind: 'commit', id: '9' }), 'QUERY 9 COMMIT\r\n');
@@ -87,12 +112,18 @@
   t.equal(reader.push('COMPLETE -'), undefined);
   const answer = reader.push('READY I 3.1204')!;
   t.match(answer, {
-    state: 'idle',
-    position: { term: 3, sequence: 1204 },
-    status: { role: 'replica', term: 3, received: { term: 3, sequence: 1209 }, lagMs: 12 },
+    kind: 'answer',
+    answer: {
+      state: 'idle',
+      position: { term: 3, sequence: 1204 },
+      status: { role: 'replica', term: 3, received: { term: 3, sequence: 1209 }, lagMs: 12 },
+    },
   });
   reader.push('ERROR READONLY i-7');
-  t.match(reader.push('READY E 3.1209'), { state: 'failed', error: { kind: 'readOnly' } });
+  t.match(reader.push('READY E 3.1209'), {
+    kind: 'answer',
+    answer: { state: 'failed', error: { kind: 'readOnly' } },
+  });
   t.throws(() => reader.push('NONSENSE'), RangeError);
   t.equal(parsePosition('-'), undefined);
   t.end();
