Load a session's values before its statement, and prepare under names that stand for one shape

PINNED: a caller prepared WRITE q2e, and the instance ran WRITE me WRITE q2e WRITE me. The name of a prepared statement was made of its shape. For the shape 'q2e WRITE me' this writes 'PREPARE w_q2e WRITE me WRITE q2e WRITE me', which the instance reads as the name w_q2e with another shape, for all callers of the connection. The name is now a digest of access and shape: one shape each, whatever callers choose, without a blank and of a fixed length. A connection keeps 256 names; beyond that the oldest is deallocated.

A statement was sent together with the SET or RESET before it and ran even when they were refused. It is sent now once they have succeeded; PREPARE still goes along, since an unknown name is not run.

--- a/src/appointed/connections/pooled_connection.ts
+++ b/src/appointed/connections/pooled_connection.ts
@@ -4,6 +4,7 @@
  */
 import type { AllowedRegions } from '../placement/data_residency.js';
 import type { InstanceConnection } from '../instance/instance_connection.js';
+import type { PreparedShape } from '../instance/statement.js';
 
 /** Cost of a reset, in commands; higher than that of setting one value. */
 const RESET_COST = 3;
@@ -12,8 +13,8 @@
 export class PooledConnection {
   /** Session values loaded on the connection, by name. */
   readonly values = new Map<string, string>();
-  /** Names of the statements prepared on the connection. */
-  readonly preparedNames = new Set<string>();
+  /** Statements prepared on the connection, by their shared name; the oldest one first. */
+  readonly preparedShapes = new Map<string, PreparedShape>();
   /** When it became idle, or its transaction became idle. */
   idleSince = 0;
   /** Whether a statement runs on it or is about to; false while its transaction is idle. */
--- a/src/appointed/instance/statement.ts
+++ b/src/appointed/instance/statement.ts
@@ -2,6 +2,7 @@
  * Statements of callers and commands to instances, independent of the wire protocol. Arguments are
  * passed on without being parsed.
  */
+import { createHash } from 'node:crypto';
 import type { Position } from '../../positions/position.js';
 
 /** Whether a statement may change data. */
@@ -49,6 +50,7 @@
     }
   | { readonly kind: 'set'; readonly name: string; readonly value: string }
   | { readonly kind: 'prepare'; readonly prepared: PreparedShape }
+  | { readonly kind: 'deallocate'; readonly prepared: PreparedShape }
   | { readonly kind: 'reset' }
   | { readonly kind: 'status' }
   | { readonly kind: 'pause'; readonly term: number }
@@ -60,7 +62,14 @@
   return statement.kind === 'execute' ? statement.prepared.access : statement.kind;
 }
 
-/** Name under which a statement is prepared on instance connections, the same for all callers. */
-export function sharedPreparedName(prepared: PreparedShape): string {
-  return `${prepared.access === 'read' ? 'r' : 'w'}_${prepared.shape}`;
+/** Length of a shared name: enough of the digest that nobody can find two shapes with the same one. */
+const NAME_CHARACTERS = 32;
+
+/**
+ * Name under which a statement is prepared on instance connections, the same for all callers. It is a digest of the access and
+ * the text, so that it stands for one shape whatever callers choose, and holds no blank.
+ */
+export function sharedPreparedName({ access, shape }: PreparedShape): string {
+  const digest = createHash('sha256').update(`${access} ${shape}`, 'latin1').digest('base64url');
+  return digest.slice(0, NAME_CHARACTERS);
 }
--- a/src/appointed/relay/relayed_connection.ts
+++ b/src/appointed/relay/relayed_connection.ts
@@ -110,6 +110,7 @@
         return this.acknowledge();
       // The prepared statement is sent along with each execution.
       case 'prepare':
+      case 'deallocate':
         return this.acknowledge();
       case 'begin':
       case 'commit':
--- a/src/appointed/sessions/caller_connection.ts
+++ b/src/appointed/sessions/caller_connection.ts
@@ -207,6 +207,7 @@
         this.end();
         return;
       case 'broken':
+        this.logRefused(message.problem);
         this.endWith('malformed', message.problem);
     }
   }
@@ -249,6 +250,7 @@
       this.endWith('malformed', 'the session has not started');
       return;
     }
+    if (statement.kind === 'malformed') this.logRefused(statement.problem);
     const reply = await new Promise<CallerReply>((resolve) => {
       this.replyInstead = resolve;
       void session.execute(id, statement, progress).then(resolve);
@@ -270,6 +272,10 @@
     this.end();
   }
 
+  private logRefused(reason: string): void {
+    this.source.log(Events.messageRefused, { reason });
+  }
+
   private logAbortedTransaction(cause: CloseCause): void {
     const { clock, log } = this.source;
     const idleMs = Math.round(clock.now() - this.usedAt);
--- a/src/appointed/sessions/session_loader.ts
+++ b/src/appointed/sessions/session_loader.ts
@@ -6,6 +6,9 @@
   sharedPreparedName,
 } from '../instance/statement.js';
 
+/** Maximum number of statements that stay prepared on one connection. */
+const MAXIMUM_PREPARED_SHAPES = 256;
+
 /** Session state that a connection needs before it runs a statement. */
 export interface SessionContent {
   /** The session's values by name. */
@@ -19,32 +22,64 @@
   return [...pooled.values.keys()].some((name) => !values.has(name));
 }
 
-/** Commands that load the content onto the connection, in the order in which they must run. */
+/** Commands that load a session onto a connection. */
+export interface LoadingCommands {
+  /** In the order in which they must run, and must have succeeded before the statement is sent. */
+  readonly values: readonly InstanceCommand[];
+  /**
+   * Prepares the statement, in the order in which they must run. They may be sent together with it: without them the instance
+   * knows no such name and does not run it.
+   */
+  readonly prepared: readonly InstanceCommand[];
+}
+
+/** Commands that load the content onto the connection. */
 export function loadingCommands(
   pooled: PooledConnection,
   content: SessionContent,
-): InstanceCommand[] {
-  const commands: InstanceCommand[] = [];
+): LoadingCommands {
+  const values: InstanceCommand[] = [];
   const isReset = needsReset(pooled, content.values);
-  if (isReset) commands.push({ kind: 'reset' });
+  if (isReset) values.push({ kind: 'reset' });
   for (const [name, value] of content.values) {
     const isLoaded = !isReset && pooled.values.get(name) === value;
-    if (!isLoaded) commands.push({ kind: 'set', name, value });
+    if (!isLoaded) values.push({ kind: 'set', name, value });
   }
-  const { prepared } = content;
-  const isPrepared = prepared && !isReset && pooled.preparedNames.has(sharedPreparedName(prepared));
-  if (prepared && !isPrepared) commands.push({ kind: 'prepare', prepared });
-  return commands;
+  return { values, prepared: preparingCommands(pooled, content.prepared, isReset) };
+}
+
+/** Prepares a shape; beyond the maximum number of names, the one prepared first is removed. */
+function preparingCommands(
+  { preparedShapes }: PooledConnection,
+  prepared: PreparedShape | undefined,
+  isReset: boolean,
+): InstanceCommand[] {
+  if (!prepared) return [];
+  if (isReset) return [{ kind: 'prepare', prepared }];
+  if (preparedShapes.has(sharedPreparedName(prepared))) return [];
+  const [oldest] = preparedShapes.values();
+  const isFull = oldest !== undefined && preparedShapes.size >= MAXIMUM_PREPARED_SHAPES;
+  return [
+    ...(isFull ? [{ kind: 'deallocate' as const, prepared: oldest }] : []),
+    { kind: 'prepare', prepared },
+  ];
 }
 
 /** Records on the connection that a loading command has succeeded. */
 export function recordLoaded(pooled: PooledConnection, command: InstanceCommand): void {
-  if (command.kind === 'reset') {
-    pooled.values.clear();
-    pooled.preparedNames.clear();
-  } else if (command.kind === 'set') {
-    pooled.values.set(command.name, command.value);
-  } else if (command.kind === 'prepare') {
-    pooled.preparedNames.add(sharedPreparedName(command.prepared));
+  const { values, preparedShapes } = pooled;
+  switch (command.kind) {
+    case 'reset':
+      values.clear();
+      preparedShapes.clear();
+      return;
+    case 'set':
+      values.set(command.name, command.value);
+      return;
+    case 'prepare':
+      preparedShapes.set(sharedPreparedName(command.prepared), command.prepared);
+      return;
+    case 'deallocate':
+      preparedShapes.delete(sharedPreparedName(command.prepared));
   }
 }
--- a/src/appointed/sessions/statement_runner.ts
+++ b/src/appointed/sessions/statement_runner.ts
@@ -145,8 +145,8 @@
   }
 
   /**
-   * Loads the session and runs a command, pipelined on the same connection. The caller must release or discard the connection
-   * afterwards.
+   * Loads the session and runs a command. The command is sent once the session's values are known to be loaded, together with the
+   * statement to prepare. The caller must release or discard the connection afterwards.
    */
   async attempt(
     pinned: PinnedConnection,
@@ -154,22 +154,33 @@
     command: InstanceCommand,
     timeoutMs: number,
   ): Promise<Attempt> {
-    const loading = loadingCommands(pinned.pooled, content).map((loadingCommand) =>
-      this.load(pinned, loadingCommand, timeoutMs),
-    );
-    const running = this.runObserved(pinned, command, timeoutMs);
-    const [loaded, [result]] = await Promise.all([
-      Promise.all(loading),
-      Promise.allSettled([running]),
-    ]);
+    const { clock } = this.context;
+    const endAt = clock.now() + timeoutMs;
+    const loading = loadingCommands(pinned.pooled, content);
+    if (!(await this.loadAll(pinned, loading.values, timeoutMs))) return notLoaded(pinned);
+    const remainingMs = endAt - clock.now();
+    if (remainingMs <= 0) return notLoaded(pinned);
+    const preparing = this.loadAll(pinned, loading.prepared, remainingMs);
+    const running = this.runObserved(pinned, command, remainingMs);
+    const [isPrepared, [result]] = await Promise.all([preparing, Promise.allSettled([running])]);
     if (result.status === 'rejected') return failedAttempt(result.reason);
     const { value: answer } = result;
-    if (loaded.every((isLoaded) => isLoaded)) return { outcome: 'answered', answer };
-    // Loading failed, so the statement ran without the caller's session state.
-    pinned.pooled.connection.close();
-    const cause = { kind: 'sessionNotLoaded' as const };
+    if (isPrepared) return { outcome: 'answered', answer };
     const isHarmless = answer.error !== undefined && isNotRun(answer.error.kind);
-    return { outcome: isHarmless ? 'notRun' : 'lost', cause };
+    return isHarmless ? notLoaded(pinned) : { ...notLoaded(pinned), outcome: 'lost' };
+  }
+
+  /** Runs loading commands, pipelined; returns whether all succeeded. */
+  private async loadAll(
+    pinned: PinnedConnection,
+    commands: readonly InstanceCommand[],
+    timeoutMs: number,
+  ): Promise<boolean> {
+    if (commands.length === 0) return true;
+    const loaded = await Promise.all(
+      commands.map((command) => this.load(pinned, command, timeoutMs)),
+    );
+    return loaded.every((isLoaded) => isLoaded);
   }
 
   private async runObserved(
@@ -197,7 +208,7 @@
       recordLoaded(pinned.pooled, loadingCommand);
       return true;
     } catch {
-      // The statement was sent on the same connection and fails with the same error, which is reported there.
+      // The attempt ends with the cause that the session was not loaded.
       return false;
     }
   }
@@ -303,6 +314,12 @@
   return { rows: [], signature: '', error, state: inTransaction ? 'failed' : 'idle' };
 }
 
+/** The session could not be loaded; the connection, whose state is unknown, is closed. */
+function notLoaded({ pooled }: PinnedConnection): NotRunAttempt {
+  pooled.connection.close();
+  return { outcome: 'notRun', cause: { kind: 'sessionNotLoaded' } };
+}
+
 /** Outcome of an attempt whose connection failed. */
 function failedAttempt(reason: unknown): Attempt {
   const message = reason instanceof Error ? reason.message : 'connection lost';
