Match the answers of instances with commands by what they hold, not by their order alone

Instances may send an answer twice, the second time late. Answers were matched with commands by order alone, so a second copy became the answer of a later command: of another caller's read, of a refused BEGIN, of a write.

MatchedConnection, below which the platform only encodes and decodes, takes an answer only if it fits its command and can't be a copy of an earlier one; what can be a copy is confirmed by commands without an effect before it counts. Copies that fit nothing are dropped, so that the connection stays in service. The simulator's connections use the same code. Events 108 and 268 tell of unexpected answers and of refused messages.

--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -3,7 +3,9 @@
 import type { PrimaryAppointer } from '../../src/appointed/failover/primary_appointer.js';
 import type { EventKind } from '../../src/observability/events.js';
 import type { EventFields } from '../../src/observability/logger.js';
+import type { InstanceChannelConnector } from '../../src/appointed/instance/instance_channel.js';
 import type { InstanceConnector } from '../../src/appointed/instance/instance_connection.js';
+import { MatchingConnector } from '../../src/appointed/instance/matching_connector.js';
 import type { RequestCounters } from '../../src/appointed/proxy/proxy_context.js';
 import type {
   Route,
@@ -54,7 +56,7 @@
   readonly disabled: ReadonlySet<AppointedProtection>;
   readonly tenancy: TenancyOfDeployment | undefined;
   readonly placementRules: PlacementRules;
-  readonly connectorFor: (process: VirtualProcess) => InstanceConnector;
+  readonly channelsFor: (process: VirtualProcess) => InstanceChannelConnector;
   readonly appointerFor: (process: VirtualProcess) => PrimaryAppointer;
 }
 
@@ -72,6 +74,15 @@
   refusedByAllowedRegions: () => undefined,
 };
 
+function connectorOf(
+  surroundings: AppointedSurroundings,
+  process: VirtualProcess,
+  name: string,
+): InstanceConnector {
+  const channels = surroundings.channelsFor(process);
+  return new MatchingConnector(channels, process.clock, logInto(surroundings, name));
+}
+
 function logInto(
   surroundings: AppointedSurroundings,
   node: string,
@@ -129,7 +140,10 @@
       zone: this.zone,
       address: this.address,
       seeds: surroundings.seeds,
-      connector: new WeakenedConnector(surroundings.connectorFor(process), surroundings.disabled),
+      connector: new WeakenedConnector(
+        connectorOf(surroundings, process, this.name),
+        surroundings.disabled,
+      ),
       reader: surroundings.reader,
       log: logInto(surroundings, this.name),
       counters: NO_COUNTERS,
@@ -178,7 +192,7 @@
       seeds: surroundings.seeds,
       isFirstStart: this.isFirstStart,
       voterCount: this.voterCount,
-      connector: surroundings.connectorFor(process),
+      connector: connectorOf(surroundings, process, this.name),
       appointer: surroundings.appointerFor(process),
       log: logInto(surroundings, this.name),
       documents: surroundings.reader,
--- a/lab/appointed/appointed_world.ts
+++ b/lab/appointed/appointed_world.ts
@@ -142,7 +142,7 @@
       tenancy: deployment.tenancy,
       placementRules: placementRulesOf(deployment),
       connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
-      connectorFor: (process) =>
+      channelsFor: (process) =>
         new VirtualInstanceConnector(
           process,
           this.network,
--- a/lab/appointed/emulated_instance.ts
+++ b/lab/appointed/emulated_instance.ts
@@ -114,6 +114,10 @@
   slowness = 1;
   /** Share of the answers that are lost, as a fault. */
   lostAnswers = 0;
+  /** Share of the messages to its callers that are sent twice, as a fault. */
+  doubledAnswers = 0;
+  /** Longest time after which the second copy is sent, in milliseconds. */
+  longestCopyDelayMs = 0;
   /** Answers by kind; `ok` where nothing went wrong. */
   readonly answers = new Map<InstanceErrorKind | 'ok', number>();
   private appliedCount: number;
@@ -174,6 +178,14 @@
     return { answer, fate: isLost ? 'lost' : 'sent' };
   }
 
+  /** When a second copy of a message is sent, in milliseconds; undefined if none is. */
+  copyDelayMs(): number | undefined {
+    if (this.doubledAnswers === 0) return undefined;
+    const { random } = this.process;
+    if (random.next() >= this.doubledAnswers) return undefined;
+    return random.next() * this.longestCopyDelayMs;
+  }
+
   /** Takes over the log of a primary; false when it refuses to receive. */
   receiveFrom(primary: EmulatedInstance): boolean {
     const { term, log } = primary.storage;
@@ -236,6 +248,9 @@
       case 'prepare':
         session.preparedByName.set(sharedPreparedName(command.prepared), command.prepared);
         return this.ok(session);
+      case 'deallocate':
+        session.preparedByName.delete(sharedPreparedName(command.prepared));
+        return this.ok(session);
       case 'reset':
         session.values.clear();
         session.preparedByName.clear();
--- a/lab/appointed/virtual_instances.ts
+++ b/lab/appointed/virtual_instances.ts
@@ -1,22 +1,20 @@
 /** Connections from simulated processes to emulated instances. */
-import { BackendConnectionLostError } from '../../src/errors/errors.js';
+import type {
+  InstanceChannel,
+  InstanceChannelConnector,
+  InstanceMessage,
+} from '../../src/appointed/instance/instance_channel.js';
 import {
   ConnectError,
   type ConnectFailure,
-  type InstanceAnswer,
-  type InstanceConnection,
-  type InstanceConnector,
   type InstanceTarget,
-  type OpenedConnection,
 } from '../../src/appointed/instance/instance_connection.js';
 import type { InstanceCommand } from '../../src/appointed/instance/statement.js';
-import { NO_TENANT } from '../../src/appointed/tenancy/tenant.js';
 import { hostOf } from '../../src/runtime/address.js';
-import type { Position } from '../../src/positions/position.js';
 import type { VirtualNetwork } from '../simulation/virtual_network.js';
 import type { VirtualProcess } from '../simulation/virtual_process.js';
 import { StreamEnd } from '../simulation/virtual_stream.js';
-import type { EmulatedInstance } from './emulated_instance.js';
+import type { EmulatedInstance, EmulatedSession } from './emulated_instance.js';
 
 /** Time that a new connection takes, in milliseconds. */
 const HANDSHAKE_MS = 12;
@@ -24,117 +22,109 @@
 /** An instance drops a connection whose other end is dark after this time, in milliseconds. */
 const DARK_CONNECTION_MS = 3000;
 
-type Greeting =
-  | { readonly kind: 'opened'; readonly position: Position }
-  | { readonly kind: 'refused'; readonly failure: ConnectFailure };
-
-/** A command on its way, with the time of the simulation at which it was sent. */
-interface SentCommand {
-  readonly command: InstanceCommand;
-  readonly sentAt: number;
-}
-
-interface PendingRun {
-  resolve(answer: InstanceAnswer): void;
-  reject(error: Error): void;
-}
+/** A message to an instance; of a command, with the time of the simulation at which it was sent. */
+type SentMessage =
+  | { readonly kind: 'start'; readonly target: InstanceTarget; readonly tenant: string }
+  | { readonly kind: 'command'; readonly command: InstanceCommand; readonly sentAt: number };
 
 /** The instance's side of a connection. */
-function serve(
-  network: VirtualNetwork,
-  end: StreamEnd,
-  instance: EmulatedInstance,
-  target: InstanceTarget,
-  tenant: string,
-): void {
-  const isRight = instance.options.id === target.id && instance.options.group === target.group;
-  const session = isRight ? instance.connect(tenant) : undefined;
-  if (!session) {
-    const failure = isRight ? 'connectionLimit' : 'wrongInstance';
-    end.send({ kind: 'refused', failure } satisfies Greeting);
-    end.close();
-    return;
+class ServedConnection {
+  private session: EmulatedSession | undefined;
+  private previous: Promise<void> = Promise.resolve();
+
+  constructor(
+    network: VirtualNetwork,
+    private readonly end: StreamEnd,
+    private readonly instance: EmulatedInstance,
+  ) {
+    const forget = network.onMute(() =>
+      instance.process.clock.setTimer(DARK_CONNECTION_MS, () => end.close()),
+    );
+    end.onClosed = () => {
+      forget();
+      this.session?.close();
+    };
+    end.onMessage = (message) => this.receive(message as SentMessage);
   }
-  const forget = network.onMute(() =>
-    instance.process.clock.setTimer(DARK_CONNECTION_MS, () => end.close()),
-  );
-  end.onClosed = () => {
-    forget();
-    session.close();
-  };
-  instance.process.clock.setTimer(HANDSHAKE_MS, () =>
-    end.send({ kind: 'opened', position: instance.applied } satisfies Greeting),
-  );
-  let previous: Promise<void> = Promise.resolve();
-  end.onMessage = (message) => {
-    const { command, sentAt } = message as SentCommand;
+
+  private receive(message: SentMessage): void {
+    if (message.kind === 'start') {
+      this.start(message.target, message.tenant);
+      return;
+    }
+    const { session, instance } = this;
+    if (!session) return;
+    const { command, sentAt } = message;
     instance.receive(command, sentAt);
-    previous = previous.then(async () => {
+    this.previous = this.previous.then(async () => {
       const { answer, fate } = await instance.run(session, command);
-      if (fate === 'sent' && instance.process.alive) end.send(answer);
+      if (fate === 'sent') this.send({ kind: 'answer', answer });
     });
-  };
+  }
+
+  private start({ id, group }: InstanceTarget, tenant: string): void {
+    const { instance } = this;
+    const { options } = instance;
+    const isRight = options.id === id && options.group === group;
+    this.session = isRight ? instance.connect(tenant) : undefined;
+    if (!this.session) {
+      const kind = isRight ? 'connectionLimit' : 'wrongInstance';
+      this.end.send({ kind: 'brokenOff', error: { kind, text: options.id } });
+      this.end.close();
+      return;
+    }
+    const greet = (): void => this.send({ kind: 'greeting', position: instance.applied });
+    instance.process.clock.setTimer(HANDSHAKE_MS, greet);
+  }
+
+  /** Sends a message; now and then a second copy of it, later. */
+  private send(message: InstanceMessage): void {
+    const { instance, end } = this;
+    if (!instance.process.alive) return;
+    end.send(message);
+    const delayMs = instance.copyDelayMs();
+    if (delayMs === undefined) return;
+    instance.process.clock.setTimer(delayMs, () => end.send(message));
+  }
 }
 
-class VirtualInstanceConnection implements InstanceConnection {
-  onClosed: (() => void) | undefined;
-  private readonly pending: PendingRun[] = [];
+/** The process's side of a connection. */
+class VirtualInstanceChannel implements InstanceChannel {
+  onMessage: (message: InstanceMessage) => void = () => undefined;
+  onClosed: (reason: string) => void = () => undefined;
+  private isClosedHere = false;
 
   constructor(
     private readonly end: StreamEnd,
     private readonly process: VirtualProcess,
   ) {
-    end.onMessage = (message) => {
-      const waiting = this.pending.shift();
-      if (waiting) waiting.resolve(message as InstanceAnswer);
-      else this.close();
+    end.onMessage = (message) => this.onMessage(message as InstanceMessage);
+    end.onClosed = () => {
+      if (!this.isClosedHere) this.onClosed('connection closed');
     };
-    end.onClosed = () => this.fail('connection closed');
   }
 
   get closed(): boolean {
     return !this.end.open;
   }
 
-  run(command: InstanceCommand, timeoutMs: number): Promise<InstanceAnswer> {
-    if (this.closed) {
-      return Promise.reject(new BackendConnectionLostError('closed', { sent: false }));
-    }
-    return new Promise((resolve, reject) => {
-      const timer = this.process.clock.setTimer(timeoutMs, () => {
-        this.fail('no answer in time');
-        this.close();
-      });
-      const settle = (): void => timer.cancel();
-      this.pending.push({
-        resolve: (answer) => {
-          settle();
-          resolve(answer);
-        },
-        reject: (error) => {
-          settle();
-          reject(error);
-        },
-      });
-      const sentAt = this.process.scheduler.now;
-      this.end.send({ command, sentAt } satisfies SentCommand);
-    });
+  sendStart(target: InstanceTarget, tenant: string): void {
+    this.end.send({ kind: 'start', target, tenant } satisfies SentMessage);
   }
 
-  close(): void {
-    this.end.close();
+  send(command: InstanceCommand): void {
+    const sentAt = this.process.scheduler.now;
+    this.end.send({ kind: 'command', command, sentAt } satisfies SentMessage);
   }
 
-  private fail(reason: string): void {
-    for (const waiting of this.pending.splice(0)) {
-      waiting.reject(new BackendConnectionLostError(reason, { sent: true }));
-    }
-    this.onClosed?.();
+  close(): void {
+    this.isClosedHere = true;
+    this.end.close();
   }
 }
 
-/** Connector of one simulated process. */
-export class VirtualInstanceConnector implements InstanceConnector {
+/** Opens channels of one simulated process. */
+export class VirtualInstanceConnector implements InstanceChannelConnector {
   constructor(
     private readonly process: VirtualProcess,
     private readonly network: VirtualNetwork,
@@ -142,52 +132,38 @@
     private readonly instanceAt: (address: string) => EmulatedInstance | undefined,
   ) {}
 
-  connect(
-    target: InstanceTarget,
-    timeoutMs: number,
-    tenant = NO_TENANT,
-  ): Promise<OpenedConnection> {
+  open(address: string, timeoutMs: number): Promise<InstanceChannel> {
     return new Promise((resolve, reject) => {
       const fail = (failure: ConnectFailure): void => {
         timer.cancel();
-        reject(new ConnectError(`${target.address}: ${failure}`, { failure }));
+        reject(new ConnectError(`${address}: ${failure}`, { failure }));
       };
       const timer = this.process.clock.setTimer(timeoutMs, () => fail('silent'));
-      const greet = (near: StreamEnd): void => {
-        near.onMessage = (message) => {
-          const greeting = message as Greeting;
-          if (greeting.kind === 'refused') {
-            fail(greeting.failure);
-            return;
-          }
-          timer.cancel();
-          const connection = new VirtualInstanceConnection(near, this.process);
-          resolve({ connection, position: greeting.position });
-        };
-        near.onClosed = () => fail('refused');
+      const connected = (near: StreamEnd): void => {
+        timer.cancel();
+        resolve(new VirtualInstanceChannel(near, this.process));
       };
-      this.arrive(target, tenant, greet, fail);
+      this.arrive(address, connected, fail);
     });
   }
 
   private arrive(
-    target: InstanceTarget,
-    tenant: string,
-    greet: (near: StreamEnd) => void,
+    address: string,
+    connected: (near: StreamEnd) => void,
     fail: (failure: ConnectFailure) => void,
   ): void {
     const from = this.process.host;
-    const to = hostOf(target.address);
+    const to = hostOf(address);
     const { network } = this;
     if (network.isCut(from, to)) return;
     network.scheduler.schedule(network.delay(from, to), () => {
-      const instance = this.instanceAt(target.address);
+      const instance = this.instanceAt(address);
       if (instance && this.process.alive) {
         const near = new StreamEnd(network, this.process);
-        greet(near);
         const far = new StreamEnd(network, instance.process);
         StreamEnd.join(network, near, far);
-        instance.process.deliver(() => serve(network, far, instance, target, tenant));
+        instance.process.deliver(() => new ServedConnection(network, far, instance));
+        this.process.deliver(() => connected(near));
         return;
       }
       if (network.isCut(to, from)) return;
--- a/src/appointed/daemon/control_daemon.ts
+++ b/src/appointed/daemon/control_daemon.ts
@@ -11,7 +11,8 @@
 import { Events } from '../../observability/events.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
 import type { DecisionLog } from '../../observability/decision_logger.js';
-import type { InstanceConnector } from '../instance/instance_connection.js';
+import type { InstanceChannelConnector } from '../instance/instance_channel.js';
+import { MatchingConnector } from '../instance/matching_connector.js';
 import type { RoutingDocumentReader } from '../catalog/route_table.js';
 import type { PlacementRules } from '../placement/placement_rules.js';
 import type { QuotaRules } from '../tenancy/operation_budget.js';
@@ -44,7 +45,7 @@
 
 /** Protocol implementations used by the control machine. */
 interface AppointedControlProtocols {
-  readonly connector: InstanceConnector;
+  readonly connector: InstanceChannelConnector;
   readonly appointer: PrimaryAppointer;
   readonly documents: RoutingDocumentReader;
 }
@@ -110,7 +111,7 @@
     seeds: settings.seeds,
     isFirstStart: settings.isFirstStart,
     voterCount: settings.voters,
-    connector: protocols.connector,
+    connector: new MatchingConnector(protocols.connector, runtime.clock, decisions.log),
     appointer: protocols.appointer,
     log: decisions.log,
     documents: protocols.documents,
--- a/src/appointed/daemon/proxy_daemon.ts
+++ b/src/appointed/daemon/proxy_daemon.ts
@@ -5,7 +5,8 @@
  */
 import type { RoutingDocumentReader } from '../catalog/route_table.js';
 import { Events } from '../../observability/events.js';
-import type { InstanceConnector } from '../instance/instance_connection.js';
+import type { InstanceChannelConnector } from '../instance/instance_channel.js';
+import { MatchingConnector } from '../instance/matching_connector.js';
 import { stopGracefully } from '../proxy/graceful_stop.js';
 import type { PlacementRules } from '../placement/placement_rules.js';
 import type { QuotaRules } from '../tenancy/operation_budget.js';
@@ -46,7 +47,7 @@
 /** Protocol implementations used by the proxy. */
 interface AppointedProxyProtocols {
   readonly callers: CallerCodec;
-  readonly connector: InstanceConnector;
+  readonly connector: InstanceChannelConnector;
   readonly documents: RoutingDocumentReader;
 }
 
@@ -122,7 +123,7 @@
     zone: settings.zone,
     address: settings.internal,
     seeds: settings.seeds,
-    connector: protocols.connector,
+    connector: new MatchingConnector(protocols.connector, runtime.clock, decisions.log),
     reader: protocols.documents,
     log: decisions.log,
     counters,
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -48,6 +48,20 @@
     'writes to the data folder succeed again',
     'No action needed. Nothing that was confirmed is lost.',
   ),
+  unexpectedAnswer: define(
+    108,
+    'unexpected_answer',
+    'warn',
+    'an answer of an instance belongs to no command',
+    'With `outcome` dropped, it was a copy of an earlier answer; with closed, its connection was closed, and commands on it may have run. `command` is the oldest unanswered one. Investigate the instance if it is frequent.',
+  ),
+  messageRefused: define(
+    268,
+    'message_refused',
+    'info',
+    'a message of a caller was refused as malformed',
+    '`reason` is the expected syntax. Nothing of it was run. Investigate the caller if it is frequent.',
+  ),
   configurationInForce: define(
     201,
     'configuration_in_force',
--- a/test/unit/instance_link.test.ts
+++ b/test/unit/instance_link.test.ts
@@ -2,8 +2,8 @@
 import { once } from 'node:events';
 import { type AddressInfo, type Socket, createServer } from 'node:net';
 import t, { type Test } from 'tap';
-import { LinkConnector } from '../../platform/instance_link.js';
 import type { InstanceConnection } from '../../src/appointed/instance/instance_connection.js';
+import { linkTo } from '../tools/linked_connection.js';
 
 interface Link {
   readonly connection: InstanceConnection;
@@ -22,7 +22,7 @@
   const { port } = server.address() as AddressInfo;
   const accepted = once(server, 'connection') as Promise<[Socket]>;
   const target = { id: 'i-1', group: 'g', address: `127.0.0.1:${port}` };
-  const { connection } = await new LinkConnector().connect(target, 1000);
+  const { connection } = await linkTo(target);
   const [instance] = await accepted;
   return { connection, instance };
 }
--- a/test/unit/shutdown_after_stall.test.ts
+++ b/test/unit/shutdown_after_stall.test.ts
@@ -1,12 +1,12 @@
 /** Graceful shutdown: answers that arrive while the process is stalled. */
 import { Worker } from 'node:worker_threads';
 import t from 'tap';
-import { LinkConnector } from '../../platform/instance_link.js';
 import { stopGracefully } from '../../src/appointed/proxy/graceful_stop.js';
 import { ShutdownDeadline } from '../../src/appointed/routing/shutdown_deadline.js';
 import { CallerConnections } from '../../src/appointed/sessions/caller_connections.js';
 import type { SessionSource } from '../../src/appointed/sessions/caller_connection.js';
 import { RealClock } from '../../src/runtime/real_clock.js';
+import { linkTo } from '../tools/linked_connection.js';
 
 const GRACE_MS = 2000;
 const ANSWERED_AFTER_MS = 100;
@@ -29,7 +29,7 @@
   t.teardown(() => worker.terminate());
   const port = await new Promise<number>((resolve) => worker.once('message', resolve));
   const target = { id: 'i', group: 'g', address: `127.0.0.1:${port}`, incarnation: 0 };
-  const { connection } = await new LinkConnector().connect(target, 1000);
+  const { connection } = await linkTo(target);
   const clock = new RealClock();
   const shutdown = new ShutdownDeadline(clock);
   let isInFlight = true;
