--- a/test/tools/model_instance.ts
+++ b/test/tools/model_instance.ts
@@ -85,20 +85,28 @@
 
   private execute(fate: Fate): InstanceAnswer {
     const { command } = fate;
-    const endsTransaction = command.kind === 'commit' || command.kind === 'rollback';
-    if (this.state === 'failed' && !endsTransaction) return this.refuse('malformed');
-    if (command.kind === 'begin' && this.state !== 'idle') return this.refuse('malformed');
-    const isExecute = command.kind === 'data' && command.statement.kind === 'execute';
-    if (isExecute && !this.isPrepared) return this.refuse('unknownName');
-    if (command.kind === 'prepare') this.isPrepared = true;
-    if (command.kind === 'begin') this.state = 'open';
-    if (endsTransaction) this.state = 'idle';
+    const problem = this.problemOf(command);
+    if (problem) return this.refuse(problem);
     fate.hasRun = true;
-    const isSigned = command.kind === 'data' || command.kind === 'commit';
-    if (isSigned) fate.signature = `s${++this.signatureCount}`;
-    const signature = fate.signature ?? '-';
+    if (command.kind === 'prepare') this.isPrepared = true;
+    this.state = stateAfter(command, this.state);
+    const isStatement = command.kind === 'data' || command.kind === 'commit';
+    if (isStatement) fate.signature = `s${++this.signatureCount}`;
     const isRead = command.kind === 'data' && command.statement.kind !== 'write';
-    return { rows: isRead ? ['row'] : [], signature, state: this.state, position: POSITION };
+    return {
+      rows: isRead ? ['row'] : [],
+      signature: fate.signature ?? '-',
+      state: this.state,
+      position: POSITION,
+    };
+  }
+
+  /** Why it does not run a command in its state. */
+  private problemOf(command: InstanceCommand): InstanceErrorKind | undefined {
+    if (this.state === 'failed' && !endsTransaction(command)) return 'malformed';
+    if (command.kind === 'begin' && this.state !== 'idle') return 'malformed';
+    const isExecute = command.kind === 'data' && command.statement.kind === 'execute';
+    return isExecute && !this.isPrepared ? 'unknownName' : undefined;
   }
 
   /** A busy instance keeps the transaction; any other refusal fails it. */
@@ -108,3 +116,12 @@
     return { rows: [], signature: '', error, state: this.state, position: POSITION };
   }
 }
+
+function endsTransaction({ kind }: InstanceCommand): boolean {
+  return kind === 'commit' || kind === 'rollback';
+}
+
+function stateAfter(command: InstanceCommand, before: TransactionState): TransactionState {
+  if (endsTransaction(command)) return 'idle';
+  return command.kind === 'begin' ? 'open' : before;
+}
