--- a/src/appointed/instance/answer_expectation.ts
+++ b/src/appointed/instance/answer_expectation.ts
@@ -48,7 +48,8 @@
   return kind === 'data' || kind === 'commit';
 }
 
-function isAdministrative({ kind }: InstanceCommand): boolean {
+/** Whether the command is answered with the status of the instance. */
+export function isAdministrative({ kind }: InstanceCommand): boolean {
   return kind === 'status' || kind === 'pause' || kind === 'stepDown' || kind === 'resume';
 }
 
--- a/src/appointed/instance/matched_connection.ts
+++ b/src/appointed/instance/matched_connection.ts
@@ -14,7 +14,7 @@
  */
 import { BackendConnectionLostError } from '../../errors/errors.js';
 import type { Clock, Timer } from '../../runtime/runtime.js';
-import { misfitOf } from './answer_expectation.js';
+import { isAdministrative, misfitOf } from './answer_expectation.js';
 import {
   type InstanceChannel,
   type InstanceMessage,
@@ -45,21 +45,20 @@
 /** Shape that a check prepares; nothing executes it. */
 const CHECK_SHAPE: PreparedShape = { access: 'read', shape: 'check' };
 const INTERNAL_REQUEST_ID = '-';
-/** A command without an effect, whose answer differs from those to commands that run a statement or tell the status. */
+/** A command without an effect, whose answer differs from those that tell a status. */
 const SIMPLE_CHECK: readonly InstanceCommand[] = [{ kind: 'prepare', prepared: CHECK_SHAPE }];
-/** Commands without an effect outside a transaction; the answer to the first one differs in its state from all others. */
+/**
+ * Commands without an effect outside a transaction, whose answers differ in their state. The first one shows a BEGIN that ran though
+ * it seems refused.
+ */
 const STATE_CHECK: readonly InstanceCommand[] = [
+  ...SIMPLE_CHECK,
   { kind: 'begin', readOnly: true },
   { kind: 'rollback', id: INTERNAL_REQUEST_ID },
 ];
-/** Commands whose answers look like that of the simple check. */
-const PLAIN_KINDS: ReadonlySet<InstanceCommand['kind']> = new Set<InstanceCommand['kind']>([
-  'set',
-  'reset',
-  'prepare',
-  'deallocate',
-  'rollback',
-]);
+/** Longer checks, for a connection on which copies were seen: more copies would have to arrive in their pattern. */
+const LONG_STATE_CHECK = [...STATE_CHECK, ...STATE_CHECK];
+const LONG_CHECK_WHILE_OPEN = Array<InstanceCommand>(4).fill(SIMPLE_CHECK[0]!);
 
 const CONNECT_FAILURES: Partial<Record<InstanceErrorKind, ConnectFailure>> = {
   wrongInstance: 'wrongInstance',
@@ -99,6 +98,7 @@
   private pendingStart: PendingStart | undefined;
   /** State after the newest answer. */
   private state: TransactionState = 'idle';
+  private hasSeenCopy = false;
   private isClosed = false;
 
   constructor(
@@ -255,8 +255,7 @@
     }
     this.checked = this.unconfirmed;
     this.unconfirmed = [];
-    const hasPlain = this.checked.some(({ pending }) => PLAIN_KINDS.has(pending.command.kind));
-    const commands = this.state === 'idle' && hasPlain ? STATE_CHECK : SIMPLE_CHECK;
+    const commands = this.checkCommands();
     commands.forEach((command, index) => {
       const isLast = index === commands.length - 1;
       const resolve = (): void => {
@@ -270,11 +269,19 @@
     });
   }
 
+  private checkCommands(): readonly InstanceCommand[] {
+    const isIdle = this.state === 'idle';
+    if (this.hasSeenCopy) return isIdle ? LONG_STATE_CHECK : LONG_CHECK_WHILE_OPEN;
+    const tellsStatus = this.checked.every(({ pending }) => isAdministrative(pending.command));
+    return isIdle && !tellsStatus ? STATE_CHECK : SIMPLE_CHECK;
+  }
+
   private confirm(answers: readonly UnconfirmedAnswer[]): void {
     for (const { pending, answer } of answers) pending.resolve(answer);
   }
 
   private drop(reason: string): void {
+    this.hasSeenCopy = true;
     this.report(reason, 'dropped');
   }
 
--- a/test/unit/answer_matching.test.ts
+++ b/test/unit/answer_matching.test.ts
@@ -157,7 +157,9 @@
     await first;
     const second = instance.run(WRITE);
     instance.answer(refused('busy'));
-    t.same(instance.sent, ['data', 'data', 'prepare']);
+    t.same(instance.sent, ['data', 'data', 'prepare', 'begin', 'rollback']);
+    instance.answer(done());
+    instance.answer(done('open'));
     instance.answer(done());
     t.match(await second, { error: { kind: 'busy' } });
     t.notOk(instance.connection.closed);
@@ -184,7 +186,8 @@
     await first;
     const second = instance.run(SET);
     instance.answer(done());
-    t.same(instance.sent, ['set', 'set', 'begin', 'rollback']);
+    t.same(instance.sent, ['set', 'set', 'prepare', 'begin', 'rollback']);
+    instance.answer(done());
     instance.answer(done('open'));
     instance.answer(done());
     t.match(await second, { signature: '-' });
--- a/test/unit/messenger.test.ts
+++ b/test/unit/messenger.test.ts
@@ -84,10 +84,17 @@
 void t.test('a shutdown does not wait for a request that is never answered', async (t) => {
   const server = new TcpMessenger({ host: HOST, port: 0, sharedKey: undefined });
   const address = await server.listen();
-  server.serve(() => new Promise(() => undefined));
+  let onReceived: () => void = () => undefined;
+  const received = new Promise<void>((resolve) => {
+    onReceived = resolve;
+  });
+  server.serve(() => {
+    onReceived();
+    return new Promise(() => undefined);
+  });
   const client = new TcpMessenger({ host: HOST, port: 0, sharedKey: undefined });
   const answered = t.rejects(client.request(address, { statusRequest: {} }, 2000));
-  await setTimeout(50);
+  await received;
   const startedAt = performance.now();
   await server.finish(100);
   const durationMs = performance.now() - startedAt;
