Remember the answers of a connection for 30 s, not the newest 512

A busy connection carries 512 answers in less than 2 s. Answers are kept for 30 s now, so that the memory follows the rate of answers.

--- a/src/appointed/instance/matched_connection.ts
+++ b/src/appointed/instance/matched_connection.ts
@@ -210,7 +210,7 @@
       this.handleMisfit(misfit ?? 'an answer to no command', isRepeated, isSigned(answer));
       return;
     }
-    this.recent.add(identity);
+    this.recent.add(identity, this.clock.now());
     this.pending.shift();
     this.state = answer.state;
     this.accept(pending, answer, isRepeated);
--- a/src/appointed/instance/recent_answers.ts
+++ b/src/appointed/instance/recent_answers.ts
@@ -1,13 +1,15 @@
 /**
- * Remembers the newest answers of one connection, to recognise a second copy of one. A copy is equal to the first one in every
- * field, its log position included.
+ * Remembers the answers of one connection for some time, to recognise a second copy of one. A copy is equal to the first one in
+ * every field, its log position included.
  */
 import type { InstanceAnswer } from './instance_connection.js';
 
 /** Signature of answers to commands that run no statement. */
 const NO_SIGNATURE = '-';
-/** Number of answers that are remembered: more than a connection carries in some seconds. */
-const CAPACITY = 512;
+/** Time for which an answer is remembered at least, in milliseconds. */
+const MEMORY_MS = 30_000;
+/** Number of answers after which older ones are forgotten sooner: more than a connection carries in that time. */
+const CAPACITY = 32_768;
 
 /** Whether the answer has a signature of its own, which no other answer has. */
 export function isSigned({ error, signature }: InstanceAnswer): boolean {
@@ -21,20 +23,26 @@
   return JSON.stringify([state, position, error, status, rows]);
 }
 
-/** Identities of the newest answers of one connection. */
+/**
+ * Identities of the answers of one connection, in two generations: when the newer one is old or full, it becomes the older one,
+ * and the one before is forgotten.
+ */
 export class RecentAnswers {
-  private readonly identities = new Set<string>();
+  private newer = new Set<string>();
+  private older = new Set<string>();
+  private newerSince = -Infinity;
 
   has(identity: string): boolean {
-    return this.identities.has(identity);
+    return this.newer.has(identity) || this.older.has(identity);
   }
 
-  /** Adds an identity, or makes it the newest one; forgets the oldest one beyond the capacity. */
-  add(identity: string): void {
-    this.identities.delete(identity);
-    this.identities.add(identity);
-    if (this.identities.size <= CAPACITY) return;
-    const [oldest] = this.identities;
-    if (oldest !== undefined) this.identities.delete(oldest);
+  /** @param now - time of its arrival, in milliseconds */
+  add(identity: string, now: number): void {
+    if (now - this.newerSince >= MEMORY_MS || this.newer.size >= CAPACITY) {
+      this.older = this.newer;
+      this.newer = new Set();
+      this.newerSince = now;
+    }
+    this.newer.add(identity);
   }
 }
