--- a/lab/appointed/virtual_instances.ts
+++ b/lab/appointed/virtual_instances.ts
@@ -92,6 +92,8 @@
 class VirtualInstanceChannel implements InstanceChannel {
   onMessage: (message: InstanceMessage) => void = () => undefined;
   onClosed: (reason: string) => void = () => undefined;
+  /** Messages of the simulator arrive whole. */
+  readonly isReceiving = false;
   private isClosedHere = false;
 
   constructor(
--- a/src/appointed/instance/instance_channel.ts
+++ b/src/appointed/instance/instance_channel.ts
@@ -29,6 +29,8 @@
   /** Closes at once. With `discardsUnsent`, nothing that the other side has not received is delivered any more. */
   close(discardsUnsent: boolean): void;
   readonly closed: boolean;
+  /** Whether a part of a message has arrived, and the rest has not. */
+  readonly isReceiving: boolean;
   onMessage: (message: InstanceMessage) => void;
   /** Called once when the channel was closed by the other side or failed; not after `close`. */
   onClosed: (reason: string) => void;
--- a/src/appointed/instance/instance_connection.ts
+++ b/src/appointed/instance/instance_connection.ts
@@ -56,6 +56,7 @@
    * Runs one command. Commands run in the order in which they were sent; several may be in flight.
    * @throws BackendConnectionLostError if the connection broke or `timeoutMs` passed; the
    *   connection is unusable then
+   * @throws UnsendableCommandError if the wire can't carry the command; nothing was sent
    */
   run(command: InstanceCommand, timeoutMs: number): Promise<InstanceAnswer>;
   /** Closes the connection at once. */
--- a/src/appointed/instance/matched_connection.ts
+++ b/src/appointed/instance/matched_connection.ts
@@ -131,8 +131,15 @@
     });
   }
 
-  /** Runs a command; closes the connection on a timeout. */
+  /**
+   * Runs a command; closes the connection on a timeout.
+   * @throws UnsendableCommandError
+   */
   run(command: InstanceCommand, timeoutMs: number): Promise<InstanceAnswer> {
+    // The rest of an answer to no command would become a part of the answer to this one.
+    if (this.pending.length === 0 && this.channel.isReceiving) {
+      this.closeUnexpected('a part of an answer to no command');
+    }
     if (this.isClosed) {
       const error = new BackendConnectionLostError('connection is closed', { sent: false });
       return Promise.reject(error);
@@ -155,9 +162,7 @@
       this.channel.send(pending.command);
     } catch (error) {
       if (!(error instanceof UnsendableCommandError)) throw error;
-      const { state } = this;
-      const refusal = { kind: 'malformed' as const, text: error.message };
-      pending.resolve({ rows: [], signature: '', error: refusal, state });
+      pending.reject(error);
       return;
     }
     this.pending.push(pending);
@@ -207,7 +212,7 @@
     const misfit = this.misfitOf(answer, isRepeated);
     const [pending] = this.pending;
     if (!pending || misfit !== undefined) {
-      this.handleMisfit(misfit ?? 'an answer to no command', isRepeated, isSigned(answer));
+      this.handleMisfit(misfit ?? 'an answer to no command', isRepeated, answer);
       return;
     }
     this.recent.add(identity, this.clock.now());
@@ -225,19 +230,27 @@
     return misfitOf(pending.command, this.state, answer);
   }
 
-  /** A copy is dropped. During a check, one without a signature may show that another copy was taken for an answer. */
-  private handleMisfit(reason: string, isRepeated: boolean, hasSignature: boolean): void {
-    const isHarmless = hasSignature || !this.pending[0]?.isCheck;
+  /**
+   * A copy is dropped. During a check, one without a signature may be the real answer in whose place another copy was taken; that is
+   * harmless only if both say that the command succeeded.
+   */
+  private handleMisfit(reason: string, isRepeated: boolean, answer: InstanceAnswer): void {
+    const isHarmless = isSigned(answer) || !this.pending[0]?.isCheck || this.tellsSuccess(answer);
     if (isRepeated && isHarmless) this.drop(reason);
     else this.closeUnexpected(reason);
   }
 
+  private tellsSuccess(misfit: InstanceAnswer): boolean {
+    const answers = [misfit, ...this.checked.map(({ answer }) => answer)];
+    return answers.every(({ error, status }) => !error && !status);
+  }
+
   private accept(pending: PendingCommand, answer: InstanceAnswer, isRepeated: boolean): void {
     if (pending.isCheck) {
       pending.resolve(answer);
       return;
     }
-    if (isSigned(answer)) {
+    if (isSigned(answer) || (!isRepeated && isOpening(pending, answer))) {
       this.confirm(this.unconfirmed.splice(0));
       pending.resolve(answer);
       return;
@@ -308,6 +321,11 @@
   }
 }
 
+/** Whether the answer opens a transaction: its state differs from those of the answers before it. */
+function isOpening({ command }: PendingCommand, { error }: InstanceAnswer): boolean {
+  return command.kind === 'begin' && !error;
+}
+
 /** Cancels the timer when one of both is called. */
 function settlingOnce<Value>(
   timer: Timer,
--- a/src/appointed/instance/recent_answers.ts
+++ b/src/appointed/instance/recent_answers.ts
@@ -11,6 +11,9 @@
 /** Number of answers after which older ones are forgotten sooner: more than a connection carries in that time. */
 const CAPACITY = 32_768;
 
+/** Length up to which texts of errors are compared. */
+const COMPARED_CHARACTERS = 200;
+
 /** Whether the answer has a signature of its own, which no other answer has. */
 export function isSigned({ error, signature }: InstanceAnswer): boolean {
   return !error && signature !== '' && signature !== NO_SIGNATURE;
@@ -20,7 +23,8 @@
 export function identityOf(answer: InstanceAnswer): string {
   if (isSigned(answer)) return answer.signature;
   const { rows, error, state, position, status } = answer;
-  return JSON.stringify([state, position, error, status, rows]);
+  const text = error?.text.slice(0, COMPARED_CHARACTERS);
+  return JSON.stringify([state, position, error?.kind, text, status, rows]);
 }
 
 /**
--- a/src/appointed/sessions/statement_runner.ts
+++ b/src/appointed/sessions/statement_runner.ts
@@ -7,6 +7,7 @@
  */
 import { BackendConnectionLostError, OwnerUnreachableError } from '../../errors/errors.js';
 import { whinyoke } from '../../protocol/generated/messages.js';
+import { UnsendableCommandError } from '../instance/instance_channel.js';
 import type { InstanceAnswer, InstanceErrorKind } from '../instance/instance_connection.js';
 import type { Position } from '../../positions/position.js';
 import { AcquireError, type AcquireFailure } from '../connections/acquire_error.js';
@@ -18,7 +19,8 @@
 import { isUrgentPriority } from '../placement/slow_start_budget.js';
 import type { AttemptFailure } from '../routing/refusal_cause.js';
 import { distrustShorterLog } from '../trust/primary_incarnation.js';
-import type { Target } from '../routing/target_planner.js';
+import { type Target, isTargetTrusted } from '../routing/target_planner.js';
+import { isInstanceAllowed } from '../routing/request_allowed_regions.js';
 
 const { PrimaryHealth } = whinyoke;
 
@@ -145,8 +147,8 @@
   }
 
   /**
-   * Loads the session and runs a command. The command is sent once the session's values are known to be loaded, together with the
-   * statement to prepare. The caller must release or discard the connection afterwards.
+   * Loads the session and runs a command. A statement is sent once the session's values are known to be loaded, together with what
+   * prepares it. The caller must release or discard the connection afterwards.
    */
   async attempt(
     pinned: PinnedConnection,
@@ -156,18 +158,41 @@
   ): Promise<Attempt> {
     const { clock } = this.context;
     const endAt = clock.now() + timeoutMs;
-    const loading = loadingCommands(pinned.pooled, content);
-    if (!(await this.loadAll(pinned, loading.values, timeoutMs))) return notLoaded(pinned);
+    const { values, prepared } = loadingCommands(pinned.pooled, content);
+    // A BEGIN has no effect without the statements that follow, which are sent once it has succeeded.
+    const isPipelined = values.length === 0 || command.kind === 'begin';
+    if (!isPipelined) {
+      if (!(await this.loadAll(pinned, values, timeoutMs))) return notLoaded(pinned);
+      const objection = this.objectionTo(pinned);
+      if (objection) return { outcome: 'notRun', cause: objection };
+    }
     const remainingMs = endAt - clock.now();
     if (remainingMs <= 0) return notLoaded(pinned);
-    const preparing = this.loadAll(pinned, loading.prepared, remainingMs);
+    const loading = this.loadAll(
+      pinned,
+      isPipelined ? [...values, ...prepared] : prepared,
+      remainingMs,
+    );
     const running = this.runObserved(pinned, command, remainingMs);
-    const [isPrepared, [result]] = await Promise.all([preparing, Promise.allSettled([running])]);
+    const [isLoaded, [result]] = await Promise.all([loading, Promise.allSettled([running])]);
     if (result.status === 'rejected') return failedAttempt(result.reason);
     const { value: answer } = result;
-    if (isPrepared) return { outcome: 'answered', answer };
+    if (isLoaded) return { outcome: 'answered', answer };
+    const { cause } = notLoaded(pinned);
     const isHarmless = answer.error !== undefined && isNotRun(answer.error.kind);
-    return isHarmless ? notLoaded(pinned) : { ...notLoaded(pinned), outcome: 'lost' };
+    return { outcome: isHarmless ? 'notRun' : 'lost', cause };
+  }
+
+  /** Why a statement must not be sent any more, though it could be sent before its session's values were loaded. */
+  private objectionTo({ target, pooled }: PinnedConnection): AttemptFailure | undefined {
+    const { context } = this;
+    const { instance, pool, allowedRegions } = target;
+    if (!isTargetTrusted(context, target)) return { kind: 'leaseEnded' };
+    const isOpen = context.instances.evacuationStageOf(instance) !== 'closed';
+    const isAllowed =
+      isInstanceAllowed(context, allowedRegions, instance) &&
+      pool.satisfiesResidency(pooled, allowedRegions);
+    return isOpen && isAllowed ? undefined : { kind: 'zoneEvacuated' };
   }
 
   /** Runs loading commands, pipelined; returns whether all succeeded. */
@@ -230,18 +255,24 @@
     const snapshot = { at: sentAt, knownPosition };
     const tracker = epoch === undefined ? undefined : this.context.primaryHealth.of(group, epoch);
     const mayCommit = command.kind === 'commit' || isWrite(command);
-    const onEnded = pooled.isRelayed ? undefined : tracker?.onStatementSent(mayCommit, sentAt);
+    const sentStatement = pooled.isRelayed
+      ? undefined
+      : tracker?.onStatementSent(mayCommit, sentAt);
     load.outstanding++;
     try {
       const answer = await pooled.connection.run(command, timeoutMs);
       const now = clock.now();
-      onEnded?.(true, now);
+      sentStatement?.end(true, now);
       if (pooled.isRelayed) tracker?.onOwnerAnswered();
       this.reportAnswer(pinned, answer, snapshot, command.kind === 'data');
       if (command.kind === 'begin' && !answer.error) pinned.inTransaction = true;
       return answer;
     } catch (error) {
-      onEnded?.(false, clock.now());
+      if (error instanceof UnsendableCommandError) {
+        sentStatement?.cancel();
+        return unsendableAnswer(error, pinned.inTransaction);
+      }
+      sentStatement?.end(false, clock.now());
       if (error instanceof OwnerUnreachableError) tracker?.onOwnersSilent(clock.now());
       if (isInstanceFault(pinned, error)) load.recordFailure(clock.now());
       throw error;
@@ -320,6 +351,12 @@
   return { outcome: 'notRun', cause: { kind: 'sessionNotLoaded' } };
 }
 
+/** Answer in place of the instance's to a command that can't be sent. */
+function unsendableAnswer({ message }: Error, inTransaction: boolean): InstanceAnswer {
+  const error = { kind: 'malformed' as const, text: message };
+  return { rows: [], signature: '', error, state: inTransaction ? 'failed' : 'idle' };
+}
+
 /** Outcome of an attempt whose connection failed. */
 function failedAttempt(reason: unknown): Attempt {
   const message = reason instanceof Error ? reason.message : 'connection lost';
--- a/src/appointed/trust/primary_health_tracker.ts
+++ b/src/appointed/trust/primary_health_tracker.ts
@@ -43,6 +43,14 @@
   readonly newestAt: number;
 }
 
+/** A statement whose answer is awaited. */
+interface SentStatement {
+  /** Records its end. */
+  end(isAnswered: boolean, endedAt: number): void;
+  /** It was not sent after all, so it says nothing of the primary. */
+  cancel(): void;
+}
+
 /** Statements of one kind that were sent and have no answer yet. */
 class UnansweredStatements {
   private readonly sentTimes = new Map<number, number>();
@@ -57,6 +65,11 @@
     return key;
   }
 
+  /** Forgets a statement that was not sent after all. */
+  cancel(key: number): void {
+    this.sentTimes.delete(key);
+  }
+
   end(key: number, isAnswered: boolean, now: number): void {
     const sentAt = this.sentTimes.get(key);
     this.sentTimes.delete(key);
@@ -100,12 +113,19 @@
   private failure: { health: whinyoke.PrimaryHealth; since: number } | undefined;
 
   /** Records a statement that was sent; the returned function records its end. */
-  onStatementSent(mayCommit: boolean, now: number): (isAnswered: boolean, endedAt: number) => void {
-    const keys = { all: this.all.start(now), commit: mayCommit ? this.commits.start(now) : 0 };
-    return (isAnswered, endedAt) => {
-      this.all.end(keys.all, isAnswered, endedAt);
-      if (mayCommit) this.commits.end(keys.commit, isAnswered, endedAt);
-      if (isAnswered) this.failure = undefined;
+  onStatementSent(mayCommit: boolean, now: number): SentStatement {
+    const key = this.all.start(now);
+    const commitKey = mayCommit ? this.commits.start(now) : undefined;
+    return {
+      end: (isAnswered, endedAt) => {
+        this.all.end(key, isAnswered, endedAt);
+        if (commitKey !== undefined) this.commits.end(commitKey, isAnswered, endedAt);
+        if (isAnswered) this.failure = undefined;
+      },
+      cancel: () => {
+        this.all.cancel(key);
+        if (commitKey !== undefined) this.commits.cancel(commitKey);
+      },
     };
   }
 
--- a/test/tools/model_instance.ts
+++ b/test/tools/model_instance.ts
@@ -35,6 +35,7 @@
   onMessage: (message: InstanceMessage) => void = () => undefined;
   onClosed: (reason: string) => void = () => undefined;
   closed = false;
+  readonly isReceiving = false;
   state: TransactionState = 'idle';
   /** Commands that were received and not run, in their order. */
   readonly queue: Fate[] = [];
--- a/test/unit/answer_matching.test.ts
+++ b/test/unit/answer_matching.test.ts
@@ -33,6 +33,7 @@
   onMessage: (message: InstanceMessage) => void = () => undefined;
   onClosed: (reason: string) => void = () => undefined;
   closed = false;
+  isReceiving = false;
   readonly sent: string[] = [];
   readonly unexpected: UnexpectedAnswer[] = [];
   readonly connection = new MatchedConnection(this, new RealClock(), (item) =>
@@ -252,6 +253,14 @@
   t.same(instance.sent, ['set', 'prepare', 'data'], 'without a check');
 });
 
+void t.test('an answer does not begin with the rows of a copy that broke off', async (t) => {
+  const instance = await started(t);
+  instance.isReceiving = true;
+  await t.rejects(instance.run(READ), /closed/);
+  t.same(instance.sent, [], 'the read is not sent');
+  t.match(instance.unexpected, [{ outcome: 'closed' }]);
+});
+
 void t.test('bytes that are no message end the connection and what was asked on it', async (t) => {
   const instance = await started(t);
   const write = instance.run(WRITE);
--- a/test/unit/router.test.ts
+++ b/test/unit/router.test.ts
@@ -112,13 +112,13 @@
   const commit = tracker.onStatementSent(true, 100);
   t.equal(tracker.healthReport(340), undefined);
   t.equal(tracker.healthReport(600)?.health, PrimaryHealth.SILENT);
-  first(true, 610);
+  first.end(true, 610);
   t.equal(
     tracker.healthReport(620)?.health,
     PrimaryHealth.SILENT,
     'reads are answered but a commit is not',
   );
-  commit(true, 700);
+  commit.end(true, 700);
   t.equal(tracker.healthReport(710)?.health, PrimaryHealth.HEALTHY);
   tracker.onFailure(PrimaryHealth.REFUSING, 800);
   t.match(tracker.healthReport(900), { health: PrimaryHealth.REFUSING, sinceMs: 100 });
@@ -128,11 +128,11 @@
 void t.test('timeouts of single statements do not hide that a primary is unresponsive', (t) => {
   const tracker = new PrimaryHealthTracker();
   const timeOutStatement = (sentAt: number): void =>
-    tracker.onStatementSent(true, sentAt)(false, sentAt + 800);
+    tracker.onStatementSent(true, sentAt).end(false, sentAt + 800);
   for (const sentAt of [0, 900, 1800]) timeOutStatement(sentAt);
   tracker.onStatementSent(true, 2700);
   t.match(tracker.healthReport(3100), { health: PrimaryHealth.SILENT, sinceMs: 3100 });
-  tracker.onStatementSent(true, 3110)(true, 3120);
+  tracker.onStatementSent(true, 3110).end(true, 3120);
   timeOutStatement(3200);
   tracker.onStatementSent(true, 9000);
   t.match(
