--- a/src/appointed/sessions/statement_runner.ts
+++ b/src/appointed/sessions/statement_runner.ts
@@ -18,6 +18,7 @@
 import type { CancelReservation } from '../placement/slow_start_gate.js';
 import { isUrgentPriority } from '../placement/slow_start_budget.js';
 import type { AttemptFailure } from '../routing/refusal_cause.js';
+import type { PrimaryHealthTracker } from '../trust/primary_health_tracker.js';
 import { distrustShorterLog } from '../trust/primary_incarnation.js';
 import { type Target, isTargetTrusted } from '../routing/target_planner.js';
 import { isInstanceAllowed } from '../routing/request_allowed_regions.js';
@@ -273,14 +274,24 @@
         return unsendableAnswer(error, pinned.inTransaction);
       }
       sentStatement?.end(false, clock.now());
-      if (error instanceof OwnerUnreachableError) tracker?.onOwnersSilent(clock.now());
-      if (isInstanceFault(pinned, error)) load.recordFailure(clock.now());
+      this.reportFailure(pinned, error, tracker);
       throw error;
     } finally {
       load.outstanding--;
     }
   }
 
+  /** Updates the load of the instance, and health of a primary, from a command without an answer. */
+  private reportFailure(
+    pinned: PinnedConnection,
+    error: unknown,
+    tracker: PrimaryHealthTracker | undefined,
+  ): void {
+    const now = this.context.clock.now();
+    if (error instanceof OwnerUnreachableError) tracker?.onOwnersSilent(now);
+    if (isInstanceFault(pinned, error)) pinned.target.pool.load.recordFailure(now);
+  }
+
   /** Whether slow start allows a command to be sent now. For a relayed connection, the connection owner checks this. */
   private canSend(pinned: PinnedConnection, { kind }: InstanceCommand): boolean {
     const isCounted = kind === 'data' || kind === 'commit';
