A line that is too long drops nothing but itself and what follows

The reader of lines threw at a line over 1 MiB: whole messages of the same chunk before it were lost, and each further chunk was kept and gave another broken message, without a limit, until the caller's connection was gone. A line of 1 MiB and a CR was read or refused depending on where it was cut.

(A socket hands over 64 KiB at most, so that there the lost messages could not be provoked; the growth could.)

--- a/test/unit/platform_codec.test.ts
+++ b/test/unit/platform_codec.test.ts
@@ -12,7 +12,7 @@
   parsePosition,
   parseStatement,
 } from '../../platform/line_codec.js';
-import { LineReader } from '../../platform/line_reader.js';
+import { LineReader, MAXIMUM_LINE_BYTES } from '../../platform/line_reader.js';
 import { PlatformDocumentReader } from '../../platform/routing_document.js';
 import { readControlSettings, readProxySettings } from '../../platform/settings.js';
 import { sharedPreparedName } from '../../src/appointed/instance/statement.js';
@@ -49,6 +49,34 @@
   t.end();
 });
 
+void t.test('whole messages before one that is too long are not dropped with it', (t) => {
+  const whole = 'QUERY 1 COMMIT\r\nTERMINATE\r\n';
+  const reader = new LineCallerCodec().newReader();
+  const messages = reader.push(Buffer.from(`${whole}${'x'.repeat(MAXIMUM_LINE_BYTES + 1)}`));
+  const kinds = messages.map(({ kind }) => kind);
+  t.same(kinds, ['query', 'terminate', 'broken']);
+  t.same(reader.push(Buffer.from(`\r\n${whole}`)), [], 'nothing after it is a message');
+  t.end();
+});
+
+void t.test('the longest line is read, and a longer one is not, wherever it is cut', (t) => {
+  for (const [line, isRead] of [
+    ['x'.repeat(MAXIMUM_LINE_BYTES), true],
+    [`${'x'.repeat(MAXIMUM_LINE_BYTES - 1)}\r`, true],
+    ['x'.repeat(MAXIMUM_LINE_BYTES + 1), false],
+    [`${'x'.repeat(MAXIMUM_LINE_BYTES)}\r`, false],
+  ] as const) {
+    const bytes = Buffer.from(`${line}\r\n`);
+    for (let cut = bytes.length - 4; cut <= bytes.length; cut++) {
+      const reader = new LineReader();
+      const lines = [...reader.push(bytes.subarray(0, cut)), ...reader.push(bytes.subarray(cut))];
+      t.equal(lines.length, isRead ? 1 : 0, `${line.length} bytes, cut at ${cut}`);
+      t.equal(reader.hasOverflowed, !isRead);
+    }
+  }
+  t.end();
+});
+
 void t.test('caller statements are parsed, and invalid ones are malformed', (t) => {
   t.same(parseStatement('BEGIN READ'), { kind: 'begin', readOnly: true });
   t.same(parseStatement('WRITE k a b  c'), { kind: 'write', argument: 'k a b  c' });
