A state or an error code that every object inherits is none of the protocol's

The codes of errors and the states were looked up in plain objects: 'ERROR constructor' gave a function in the place of the kind of error, and 'READY toString -' a function in the place of the state, where the line is no message.

--- a/test/unit/platform_codec.test.ts
+++ b/test/unit/platform_codec.test.ts
@@ -157,6 +157,19 @@
   t.end();
 });
 
+void t.test(
+  'a state or an error code that every object inherits is none that the protocol lists',
+  (t) => {
+    for (const word of ['constructor', '__proto__', 'toString']) {
+      const reader = new AnswerReader();
+      reader.push(`ERROR ${word} text`);
+      t.match(reader.push('READY I -'), { answer: { error: { kind: 'other', text: 'text' } } });
+      t.throws(() => reader.push(`READY ${word} -`), RangeError);
+    }
+    t.end();
+  },
+);
+
 void t.test('replies to callers carry rows, error, state and position', (t) => {
   t.equal(encodeReply(successReply('open')), 'COMPLETE -\r\nREADY T -\r\n');
   t.equal(
