No line over 1 MiB is written to a caller

An error whose text nearly fills a line became longer than one, since the code for callers may be longer than the instance's; rows were not measured.

--- a/test/unit/platform_codec.test.ts
+++ b/test/unit/platform_codec.test.ts
@@ -170,6 +170,16 @@
   },
 );
 
+void t.test('an error or a row that is too long for a line is not written as one', (t) => {
+  const longest = 'x'.repeat(MAXIMUM_LINE_BYTES);
+  const read = (text: string): string[] => new LineReader().push(Buffer.from(text, 'latin1'));
+  const error = read(encodeReply(errorReply('failed', longest, 'idle')));
+  t.same([error.length, error[1]], [2, 'READY I -']);
+  const row = read(encodeReply({ rows: [longest], signature: '7.1', state: 'idle' }));
+  t.same(row, ['ERROR FAILED the answer can not be passed on', 'READY I -']);
+  t.end();
+});
+
 void t.test('replies to callers carry rows, error, state and position', (t) => {
   t.equal(encodeReply(successReply('open')), 'COMPLETE -\r\nREADY T -\r\n');
   t.equal(
