The name of a prepared statement stands for one shape beyond Latin-1 too

The digest was made of the low byte of each character, so that a shape with U+0141 had the name of the shape with A. The line protocol reads bytes and gives no such shape; the name no longer depends on that.

--- a/src/appointed/instance/statement.ts
+++ b/src/appointed/instance/statement.ts
@@ -70,6 +70,8 @@
  * the text, so that it stands for one shape whatever callers choose, and holds no blank.
  */
 export function sharedPreparedName({ access, shape }: PreparedShape): string {
-  const digest = createHash('sha256').update(`${access} ${shape}`, 'latin1').digest('base64url');
+  // Of the encodings, only this one gives different texts different bytes.
+  const bytes = Buffer.from(`${access} ${shape}`, 'utf16le');
+  const digest = createHash('sha256').update(bytes).digest('base64url');
   return digest.slice(0, NAME_CHARACTERS);
 }
--- a/test/unit/wire_names.test.ts
+++ b/test/unit/wire_names.test.ts
@@ -4,6 +4,7 @@
 import { encodeStart } from '../../platform/line_codec.js';
 import { nameFromWire } from '../../platform/line_fields.js';
 import { UnsendableCommandError } from '../../src/appointed/instance/instance_channel.js';
+import { sharedPreparedName } from '../../src/appointed/instance/statement.js';
 import type { CallerMessage } from '../../src/appointed/sessions/caller_channel.js';
 
 /** The low byte of each character is a CR, an LF, a blank and an A. */
@@ -49,3 +50,11 @@
   }
   t.end();
 });
+
+void t.test('shapes whose characters have the same low bytes have different names', (t) => {
+  const [one, other] = ['\u0141', 'A'].map((shape) =>
+    sharedPreparedName({ access: 'read', shape }),
+  );
+  t.not(one, other);
+  t.end();
+});
