A prepared name that could not be removed is removed with the next one

Beyond 256 names on a connection, each PREPARE removes one name. A removal that an instance refused was never made up for, so that the names on the connection could grow without a bound. All names in excess are removed now.

The new property compares the record of a connection with what its instance holds, with refused commands, over more than 256 names: no difference was found, before or after.

--- a/src/appointed/sessions/session_loader.ts
+++ b/src/appointed/sessions/session_loader.ts
@@ -48,7 +48,7 @@
   return { values, prepared: preparingCommands(pooled, content.prepared, isReset) };
 }
 
-/** Prepares a shape; beyond the maximum number of names, the one prepared first is removed. */
+/** Prepares a shape; beyond the maximum number of names, the ones prepared first are removed. */
 function preparingCommands(
   { preparedShapes }: PooledConnection,
   prepared: PreparedShape | undefined,
@@ -57,12 +57,11 @@
   if (!prepared) return [];
   if (isReset) return [{ kind: 'prepare', prepared }];
   if (preparedShapes.has(sharedPreparedName(prepared))) return [];
-  const [oldest] = preparedShapes.values();
-  const isFull = oldest !== undefined && preparedShapes.size >= MAXIMUM_PREPARED_SHAPES;
-  return [
-    ...(isFull ? [{ kind: 'deallocate' as const, prepared: oldest }] : []),
-    { kind: 'prepare', prepared },
-  ];
+  // More than one if the instance refused to remove one before.
+  const excess = Math.max(preparedShapes.size + 1 - MAXIMUM_PREPARED_SHAPES, 0);
+  const oldest = excess > 0 ? [...preparedShapes.values()].slice(0, excess) : [];
+  const removals = oldest.map((shape) => ({ kind: 'deallocate', prepared: shape }) as const);
+  return [...removals, { kind: 'prepare', prepared }];
 }
 
 /** Records on the connection that a loading command has succeeded. */
