--- a/test/unit/platform_codec.test.ts
+++ b/test/unit/platform_codec.test.ts
@@ -284,6 +284,14 @@
   t.end();
 });
 
+void t.test('hosts and prefixes that only look alike when they are joined are different', (t) => {
+  const text = documentText().replace('"db1","path_prefix":"/"', '"db","path_prefix":"1\\n/"');
+  const other = text.replace('"db2"', '"db\\n1","path_prefix":"/"');
+  t.not(other, text);
+  t.doesNotThrow(() => new PlatformDocumentReader().read(other));
+  t.end();
+});
+
 void t.test('a valid command line is parsed without yargs; any other is left to yargs', (t) => {
   t.same(readPlainCommand(['proxy', '--metrics-port', '9100']), {
     program: 'proxy',
