--- a/test/unit/platform_codec.test.ts
+++ b/test/unit/platform_codec.test.ts
@@ -292,6 +292,14 @@
   t.end();
 });
 
+void t.test('the name of a node holds nothing that a header can not hold', (t) => {
+  for (const name of ['n\r1', 'n\t1', 'n\u00001']) {
+    const text = SETTINGS.join('\n').replace('node_name=n-1', `node_name=${name}`);
+    t.throws(() => readControlSettings(text), /node_name/);
+  }
+  t.end();
+});
+
 void t.test('a valid command line is parsed without yargs; any other is left to yargs', (t) => {
   t.same(readPlainCommand(['proxy', '--metrics-port', '9100']), {
     program: 'proxy',
--- a/test/unit/promotion_client.test.ts
+++ b/test/unit/promotion_client.test.ts
@@ -28,10 +28,16 @@
   readonly onConnection: (socket: Socket) => unknown;
   /** Milliseconds between preparing and sending. */
   readonly pauseMs: number;
+  /** Name of the control machine that calls. */
+  readonly holder?: string;
 }
 
 /** Prepares and sends one call; resolves with its outcome and what the platform received. */
-async function call({ onConnection, pauseMs }: Trial): Promise<readonly [string, string]> {
+async function call({
+  onConnection,
+  pauseMs,
+  holder = 'h',
+}: Trial): Promise<readonly [string, string]> {
   let received = '';
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
@@ -39,7 +45,7 @@
     onConnection(socket);
   });
   const client = new PromotionClient(await listen(server));
-  const prepared = await client.prepare('g', 'i-1', { holder: 'h', token: 1 });
+  const prepared = await client.prepare('g', 'i-1', { holder, token: 1 });
   await new Promise((resolve) => setTimeout(resolve, pauseMs));
   const outcome = prepared ? await withinPatience(prepared.send()) : 'not prepared';
   await new Promise((resolve) => setTimeout(resolve, 50));
@@ -66,6 +72,14 @@
   t.match(received, /^POST \/promotion HTTP\/1.1\r\n[^]*\r\n\r\n\{"service":"g","id":"i-1"\}$/);
 });
 
+void t.test('a holder with a name beyond Latin-1 is sent as UTF-8', async (t) => {
+  const onConnection = (socket: Socket): void => answerWhole(socket, OK);
+  const holder = 'Zabok-\u010d\u010a';
+  const [outcome, received] = await call({ onConnection, pauseMs: 20, holder });
+  t.equal(outcome, 'APPOINTED');
+  t.match(received, `whinyoke-lease-holder: ${holder}\r\n`);
+});
+
 void t.test('an answer before the request was sent ends the call', async (t) => {
   const [kept] = await call({
     onConnection: (socket) => socket.write(REQUEST_TIMEOUT),
