--- a/src/appointed/tenancy/tenant.ts
+++ b/src/appointed/tenancy/tenant.ts
@@ -50,6 +50,11 @@
     return this.#tenantByName.get(name);
   }
 
+  /** Names of all tenants. */
+  get names(): string[] {
+    return [...this.#tenantByName.keys()];
+  }
+
   get size(): number {
     return this.#tenantByName.size;
   }
--- a/test/unit/foreign_heartbeats.test.ts
+++ b/test/unit/foreign_heartbeats.test.ts
@@ -117,6 +117,22 @@
   t.match(changes, [{ beat: { instance: { id: 'i-1', group: 'g', slots: 2, sequence: 4 } } }]);
 });
 
+void t.test(
+  'a new configuration with a name that no message can hold gets a 400 status',
+  async (t) => {
+    const { changes, port } = await serveApi(t);
+    const replace = (from: string, to: string): Promise<number | undefined> =>
+      call(port, '/configuration/replace', documentWith(2, {}).replaceAll(`"${from}"`, `"${to}"`));
+    for (const name of ['db', 'g', 'ana']) {
+      for (const invalid of ['a b', 'a\\r\\nb', '\\ud800']) {
+        t.equal(await replace(name, invalid), 400, `${name}: ${invalid}`);
+      }
+    }
+    t.equal(changes.length, 0);
+    t.equal(await replace('db', 'caf\u00e9\u010d'), 200, 'any other character can be sent');
+  },
+);
+
 void t.test('an unexpected error gets a 500 status, not a 4xx', async (t) => {
   const { events, port } = await serveApi(t, true);
   t.equal(await postHeartbeat(port, {}), 500);
