--- a/test/unit/platform_codec.test.ts
+++ b/test/unit/platform_codec.test.ts
@@ -12,7 +12,7 @@
   parsePosition,
   parseStatement,
 } from '../../platform/line_codec.js';
-import { LineReader } from '../../platform/line_reader.js';
+import { LineReader, MAXIMUM_LINE_BYTES } from '../../platform/line_reader.js';
 import { PlatformDocumentReader } from '../../platform/routing_document.js';
 import { readControlSettings, readProxySettings } from '../../platform/settings.js';
 import { sharedPreparedName } from '../../src/appointed/instance/statement.js';
@@ -49,6 +49,34 @@
   t.end();
 });
 
+void t.test('whole messages before one that is too long are not dropped with it', (t) => {
+  const whole = 'QUERY 1 COMMIT\r\nTERMINATE\r\n';
+  const reader = new LineCallerCodec().newReader();
+  const messages = reader.push(Buffer.from(`${whole}${'x'.repeat(MAXIMUM_LINE_BYTES + 1)}`));
+  const kinds = messages.map(({ kind }) => kind);
+  t.same(kinds, ['query', 'terminate', 'broken']);
+  t.same(reader.push(Buffer.from(`\r\n${whole}`)), [], 'nothing after it is a message');
+  t.end();
+});
+
+void t.test('the longest line is read, and a longer one is not, wherever it is cut', (t) => {
+  for (const [line, isRead] of [
+    ['x'.repeat(MAXIMUM_LINE_BYTES), true],
+    [`${'x'.repeat(MAXIMUM_LINE_BYTES - 1)}\r`, true],
+    ['x'.repeat(MAXIMUM_LINE_BYTES + 1), false],
+    [`${'x'.repeat(MAXIMUM_LINE_BYTES)}\r`, false],
+  ] as const) {
+    const bytes = Buffer.from(`${line}\r\n`);
+    for (let cut = bytes.length - 4; cut <= bytes.length; cut++) {
+      const reader = new LineReader();
+      const lines = [...reader.push(bytes.subarray(0, cut)), ...reader.push(bytes.subarray(cut))];
+      t.equal(lines.length, isRead ? 1 : 0, `${line.length} bytes, cut at ${cut}`);
+      t.equal(reader.hasOverflowed, !isRead);
+    }
+  }
+  t.end();
+});
+
 void t.test('caller statements are parsed, and invalid ones are malformed', (t) => {
   t.same(parseStatement('BEGIN READ'), { kind: 'begin', readOnly: true });
   t.same(parseStatement('WRITE k a b  c'), { kind: 'write', argument: 'k a b  c' });
@@ -129,6 +157,29 @@
   t.end();
 });
 
+void t.test(
+  'a state or an error code that every object inherits is none that the protocol lists',
+  (t) => {
+    for (const word of ['constructor', '__proto__', 'toString']) {
+      const reader = new AnswerReader();
+      reader.push(`ERROR ${word} text`);
+      t.match(reader.push('READY I -'), { answer: { error: { kind: 'other', text: 'text' } } });
+      t.throws(() => reader.push(`READY ${word} -`), RangeError);
+    }
+    t.end();
+  },
+);
+
+void t.test('an error or a row that is too long for a line is not written as one', (t) => {
+  const longest = 'x'.repeat(MAXIMUM_LINE_BYTES);
+  const read = (text: string): string[] => new LineReader().push(Buffer.from(text, 'latin1'));
+  const error = read(encodeReply(errorReply('failed', longest, 'idle')));
+  t.same([error.length, error[1]], [2, 'READY I -']);
+  const row = read(encodeReply({ rows: [longest], signature: '7.1', state: 'idle' }));
+  t.same(row, ['ERROR FAILED the answer can not be passed on', 'READY I -']);
+  t.end();
+});
+
 void t.test('replies to callers carry rows, error, state and position', (t) => {
   t.equal(encodeReply(successReply('open')), 'COMPLETE -\r\nREADY T -\r\n');
   t.equal(
@@ -233,6 +284,22 @@
   t.end();
 });
 
+void t.test('hosts and prefixes that only look alike when they are joined are different', (t) => {
+  const text = documentText().replace('"db1","path_prefix":"/"', '"db","path_prefix":"1\\n/"');
+  const other = text.replace('"db2"', '"db\\n1","path_prefix":"/"');
+  t.not(other, text);
+  t.doesNotThrow(() => new PlatformDocumentReader().read(other));
+  t.end();
+});
+
+void t.test('the name of a node holds nothing that a header can not hold', (t) => {
+  for (const name of ['n\r1', 'n\t1', 'n\u00001']) {
+    const text = SETTINGS.join('\n').replace('node_name=n-1', `node_name=${name}`);
+    t.throws(() => readControlSettings(text), /node_name/);
+  }
+  t.end();
+});
+
 void t.test('a valid command line is parsed without yargs; any other is left to yargs', (t) => {
   t.same(readPlainCommand(['proxy', '--metrics-port', '9100']), {
     program: 'proxy',
