MySQL: run each of several commands that arrive together, not the last one again

Cause: the library reads every packet into the same object. The caller's connection kept that object until the commands ahead were answered, so a command that arrived in one piece with the next one ran with the text of the next.

Change: each command keeps a copy of its packet.

--- a/src/mysql/frontend/caller_connection.ts
+++ b/src/mysql/frontend/caller_connection.ts
@@ -218,7 +218,7 @@
   private takeOverCommands(): void {
     this.connection.sequenceId = 0;
     this.connection._command.execute = (packet) => {
-      this.enqueue(packet, packet.readInt8());
+      this.enqueue(packet.clone(), packet.readInt8());
       return false;
     };
   }
--- a/src/mysql/wire/packet.ts
+++ b/src/mysql/wire/packet.ts
@@ -27,6 +27,8 @@
   isError(): boolean;
   isEOF(): boolean;
   length(): number;
+  /** A copy that stays as it is: the library reads the next packet into the same object. */
+  clone(): Packet;
 }
 
 /** Bytes in front of each packet: three of length, one of sequence. */
