MySQL: an answer that is out of sequence or continues ends the connection

Cause: an answer was matched with a statement by its place alone; the library only warns of a sequence number that does not fit. And an answer of several results, as of CALL, was done with the first: the statement was acknowledged before it had ended, and the rest was left on the pooled connection for the next statement.

Change: each packet must have the next sequence number, and a result that others follow is not an answer; otherwise the connection ends and the statement may have run. Instances are no longer told that several results and files can be taken, so that they refuse such statements.

--- a/src/mysql/backend/client_connection.ts
+++ b/src/mysql/backend/client_connection.ts
@@ -12,6 +12,8 @@
 /** The part of the library's connection that raw commands use. */
 export interface ClientConnection {
   readonly stream: Socket;
+  /** Sequence number of the next packet in either direction. */
+  readonly sequenceId: number;
   addCommand(command: LibraryCommand): void;
   pause(): void;
   resume(): void;
--- a/src/mysql/backend/mysql_connector.ts
+++ b/src/mysql/backend/mysql_connector.ts
@@ -66,6 +66,7 @@
         },
         reject: (error) => {
           this.unanswered.delete(command);
+          if (error instanceof BackendConnectionLostError) this.close(error.message);
           reject(error);
         },
       });
@@ -96,7 +97,8 @@
       connectTimeout: timeoutMs,
       // The library sets this much memory aside for each connection; none is used here.
       maxPreparedStatements: 1,
-      flags: ['SESSION_TRACK'],
+      // Callers can't be given several results or asked for a file: instances refuse such statements then.
+      flags: ['SESSION_TRACK', '-MULTI_RESULTS', '-PS_MULTI_RESULTS', '-LOCAL_FILES'],
     });
     return new Promise((resolve, reject) => {
       const fail = (error: unknown): void => {
--- a/src/mysql/backend/raw_command.ts
+++ b/src/mysql/backend/raw_command.ts
@@ -1,8 +1,16 @@
 /**
  * A command for the `mysql2` client that passes result packets on without decoding them. Decoding and
  * encoding each row would be most of the proxy's work.
+ *
+ * An answer is tied to its command by the order on the connection and by the sequence numbers of its packets. What breaks the
+ * sequence may belong to another command, and a result that others follow is not the whole answer: both end the connection.
  */
-import { DatabaseError, ER_UNKNOWN_ERROR, SQL_STATE_GENERAL } from '../../errors/errors.js';
+import {
+  BackendConnectionLostError,
+  DatabaseError,
+  ER_UNKNOWN_ERROR,
+  SQL_STATE_GENERAL,
+} from '../../errors/errors.js';
 import { type Packet, framed, payloadOf } from '../wire/packet.js';
 import type { Completion, ResultSink } from '../wire/result.js';
 import { OK_MARKER, SESSION_TRACK_GTIDS, StatusFlag } from '../wire/protocol.js';
@@ -11,9 +19,16 @@
 /** Where the outcome of a command goes. */
 export interface CommandOutcome {
   resolve(completion: Completion): void;
+  /** With a {@link BackendConnectionLostError}, the connection can't be used any more. */
   reject(error: Error): void;
 }
 
+/** End of an answer as the instance tells it. */
+interface AnswerEnd extends Omit<Completion, 'inTransaction'> {
+  /** One or more of {@link StatusFlag}. */
+  readonly status: number;
+}
+
 type Phase = 'start' | 'header' | 'columns' | 'rows' | 'done';
 
 /** One command and its answer. */
@@ -21,6 +36,8 @@
   private phase: Phase = 'start';
   private readonly definitions: Buffer[] = [];
   private columnCount = 0;
+  /** Sequence number that the next packet of the answer has. */
+  private nextSequence = 0;
 
   constructor(
     private readonly payload: Buffer,
@@ -41,6 +58,8 @@
       return false;
     }
     if (!packet || this.phase === 'done') return true;
+    if (packet.sequenceId !== this.nextSequence) return this.breakOff('a packet out of sequence');
+    this.nextSequence = connection.sequenceId;
     if (packet.isError()) return this.finishWithError(packet);
     switch (this.phase) {
       case 'header':
@@ -65,6 +84,7 @@
     connection._resetSequenceId();
     const bytes = framed(this.payload);
     connection.writePacket(new OutgoingPacket(bytes));
+    this.nextSequence = connection.sequenceId;
   }
 
   private readHeader(packet: Packet): boolean {
@@ -88,12 +108,7 @@
     if (packet.isEOF()) {
       packet.skip(3);
       const status = packet.readInt16();
-      return this.finish({
-        affectedRows: 0,
-        insertId: 0,
-        info: '',
-        inTransaction: (status & StatusFlag.inTransaction) !== 0,
-      });
+      return this.finish({ affectedRows: 0, insertId: 0, info: '', status });
     }
     this.sink.row(packet.buffer.subarray(packet.start, packet.end));
     const ready = this.sink.readyForMore?.();
@@ -104,9 +119,16 @@
     return false;
   }
 
-  private finish(completion: Completion): boolean {
+  private finish({ status, ...completion }: AnswerEnd): boolean {
+    if (status & StatusFlag.moreResults) return this.breakOff('an answer of several results');
     this.phase = 'done';
-    this.outcome.resolve(completion);
+    const inTransaction = (status & StatusFlag.inTransaction) !== 0;
+    this.outcome.resolve({ ...completion, inTransaction });
+    return true;
+  }
+
+  private breakOff(reason: string): boolean {
+    this.fail(new BackendConnectionLostError(reason, { sent: true }));
     return true;
   }
 
@@ -135,7 +157,7 @@
   }
 }
 
-function readOk(packet: Packet): Completion {
+function readOk(packet: Packet): AnswerEnd {
   packet.skip(1);
   const affectedRows = packet.readLengthCodedNumber() ?? 0;
   const insertId = packet.readLengthCodedNumber() ?? 0;
@@ -149,7 +171,7 @@
     insertId,
     info,
     gtid: changed ? readGtid(packet) : undefined,
-    inTransaction: (status & StatusFlag.inTransaction) !== 0,
+    status,
   };
 }
 
--- a/src/mysql/wire/packet.ts
+++ b/src/mysql/wire/packet.ts
@@ -11,6 +11,8 @@
   /** Offset of the header in `buffer`. */
   readonly start: number;
   readonly end: number;
+  /** Number of the packet within its command and answer, modulo 256. */
+  readonly sequenceId: number;
   offset: number;
   readInt8(): number;
   readInt16(): number;
--- a/src/mysql/wire/protocol.ts
+++ b/src/mysql/wire/protocol.ts
@@ -32,6 +32,7 @@
 export const StatusFlag = {
   inTransaction: 0x1,
   autocommit: 0x2,
+  moreResults: 0x8,
   sessionStateChanged: 0x4000,
 } as const;
 
--- a/test/tools/mysql_frames.ts
+++ b/test/tools/mysql_frames.ts
@@ -13,3 +13,8 @@
 export function queryFrame(sql: string): Buffer {
   return frameOf(0, Buffer.concat([Buffer.from([Command.query]), Buffer.from(sql)]));
 }
+
+/** An OK packet for one affected row. */
+export function okFrame(sequence: number, statusFlags: number): Buffer {
+  return frameOf(sequence, Buffer.from([0, 1, 0, statusFlags, 0, 0, 0]));
+}
