MySQL: a transaction that a statement leaves open is neither acknowledged nor handed on

Cause: a single statement can leave a transaction open, as CALL of a procedure with START TRANSACTION does. Its connection went back to the pool as clean, so that the next caller's write ran inside that transaction, and both were acknowledged without a commit.

Change: such a connection is reset before it is used again, and the statement may have run.

--- a/src/mysql/gateway/slot_execution.ts
+++ b/src/mysql/gateway/slot_execution.ts
@@ -42,24 +42,27 @@
 }
 
 /**
- * Takes a connection and a slot, in this order: a wait for a connection must not hold a slot.
+ * Takes a connection and a slot, in this order: a wait for a connection must not hold a slot. A transaction that the work leaves
+ * open is rolled back before anyone else gets the connection.
  * @throws RequestError with verdict `not_run`
  */
-export async function withConnection<T>(
+export async function withConnection(
   gateway: GroupGateway,
   address: string,
   priority: Priority,
-  work: (connection: BackendConnection) => Promise<T>,
-): Promise<T> {
+  work: (connection: BackendConnection) => Promise<Completion>,
+): Promise<Completion> {
   const resources = gateway.resourcesOf(address);
   if (!resources)
     throw notRun('Instance is gone', ErrorCode.unavailable, RetryAfterMs.instanceGone);
   const connection = await resources.pool.acquire(gateway.options.queueTimeoutMs);
-  let state: 'clean' | 'broken' = 'broken';
+  let state: 'clean' | 'used' | 'broken' = 'broken';
   try {
-    const result = await inSlot(gateway, resources, connection, priority, () => work(connection));
-    state = 'clean';
-    return result;
+    const completion = await inSlot(gateway, resources, connection, priority, () =>
+      work(connection),
+    );
+    state = completion.inTransaction ? 'used' : 'clean';
+    return completion;
   } catch (error) {
     // A database error leaves the connection usable; anything else does not.
     const discards = gateway.options.protections.isOn('discard-on-timeout');
--- a/src/mysql/gateway/write_path.ts
+++ b/src/mysql/gateway/write_path.ts
@@ -90,6 +90,9 @@
   };
   const priority = writePriority(request);
   const completion = await withConnection(gateway, primary, priority, execute);
+  if (completion.inTransaction) {
+    throw unknownOutcome(gateway, 'it left a transaction open, which was rolled back');
+  }
   return confirmWrite(gateway, primary, completion);
 }
 
