MySQL: a comment that starts with # holds no parameter marker

Cause: values are written into the text of a prepared statement at its markers. A question mark in a # comment counted as one, so that a value with a line feed there ended the comment and became part of the statement; a quote in such a comment hid the markers after it.

--- a/src/mysql/frontend/prepared_statement.ts
+++ b/src/mysql/frontend/prepared_statement.ts
@@ -22,7 +22,7 @@
 }
 
 const MARKER_PATTERN =
-  /'(?:[^'\\]|\\[\s\S]|'')*'|"(?:[^"\\]|\\[\s\S]|"")*"|`(?:[^`]|``)*`|--(?=\s)[^\n]*|\/\*[\s\S]*?\*\/|(\?)/g;
+  /'(?:[^'\\]|\\[\s\S]|'')*'|"(?:[^"\\]|\\[\s\S]|"")*"|`(?:[^`]|``)*`|--(?=\s)[^\n]*|#[^\n]*|\/\*[\s\S]*?\*\/|(\?)/g;
 
 /** Cuts a statement's text at its parameter markers. */
 export function splitAtMarkers(sql: string): string[] {
