MySQL: the text of an executable comment counts when a statement is classified

Cause: /*! ... */ was skipped like any comment, but instances run its text. An INSERT in one was answered as an empty statement without being run, and FOR UPDATE or INTO OUTFILE in one counted as a plain read.

Change: a statement with an executable comment needs a connection of its own, but for the setting of a harmless session variable, which tools send so.

--- a/src/mysql/routing/statement_class.ts
+++ b/src/mysql/routing/statement_class.ts
@@ -2,7 +2,7 @@
  * Classification of statements: where each may run, and what it does to the connection it runs on.
  * Whatever is not known to be a plain read counts as a write.
  */
-import { type Token, tokenize } from '../sql/tokenizer.js';
+import { EXECUTABLE_COMMENT_START, type Token, tokenize } from '../sql/tokenizer.js';
 
 /** What a statement needs. */
 export type StatementClass =
@@ -161,6 +161,26 @@
   }
 }
 
+function startsExecutableComment({ kind, text }: Token): boolean {
+  return kind === 'symbol' && text === EXECUTABLE_COMMENT_START;
+}
+
+/**
+ * Class of a statement with executable comments, whose text instances run or skip by their version. Tools set session variables
+ * in one that holds the whole statement.
+ */
+function classifyExecutableComment([start, ...tokens]: readonly Token[]): StatementClass {
+  const end = tokens.findIndex(
+    ({ text }, index) => text === '*' && tokens[index + 1]?.text === '/',
+  );
+  const startsAndEnds = start !== undefined && startsExecutableComment(start) && end >= 0;
+  const isWhole = startsAndEnds && tokens.slice(end + 2).every(({ text }) => text === ';');
+  if (!isWhole || tokens.some(startsExecutableComment)) return 'stateful';
+  const isVersion = tokens[0]?.kind === 'number';
+  const result = classifyTokens(tokens.slice(isVersion ? 1 : 0, end));
+  return result === 'session_default' ? result : 'stateful';
+}
+
 /** WITH may introduce a write; only a select-like body is a read. */
 function refineWith(tokens: readonly Token[], result: StatementClass): StatementClass {
   const isWith = tokens[0]?.text === 'WITH';
@@ -171,6 +191,7 @@
 /** Class of a statement. */
 export function classifyStatement(sql: string): StatementClass {
   const tokens = tokenize(sql);
+  if (tokens.some(startsExecutableComment)) return classifyExecutableComment(tokens);
   return refineWith(tokens, classifyTokens(tokens));
 }
 
--- a/src/mysql/sql/tokenizer.ts
+++ b/src/mysql/sql/tokenizer.ts
@@ -1,5 +1,6 @@
 /**
- * Lexical analysis of MySQL statements: words, literals, symbols; comments are skipped.
+ * Lexical analysis of MySQL statements: words, literals, symbols; comments are skipped. The text of an executable comment
+ * (started by `/*!`) is code for instances, and is read as code after its start.
  * Source: MySQL reference manual, chapter "Language Structure".
  */
 
@@ -17,7 +18,7 @@
 
 // One alternative per token kind; the first that matches at the current offset wins.
 const TOKEN_PATTERN =
-  /\s+|--(?=\s|$)[^\n]*|#[^\n]*|\/\*[\s\S]*?\*\/|(@{1,2}(?:[A-Za-z_$][\w$.]*)?)|([A-Za-z_$\u0080-\uffff][\w$\u0080-\uffff]*)|(0[xX][0-9A-Fa-f]+|\d+(?:\.\d*)?(?:[eE][+-]?\d+)?|\.\d+)|'((?:[^'\\]|\\[\s\S]|'')*)'|"((?:[^"\\]|\\[\s\S]|"")*)"|`((?:[^`]|``)*)`|(<=>|<=|>=|<>|!=|:=|&&|\|\||[\s\S])/gy;
+  /\s+|--(?=\s|$)[^\n]*|#[^\n]*|\/\*(?!!)[\s\S]*?\*\/|(@{1,2}(?:[A-Za-z_$][\w$.]*)?)|([A-Za-z_$\u0080-\uffff][\w$\u0080-\uffff]*)|(0[xX][0-9A-Fa-f]+|\d+(?:\.\d*)?(?:[eE][+-]?\d+)?|\.\d+)|'((?:[^'\\]|\\[\s\S]|'')*)'|"((?:[^"\\]|\\[\s\S]|"")*)"|`((?:[^`]|``)*)`|(\/\*!|<=>|<=|>=|<>|!=|:=|&&|\|\||[\s\S])/gy;
 
 const ESCAPES: Readonly<Record<string, string>> = {
   n: '\n',
@@ -57,6 +58,9 @@
   return text === undefined ? undefined : { kind: 'string', text, raw: text };
 }
 
+/** Token that starts an executable comment. */
+export const EXECUTABLE_COMMENT_START = '/*!';
+
 /** All tokens of a statement. */
 export function tokenize(sql: string): Token[] {
   const tokens: Token[] = [];
