Relay: a reply without an answer of the instance is no success

Cause: a reply with the outcome ANSWERED, which is also what an empty reply decodes to, was taken for a success without rows and signature where it held no answer.

Change: the command may have run, and the connection ends.

--- a/src/appointed/relay/relayed_connection.ts
+++ b/src/appointed/relay/relayed_connection.ts
@@ -237,7 +237,11 @@
       const sent = reply.outcome === RelayOutcome.LOST;
       return this.fail(new BackendConnectionLostError(cause, { sent }));
     }
-    const answer = decodeRelayAnswer(reply.answer ?? {});
+    if (!reply.answer) {
+      const problem = 'the reply of the owner holds no answer';
+      return this.fail(new BackendConnectionLostError(problem, { sent: true }));
+    }
+    const answer = decodeRelayAnswer(reply.answer);
     this.state = answer.state;
     const connection = reply.connection ?? '';
     this.pinned = connection === '' ? undefined : { owner, connection };
