MySQL: the key of a request that runs at most once stands for its text, byte by byte

Cause: the column of keys compared letters without regard to case and accents. A request whose key differed from a used one only in those was not run and got the other one's outcome as a success. A used key whose row could not be seen got the outcome 'no rows'.

Change: the column is binary; the row's key is compared with the request's, since tables of earlier versions stay as they are (not_run where they differ); without a row the outcome is unknown.

The emulated instances compare byte by byte, so that no run against a real MySQL shows the collation here.

--- a/src/mysql/gateway/gateway_session.ts
+++ b/src/mysql/gateway/gateway_session.ts
@@ -5,13 +5,7 @@
 import { DatabaseError, ErrorCode, RequestError, messageOf, notRun } from '../../errors/errors.js';
 import { Priority } from '../pool/slot_queue.js';
 import type { GroupGateway, InstanceResources } from './group_gateway.js';
-import {
-  createOnceTable,
-  insertOnceKey,
-  isMissingOnceTable,
-  readOnceOutcome,
-  storeOnceOutcome,
-} from './once_key.js';
+import { ensureOnceTable, insertOnceKey, readOnceOutcome, storeOnceOutcome } from './once_key.js';
 import { chooseReplica, runRead } from './read_path.js';
 import {
   type GroupSession,
@@ -216,7 +210,8 @@
     const connection = await resources.pool.acquire(gateway.options.queueTimeoutMs);
     try {
       await inSlot(gateway, resources, connection, writePriority(request), async () => {
-        if (request.onceKey !== undefined) await this.ensureOnceTable(connection);
+        // The table can't be created inside the transaction, which that would commit.
+        if (request.onceKey !== undefined) await ensureOnceTable(connection);
         const begin = this.state === 'begun_read_only' ? 'START TRANSACTION READ ONLY' : 'BEGIN';
         await executeWithTimeout(gateway, connection, begin, DISCARD);
       });
@@ -235,16 +230,6 @@
     return transaction;
   }
 
-  /** The table can't be created inside the transaction, which that would commit. */
-  private async ensureOnceTable(connection: BackendConnection): Promise<void> {
-    try {
-      await readOnceOutcome(connection, '', false);
-    } catch (error) {
-      if (!isMissingOnceTable(error)) throw error;
-      await createOnceTable(connection);
-    }
-  }
-
   private async commit(): Promise<StatementOutcome> {
     const transaction = this.transaction;
     this.state = 'none';
--- a/src/mysql/gateway/once_key.ts
+++ b/src/mysql/gateway/once_key.ts
@@ -1,12 +1,13 @@
 /**
  * At most once: a marked statement runs in one transaction with the insertion of its key. The key's row
  * fails over with the data, so a resend through any proxy, also after a failover, finds it and gets the
- * first outcome. See docs/design/once-keys.md.
+ * first outcome. A key stands for the text that callers chose, byte by byte: tables of earlier versions compare letters without
+ * regard to case and accents. See docs/design/once-keys.md.
  */
 import type { BackendConnection } from '../backend/backend.js';
 import { type Completion, DISCARD } from '../wire/result.js';
 import type { ResultSink } from '../wire/result.js';
-import { DatabaseError } from '../../errors/errors.js';
+import { DatabaseError, ErrorCode, mayHaveRun, notRun } from '../../errors/errors.js';
 import { quoteString } from '../sql/tokenizer.js';
 import { queryText } from '../topology/instance_report.js';
 import { MysqlError } from '../wire/protocol.js';
@@ -15,7 +16,7 @@
 
 const TABLE = 'whinyoke.once_keys';
 const CREATE_TABLE =
-  `CREATE TABLE IF NOT EXISTS ${TABLE} (once_key VARCHAR(128) PRIMARY KEY,` +
+  `CREATE TABLE IF NOT EXISTS ${TABLE} (once_key VARBINARY(512) PRIMARY KEY,` +
   ' affected_rows BIGINT, insert_id BIGINT,' +
   ' created_at TIMESTAMP DEFAULT CURRENT_TIMESTAMP)';
 
@@ -55,30 +56,56 @@
   await executeWithTimeout(gateway, connection, update, DISCARD);
 }
 
-/** First outcome of a key that was used before. */
+async function findOutcome(
+  connection: BackendConnection,
+  key: string,
+): Promise<(string | null)[] | undefined> {
+  const select =
+    `SELECT affected_rows, insert_id, once_key FROM ${TABLE}` +
+    ` WHERE once_key = ${quoteString(key)}`;
+  const [row] = await queryText(connection, select);
+  return row;
+}
+
+/**
+ * First outcome of a key that was used before.
+ * @throws RequestError when another text holds its place, or the outcome can't be seen here
+ */
 export async function readOnceOutcome(
   connection: BackendConnection,
   key: string,
   inTransaction: boolean,
 ): Promise<Completion> {
-  const select =
-    `SELECT affected_rows, insert_id FROM ${TABLE}` + ` WHERE once_key = ${quoteString(key)}`;
-  const rows = await queryText(connection, select);
+  const row = await findOutcome(connection, key);
+  if (!row) throw mayHaveRun('The outcome of the first run can not be seen');
+  const [affectedRows, insertId, usedKey] = row;
+  if (usedKey !== key) {
+    throw notRun(`The key of another request differs too little: '${usedKey}'`, ErrorCode.badMark);
+  }
   return {
-    affectedRows: Number(rows[0]?.[0] ?? 0),
-    insertId: Number(rows[0]?.[1] ?? 0),
+    affectedRows: Number(affectedRows ?? 0),
+    insertId: Number(insertId ?? 0),
     info: REPLAYED_INFO,
     inTransaction,
   };
 }
 
-/** Creates the table of keys. */
-export async function createOnceTable(connection: BackendConnection): Promise<void> {
+/** Makes sure that the table of keys exists. */
+export async function ensureOnceTable(connection: BackendConnection): Promise<void> {
+  try {
+    await findOutcome(connection, '');
+  } catch (error) {
+    if (!isMissingOnceTable(error)) throw error;
+    await createOnceTable(connection);
+  }
+}
+
+async function createOnceTable(connection: BackendConnection): Promise<void> {
   await connection.execute(CREATE_TABLE, DISCARD);
 }
 
 /** Whether an error says that the table of keys does not exist yet. */
-export function isMissingOnceTable(error: unknown): boolean {
+function isMissingOnceTable(error: unknown): boolean {
   return error instanceof DatabaseError && error.code === MysqlError.noSuchTable;
 }
 
