--- a/src/consensus/peer_replicator.ts
+++ b/src/consensus/peer_replicator.ts
@@ -134,8 +134,9 @@
     const body = await messenger.request(this.peer.address, { snapshotRequest }, timeout);
     const reply = body.snapshotReply;
     if (this.isStopped || !reply || this.observesHigherTerm(reply.term)) return false;
-    this.recordContact(sentAt);
+    // A refusal in this term comes from another machine that the peer's address leads to.
     if (!reply.installed) return false;
+    this.recordContact(sentAt);
     this.advanceMatch(reply.matchIndex ?? 0);
     return true;
   }
