--- a/test/tools/mysql_frames.ts
+++ b/test/tools/mysql_frames.ts
@@ -3,7 +3,7 @@
 import { framed } from '../../src/mysql/wire/packet.js';
 
 /** A packet with its header. */
-export function frameOf(sequence: number, payload: Uint8Array): Buffer {
+function frameOf(sequence: number, payload: Uint8Array): Buffer {
   const frame = framed(payload);
   frame[3] = sequence;
   return frame;
