--- a/src/mysql/wire/packet.ts
+++ b/src/mysql/wire/packet.ts
@@ -11,6 +11,8 @@
   /** Offset of the header in `buffer`. */
   readonly start: number;
   readonly end: number;
+  /** Number of the packet within its command and answer, modulo 256. */
+  readonly sequenceId: number;
   offset: number;
   readInt8(): number;
   readInt16(): number;
@@ -27,6 +29,8 @@
   isError(): boolean;
   isEOF(): boolean;
   length(): number;
+  /** A copy that stays as it is: the library reads the next packet into the same object. */
+  clone(): Packet;
 }
 
 /** Bytes in front of each packet: three of length, one of sequence. */
