Simulator: instances that answer twice and refuse commands, callers with texts of any bytes

Callers then set several values and use shapes, values and arguments of any bytes. Emulated instances read names of prepared statements by the wire's rule. The judge also checks signatures of writes and commits, arguments, commits that nobody asked for, statements inside another transaction, and a primary that is distrusted for a restart that did not happen.

--- a/lab/appointed/appointed_callers.ts
+++ b/lab/appointed/appointed_callers.ts
@@ -10,7 +10,9 @@
   POLICIES,
   databaseOf,
 } from './appointed_world.js';
+import type { CallerExpectation } from './appointed_judge.js';
 import { type CallerLink, SessionLink } from './caller_link.js';
+import { type CallerTexts, arbitraryTexts, plainTexts } from './caller_texts.js';
 import { ConnectedLink } from './connected_link.js';
 import { pick } from './fault_targets.js';
 
@@ -23,6 +25,8 @@
 /** Share of the connections that are opened to a proxy that stops, if there is one. */
 const STOPPING_SHARE = 0.8;
 
+type ExpectedStatement = Pick<CallerExpectation, 'prepared' | 'argument' | 'isCommit'>;
+
 /** One caller with one route. */
 export class AppointedCaller {
   private link: CallerLink | undefined;
@@ -42,6 +46,7 @@
     private readonly number: number,
     /** Whether it connects through the product's own connections of callers, or opens sessions directly. */
     private readonly usesConnections: boolean,
+    private readonly texts: CallerTexts,
   ) {}
 
   /** Runs operations until it is stopped. */
@@ -104,8 +109,9 @@
 
   private async operate(): Promise<void> {
     const choice = this.random.next();
-    if (choice < 0.08) await this.setValue();
-    else if (choice < 0.16) await this.prepare();
+    const { setShare, prepareShare } = this.texts;
+    if (choice < setShare) await this.setValue();
+    else if (choice < setShare + prepareShare) await this.prepare();
     else if (choice < 0.5) await this.read(undefined, this.now);
     else if (choice < 0.75) await this.write();
     else await this.transact();
@@ -128,16 +134,17 @@
   }
 
   private async setValue(): Promise<void> {
-    const name = `v${this.random.integer(1, 2)}`;
-    const value = this.newId();
-    const reply = await this.send(value, { kind: 'set', name, value });
+    const name = `v${this.random.integer(1, this.texts.valueNames)}`;
+    const id = this.newId();
+    const value = this.texts.value(id);
+    const reply = await this.send(id, { kind: 'set', name, value });
     if (reply && !reply.error) this.values.set(name, value);
   }
 
   private async prepare(): Promise<void> {
     const access = this.random.next() < 0.5 ? 'read' : 'write';
-    const prepared: PreparedShape = { access, shape: `q${this.random.integer(1, 4)}` };
-    const name = `s${this.random.integer(1, 2)}`;
+    const prepared: PreparedShape = { access, shape: this.texts.shape() };
+    const name = `s${this.random.integer(1, this.texts.preparedNames)}`;
     const reply = await this.send(this.newId(), { kind: 'prepare', name, prepared });
     if (reply && !reply.error) this.prepared.set(name, prepared);
   }
@@ -145,24 +152,27 @@
   /** A statement of the wanted kind, as text or by a prepared name. */
   private dataStatement(access: 'read' | 'write'): {
     statement: CallerStatement;
-    prepared: PreparedShape | undefined;
+    expected: ExpectedStatement;
   } {
+    const argument = this.texts.argument();
     const usable = [...this.prepared].find(([, shape]) => shape.access === access);
     if (usable && this.random.next() < 0.5) {
       const [name, prepared] = usable;
-      return { statement: { kind: 'execute', name, argument: 'thing' }, prepared };
+      return {
+        statement: { kind: 'execute', name, argument },
+        expected: { prepared, argument },
+      };
     }
-    return { statement: { kind: access, argument: 'thing' }, prepared: undefined };
+    return {
+      statement: { kind: access, argument },
+      expected: { prepared: undefined, argument },
+    };
   }
 
-  private expect(
-    id: string,
-    transaction: string | undefined,
-    prepared: PreparedShape | undefined,
-  ): void {
+  private expect(id: string, transaction: string | undefined, statement: ExpectedStatement): void {
     const values = new Map(this.values);
     const { group, credential, now: sentAt } = this;
-    const expectation = { group, values, prepared, transaction, credential, sentAt };
+    const expectation = { group, values, ...statement, transaction, credential, sentAt };
     this.world.judge.expect(id, expectation);
   }
 
@@ -171,8 +181,8 @@
     firstByteAt: number,
   ): Promise<CallerReply | undefined> {
     const id = this.newId();
-    const { statement, prepared } = this.dataStatement('read');
-    this.expect(id, transaction, prepared);
+    const { statement, expected } = this.dataStatement('read');
+    this.expect(id, transaction, expected);
     const reply = await this.send(id, statement);
     if (!reply || reply.error) return reply;
     const { policy } = this;
@@ -193,9 +203,15 @@
 
   private async write(): Promise<void> {
     const id = this.newId();
-    const { statement, prepared } = this.dataStatement('write');
-    this.expect(id, undefined, prepared);
-    this.settle(await this.send(id, statement), [id]);
+    const { statement, expected } = this.dataStatement('write');
+    this.expect(id, undefined, expected);
+    const reply = await this.send(id, statement);
+    this.checkSignature(id, reply);
+    this.settle(reply, [id]);
+  }
+
+  private checkSignature(id: string, reply: CallerReply | undefined): void {
+    if (reply && !reply.error) this.world.judge.onSigned(id, reply.signature, reply.rows);
   }
 
   /** Tells the judge how writes ended. */
@@ -232,16 +248,20 @@
       return;
     }
     const id = this.newId();
-    this.expect(id, transaction, undefined);
-    this.settle(await this.send(id, { kind: 'commit' }), writes);
+    this.expect(id, transaction, { prepared: undefined, isCommit: true });
+    const reply = await this.send(id, { kind: 'commit' });
+    this.checkSignature(id, reply);
+    this.settle(reply, writes);
   }
 
   private async writeIn(transaction: string, writes: string[]): Promise<CallerReply | undefined> {
     const id = this.newId();
-    const { statement, prepared } = this.dataStatement('write');
-    this.expect(id, transaction, prepared);
+    const { statement, expected } = this.dataStatement('write');
+    this.expect(id, transaction, expected);
     writes.push(id);
-    return this.send(id, statement);
+    const reply = await this.send(id, statement);
+    this.checkSignature(id, reply);
+    return reply;
   }
 
   private async rollback(
@@ -257,13 +277,28 @@
 /**
  * Callers of all groups and policies.
  * @param useConnections - whether they connect through the product's own connections of callers
+ * @param useArbitraryTexts - whether their texts hold any bytes
  */
-export function createCallers(world: AppointedWorld, useConnections: boolean): AppointedCaller[] {
+export function createCallers(
+  world: AppointedWorld,
+  useConnections: boolean,
+  useArbitraryTexts: boolean,
+): AppointedCaller[] {
+  const { random } = world.outside;
+  const texts = useArbitraryTexts ? arbitraryTexts(random) : plainTexts(random);
   return Array.from({ length: world.deployment.callers }, (_, index) => {
     const group = world.groups[index % world.groups.length]!;
     const policy = POLICIES[Math.floor(index / world.groups.length) % POLICIES.length]!;
-    const { random } = world.outside;
     const name = `c${index}`;
-    return new AppointedCaller(world, name, group.name, policy, random, index, useConnections);
+    return new AppointedCaller(
+      world,
+      name,
+      group.name,
+      policy,
+      random,
+      index,
+      useConnections,
+      texts,
+    );
   });
 }
--- a/lab/appointed/appointed_faults.ts
+++ b/lab/appointed/appointed_faults.ts
@@ -2,6 +2,7 @@
 import type { RandomSource } from '../../src/runtime/runtime.js';
 import { drawFailures } from '../simulation/disk_failures.js';
 import type { SimulatedMachine } from '../simulation/simulated_machine.js';
+import { ANSWER_FAULTS, ANSWER_STARTERS } from './answer_faults.js';
 import { DEPARTURE_FAULTS, DEPARTURE_STARTERS } from './departure_faults.js';
 import { type EndFault, crash, kill, pick, primaryOf, replicasOf } from './fault_targets.js';
 import type { AppointedDeployment } from './appointed_deployment.js';
@@ -56,6 +57,7 @@
 
 /** Kind of a fault. */
 export type AppointedFaultKind =
+  | (typeof ANSWER_FAULTS)[number]
   | (typeof DEPARTURE_FAULTS)[number]
   | (typeof LATE_CALL_FAULTS)[number]
   | (typeof PLANNED_STOP_FAULTS)[number]
@@ -83,6 +85,7 @@
   'deregister-replica',
   'hear-alone',
   'move-route',
+  ...ANSWER_FAULTS,
 ]);
 
 /** Kinds of faults that may strike a deployment. */
@@ -101,6 +104,7 @@
     ...DEPARTURE_FAULTS,
     ...LATE_CALL_FAULTS,
     ...PLANNED_STOP_FAULTS,
+    ...ANSWER_FAULTS,
   ];
   return [...faultsOf(deployment), ...named];
 }
@@ -154,6 +158,7 @@
   ...DEPARTURE_STARTERS,
   ...LATE_CALL_STARTERS,
   ...PLANNED_STOP_STARTERS,
+  ...ANSWER_STARTERS,
   'crash-primary': (world, random) => {
     const group = pick(world.groups, random);
     return crash(group, primaryOf(group));
--- a/lab/appointed/appointed_judge.ts
+++ b/lab/appointed/appointed_judge.ts
@@ -3,7 +3,7 @@
  * nothing of the code under test.
  */
 import type { CallerErrorKind } from '../../src/appointed/sessions/caller_reply.js';
-import type { PreparedShape } from '../../src/appointed/instance/statement.js';
+import type { DataStatement, PreparedShape } from '../../src/appointed/instance/statement.js';
 import type { ResidencyOfDeployment } from './appointed_deployment.js';
 import { MILLISECONDS_PER_SECOND } from '../../src/runtime/duration.js';
 import { maxColdInstanceRequests } from '../../src/appointed/placement/slow_start_budget.js';
@@ -21,6 +21,8 @@
 /** Checks, by what is broken. */
 export type ViolationKind =
   | 'foreign-answer'
+  | 'unasked'
+  | 'false-restart'
   | 'pinned'
   | 'twice'
   | 'refused-but-kept'
@@ -49,7 +51,12 @@
 export interface CallerExpectation {
   readonly group: string;
   readonly values: ReadonlyMap<string, string>;
+  /** Shape that it executes; undefined for a statement that is sent as text. */
   readonly prepared: PreparedShape | undefined;
+  /** Argument of its statement; not checked if left out. */
+  readonly argument?: string;
+  /** Whether it asks for a commit and for nothing else. */
+  readonly isCommit?: boolean;
   /** Name of the operation that a transaction belongs to; undefined outside a transaction. */
   readonly transaction: string | undefined;
   /** Credential that the caller named; undefined where it needs none. */
@@ -119,6 +126,8 @@
   readonly lastAcknowledgedAt = new Map<string, number>();
   private readonly expectations = new Map<string, CallerExpectation>();
   private readonly runs = new Map<string, RunRecord[]>();
+  /** Signatures of the commits that ran for a request. */
+  private readonly commits = new Map<string, string[]>();
   private readonly acknowledged: AcknowledgedCommit[] = [];
   private readonly recordOf = new Map<string, LogRecord>();
   private readonly refused = new Set<string>();
@@ -185,7 +194,11 @@
   }
 
   onCommit(report: CommitReport): void {
-    const transaction = this.expectations.get(report.id)?.transaction;
+    const { id, signature } = report;
+    this.commits.set(id, [...(this.commits.get(id) ?? []), signature]);
+    const expected = this.expectations.get(id);
+    if (!expected?.isCommit) this.add('unasked', `${id} asked for no commit`);
+    const transaction = expected?.transaction;
     this.checkConnection(report.session, transaction, report.id);
     this.transactionOfSession.delete(report.session);
   }
@@ -233,6 +246,14 @@
     this.add('cut-off', message);
   }
 
+  /** A caller was told that a write or a commit succeeded: it must get the answer of its own run. */
+  onSigned(id: string, signature: string, rows: readonly string[]): void {
+    const runs = this.runs.get(id) ?? [];
+    const isOfRun = runs.some(({ report }) => report.signature === signature);
+    const isOwn = isOfRun || this.commits.get(id)?.includes(signature) === true;
+    if (!isOwn || rows.length > 0) this.add('foreign-answer', `${id} got ${signature}`);
+  }
+
   /** A caller got the answer to a read. */
   onRead(read: ReadCheck): void {
     this.counts.reads++;
@@ -375,7 +396,7 @@
   private checkSession(report: RunReport): void {
     const expected = this.expectations.get(report.id);
     if (!expected) {
-      this.add('pinned', `${report.id} was never sent by a caller`);
+      this.add('unasked', `${report.id} was never sent by a caller`);
       return;
     }
     const { session, statement } = report;
@@ -383,11 +404,25 @@
       expected.values.size !== session.values.size ||
       [...expected.values].some(([name, value]) => session.values.get(name) !== value);
     if (differs) this.add('pinned', `${report.id} ran with other session values`);
-    const shape = statement.kind === 'execute' ? statement.prepared.shape : undefined;
-    if (shape !== expected.prepared?.shape) this.add('pinned', `${report.id} ran shape ${shape}`);
+    this.checkText(report.id, statement, expected);
     this.checkConnection(session, expected.transaction, report.id);
   }
 
+  private checkText(id: string, statement: DataStatement, expected: CallerExpectation): void {
+    if (expected.isCommit) {
+      this.add('unasked', `${id} asked for a commit and ran a statement`);
+      return;
+    }
+    const prepared = statement.kind === 'execute' ? statement.prepared : undefined;
+    const isShape =
+      prepared?.shape === expected.prepared?.shape &&
+      prepared?.access === expected.prepared?.access;
+    if (!isShape) this.add('pinned', `${id} ran shape ${prepared?.shape}`);
+    if (expected.argument !== undefined && statement.argument !== expected.argument) {
+      this.add('unasked', `${id} ran with the argument ${statement.argument}`);
+    }
+  }
+
   private checkConnection(
     session: EmulatedSession,
     transaction: string | undefined,
@@ -407,6 +442,10 @@
     if (first !== session)
       this.add('pinned', `${id} ran on another connection than ${transaction}`);
     if (!isOpen) this.add('pinned', `${id} ran outside ${transaction}`);
+    const current = this.transactionOfSession.get(session);
+    if (first === session && current !== undefined && current !== transaction) {
+      this.add('pinned', `${id} of ${transaction} ran inside ${current}`);
+    }
   }
 
   private checkDrain(report: RunReport): void {
--- a/lab/appointed/appointed_simulation.ts
+++ b/lab/appointed/appointed_simulation.ts
@@ -12,7 +12,9 @@
 import type { AppointedProtection } from './disabled_protections.js';
 import { AppointedWorld } from './appointed_world.js';
 import { LATE_CALL_FAULTS } from './late_call_faults.js';
+import { areAnswerFaults } from './answer_faults.js';
 import { arePlannedStops } from './planned_stop_faults.js';
+import { checkPrimaryRestarts } from './restart_check.js';
 import { RECOVERY_LIMIT_MS, RecoveryWatch } from './recovery_watch.js';
 
 /** What to run. */
@@ -55,7 +57,8 @@
 export async function runAppointed(options: AppointedRunOptions): Promise<AppointedReport> {
   const world = new AppointedWorld(options.deployment, options.seed, new Set(options.disabled));
   await world.start();
-  const callers = createCallers(world, arePlannedStops(options.faults));
+  const { faults: kinds } = options;
+  const callers = createCallers(world, arePlannedStops(kinds), areAnswerFaults(kinds));
   for (const caller of callers) void caller.run();
   const watch = new RecoveryWatch(world);
   watch.start();
@@ -77,6 +80,7 @@
     else unwritable.push(group.name);
   }
   judge.checkQuotas();
+  checkPrimaryRestarts(world);
   const { seed } = options;
   const { violations, counts } = judge;
   return { seed, faults, violations, counts, unwritable, lines: world.lines };
--- a/lab/appointed/emulated_group.ts
+++ b/lab/appointed/emulated_group.ts
@@ -61,6 +61,8 @@
 export class EmulatedGroup {
   private members: readonly InstanceMachine[];
   private appointing: string | undefined;
+  /** Whether any of its instances has started more than once. */
+  hasRestarted = false;
 
   constructor(
     readonly name: string,
@@ -110,6 +112,7 @@
   /** Starts an instance with the log that it had. */
   startMachine(machine: InstanceMachine): void {
     if (machine.running) return;
+    this.hasRestarted ||= machine.current !== undefined;
     const process = new VirtualProcess(machine.site.host, this.scheduler, this.newRandom());
     const { storage } = machine;
     const leaderTerm = Math.max(...this.machines.map((other) => other.storage.term));
--- a/lab/appointed/emulated_instance.ts
+++ b/lab/appointed/emulated_instance.ts
@@ -13,10 +13,15 @@
   type InstanceCommand,
   type PreparedShape,
   accessOf,
-  sharedPreparedName,
 } from '../../src/appointed/instance/statement.js';
 import { delay } from '../../src/runtime/runtime.js';
 import { type Position, START, covers } from '../../src/positions/position.js';
+import {
+  type PreparedNaming,
+  SHARED_NAMING,
+  readPreparation,
+  readStatement,
+} from './prepared_names.js';
 import type { VirtualProcess } from '../simulation/virtual_process.js';
 
 /** One committed transaction. */
@@ -35,6 +40,8 @@
   readonly connectionLimit: number;
   /** Mean time that a statement holds a slot, in milliseconds. */
   readonly workMs: number;
+  /** How the commands that it gets name prepared statements; as the product does if left out. */
+  readonly naming?: PreparedNaming;
 }
 
 /** What lasts over restarts of the process. */
@@ -54,6 +61,17 @@
 /** Statements that wait for a slot; one more is refused as busy. */
 const QUEUE_LENGTH = 24;
 
+/** Commands that an instance may refuse as a fault. */
+const REFUSABLE: ReadonlySet<InstanceCommand['kind']> = new Set<InstanceCommand['kind']>([
+  'set',
+  'reset',
+  'prepare',
+  'begin',
+  'rollback',
+  'data',
+  'commit',
+]);
+
 /** One connection to an instance, on the instance's side. */
 export class EmulatedSession {
   readonly values = new Map<string, string>();
@@ -114,6 +132,8 @@
   slowness = 1;
   /** Share of the answers that are lost, as a fault. */
   lostAnswers = 0;
+  /** Share of the commands that are refused as busy, as a fault. */
+  refusedCommands = 0;
   /** Share of the messages to its callers that are sent twice, as a fault. */
   doubledAnswers = 0;
   /** Longest time after which the second copy is sent, in milliseconds. */
@@ -241,15 +261,15 @@
     session: EmulatedSession,
     command: InstanceCommand,
   ): Promise<InstanceAnswer> {
+    if (this.isRefused(command)) return this.fail(session, 'busy');
     switch (command.kind) {
       case 'set':
         session.values.set(command.name, command.value);
         return this.ok(session);
       case 'prepare':
-        session.preparedByName.set(sharedPreparedName(command.prepared), command.prepared);
-        return this.ok(session);
+        return this.prepare(session, command.prepared);
       case 'deallocate':
-        session.preparedByName.delete(sharedPreparedName(command.prepared));
+        session.preparedByName.delete(this.naming(command.prepared));
         return this.ok(session);
       case 'reset':
         session.values.clear();
@@ -270,6 +290,22 @@
     }
   }
 
+  private get naming(): PreparedNaming {
+    return this.options.naming ?? SHARED_NAMING;
+  }
+
+  private isRefused({ kind }: InstanceCommand): boolean {
+    if (this.refusedCommands === 0 || !REFUSABLE.has(kind)) return false;
+    return this.process.random.next() < this.refusedCommands;
+  }
+
+  private prepare(session: EmulatedSession, shape: PreparedShape): InstanceAnswer {
+    const read = readPreparation(shape, this.naming(shape));
+    if (!read) return this.fail(session, 'malformed');
+    session.preparedByName.set(read.name, read.prepared);
+    return this.ok(session);
+  }
+
   private administer(session: EmulatedSession, command: InstanceCommand): InstanceAnswer {
     const { storage } = this;
     if (command.kind === 'pause') {
@@ -304,18 +340,14 @@
     session: EmulatedSession,
     command: { id: string; statement: DataStatement; after?: Position },
   ): Promise<InstanceAnswer> {
-    const { statement, id } = command;
+    const { id } = command;
     if (session.state === 'failed') return this.fail(session, 'malformed');
-    const isWrite = accessOf(statement) === 'write';
+    const statement = readStatement(command.statement, session.preparedByName, this.naming);
+    const isWrite = accessOf(statement ?? command.statement) === 'write';
     const needsPrimary = isWrite || (session.state === 'open' && !session.readOnly);
     if (needsPrimary && this.storage.role !== 'primary') return this.fail(session, 'readOnly');
     if (command.after && !covers(this.applied, command.after)) return this.fail(session, 'lagging');
-    if (
-      statement.kind === 'execute' &&
-      !session.preparedByName.has(sharedPreparedName(statement.prepared))
-    ) {
-      return this.fail(session, 'unknownName');
-    }
+    if (!statement) return this.fail(session, 'unknownName');
     const signature = this.newSignature();
     const rows = isWrite ? [] : [`${this.options.id} ${signature}`];
     this.journal.onRun({ instance: this, session, id, statement, signature, rows });
