--- a/lab/appointed/appointed_nodes.ts
+++ b/lab/appointed/appointed_nodes.ts
@@ -37,6 +37,7 @@
   disableReplicaLeases,
   disableSlowStart,
 } from './disabled_protections.js';
+import { OrderedConnector, UnconfirmingConnector } from './weakened_connections.js';
 import type { VirtualProcess } from '../simulation/virtual_process.js';
 import { SimulatedListener } from './simulated_listener.js';
 
@@ -79,8 +80,12 @@
   process: VirtualProcess,
   name: string,
 ): InstanceConnector {
+  const { disabled } = surroundings;
   const channels = surroundings.channelsFor(process);
-  return new MatchingConnector(channels, process.clock, logInto(surroundings, name));
+  if (disabled.has('answer-matching')) return new OrderedConnector(channels, process.clock);
+  const log = logInto(surroundings, name);
+  const connector = new MatchingConnector(channels, process.clock, log);
+  return disabled.has('answer-confirmation') ? new UnconfirmingConnector(connector) : connector;
 }
 
 function logInto(
--- a/lab/appointed/appointed_world.ts
+++ b/lab/appointed/appointed_world.ts
@@ -28,6 +28,7 @@
 } from '../../src/appointed/placement/placement_rules.js';
 import { SimulatedPlatform } from './simulated_platform.js';
 import { SimulatedTenancy } from './simulated_tenancy.js';
+import { SHAPE_NAMING, SHARED_NAMING, type PreparedNaming } from './prepared_names.js';
 import { VirtualInstanceConnector } from './virtual_instances.js';
 
 const { CatalogOutcome, InstanceRole, InstanceState } = whinyoke;
@@ -99,6 +100,8 @@
   slowStart: AppointedDeployment['slowStart'];
   /** Groups of routes that have moved, by database. */
   private readonly movedRoutes = new Map<string, string>();
+  /** Names of prepared statements on connections to instances. */
+  private readonly naming: PreparedNaming;
   private addedInstances = 0;
   /** Newest start of each instance that sent a heartbeat. */
   private readonly starts = new Map<string, InstanceStart>();
@@ -124,6 +127,7 @@
     this.judge.slowStart = deployment.slowStart;
     this.judge.isCold = (instance) => this.isKnownCold(instance);
     this.outside = new VirtualProcess(CALLERS_HOST, this.scheduler, this.random, 0);
+    this.naming = disabled.has('prepared-names') ? SHAPE_NAMING : SHARED_NAMING;
     this.groups = this.createGroups();
     this.platform = new SimulatedPlatform(this);
     const controlAddresses = Array.from(
@@ -357,6 +361,7 @@
           slots,
           connectionLimit,
           workMs,
+          naming: this.naming,
         },
       }));
       const { scheduler, network, judge } = this;
--- a/lab/appointed/disabled_protections.ts
+++ b/lab/appointed/disabled_protections.ts
@@ -1,5 +1,6 @@
 /** Protections of the router that the simulation can take away, to show that its checks can fail. */
 import type {
+  InstanceAnswer,
   InstanceConnection,
   InstanceConnector,
   InstanceTarget,
@@ -38,6 +39,10 @@
   'pending-appointments',
   'shutdown-deadline',
   'announced-close',
+  'answer-matching',
+  'answer-confirmation',
+  'values-first',
+  'prepared-names',
 ] as const;
 
 /** One protection. */
@@ -71,6 +76,9 @@
     const { connection } = opened;
     const run: InstanceConnection['run'] = (command, limitMs) => {
       const weakened = weaken(command, this.disabled);
+      if (isLoadingValues(command) && this.disabled.has('values-first')) {
+        return runWithoutWaiting(connection, command, limitMs);
+      }
       if (weakened) return connection.run(weakened, limitMs);
       return Promise.resolve({ rows: [], signature: '-', state: 'idle' });
     };
@@ -78,6 +86,24 @@
   }
 }
 
+function isLoadingValues({ kind }: InstanceCommand): boolean {
+  return kind === 'set' || kind === 'reset';
+}
+
+/** Lets the next command be sent before this one is answered; closes the connection if it is refused. */
+function runWithoutWaiting(
+  connection: InstanceConnection,
+  command: InstanceCommand,
+  limitMs: number,
+): Promise<InstanceAnswer> {
+  const closeIfRefused = ({ error }: InstanceAnswer): void => {
+    if (error) connection.close();
+  };
+  // A lost connection ends the next command too.
+  void connection.run(command, limitMs).then(closeIfRefused, () => undefined);
+  return Promise.resolve({ rows: [], signature: '-', state: 'idle' });
+}
+
 function getter(run: InstanceConnection['run']): ProxyHandler<InstanceConnection>['get'] {
   return (target, property) => {
     if (property === 'run') return run;
