Tests: a copy that comes thousands of answers later

Guards against a memory of answers that a busy connection fills within the time in which copies arrive: with 512 answers the test fails, since the write gets the signature of the copy; with those of 30 s it passes.

--- a/test/unit/answer_matching.test.ts
+++ b/test/unit/answer_matching.test.ts
@@ -18,6 +18,8 @@
 import { RealClock } from '../../src/runtime/real_clock.js';
 
 const TIMEOUT_MS = 1000;
+/** Answers between an answer and its copy. */
+const LATE_COPY_ANSWERS = 4000;
 const POSITION = { term: 1, sequence: 7 };
 const READ: InstanceCommand = { kind: 'data', id: '1', statement: { kind: 'read', argument: 'k' } };
 const WRITE: InstanceCommand = {
@@ -259,3 +261,17 @@
   t.ok(await mayHaveRun(write));
   t.match(instance.unexpected, [{ outcome: 'closed' }]);
 });
+
+void t.test('a copy that comes thousands of answers later is not that of a write', async (t) => {
+  const instance = await started(t);
+  for (let count = 0; count < LATE_COPY_ANSWERS; count++) {
+    const read = instance.run(READ);
+    instance.answer(signed(`s${count}`));
+    await read;
+  }
+  const write = instance.run(WRITE);
+  instance.answer(signed('s0'));
+  instance.answer(signed('own'));
+  t.equal((await write).signature, 'own');
+  t.match(instance.unexpected, [{ command: 'data', outcome: 'dropped' }]);
+});
