--- a/test/soak/stop_ledger.js
+++ b/test/soak/stop_ledger.js
@@ -1,15 +1,10 @@
 /** What callers of stopping proxies asked and were answered, and the rules checked against it. */
+import { PROMISES, codeOf } from './answer_terms.js';
 import { isWhole } from './caller_session.js';
 
 /** `loss_slack_ms` of the site. */
 const SLACK_MS = 200;
 const BUCKET_MS = 500;
-/** Errors that promise that nothing of an attempt is kept. */
-const PROMISES = ['BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'WRONGNODE', 'CONNLIMIT'];
-
-function codeOf({ outcome, text }) {
-  return outcome === 'error' ? text.split(' ')[0] : undefined;
-}
 
 function median(numbers) {
   return numbers.sort((left, right) => left - right)[Math.floor(numbers.length / 2)];
--- a/test/soak/verdicts.js
+++ b/test/soak/verdicts.js
@@ -1,17 +1,11 @@
 /** What callers of the soak were told, and the rules checked against it. */
 import { pause, until } from '../../review/record.js';
+import { isBefore } from './answer_terms.js';
 import { PlannedStopLog } from './planned_stop_log.js';
 
 /** Time for a proxy to serve again after the last fault. */
 const RECOVERY_MS = 12_000;
 
-/** Whether a position `TERM.NUMBER` is before another one. */
-function isBefore(left, right) {
-  const [leftTerm, leftNumber] = left.split('.').map(Number);
-  const [rightTerm, rightNumber] = right.split('.').map(Number);
-  return leftTerm < rightTerm || (leftTerm === rightTerm && leftNumber < rightNumber);
-}
-
 export class Verdicts {
   constructor(site) {
     this.site = site;
