--- a/test/soak/instance_pace.js
+++ b/test/soak/instance_pace.js
@@ -35,7 +35,7 @@
   }
 }
 
-class PacedInstanceSession extends InstanceSession {
+export class PacedInstanceSession extends InstanceSession {
   /** Time from the run of a statement to its answer. */
   answerMs = 0;
 
