--- a/test/soak/platform_soak.js
+++ b/test/soak/platform_soak.js
@@ -123,7 +123,7 @@
   verdicts.checkCalls();
   verdicts.checkPlannedStops();
   await verdicts.checkEnd(proxies);
-  const logs = Object.values(site.groups).flatMap(({ primary }) => primary?.log ?? []);
+  const logs = Object.values(site.groups).flatMap(newestLog);
   verdicts.breaks.push(...statementBreaks(ledger, logs));
   site.isOver = true;
   const faults = counts.reduce((sum, count) => sum + count, 0);
@@ -133,6 +133,13 @@
   return { breaks: verdicts.breaks, summary };
 }
 
+/** Log of the primary, or of the instance that is furthest if there is none. */
+function newestLog({ primary, instances }) {
+  const running = instances.filter(({ isRunning }) => isRunning);
+  running.sort((left, right) => right.term - left.term || right.log.length - left.log.length);
+  return (primary ?? running[0])?.log ?? [];
+}
+
 function noteEvents(deployment) {
   if (deployment.folder) deployment.noteEvents(LOGGED_EVENTS);
 }
