--- a/test/unit/late_status_answers.test.ts
+++ b/test/unit/late_status_answers.test.ts
@@ -39,6 +39,7 @@
   onMessage: (message: InstanceMessage) => void = () => undefined;
   onClosed: (reason: string) => void = () => undefined;
   closed = false;
+  readonly isReceiving = false;
 
   sendStart(): void {
     this.onMessage({ kind: 'greeting', position: undefined });
