Checks of answers: two commands in place of three, but after a refused BEGIN

The check's ROLLBACK is answered without a signature: the model found that a write's answer fitted it beside two copies.

--- a/src/appointed/instance/matched_connection.ts
+++ b/src/appointed/instance/matched_connection.ts
@@ -47,17 +47,15 @@
 const INTERNAL_REQUEST_ID = '-';
 /** A command without an effect, whose answer differs from those that tell a status. */
 const SIMPLE_CHECK: readonly InstanceCommand[] = [{ kind: 'prepare', prepared: CHECK_SHAPE }];
-/**
- * Commands without an effect outside a transaction, whose answers differ in their state. The first one shows a BEGIN that ran though
- * it seems refused.
- */
+/** Commands without an effect outside a transaction, whose answers differ in their state. */
 const STATE_CHECK: readonly InstanceCommand[] = [
-  ...SIMPLE_CHECK,
   { kind: 'begin', readOnly: true },
   { kind: 'rollback', id: INTERNAL_REQUEST_ID },
 ];
+/** Shows a BEGIN that ran though it seems refused: its answer does not fit the first command. */
+const REFUSED_BEGIN_CHECK: readonly InstanceCommand[] = [...SIMPLE_CHECK, ...STATE_CHECK];
 /** Longer checks, for a connection on which copies were seen: more copies would have to arrive in their pattern. */
-const LONG_STATE_CHECK = [...STATE_CHECK, ...STATE_CHECK];
+const LONG_STATE_CHECK = [...REFUSED_BEGIN_CHECK, ...REFUSED_BEGIN_CHECK];
 const LONG_CHECK_WHILE_OPEN = Array<InstanceCommand>(4).fill(SIMPLE_CHECK[0]!);
 
 const CONNECT_FAILURES: Partial<Record<InstanceErrorKind, ConnectFailure>> = {
@@ -227,6 +225,7 @@
     if (!pending) return 'an answer to no command';
     if (isRepeated && isSigned(answer)) return 'a signature that came before';
     if (pending.isCheck && answer.error) return `the check was refused: ${answer.error.kind}`;
+    if (pending.isCheck && isSigned(answer)) return 'a signature';
     return misfitOf(pending.command, this.state, answer);
   }
 
@@ -285,8 +284,9 @@
   private checkCommands(): readonly InstanceCommand[] {
     const isIdle = this.state === 'idle';
     if (this.hasSeenCopy) return isIdle ? LONG_STATE_CHECK : LONG_CHECK_WHILE_OPEN;
-    const tellsStatus = this.checked.every(({ pending }) => isAdministrative(pending.command));
-    return isIdle && !tellsStatus ? STATE_CHECK : SIMPLE_CHECK;
+    const commands = this.checked.map(({ pending }) => pending.command);
+    if (!isIdle || commands.every(isAdministrative)) return SIMPLE_CHECK;
+    return commands.some(({ kind }) => kind === 'begin') ? REFUSED_BEGIN_CHECK : STATE_CHECK;
   }
 
   private confirm(answers: readonly UnconfirmedAnswer[]): void {
