--- a/test/simulation/doubled_answers.test.ts
+++ b/test/simulation/doubled_answers.test.ts
@@ -41,6 +41,17 @@
   await expectClean(t, { deployment: APPOINTED_QUETZAL, seed: 1, faults });
 });
 
+// In the first seed a copy passed for the answer of a command that was sent with the next one; in the second for that of a BEGIN.
+void t.test('no primary is taken for restarted because an old answer came again', async (t) => {
+  const faults = [
+    'doubled-answers',
+    'doubled-answers-refused-commands',
+    'restart-empty-primary',
+  ] as const;
+  for (const seed of [2, 7])
+    await expectClean(t, { deployment: APPOINTED_INCARNATIONS_RELAYED, seed, faults });
+});
+
 /** A run without a violation, and what breaks in it without each protection. */
 interface ProtectionCase {
   readonly options: AppointedRunOptions;
