MySQL: reset a connection after an error or a procedure before the next statement gets it

Cause: an error doesn't tell whether a transaction is open, and a procedure that failed may have left one; a procedure may also leave user variables, named locks and temporary tables. Such connections went back to the pool as clean.

Stored functions in other statements can still leave state.

--- a/src/mysql/gateway/slot_execution.ts
+++ b/src/mysql/gateway/slot_execution.ts
@@ -42,8 +42,9 @@
 }
 
 /**
- * Takes a connection and a slot, in this order: a wait for a connection must not hold a slot. A transaction that the work leaves
- * open is rolled back before anyone else gets the connection.
+ * Takes a connection and a slot, in this order: a wait for a connection must not hold a slot. A connection on which the work may
+ * have left a transaction or other state is reset before anyone else gets it.
+ * @param leavesState - whether the work may leave state although it succeeds and no transaction is open
  * @throws RequestError with verdict `not_run`
  */
 export async function withConnection(
@@ -51,6 +52,7 @@
   address: string,
   priority: Priority,
   work: (connection: BackendConnection) => Promise<Completion>,
+  leavesState = false,
 ): Promise<Completion> {
   const resources = gateway.resourcesOf(address);
   if (!resources)
@@ -61,13 +63,13 @@
     const completion = await inSlot(gateway, resources, connection, priority, () =>
       work(connection),
     );
-    state = completion.inTransaction ? 'used' : 'clean';
+    state = completion.inTransaction || leavesState ? 'used' : 'clean';
     return completion;
   } catch (error) {
-    // A database error leaves the connection usable; anything else does not.
+    // A database error leaves the connection usable, and doesn't tell whether a transaction is open; anything else does not.
     const discards = gateway.options.protections.isOn('discard-on-timeout');
     const isLost = error instanceof BackendConnectionLostError && discards;
-    state = isLost || connection.closed ? 'broken' : 'clean';
+    state = isLost || connection.closed ? 'broken' : 'used';
     throw error;
   } finally {
     resources.pool.release(connection, state);
--- a/src/mysql/gateway/write_path.ts
+++ b/src/mysql/gateway/write_path.ts
@@ -13,6 +13,7 @@
 import { Priority } from '../pool/slot_queue.js';
 import { delay } from '../../runtime/runtime.js';
 import { newestPosition } from '../topology/gtid.js';
+import { callsProcedure } from '../routing/statement_class.js';
 import { MAXIMUM_WRITE_ATTEMPTS, RetryAfterMs, pauseBeforeRetry } from '../routing/retry_policy.js';
 import type { GroupGateway } from './group_gateway.js';
 import { runOnce } from './once_key.js';
@@ -89,7 +90,8 @@
     return executeWithTimeout(gateway, connection, request.sql, sink);
   };
   const priority = writePriority(request);
-  const completion = await withConnection(gateway, primary, priority, execute);
+  const leavesState = callsProcedure(request.sql);
+  const completion = await withConnection(gateway, primary, priority, execute, leavesState);
   if (completion.inTransaction) {
     throw unknownOutcome(gateway, 'it left a transaction open, which was rolled back');
   }
--- a/src/mysql/routing/statement_class.ts
+++ b/src/mysql/routing/statement_class.ts
@@ -195,6 +195,11 @@
   return refineWith(tokens, classifyTokens(tokens));
 }
 
+/** Whether a statement calls a procedure, which may leave variables, locks and temporary tables on its connection. */
+export function callsProcedure(sql: string): boolean {
+  return tokenize(sql)[0]?.text === 'CALL';
+}
+
 /** Schema named by a USE statement. */
 export function schemaOfUse(sql: string): string {
   return tokenize(sql)[1]?.raw ?? '';
--- a/test/unit/left_over_transactions.test.ts
+++ b/test/unit/left_over_transactions.test.ts
@@ -1,6 +1,6 @@
-/** Transactions that a single statement leaves open on a pooled connection to a MySQL instance. */
+/** Transactions and other state that a single statement leaves on a pooled connection to a MySQL instance. */
 import t from 'tap';
-import { RequestError } from '../../src/errors/errors.js';
+import { DatabaseError, RequestError } from '../../src/errors/errors.js';
 import type { BackendConnection } from '../../src/mysql/backend/backend.js';
 import type { GroupGateway } from '../../src/mysql/gateway/group_gateway.js';
 import { runWrite } from '../../src/mysql/gateway/write_path.js';
@@ -13,16 +13,20 @@
 const ADDRESS = 'instance:3306';
 const WAIT_MS = 1000;
 
-/** Connection on which each statement leaves a transaction open; counts its resets. */
-class OpenTransactionConnection implements BackendConnection {
+type Answer = ReturnType<BackendConnection['execute']>;
+
+function completed(inTransaction: boolean): Answer {
+  return Promise.resolve({ affectedRows: 1, insertId: 0, info: '', inTransaction });
+}
+
+/** Connection on which each statement is answered alike; counts its resets. */
+class CountingConnection implements BackendConnection {
   readonly sessionId = 1;
   readonly closed = false;
   onClosed: (() => void) | undefined;
   resets = 0;
 
-  execute(): ReturnType<BackendConnection['execute']> {
-    return Promise.resolve({ affectedRows: 1, insertId: 0, info: '', inTransaction: true });
-  }
+  constructor(readonly execute: () => Answer) {}
 
   reset(): Promise<void> {
     this.resets++;
@@ -58,16 +62,31 @@
   return { gateway: gateway as unknown as GroupGateway, pool };
 }
 
-void t.test('a transaction that a statement leaves open is not acknowledged', async (t) => {
-  const connection = new OpenTransactionConnection();
+/** Error of a write, if any, and the resets before the next statement gets its connection. */
+async function leftBy(
+  sql: string,
+  answer: () => Answer,
+): Promise<{ readonly error: unknown; readonly resets: number }> {
+  const connection = new CountingConnection(answer);
   const { gateway, pool } = gatewayTo(connection);
-  const request = { sql: 'CALL p()', statementClass: 'write', position: undefined } as const;
-  const outcome = runWrite(gateway, { ...request, onceKey: undefined }, DISCARD);
-  const error: unknown = await outcome.then(
+  const request = { sql, statementClass: 'write', position: undefined } as const;
+  const error: unknown = await runWrite(gateway, { ...request, onceKey: undefined }, DISCARD).then(
     () => undefined,
     (problem: unknown) => problem,
   );
-  t.ok(error instanceof RequestError && error.verdict === 'may_have_run');
   await pool.acquire(WAIT_MS);
-  t.equal(connection.resets, 1, 'the next statement gets the connection after a reset');
+  return { error, resets: connection.resets };
+}
+
+void t.test('a transaction that a statement leaves open is not acknowledged', async (t) => {
+  const { error, resets } = await leftBy('CALL p()', () => completed(true));
+  t.ok(error instanceof RequestError && error.verdict === 'may_have_run');
+  t.equal(resets, 1, 'the next statement gets the connection after a reset');
+});
+
+void t.test('what a failed statement or a procedure left is gone for the next one', async (t) => {
+  const refusal = new DatabaseError('refused', { code: 1644, sqlState: '45000' });
+  t.same(await leftBy('CALL p()', () => Promise.reject(refusal)), { error: refusal, resets: 1 });
+  t.same(await leftBy('CALL p()', () => completed(false)), { error: undefined, resets: 1 });
+  t.same(await leftBy('INSERT', () => completed(false)), { error: undefined, resets: 0 });
 });
