--- a/src/appointed/instance/matched_connection.ts
+++ b/src/appointed/instance/matched_connection.ts
@@ -7,14 +7,14 @@
  * - It must fit the command (answer_expectation.ts). A copy that does not fit is dropped.
  * - A signature occurs once, so a signed answer that came before is a copy and is dropped.
  * - Another answer that is equal to an earlier one may be a copy. It counts once the answers to further commands arrive
- *   in their places: that of a signed answer, or those of a check that has no effect (see {@link CHECK_WHILE_IDLE}). With a copy
+ *   in their places: that of a signed answer, or those of a check that has no effect (see {@link STATE_CHECK}). With a copy
  *   in its place, the real answer arrives in the place of the check and does not fit there.
  *
  * Whatever fits nothing closes the connection; its commands may have run. Design: docs/design/answer-matching.md.
  */
 import { BackendConnectionLostError } from '../../errors/errors.js';
 import type { Clock, Timer } from '../../runtime/runtime.js';
-import { misfitOf } from './answer_expectation.js';
+import { isAdministrative, misfitOf } from './answer_expectation.js';
 import {
   type InstanceChannel,
   type InstanceMessage,
@@ -45,13 +45,20 @@
 /** Shape that a check prepares; nothing executes it. */
 const CHECK_SHAPE: PreparedShape = { access: 'read', shape: 'check' };
 const INTERNAL_REQUEST_ID = '-';
-/** Commands without an effect whose answers differ in their state, outside a transaction. */
-const CHECK_WHILE_IDLE: readonly InstanceCommand[] = [
+/** A command without an effect, whose answer differs from those that tell a status. */
+const SIMPLE_CHECK: readonly InstanceCommand[] = [{ kind: 'prepare', prepared: CHECK_SHAPE }];
+/**
+ * Commands without an effect outside a transaction, whose answers differ in their state. The first one shows a BEGIN that ran though
+ * it seems refused.
+ */
+const STATE_CHECK: readonly InstanceCommand[] = [
+  ...SIMPLE_CHECK,
   { kind: 'begin', readOnly: true },
   { kind: 'rollback', id: INTERNAL_REQUEST_ID },
 ];
-/** Command without an effect on a transaction. */
-const CHECK_WHILE_OPEN: readonly InstanceCommand[] = [{ kind: 'prepare', prepared: CHECK_SHAPE }];
+/** Longer checks, for a connection on which copies were seen: more copies would have to arrive in their pattern. */
+const LONG_STATE_CHECK = [...STATE_CHECK, ...STATE_CHECK];
+const LONG_CHECK_WHILE_OPEN = Array<InstanceCommand>(4).fill(SIMPLE_CHECK[0]!);
 
 const CONNECT_FAILURES: Partial<Record<InstanceErrorKind, ConnectFailure>> = {
   wrongInstance: 'wrongInstance',
@@ -91,6 +98,7 @@
   private pendingStart: PendingStart | undefined;
   /** State after the newest answer. */
   private state: TransactionState = 'idle';
+  private hasSeenCopy = false;
   private isClosed = false;
 
   constructor(
@@ -123,8 +131,15 @@
     });
   }
 
-  /** Runs a command; closes the connection on a timeout. */
+  /**
+   * Runs a command; closes the connection on a timeout.
+   * @throws UnsendableCommandError
+   */
   run(command: InstanceCommand, timeoutMs: number): Promise<InstanceAnswer> {
+    // The rest of an answer to no command would become a part of the answer to this one.
+    if (this.pending.length === 0 && this.channel.isReceiving) {
+      this.closeUnexpected('a part of an answer to no command');
+    }
     if (this.isClosed) {
       const error = new BackendConnectionLostError('connection is closed', { sent: false });
       return Promise.reject(error);
@@ -147,9 +162,7 @@
       this.channel.send(pending.command);
     } catch (error) {
       if (!(error instanceof UnsendableCommandError)) throw error;
-      const { state } = this;
-      const refusal = { kind: 'malformed' as const, text: error.message };
-      pending.resolve({ rows: [], signature: '', error: refusal, state });
+      pending.reject(error);
       return;
     }
     this.pending.push(pending);
@@ -199,10 +212,10 @@
     const misfit = this.misfitOf(answer, isRepeated);
     const [pending] = this.pending;
     if (!pending || misfit !== undefined) {
-      this.handleMisfit(misfit ?? 'an answer to no command', isRepeated, isSigned(answer));
+      this.handleMisfit(misfit ?? 'an answer to no command', isRepeated, answer);
       return;
     }
-    this.recent.add(identity);
+    this.recent.add(identity, this.clock.now());
     this.pending.shift();
     this.state = answer.state;
     this.accept(pending, answer, isRepeated);
@@ -217,19 +230,27 @@
     return misfitOf(pending.command, this.state, answer);
   }
 
-  /** A copy is dropped. During a check, one without a signature may show that another copy was taken for an answer. */
-  private handleMisfit(reason: string, isRepeated: boolean, hasSignature: boolean): void {
-    const isHarmless = hasSignature || !this.pending[0]?.isCheck;
+  /**
+   * A copy is dropped. During a check, one without a signature may be the real answer in whose place another copy was taken; that is
+   * harmless only if both say that the command succeeded.
+   */
+  private handleMisfit(reason: string, isRepeated: boolean, answer: InstanceAnswer): void {
+    const isHarmless = isSigned(answer) || !this.pending[0]?.isCheck || this.tellsSuccess(answer);
     if (isRepeated && isHarmless) this.drop(reason);
     else this.closeUnexpected(reason);
   }
 
+  private tellsSuccess(misfit: InstanceAnswer): boolean {
+    const answers = [misfit, ...this.checked.map(({ answer }) => answer)];
+    return answers.every(({ error, status }) => !error && !status);
+  }
+
   private accept(pending: PendingCommand, answer: InstanceAnswer, isRepeated: boolean): void {
     if (pending.isCheck) {
       pending.resolve(answer);
       return;
     }
-    if (isSigned(answer)) {
+    if (isSigned(answer) || (!isRepeated && isOpening(pending, answer))) {
       this.confirm(this.unconfirmed.splice(0));
       pending.resolve(answer);
       return;
@@ -247,7 +268,7 @@
     }
     this.checked = this.unconfirmed;
     this.unconfirmed = [];
-    const commands = this.state === 'idle' ? CHECK_WHILE_IDLE : CHECK_WHILE_OPEN;
+    const commands = this.checkCommands();
     commands.forEach((command, index) => {
       const isLast = index === commands.length - 1;
       const resolve = (): void => {
@@ -261,11 +282,19 @@
     });
   }
 
+  private checkCommands(): readonly InstanceCommand[] {
+    const isIdle = this.state === 'idle';
+    if (this.hasSeenCopy) return isIdle ? LONG_STATE_CHECK : LONG_CHECK_WHILE_OPEN;
+    const tellsStatus = this.checked.every(({ pending }) => isAdministrative(pending.command));
+    return isIdle && !tellsStatus ? STATE_CHECK : SIMPLE_CHECK;
+  }
+
   private confirm(answers: readonly UnconfirmedAnswer[]): void {
     for (const { pending, answer } of answers) pending.resolve(answer);
   }
 
   private drop(reason: string): void {
+    this.hasSeenCopy = true;
     this.report(reason, 'dropped');
   }
 
@@ -292,6 +321,11 @@
   }
 }
 
+/** Whether the answer opens a transaction: its state differs from those of the answers before it. */
+function isOpening({ command }: PendingCommand, { error }: InstanceAnswer): boolean {
+  return command.kind === 'begin' && !error;
+}
+
 /** Cancels the timer when one of both is called. */
 function settlingOnce<Value>(
   timer: Timer,
--- a/test/unit/answer_matching.test.ts
+++ b/test/unit/answer_matching.test.ts
@@ -18,6 +18,8 @@
 import { RealClock } from '../../src/runtime/real_clock.js';
 
 const TIMEOUT_MS = 1000;
+/** Answers between an answer and its copy. */
+const LATE_COPY_ANSWERS = 4000;
 const POSITION = { term: 1, sequence: 7 };
 const READ: InstanceCommand = { kind: 'data', id: '1', statement: { kind: 'read', argument: 'k' } };
 const WRITE: InstanceCommand = {
@@ -33,6 +35,7 @@
   onMessage: (message: InstanceMessage) => void = () => undefined;
   onClosed: (reason: string) => void = () => undefined;
   closed = false;
+  isReceiving = false;
   readonly sent: string[] = [];
   readonly unexpected: UnexpectedAnswer[] = [];
   readonly connection = new MatchedConnection(this, new RealClock(), (item) =>
@@ -157,7 +160,8 @@
     await first;
     const second = instance.run(WRITE);
     instance.answer(refused('busy'));
-    t.same(instance.sent, ['data', 'data', 'begin', 'rollback']);
+    t.same(instance.sent, ['data', 'data', 'prepare', 'begin', 'rollback']);
+    instance.answer(done());
     instance.answer(done('open'));
     instance.answer(done());
     t.match(await second, { error: { kind: 'busy' } });
@@ -176,6 +180,39 @@
   t.ok(await mayHaveRun(second));
 });
 
+void t.test(
+  'a SET like an earlier one counts once a check shows that its answer is no copy',
+  async (t) => {
+    const instance = await started(t);
+    const first = instance.run(SET);
+    instance.answer(done());
+    await first;
+    const second = instance.run(SET);
+    instance.answer(done());
+    t.same(instance.sent, ['set', 'set', 'prepare', 'begin', 'rollback']);
+    instance.answer(done());
+    instance.answer(done('open'));
+    instance.answer(done());
+    t.match(await second, { signature: '-' });
+  },
+);
+
+void t.test('a status of before is not that of now', async (t) => {
+  const instance = await started(t);
+  const statusAt = (fencedTerm: number): InstanceAnswer => {
+    const status = { role: 'replica' as const, term: 1, received: POSITION, fencedTerm, lagMs: 0 };
+    return { ...done(), rows: [`replica 1 1.7 ${fencedTerm} 0`], status };
+  };
+  const first = instance.run({ kind: 'status' });
+  instance.answer(statusAt(0));
+  await first;
+  const second = instance.run({ kind: 'status' });
+  instance.answer(statusAt(0));
+  t.equal(instance.sent.at(-1), 'prepare');
+  instance.answer(statusAt(2));
+  t.ok(await mayHaveRun(second));
+});
+
 void t.test('a second answer to BEGIN does not stand for a BEGIN that was refused', async (t) => {
   const instance = await started(t);
   const first = instance.run(BEGIN);
@@ -218,6 +255,14 @@
   t.same(instance.sent, ['set', 'prepare', 'data'], 'without a check');
 });
 
+void t.test('an answer does not begin with the rows of a copy that broke off', async (t) => {
+  const instance = await started(t);
+  instance.isReceiving = true;
+  await t.rejects(instance.run(READ), /closed/);
+  t.same(instance.sent, [], 'the read is not sent');
+  t.match(instance.unexpected, [{ outcome: 'closed' }]);
+});
+
 void t.test('bytes that are no message end the connection and what was asked on it', async (t) => {
   const instance = await started(t);
   const write = instance.run(WRITE);
@@ -225,3 +270,17 @@
   t.ok(await mayHaveRun(write));
   t.match(instance.unexpected, [{ outcome: 'closed' }]);
 });
+
+void t.test('a copy that comes thousands of answers later is not that of a write', async (t) => {
+  const instance = await started(t);
+  for (let count = 0; count < LATE_COPY_ANSWERS; count++) {
+    const read = instance.run(READ);
+    instance.answer(signed(`s${count}`));
+    await read;
+  }
+  const write = instance.run(WRITE);
+  instance.answer(signed('s0'));
+  instance.answer(signed('own'));
+  t.equal((await write).signature, 'own');
+  t.match(instance.unexpected, [{ command: 'data', outcome: 'dropped' }]);
+});
