Elections: a candidate waits while its own vote is being stored

Cause: a candidate waited for votes for twice the duration of its pre-vote, counted from before its own vote was stored. Where storing takes longer than the wait between two attempts, each attempt began a new term, made the vote before it worthless, and queued another write.

It waits now while its own vote is stored, and then as long again, which is what it asks of the voters.

--- a/src/consensus/leader_election.ts
+++ b/src/consensus/leader_election.ts
@@ -7,8 +7,9 @@
  * as its own. It grants no vote while it receives messages of a leader, and no pre-vote while it
  * waits for a candidate that it voted for, either. A candidate with the votes of a majority of the voters becomes leader.
  *
- * Between distant regions votes arrive late. A candidate therefore waits for its votes for twice
- * the duration of its pre-vote, and a voter gives the candidate the time that the request asks for,
+ * Between distant regions votes arrive late, and on a slow disk they are stored late. A candidate
+ * therefore waits for its votes while it stores its own, and then as long again and for twice the
+ * duration of its pre-vote. A voter gives the candidate the time that the request asks for,
  * at most one election timeout. A vote counts once it is synced to disk; a member whose disk fails
  * does not become a candidate.
  */
@@ -36,9 +37,11 @@
    */
   private awaitsWinnerUntil = -Infinity;
   /**
-   * Until when votes for this candidate may still be in flight: twice the duration of its pre-vote.
+   * Until when votes for this candidate may still be in flight: twice the duration of its pre-vote, and that of storing its own.
    */
   private awaitsVotesUntil = -Infinity;
+  /** Whether this candidate's own vote is being stored. */
+  private isSavingOwnVote = false;
   private isStopped = false;
 
   constructor(
@@ -150,10 +153,14 @@
       return;
     }
     // Votes for this candidate are still in flight; another term would make them worthless.
-    if (state.role === 'candidate' && this.runtime.clock.now() < this.awaitsVotesUntil) return;
+    if (state.role === 'candidate' && this.awaitsVotes) return;
     if (state.membership.isVoter(state.id)) void this.campaign();
   }
 
+  private get awaitsVotes(): boolean {
+    return this.isSavingOwnVote || this.runtime.clock.now() < this.awaitsVotesUntil;
+  }
+
   private async campaign(): Promise<void> {
     const { state } = this;
     const { clock } = this.runtime;
@@ -184,17 +191,19 @@
   private async requestVotes(term: number, preVoteMs: number): Promise<boolean> {
     const { clock } = this.runtime;
     const candidateSince = clock.now();
-    this.awaitsVotesUntil = candidateSince + 2 * preVoteMs;
     this.state.becomeCandidate(term);
     const isSaved = await this.saveOwnVote(term);
+    const savingMs = clock.now() - candidateSince;
     // A round trip and a sync at the voter, estimated from the pre-vote and this member's own vote,
     // plus the network delay of the first leader message.
-    const winningMs = 2 * preVoteMs + (clock.now() - candidateSince);
+    const winningMs = 2 * preVoteMs + savingMs;
+    this.awaitsVotesUntil = clock.now() + winningMs;
     return isSaved && (await this.collectVotes(term, false, winningMs));
   }
 
   /** Stores this member's vote for itself; resolves with whether that succeeded. */
   private async saveOwnVote(term: number): Promise<boolean> {
+    this.isSavingOwnVote = true;
     try {
       await this.state.log.saveVote({ term, votedFor: this.state.id });
       return true;
@@ -202,6 +211,8 @@
       // The vote was not sent to any other member, so it has no effect; the next election timeout
       // retries.
       return false;
+    } finally {
+      this.isSavingOwnVote = false;
     }
   }
 
